--- /dev/null
+++ b/pkg/settings/defaults.go
@@ -0,0 +1,33 @@
+package settings
+
+import "time"
+
+// Default returns the settings used for whatever a file leaves out.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: Duration(time.Second)},
+		Limits: Limits{
+			MaxBody:        1 << 20,
+			MaxHeader:      32 << 10,
+			MaxConnections: 4096,
+			MaxQueued:      4096,
+			BodyTimeout:    Duration(10 * time.Second),
+			WriteTimeout:   Duration(20 * time.Second),
+			RequestTimeout: Duration(60 * time.Second),
+			RetryShare:     0.1,
+		},
+		Timing: Timing{
+			Heartbeat:     Duration(500 * time.Millisecond),
+			SuspectAfter:  Duration(1500 * time.Millisecond),
+			DeadAfter:     Duration(3 * time.Second),
+			Poll:          Duration(time.Second),
+			ConfirmWithin: Duration(5 * time.Second),
+			GrantTTL:      Duration(2 * time.Second),
+			Report:        Duration(500 * time.Millisecond),
+			Coalesce:      Duration(time.Millisecond),
+			DrainLimit:    Duration(60 * time.Second),
+		},
+		Sharing: Sharing{Mode: SharingFleet},
+		Log:     Log{Level: "info", Form: "json"},
+	}
+}
--- /dev/null
+++ b/pkg/wire/member.go
@@ -0,0 +1,68 @@
+package wire
+
+// MemberState is a router's state as its peers see it.
+type MemberState uint8
+
+// States of a member.
+const (
+	MemberAlive MemberState = iota
+	MemberLeaving
+	MemberSuspect
+	MemberDead
+)
+
+// Member is one router in the membership gossip. Higher (Incarnation, State) wins.
+type Member struct {
+	ID          RouterID    `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	State       MemberState `cbor:"3,keyasint,omitempty"`
+	Zone        string      `cbor:"4,keyasint,omitempty"`
+	PeerAddr    string      `cbor:"5,keyasint,omitempty"` // UDP address for peers
+	EntryAddr   string      `cbor:"6,keyasint,omitempty"` // TCP address for callers
+	// Version is the configuration version in force there.
+	Version uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// Ping asks a peer whether it lives; it carries gossip.
+type Ping struct {
+	Nonce   uint64   `cbor:"1,keyasint"`
+	Members []Member `cbor:"2,keyasint,omitempty"`
+	Version uint64   `cbor:"3,keyasint,omitempty"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Nonce   uint64   `cbor:"1,keyasint"`
+	Members []Member `cbor:"2,keyasint,omitempty"`
+	Version uint64   `cbor:"3,keyasint,omitempty"`
+	// ConfirmedMs is how long ago Version was last known to be the newest: read from
+	// the table, or confirmed by another peer's Pong. The asker counts it from when it
+	// *sent* the Ping, so a paused asker doesn't take an old answer for a fresh one.
+	ConfirmedMs uint32 `cbor:"4,keyasint,omitempty"`
+	// Confirmed is false when the peer never knew.
+	Confirmed bool `cbor:"5,keyasint,omitempty"`
+	// Marks are the leaving marks changed lately.
+	Marks []UpstreamMark `cbor:"6,keyasint,omitempty"`
+}
+
+// Suspicion says that a request's content ran on an upstream when it died.
+type Suspicion struct {
+	Content uint64 `cbor:"1,keyasint"`
+	// Deaths is the number of different deaths; it only grows until it fades.
+	Deaths uint32 `cbor:"2,keyasint"`
+	// Cleared says that the content ran alone to its end since.
+	Cleared bool `cbor:"3,keyasint,omitempty"`
+	// Seq orders news about one content: higher wins.
+	Seq uint64 `cbor:"4,keyasint"`
+}
+
+// ConfigAsk asks a peer for configuration newer than Have.
+type ConfigAsk struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigData carries a whole snapshot as encoded by pkg/resource, compressed.
+type ConfigData struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Data    []byte `cbor:"2,keyasint"`
+}
