Start fleets as processes for developers

Cause: the demo, measurements and failure tests need whole fleets of separate processes. Ruled out: goroutines in one process, which can't be killed or paused, and ephemeral ports, which outgoing connections can take.

--- /dev/null
+++ b/tools/devfleet/demo.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/flamingowind/flamingowind/internal/devfleet"
+	"github.com/flamingowind/flamingowind/pkg/load"
+)
+
+// callerPatience bounds one request of the demo.
+const callerPatience = 30 * time.Second
+
+// demoCommand shows the whole request path on one machine.
+type demoCommand struct {
+	planFlags
+	rounds int
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "send requests through every router and check them" }
+func (*demoCommand) Usage() string {
+	return "demo [flags]:\n  Exits non-zero when anything was lost, doubled or cut.\n"
+}
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	c.planFlags.SetFlags(f)
+	f.IntVar(&c.rounds, "rounds", 3, "requests of each form, organisation and router")
+}
+
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		fmt.Fprintln(os.Stderr, "logs:", c.dir)
+		return subcommands.ExitFailure
+	}
+	c.cleanUp()
+	return subcommands.ExitSuccess
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	fleet, err := c.start(ctx)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop(context.WithoutCancel(ctx))
+	caller := load.NewCaller(fleet.Ready.Model, fleet.Ready.Service, callerPatience)
+	defer caller.Close()
+	if err := checkEntries(ctx, fleet.Ready); err != nil {
+		return err
+	}
+	results := sendAll(ctx, caller, demoRequests(fleet.Ready, c.rounds))
+	attempts, err := load.Journals(ctx, fleet.Ready.Upstreams)
+	if err != nil {
+		return err
+	}
+	return report(fleet.Ready, results, attempts)
+}
+
+// checkEntries asks every router which addresses to use: each must name routers of
+// this fleet only, and together they must name all of them.
+func checkEntries(ctx context.Context, ready devfleet.Ready) error {
+	known := make(map[string]bool)
+	for _, r := range ready.Routers {
+		known[r.Entry] = false
+	}
+	for _, r := range ready.Routers {
+		answer, err := load.AskEntries(ctx, r.Entry, ready.Organisations[0].Name, ready.Model)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s (%s) names entries %v, to keep for %d s\n", r.ID, r.Entry, answer.Entries, answer.KeepSeconds)
+		if err := markKnown(known, answer.Entries); err != nil {
+			return err
+		}
+	}
+	return allKnown(known)
+}
