Name every fault of a settings file at once; metrics and logs

Cause: a check that stops at the first fault costs an operator a rollout for each; metrics need bounded labels.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Two commands do all: `make demo` and `make test`.
+GO ?= go
+BIN := bin
+ROUTERS ?= 8
+SCENARIO ?= tutor
+PROGRAMS := flamingowindd flamingowindctl flamingowind-standin flamingowind-load
+
+.PHONY: all build demo up test lint unit failures model model-mutants measure slopes bench fuzz soak clean
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./cmd/... ./tools/...
+
+demo: build
+	$(BIN)/devfleet demo -bin $(BIN)
+
+up: build
+	$(BIN)/devfleet up -bin $(BIN) -routers $(ROUTERS)
+
+test: build lint unit failures model model-mutants
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race ./pkg/... ./internal/... ./cmd/... ./tools/...
+
+# Real processes on loopback: kills, pauses, cuts, outages.
+failures: build
+	FLAMINGOWIND_BIN=$(abspath $(BIN)) $(GO) test -race -count=1 -timeout 15m ./test/...
+
+model:
+	spec/run.sh
+
+model-mutants:
+	spec/mutants.sh
+
+measure: build
+	$(BIN)/measure -bin $(BIN) -scenario $(SCENARIO)
+
+slopes: build
+	$(BIN)/slopes -bin $(BIN) -out docs/capacity
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
+
+fuzz:
+	scripts/fuzz.sh
+
+clean:
+	rm -rf $(BIN) out
--- a/pkg/settings/fill.go
+++ b/pkg/settings/fill.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"fmt"
 	"reflect"
 	"sort"
 	"strings"
@@ -57,7 +56,20 @@
 			return line[strings.Index(line, "\""):]
 		}
 	}
-	return fmt.Sprintf("wrong value: must be a %s", field.Kind())
+	return "wrong value: must be " + inWords(field.Kind())
+}
+
+func inWords(k reflect.Kind) string {
+	switch k {
+	case reflect.Slice:
+		return "a list"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a text"
+	}
 }
 
 func isSection(v reflect.Value) bool { return v.Kind() == reflect.Struct }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -60,15 +61,23 @@
 		return s, &Invalid{Problems: []Problem{{File: file, Text: firstLine(yaml.FormatError(err, false, false))}}}
 	}
 	problems := fill(&s, tree, file)
-	if len(problems) == 0 {
-		problems = check(s, lineFinder(tree), file)
-	}
+	problems = append(problems, unreported(check(s, lineFinder(tree), file), problems)...)
 	if len(problems) > 0 {
 		return s, &Invalid{Problems: problems}
 	}
 	return s, nil
 }
 
+// unreported drops what is only the echo of a fault already named: the check of a
+// value that could not be decoded.
+func unreported(found, reported []Problem) []Problem {
+	known := make(map[string]bool, len(reported))
+	for _, p := range reported {
+		known[p.Key] = true
+	}
+	return slices.DeleteFunc(found, func(p Problem) bool { return known[p.Key] })
+}
+
 func lineFinder(tree *ast.File) func(key string) int {
 	return func(key string) int {
 		path, err := yaml.PathString("$." + key)
--- /dev/null
+++ b/pkg/telemetry/log.go
@@ -0,0 +1,23 @@
+package telemetry
+
+import (
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/juju/errors"
+)
+
+// NewLog returns a logger that writes to w. form is "json" or "text".
+func NewLog(w io.Writer, level, form string) (*log.Logger, error) {
+	l, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Annotatef(err, "log level %q", level)
+	}
+	var h log.Handler = json.New(w)
+	if form == "text" {
+		h = text.New(w)
+	}
+	return &log.Logger{Handler: h, Level: l}, nil
+}
--- /dev/null
+++ b/pkg/telemetry/requests.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// MaxOrgs bounds the organisations with series of their own; later ones share otherOrg.
+// A flood of made-up names can't get here: only declared organisations are counted.
+const MaxOrgs = 1000
+
+const otherOrg = "other"
+
+// Buckets of the request histograms: from 1 ms to about a minute.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 24)
+
+// Requests keeps the histograms of each organisation and class.
+type Requests struct {
+	scope tally.Scope
+
+	mu   sync.Mutex
+	sets map[requestKey]*requestSet
+	orgs map[string]struct{}
+}
+
+type requestKey struct{ org, class string }
+
+type requestSet struct {
+	firstToken, betweenTokens, queueWait, service tally.Histogram
+	units                                         tally.Counter
+	scope                                         tally.Scope
+}
+
+// NewRequests returns histograms below scope.
+func NewRequests(scope tally.Scope) *Requests {
+	return &Requests{
+		scope: scope.SubScope("request"),
+		sets:  make(map[requestKey]*requestSet),
+		orgs:  make(map[string]struct{}),
+	}
+}
+
+// FirstToken records the time from acceptance to the first byte of the answer.
+func (r *Requests) FirstToken(org, class string, d time.Duration) {
+	r.set(org, class).firstToken.RecordDuration(d)
+}
+
+// BetweenTokens records the mean time between tokens of one answer.
+func (r *Requests) BetweenTokens(org, class string, d time.Duration) {
+	r.set(org, class).betweenTokens.RecordDuration(d)
+}
+
+// QueueWait records the time a request waited for its slot.
+func (r *Requests) QueueWait(org, class string, d time.Duration) {
+	r.set(org, class).queueWait.RecordDuration(d)
+}
+
+// Service records the time a request held its slot, and its units of service.
+func (r *Requests) Service(org, class string, d time.Duration, units float64) {
+	s := r.set(org, class)
+	s.service.RecordDuration(d)
+	s.units.Inc(int64(units))
+}
+
+// Ended counts one answer by its code ("ok" or a verdict.Code) and verdict.
+func (r *Requests) Ended(org, class, code, verdict string) {
+	r.set(org, class).scope.Tagged(map[string]string{"code": code, "verdict": verdict}).Counter("ended").Inc(1)
+}
+
+func (r *Requests) set(org, class string) *requestSet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.orgs[org]; !known {
+		if len(r.orgs) >= MaxOrgs {
+			org = otherOrg
+		}
+		r.orgs[org] = struct{}{}
+	}
+	key := requestKey{org, class}
+	if s, ok := r.sets[key]; ok {
+		return s
+	}
+	s := newRequestSet(r.scope.Tagged(map[string]string{"organisation": org, "class": class}))
+	r.sets[key] = s
+	return s
+}
+
+func newRequestSet(scope tally.Scope) *requestSet {
+	return &requestSet{
+		firstToken:    scope.Histogram("first_token_seconds", latencyBuckets),
+		betweenTokens: scope.Histogram("between_tokens_seconds", latencyBuckets),
+		queueWait:     scope.Histogram("queue_wait_seconds", latencyBuckets),
+		service:       scope.Histogram("service_seconds", latencyBuckets),
+		units:         scope.Counter("units"),
+		scope:         scope,
+	}
+}
