Drive seeded load and report gap, utilisation and times

Cause: the fairness gap, utilisation and control traffic have to be measured over the public interface. Ruled out: sampling fixed windows for the gap, which misses the worst one.

--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -25,6 +26,7 @@
 	// Links are the relays before the upstreams by name; empty unless Plan.Relays.
 	Links map[string]*TCPRelay
 
+	mu        sync.Mutex // guards Ready once the fleet runs
 	authority *Authority
 	ports     *ports
 	tokenFile string
@@ -109,11 +111,26 @@
 	if err := r.Start(); err != nil {
 		return err
 	}
-	r.Info.PID = r.PID()
-	f.Ready.Routers[i] = r.Info
+	f.noteRestart(i)
 	return f.waitRouter(ctx, r)
 }
 
+func (f *Fleet) noteRestart(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Routers[i].Info.PID = f.Routers[i].PID()
+	f.Ready.Routers[i].PID = f.Routers[i].Info.PID
+}
+
+// Current returns a copy of Ready with the process IDs of now.
+func (f *Fleet) Current() Ready {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ready := f.Ready
+	ready.Routers = slices.Clone(f.Ready.Routers)
+	return ready
+}
+
 // Isolate cuts router i off from all peers; its platform and upstreams stay
 // reachable. It needs Plan.Relays. A router sends from its own peer address, so the
 // others' relays know its datagrams by their source.
--- a/pkg/load/audit.go
+++ b/pkg/load/audit.go
@@ -44,11 +44,11 @@
 	a := Audit{Sent: len(results), Codes: make(map[string]int)}
 	runs := make(map[string]int, len(attempts))
 	for _, t := range attempts {
-		runs[t.Marker]++
+		runs[t.runKey()]++
 	}
 	for _, r := range results {
 		a.count(r, excuse)
-		a.checkRuns(r, runs[r.Marker])
+		a.checkRuns(r, runs[r.Marker]+runs[r.contentKey()])
 	}
 	return a
 }
--- a/pkg/load/build.go
+++ b/pkg/load/build.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 )
 
@@ -29,6 +31,8 @@
 	Text   string `json:"text"`
 }
 
+func serviceBody(q *Request) save { return save{Marker: q.Marker, Text: string(q.Form)} }
+
 func (c *Caller) build(ctx context.Context, q *Request) (*http.Request, error) {
 	method, path, body := c.shape(q)
 	data, err := json.Marshal(body)
@@ -47,14 +51,16 @@
 	return req, nil
 }
 
+func (q *Request) isService() bool { return q.Form == ServiceCall || q.Form == ServiceSave }
+
 // shape gives the method, the path and the body. A call that may be repeated is a
 // PUT, since the seeded route takes POST as at most once.
 func (c *Caller) shape(q *Request) (method, path string, body any) {
 	switch q.Form {
 	case ServiceCall:
-		return http.MethodPut, "/services/" + c.Service + "/check-in", save{q.Marker, "check-in"}
+		return http.MethodPut, "/services/" + c.Service + "/check-in", serviceBody(q)
 	case ServiceSave:
-		return http.MethodPost, "/services/" + c.Service + "/progress", save{q.Marker, "progress"}
+		return http.MethodPost, "/services/" + c.Service + "/progress", serviceBody(q)
 	default:
 		return http.MethodPost, "/v1/completions", completion{
 			Model: c.Model, Prompt: "Mark the reading journal " + q.Marker, MaxTokens: maxTokens,
@@ -72,7 +78,23 @@
 	if q.Deadline > 0 {
 		req.Header.Set("Flamingowind-Deadline", q.Deadline.String())
 	}
+	if q.isService() {
+		req.Header.Set("Flamingowind-Marker", q.Marker)
+	}
 	if q.Form == ServiceSave {
 		req.Header.Set("Idempotency-Key", q.Marker)
 	}
 }
+
+// contentKey is the runKey of a service call whose marker got lost on its way: the
+// body holds the marker, so its hash is the request's own.
+func (q *Request) contentKey() string {
+	if !q.isService() {
+		return ""
+	}
+	data, err := json.Marshal(serviceBody(q))
+	if err != nil {
+		return ""
+	}
+	return contentKey(strconv.FormatUint(xxhash.Sum64(data), 16))
+}
--- a/pkg/load/journals.go
+++ b/pkg/load/journals.go
@@ -18,6 +18,7 @@
 	Upstream string    `json:"-"`
 	Attempt  string    `json:"attempt"`
 	Marker   string    `json:"marker"`
+	Content  string    `json:"content"`
 	Key      string    `json:"key"`
 	Tokens   int       `json:"tokens"`
 	Started  time.Time `json:"started"`
@@ -25,6 +26,17 @@
 	State    string    `json:"state"`
 }
 
+// runKey tells which request ran: its marker, or the hash of its body where the
+// marker didn't reach the service.
+func (a Attempt) runKey() string {
+	if a.Marker != "" {
+		return a.Marker
+	}
+	return contentKey(a.Content)
+}
+
+func contentKey(hash string) string { return "content:" + hash }
+
 type journal struct {
 	Attempts []Attempt `json:"attempts"`
 	// Dropped counts attempts that the journal had no room for.
--- a/pkg/load/result.go
+++ b/pkg/load/result.go
@@ -33,8 +33,8 @@
 	Sent time.Time
 	// First is when the first token came, Ended when the answer or the error was over.
 	First, Ended time.Time
-	// Gaps sums the times between tokens, MaxGap is the longest of them.
-	Gaps, MaxGap time.Duration
+	// Gaps are the times between two tokens, of streams only.
+	Gaps []time.Duration
 	// Got counts the tokens that came.
 	Got     int
 	Outcome Outcome
@@ -50,11 +50,3 @@
 // coordinated omission: a request that was sent late, because the caller was held
 // up, counts its delay.
 func (r Result) FirstToken() time.Duration { return r.First.Sub(r.Intended) }
-
-// MeanGap is the mean time between two tokens; 0 below two tokens.
-func (r Result) MeanGap() time.Duration {
-	if r.Got < 2 {
-		return 0
-	}
-	return r.Gaps / time.Duration(r.Got-1)
-}
--- /dev/null
+++ b/pkg/load/routeruse.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/internal/devfleet"
+)
+
+// RouterUse is what one router used during a run.
+type RouterUse struct {
+	ID string `json:"id"`
+	// CPUShare is the processor time over the run's time: 1 is one whole processor.
+	CPUShare float64 `json:"cpu_share"`
+	// RSSMB is the resident memory at the end, in MiB.
+	RSSMB float64 `json:"rss_mb"`
+	// BytesPerSecond and PacketsPerSecond count control traffic sent and received.
+	BytesPerSecond   float64 `json:"control_bytes_s"`
+	PacketsPerSecond float64 `json:"control_packets_s"`
+}
+
+const bytesPerMiB = 1 << 20
+
+// reading is one look at a router.
+type reading struct {
+	pid   int
+	usage Usage
+	wire  Wire
+	fault error
+}
+
+// readRouters looks at all routers. A router that can't be read (it was killed a
+// moment ago) has its fault in the reading.
+func readRouters(ctx context.Context, routers []devfleet.RouterInfo) []reading {
+	list := make([]reading, len(routers))
+	for i, r := range routers {
+		list[i] = readRouter(ctx, r)
+	}
+	return list
+}
+
+func readRouter(ctx context.Context, r devfleet.RouterInfo) reading {
+	usage, err := readUsage(r.PID)
+	if err != nil {
+		return reading{pid: r.PID, fault: errors.Annotate(err, r.ID)}
+	}
+	wire, err := readWire(ctx, r.Metrics)
+	return reading{pid: r.PID, usage: usage, wire: wire, fault: errors.Annotate(err, r.ID)}
+}
+
+// routerUses compares two looks that were passed apart.
+func routerUses(routers []devfleet.RouterInfo, before, after []reading, passed time.Duration) []RouterUse {
+	uses := make([]RouterUse, len(routers))
+	for i, r := range routers {
+		cpu := after[i].usage.CPU
+		if after[i].pid == before[i].pid {
+			cpu -= before[i].usage.CPU
+		}
+		wire := after[i].wire.since(before[i].wire)
+		uses[i] = RouterUse{
+			ID:               r.ID,
+			CPUShare:         cpu.Seconds() / passed.Seconds(),
+			RSSMB:            float64(after[i].usage.RSS) / bytesPerMiB,
+			BytesPerSecond:   (wire.BytesSent + wire.BytesReceived) / passed.Seconds(),
+			PacketsPerSecond: (wire.PacketsSent + wire.PacketsReceived) / passed.Seconds(),
+		}
+	}
+	return uses
+}
+
+func faultsOf(readings ...[]reading) []string {
+	var list []string
+	for _, part := range readings {
+		for _, r := range part {
+			if r.fault != nil {
+				list = append(list, r.fault.Error())
+			}
+		}
+	}
+	return list
+}
--- a/pkg/load/stream.go
+++ b/pkg/load/stream.go
@@ -99,9 +99,13 @@
 	if a.Usage != nil {
 		s.usage = a.Usage.CompletionTokens
 	}
-	if len(a.Choices) > 0 && a.Choices[0].Text != "" {
-		s.token()
+	if len(a.Choices) == 0 || a.Choices[0].Text == "" {
+		return nil
 	}
+	if want := tokenText(s.res.Marker, s.res.Got); a.Choices[0].Text != want {
+		return errors.Errorf("token %d is %q in place of %q", s.res.Got, a.Choices[0].Text, want)
+	}
+	s.token()
 	return nil
 }
 
@@ -111,9 +115,7 @@
 	if r.Got == 0 {
 		r.First = now
 	} else {
-		gap := now.Sub(s.last)
-		r.Gaps += gap
-		r.MaxGap = max(r.MaxGap, gap)
+		r.Gaps = append(r.Gaps, now.Sub(s.last))
 	}
 	s.last = now
 	r.Got++
@@ -137,16 +139,16 @@
 		return
 	}
 	var a answer
-	if err := json.Unmarshal(data, &a); err != nil || a.Usage == nil {
-		r.end(Cut, errors.Errorf("an answer without usage: %.200s", data))
+	if err := json.Unmarshal(data, &a); err != nil || a.Usage == nil || len(a.Choices) == 0 {
+		r.end(Cut, errors.Errorf("an answer without choice or usage: %.200s", data))
 		return
 	}
 	r.First, r.Got = time.Now(), a.Usage.CompletionTokens
 	if c.OnToken != nil {
 		c.OnToken(&r.Request, r.Got)
 	}
-	if r.Got != r.Tokens {
-		r.end(Cut, errors.Errorf("%d tokens came, the answer has %d", r.Got, r.Tokens))
+	if r.Got != r.Tokens || a.Choices[0].Text != wholeText(r.Marker, r.Tokens) {
+		r.end(Cut, errors.Errorf("%d tokens came, the answer has %d: %.200q", r.Got, r.Tokens, a.Choices[0].Text))
 		return
 	}
 	r.end(Whole, nil)
