Add the platform's adapter and the stand-ins

Cause: the routers need a platform, model engines and plain services to run against; none exist on a developer's machine.

Ruled out: a table version that starts again at 1 for a row made anew, as a guard read before a deletion would hold again; keeping each event for a resume, as events follow from the attempt alone; telling a lost write from a refused one by the error's text, as the transport's trace says whether there was a connection at all.

--- /dev/null
+++ b/pkg/standin/engine/faults.go
@@ -0,0 +1,51 @@
+package engine
+
+import "time"
+
+// Faults are the failures switched on by PUT /admin/faults. The zero value has none.
+type Faults struct {
+	// StepMs replaces the step time, in milliseconds; 0 keeps it.
+	StepMs float64 `json:"stepMs"`
+	// Slots replaces the number of slots; 0 keeps it.
+	Slots int `json:"slots"`
+	// CrashOn is a substring of the prompts that crash the engine while they run.
+	CrashOn string `json:"crashOn"`
+	// ReviveMs is how long a crashed engine is away, in milliseconds; 0: 1000.
+	ReviveMs int `json:"reviveMs"`
+	// Garbage puts bytes that aren't JSON into each answer.
+	Garbage bool `json:"garbage"`
+	// Truncate ends each answer after half its tokens: a stream cleanly but without
+	// its last events, a whole answer short of its declared length.
+	Truncate bool `json:"truncate"`
+	// Surplus sends more after the end of each answer.
+	Surplus bool `json:"surplus"`
+	// WrongAttempt answers under another attempt's ID.
+	WrongAttempt bool `json:"wrongAttempt"`
+	// Refuse turns each new request away with 503, before it runs.
+	Refuse bool `json:"refuse"`
+	// HangMs is how long each new request is held before anything happens, in milliseconds.
+	HangMs int `json:"hangMs"`
+	// BreakAfter closes the connection of each new stream after so many events, while
+	// the attempt goes on and can be resumed; 0: never.
+	BreakAfter int `json:"breakAfter"`
+	// ResumeGraceMs is how long an attempt goes on without a connection, in
+	// milliseconds; 0: 2000.
+	ResumeGraceMs int `json:"resumeGraceMs"`
+	// LoadLagMs is the least age of the load report, in milliseconds; 0: 500.
+	LoadLagMs int `json:"loadLagMs"`
+}
+
+func (f Faults) revive() time.Duration { return millis(f.ReviveMs, defaultRevive) }
+
+func (f Faults) grace() time.Duration { return millis(f.ResumeGraceMs, defaultGrace) }
+
+func (f Faults) loadLag() time.Duration { return millis(f.LoadLagMs, defaultLag) }
+
+func (f Faults) hang() time.Duration { return millis(f.HangMs, 0) }
+
+func millis(n int, otherwise time.Duration) time.Duration {
+	if n <= 0 {
+		return otherwise
+	}
+	return time.Duration(n) * time.Millisecond
+}
