--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -54,7 +54,7 @@
 	}
 	fmt.Fprintln(table, "\t")
 	writeRows(table, rows, variants)
-	if len(variants) > 0 && variants[0].Report.Flood != nil {
+	if allFlooded(variants) {
 		writeRows(table, floodRows, variants)
 	}
 	if err := table.Flush(); err != nil {
@@ -63,6 +63,15 @@
 	return writeFaults(w, variants)
 }
 
+func allFlooded(variants []Variant) bool {
+	for _, v := range variants {
+		if v.Report.Flood == nil {
+			return false
+		}
+	}
+	return true
+}
+
 func writeRows(w io.Writer, list []row, variants []Variant) {
 	for _, line := range list {
 		fmt.Fprint(w, line.name)
