Check the stand-ins' switches, and sharpen the tests by taking guards away

Cause: a misspelt or impossible failure switch was taken silently, so a test would have run without its failure; attempt IDs with a slash met no route; and 4 of 17 guards could be taken away without a test noticing.

Ruled out: a network test for the write that leaves twice, as the library replays only what it can rewind and the redirect guard hides that case; the test looks at the request itself instead. Ruled out too: a table that forgets a write whose caller left, since a slow real one doesn't.

Conclusion: the stand-ins are fit for the thin path and the failure tests; the reading of slow readers inside an engine isn't bounded by a write deadline yet.

--- a/cmd/flamingowind-standin/engine.go
+++ b/cmd/flamingowind-standin/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/platform/httpplatform"
 	"github.com/flamingowind/flamingowind/pkg/standin/engine"
@@ -41,6 +42,9 @@
 
 func (c *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	list, err := places(c.listen, c.name)
+	if err == nil && (c.slots < 1 || c.stepMs <= 0) {
+		err = errors.New("-slots and -step-ms must be over 0")
+	}
 	if err != nil {
 		return usageError(err)
 	}
--- a/cmd/flamingowind-standin/serve.go
+++ b/cmd/flamingowind-standin/serve.go
@@ -41,6 +41,9 @@
 	}
 	list := make([]place, len(addrs))
 	for i := range addrs {
+		if addrs[i] == "" || names[i] == "" {
+			return nil, errors.New("-listen and -name hold an empty part")
+		}
 		list[i] = place{names[i], addrs[i]}
 	}
 	return list, nil
--- a/cmd/flamingowind-standin/service.go
+++ b/cmd/flamingowind-standin/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/standin/host"
 	"github.com/flamingowind/flamingowind/pkg/standin/service"
@@ -31,6 +32,9 @@
 
 func (c *serviceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	list, err := places(c.listen, c.name)
+	if err == nil && c.callMs <= 0 {
+		err = errors.New("-call-ms must be over 0")
+	}
 	if err != nil {
 		return usageError(err)
 	}
--- a/pkg/platform/httpplatform/call.go
+++ b/pkg/platform/httpplatform/call.go
@@ -58,10 +58,11 @@
 	if call.body == nil {
 		return req, nil
 	}
-	// Failure guarded against: a kept connection breaks while a write is under way, and
-	// net/http sends it a second time by itself. It shows as a guard that fails on the
-	// caller's own write, or as a write applied twice. Without GetBody the transport
-	// can't rewind the body, so it sends a request with a body at most once.
+	// Failure guarded against: net/http sends a request again by itself, after a kept
+	// connection broke or on a redirect (307, 308). It shows as a guard that fails on
+	// the caller's own write, or as a write applied twice. Without GetBody neither the
+	// transport nor the client can rewind the body, so it leaves at most once. For the
+	// same reason no Idempotency-Key header is set: it would allow replays.
 	req.Body = io.NopCloser(bytes.NewReader(call.body))
 	req.ContentLength = int64(len(call.body))
 	req.GetBody = nil
--- a/pkg/platform/httpplatform/client_test.go
+++ b/pkg/platform/httpplatform/client_test.go
@@ -77,13 +77,9 @@
 		http.StatusServiceUnavailable:  platform.ErrRefused,
 		http.StatusTooManyRequests:     platform.ErrRefused,
 		http.StatusInternalServerError: platform.ErrUnknown,
-		http.StatusTemporaryRedirect:   platform.ErrUnknown,
 		http.StatusBadRequest:          errors.BadRequest,
 	} {
-		c := serveFunc(t, func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Location", "/elsewhere")
-			w.WriteHeader(status)
-		})
+		c := serveFunc(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
 		require.ErrorIs(t, c.Table().Commit(t.Context(), txn), want, "status %d", status)
 	}
 }
@@ -120,7 +116,26 @@
 	require.EqualValues(t, 2, posts.Load())
 }
 
-func TestTimeoutIsUnknown(t *testing.T) {
+// Something between router and platform answers a write with a redirect. Followed, the
+// write would become a read whose success looks like a commit (303), or would be sent
+// twice (307): the user would hold a confirmation that nobody recorded.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{http.StatusSeeOther, http.StatusTemporaryRedirect} {
+		var requests atomic.Int32
+		c := serveFunc(t, func(w http.ResponseWriter, r *http.Request) {
+			requests.Add(1)
+			if r.URL.Path == "/elsewhere" {
+				return
+			}
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(status)
+		})
+		require.ErrorIs(t, c.Table().Commit(t.Context(), txn), platform.ErrUnknown)
+		require.EqualValues(t, 1, requests.Load())
+	}
+}
+
+func TestCanceledInProgressIsUnknown(t *testing.T) {
 	arrived := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	c := serveFunc(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -135,20 +150,35 @@
 	require.ErrorIs(t, err, platform.ErrUnknown)
 }
 
+// The platform takes a call and never answers. The router must get its goroutine back.
+func TestTimeoutEndsTheCall(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	c, err := httpplatform.New(server.URL, time.Millisecond)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Table().Get(t.Context(), "k")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 func TestBadAnswers(t *testing.T) {
 	large := strings.Repeat("x", 1<<20)
 	for name, f := range map[string]http.HandlerFunc{
-		"not JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) },
-		"cut":      func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") },
+		"cut": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") },
 		"too large": func(w http.ResponseWriter, _ *http.Request) {
 			for range 17 {
 				_, _ = w.Write([]byte(large))
 			}
 		},
 	} {
-		_, err := serveFunc(t, f).Table().Get(t.Context(), "k")
+		_, err := serveFunc(t, f).Objects().Get(t.Context(), "k")
 		require.ErrorIs(t, err, platform.ErrUnknown, name)
 	}
+	c := serveFunc(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{")) })
+	_, err := c.Table().Get(t.Context(), "k")
+	require.ErrorIs(t, err, platform.ErrUnknown)
 }
 
 func TestNewChecksItsArguments(t *testing.T) {
--- a/pkg/standin/engine/control_test.go
+++ b/pkg/standin/engine/control_test.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -87,6 +89,34 @@
 	}
 }
 
+// A router gives up on an engine that hangs. The request must not run afterwards:
+// nobody would read it, and it would count as doubled once it ran elsewhere.
+func TestHeldRequestDoesNotRunForACallerThatLeft(t *testing.T) {
+	inBubble(t, Options{}, func(t *testing.T, b bench) {
+		b.SetFaults(Faults{HangMs: 60_000})
+		ctx, hangUp := context.WithCancel(t.Context())
+		gone := b.start(ctx, "a1", `{"prompt":"p"}`)
+		hangUp()
+		require.True(t, (<-gone).broken)
+		<-time.After(2 * time.Minute)
+		require.Empty(t, b.Journal().Attempts)
+	})
+}
+
+func TestFaultsAreChecked(t *testing.T) {
+	handler := New(Options{}).Handler()
+	for body, want := range map[string]int{
+		`{"stepMs":2.5,"slots":4}`: http.StatusOK,
+		`{"crashon2":"x"}`:         http.StatusBadRequest,
+		`{"hangMs":-1}`:            http.StatusBadRequest,
+		`{"slots":1000000}`:        http.StatusBadRequest,
+	} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/admin/faults", strings.NewReader(body)))
+		require.Equal(t, want, w.Code, body)
+	}
+}
+
 func TestFaultyAnswers(t *testing.T) {
 	const stream = `{"prompt":"p","stream":true,"standin_tokens":4}`
 	for name, c := range map[string]struct {
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -54,7 +54,6 @@
 // SetFaults replaces the failures that are switched on. CrashOn counts for requests
 // that are in the engine already, too.
 func (e *Engine) SetFaults(f Faults) {
-	f.Slots = min(f.Slots, maxSlots)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // Faults are the failures switched on by PUT /admin/faults. The zero value has none.
 type Faults struct {
@@ -35,6 +39,18 @@
 	LoadLagMs int `json:"loadLagMs"`
 }
 
+// Check names a value that is out of range.
+func (f Faults) Check() error {
+	lowest := min(f.Slots, f.ReviveMs, f.HangMs, f.BreakAfter, f.ResumeGraceMs, f.LoadLagMs)
+	if lowest < 0 || f.StepMs < 0 {
+		return errors.NotValidf("number under 0")
+	}
+	if f.Slots > maxSlots {
+		return errors.NotValidf("slots over %d", maxSlots)
+	}
+	return nil
+}
+
 func (f Faults) revive() time.Duration { return millis(f.ReviveMs, defaultRevive) }
 
 func (f Faults) grace() time.Duration { return millis(f.ResumeGraceMs, defaultGrace) }
--- a/pkg/standin/engine/handler.go
+++ b/pkg/standin/engine/handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -10,18 +11,24 @@
 	"github.com/flamingowind/flamingowind/pkg/standin/reply"
 )
 
+// Paths with an attempt's ID, which may hold slashes.
+const (
+	streamPath = "/v1/streams/{attempt:.+}"
+	kvPath     = "/v1/kv/{attempt:.+}"
+)
+
 // Handler returns the HTTP face described in docs/DESIGN.md.
 func (e *Engine) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
 	m.HandleFunc("/v1/chat/completions", e.complete).Methods(http.MethodPost)
-	m.HandleFunc("/v1/streams/{attempt}", e.resume).Methods(http.MethodGet)
-	m.HandleFunc("/v1/streams/{attempt}", e.cancelStream).Methods(http.MethodDelete)
+	m.HandleFunc(streamPath, e.resume).Methods(http.MethodGet)
+	m.HandleFunc(streamPath, e.cancelStream).Methods(http.MethodDelete)
 	m.HandleFunc("/v1/load", e.getLoad).Methods(http.MethodGet)
 	m.HandleFunc("/v1/state", e.getState).Methods(http.MethodGet)
 	m.HandleFunc("/v1/orders", e.postOrder).Methods(http.MethodPost)
 	m.HandleFunc("/v1/cache/events", e.getCacheEvents).Methods(http.MethodGet)
-	m.HandleFunc("/v1/kv/{attempt}", e.exportKV).Methods(http.MethodGet)
+	m.HandleFunc(kvPath, e.exportKV).Methods(http.MethodGet)
 	m.HandleFunc("/v1/kv", e.importKV).Methods(http.MethodPut)
 	m.HandleFunc("/healthz", e.getHealth).Methods(http.MethodGet)
 	m.HandleFunc("/admin/faults", e.putFaults).Methods(http.MethodPut)
@@ -42,7 +49,7 @@
 }
 
 func isAdmin(r *http.Request) bool {
-	return len(r.URL.Path) >= len("/admin/") && r.URL.Path[:len("/admin/")] == "/admin/"
+	return strings.HasPrefix(r.URL.Path, "/admin/")
 }
 
 func (e *Engine) isDown() bool {
@@ -104,7 +111,7 @@
 
 func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if !reply.Decode(w, r, &f) {
+	if !reply.DecodeStrict(w, r, &f) {
 		return
 	}
 	e.SetFaults(f)
--- a/pkg/standin/platform/faults.go
+++ b/pkg/standin/platform/faults.go
@@ -1,6 +1,10 @@
 package platform
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // Faults are the failures switched on by PUT /admin/faults. The zero value has none.
 type Faults struct {
@@ -24,6 +28,17 @@
 	ReadsPerSecond   float64 `json:"readsPerSecond"`
 }
 
+// Check names a value that is out of range.
+func (f Faults) Check() error {
+	if f.TableLoseAnswers < 0 || f.TableLoseAnswers > 1 {
+		return errors.NotValidf("tableLoseAnswers outside 0 to 1")
+	}
+	if min(f.TableDelayMs, f.HostsLagMs) < 0 || min(f.WeightsPerSecond, f.WritesPerSecond, f.ReadsPerSecond) < 0 {
+		return errors.NotValidf("number under 0")
+	}
+	return nil
+}
+
 func (f Faults) tableDelay() time.Duration { return time.Duration(f.TableDelayMs) * time.Millisecond }
 
 func (f Faults) hostsLag() time.Duration { return time.Duration(f.HostsLagMs) * time.Millisecond }
--- a/pkg/standin/platform/server_test.go
+++ b/pkg/standin/platform/server_test.go
@@ -53,7 +53,6 @@
 	table := newRows()
 	put := platform.Txn{Puts: []platform.Put{{Key: "k"}}}
 	require.True(t, table.commit(put))
-	require.True(t, table.commit(put))
 	seen := table.byKey["k"].Version
 	require.True(t, table.commit(platform.Txn{Puts: []platform.Put{{Key: "k", Delete: true}}}))
 	require.True(t, table.commit(platform.Txn{Guards: []platform.Guard{{Key: "k"}}, Puts: put.Puts}))
--- a/pkg/standin/platform/services.go
+++ b/pkg/standin/platform/services.go
@@ -94,7 +94,7 @@
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if !reply.Decode(w, r, &f) {
+	if !reply.DecodeStrict(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
--- a/pkg/standin/platform/table.go
+++ b/pkg/standin/platform/table.go
@@ -75,6 +75,10 @@
 	if !reply.Decode(w, r, &txn) {
 		return
 	}
+	if !hasKeys(txn) {
+		reply.Error(w, http.StatusBadRequest, "each guard and each put needs a key")
+		return
+	}
 	s.delayTable()
 	switch s.apply(txn) {
 	case committed:
@@ -88,6 +92,20 @@
 	}
 }
 
+func hasKeys(txn platform.Txn) bool {
+	for _, g := range txn.Guards {
+		if g.Key == "" {
+			return false
+		}
+	}
+	for _, p := range txn.Puts {
+		if p.Key == "" {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) apply(txn platform.Txn) outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/standin/reply/reply.go
+++ b/pkg/standin/reply/reply.go
@@ -53,6 +53,25 @@
 	if err == nil {
 		err = json.Unmarshal(data, v)
 	}
+	return accept(w, err)
+}
+
+// Checked is a value that knows its own faults.
+type Checked interface{ Check() error }
+
+// DecodeStrict is Decode for test switches: a field that doesn't exist or a value out
+// of range would otherwise leave a test without the failure that it asked for.
+func DecodeStrict(w http.ResponseWriter, r *http.Request, v Checked) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	if err == nil {
+		err = v.Check()
+	}
+	return accept(w, err)
+}
+
+func accept(w http.ResponseWriter, err error) bool {
 	if err != nil {
 		Error(w, http.StatusBadRequest, err.Error())
 		return false
--- a/pkg/standin/service/options.go
+++ b/pkg/standin/service/options.go
@@ -1,6 +1,10 @@
 package service
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // Defaults of a service.
 const (
@@ -40,6 +44,14 @@
 	WrongAttempt bool `json:"wrongAttempt"`
 }
 
+// Check names a value that is out of range.
+func (f Faults) Check() error {
+	if min(f.CallMs, f.ReviveMs, f.HangMs) < 0 {
+		return errors.NotValidf("number under 0")
+	}
+	return nil
+}
+
 func (f Faults) revive() time.Duration {
 	if f.ReviveMs <= 0 {
 		return defaultRevive
--- a/pkg/standin/service/service.go
+++ b/pkg/standin/service/service.go
@@ -120,7 +120,7 @@
 
 func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if !reply.Decode(w, r, &f) {
+	if !reply.DecodeStrict(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
