--- a/pkg/wire/member.go
+++ b/pkg/wire/member.go
@@ -28,6 +28,16 @@
 	Nonce   uint64   `cbor:"1,keyasint"`
 	Members []Member `cbor:"2,keyasint,omitempty"`
 	Version uint64   `cbor:"3,keyasint,omitempty"`
+	// Digest sums up the sender's live members; equal digests mean that no gossip is missing.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
+	// Ask names members that the sender hasn't heard of lately: has the receiver?
+	Ask []RouterID `cbor:"5,keyasint,omitempty"`
+}
+
+// Heard says how long ago its sender heard a member directly, in milliseconds.
+type Heard struct {
+	ID    RouterID `cbor:"1,keyasint"`
+	AgeMs uint32   `cbor:"2,keyasint,omitempty"`
 }
 
 // Pong answers a Ping.
@@ -43,6 +53,9 @@
 	Confirmed bool `cbor:"5,keyasint,omitempty"`
 	// Marks are the leaving marks changed lately.
 	Marks []UpstreamMark `cbor:"6,keyasint,omitempty"`
+	// Digest is as in Ping; Heard answers Ping.Ask.
+	Digest uint64  `cbor:"7,keyasint,omitempty"`
+	Heard  []Heard `cbor:"8,keyasint,omitempty"`
 }
 
 // Suspicion says that a request's content ran on an upstream when it died.
