Order a cell's slots by virtual counters: first keeper

Cause: routers need one place per cell that says whose claim runs next and where, and that survives lost, doubled and late messages.

Ruled out: freeing a granted slot by the keeper's clock alone (a request that started just before the lapse would have its slot given away under it), and granting a claim anew when its grant seems lost (two slots held for one claim).

--- /dev/null
+++ b/pkg/fair/heap.go
@@ -0,0 +1,36 @@
+package fair
+
+// accountHeap implements heap.Interface: the least counter first, then the name, so
+// that the order is the same in each run.
+type accountHeap []*account
+
+func (h accountHeap) Len() int { return len(h) }
+
+func (h accountHeap) Less(i, j int) bool {
+	if h[i].virtual != h[j].virtual {
+		return h[i].virtual < h[j].virtual
+	}
+	return h[i].org < h[j].org
+}
+
+func (h accountHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapAt, h[j].heapAt = i, j
+}
+
+// Push implements heap.Interface.
+func (h *accountHeap) Push(x any) {
+	a := x.(*account)
+	a.heapAt = len(*h)
+	*h = append(*h, a)
+}
+
+// Pop implements heap.Interface.
+func (h *accountHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	a.heapAt = -1
+	return a
+}
--- /dev/null
+++ b/pkg/fair/view.go
@@ -0,0 +1,68 @@
+package fair
+
+import "github.com/flamingowind/flamingowind/pkg/wire"
+
+// SetWeight sets the organisation's share against the others; weights of 0 or less are 1.
+func (o *Order[T]) SetWeight(org string, weight float64) {
+	if !(weight > 0) {
+		weight = 1
+	}
+	o.account(org).weight = weight
+}
+
+// Weight returns the organisation's weight.
+func (o *Order[T]) Weight(org string) float64 {
+	if a := o.accounts[org]; a != nil {
+		return a.weight
+	}
+	return 1
+}
+
+// Forget drops an organisation that has nothing waiting, with its counter.
+func (o *Order[T]) Forget(org string) {
+	if a := o.accounts[org]; a != nil && a.waiting == 0 {
+		delete(o.accounts, org)
+	}
+}
+
+// Orgs calls f for each organisation that has a counter, in no certain order.
+func (o *Order[T]) Orgs(f func(org string)) {
+	for org := range o.accounts {
+		f(org)
+	}
+}
+
+// Virtual returns the organisation's counter.
+func (o *Order[T]) Virtual(org string) wire.Units {
+	if a := o.accounts[org]; a != nil {
+		return a.virtual
+	}
+	return 0
+}
+
+// Waiting returns the number of the organisation's waiting entries.
+func (o *Order[T]) Waiting(org string) int {
+	if a := o.accounts[org]; a != nil {
+		return a.waiting
+	}
+	return 0
+}
+
+// Len returns the number of waiting entries.
+func (o *Order[T]) Len() int { return o.waiting }
+
+// Backlogged returns the number of organisations with waiting entries.
+func (o *Order[T]) Backlogged() int { return len(o.backlog) }
+
+// Gap returns the difference between the largest and the least counter of the
+// backlogged organisations.
+func (o *Order[T]) Gap() wire.Units {
+	if len(o.backlog) == 0 {
+		return 0
+	}
+	most := o.backlog[0].virtual
+	for _, a := range o.backlog {
+		most = max(most, a.virtual)
+	}
+	return most - o.backlog[0].virtual
+}
--- /dev/null
+++ b/pkg/keeper/configure.go
@@ -0,0 +1,116 @@
+package keeper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/limit"
+	"github.com/flamingowind/flamingowind/pkg/resource"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// Configure sets the cell's upstreams and the weights of all organisations. What was
+// learnt about upstreams that stay is kept.
+func (k *Keeper) Configure(ups []resource.Upstream, weights map[string]float64, now time.Time) {
+	k.configured = true
+	for _, u := range k.ranked {
+		u.declared = false
+	}
+	ups = slices.SortedFunc(slices.Values(ups), func(a, b resource.Upstream) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	k.ranked = make([]*upstream, 0, len(ups))
+	slotsOffset, maxOffset := 0, 0
+	for _, r := range ups {
+		slots := r.Slots
+		if slots <= 0 {
+			slots = resource.DefaultSlots
+		}
+		u := k.upstream(r.Name)
+		u.declared, u.leaving = true, r.Leaving
+		u.limiter.Configure(
+			share(slots, slotsOffset, k.o.Slice, k.o.Slices),
+			share(r.MaxSlots, maxOffset, k.o.Slice, k.o.Slices))
+		slotsOffset += slots
+		maxOffset += r.MaxSlots
+		k.ranked = append(k.ranked, u)
+	}
+	k.pruneUpstreams()
+	k.weigh(weights)
+	k.refuseHopeless(now)
+}
+
+func (k *Keeper) upstream(name string) *upstream {
+	u := k.upstreams[name]
+	if u == nil {
+		u = &upstream{name: name, limiter: limit.New(0, 0), marked: k.marks[name].Leaving}
+		k.upstreams[name] = u
+	}
+	return u
+}
+
+func (k *Keeper) pruneUpstreams() {
+	for name, u := range k.upstreams {
+		if !u.declared && u.running == 0 {
+			delete(k.upstreams, name)
+		}
+	}
+}
+
+// weigh sets the weights and drops the counters of organisations that were removed.
+func (k *Keeper) weigh(weights map[string]float64) {
+	for org, w := range weights {
+		k.order.SetWeight(org, w)
+	}
+	var removed []string
+	k.order.Orgs(func(org string) {
+		if _, ok := weights[org]; !ok && k.orgSlots[org] == 0 {
+			removed = append(removed, org)
+		}
+	})
+	for _, org := range removed {
+		k.order.Forget(org)
+	}
+}
+
+// Mark takes in that an upstream leaves, or came back. Higher generations win, so a
+// stale mark that comes late doesn't bring a leaving upstream back.
+func (k *Keeper) Mark(m wire.UpstreamMark, now time.Time) {
+	if old, ok := k.marks[m.Upstream]; ok && m.Generation <= old.Generation {
+		return
+	}
+	k.marks[m.Upstream] = m
+	u := k.upstreams[m.Upstream]
+	if u == nil {
+		return
+	}
+	u.marked = m.Leaving
+	if m.Leaving {
+		k.refuseHopeless(now)
+	}
+}
+
+// refuseHopeless turns down waiting claims that no upstream of the cell can take.
+func (k *Keeper) refuseHopeless(now time.Time) {
+	for _, id := range sortedRouters(k.routers) {
+		for _, c := range sortedClaims(k.routers[id].waiting) {
+			if k.hopeless(c) {
+				k.drop(c)
+				k.refuse(c.key, wire.RefusedNoUpstream, 0)
+			}
+		}
+	}
+}
+
+func (k *Keeper) hopeless(c *claim) bool {
+	if !k.configured {
+		return false
+	}
+	for _, u := range k.ranked {
+		if u.usable() && !slices.Contains(c.Exclude, u.name) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/keeper/keeper.go
@@ -0,0 +1,110 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/flamingowind/flamingowind/pkg/fair"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// maxPrefixes bounds the prompt prefixes whose last upstream is remembered.
+const maxPrefixes = 4096
+
+// Keeper orders one cell.
+type Keeper struct {
+	o         Options
+	order     *fair.Order[*claim]
+	upstreams map[string]*upstream
+	ranked    []*upstream // the declared ones by name
+	marks     map[string]wire.UpstreamMark
+	routers   map[wire.RouterID]*router
+	slots     map[key]*slot
+	orgSlots  map[string]int
+	recent    recent
+	prefixes  *simplelru.LRU[uint64, *upstream]
+	drained   rate
+	outbox    []Out
+
+	configured bool
+	leaving    bool
+	// settling is true from the start, or the end of a pause, until the routers reported.
+	settling   bool
+	settleEnds time.Time
+	expected   map[wire.RouterID]bool
+	lastNext   time.Time
+	nextSweep  time.Time
+
+	// emptied is the upstream that gets no new work until emptiedFor can run there alone.
+	emptied    *upstream
+	emptiedFor *claim
+}
+
+// New returns a keeper that settles: it grants nothing until all the alive routers sent
+// a Full report, or Options.Settle has passed.
+func New(o Options, alive []wire.RouterID, now time.Time) *Keeper {
+	prefixes, err := simplelru.NewLRU[uint64, *upstream](maxPrefixes, nil)
+	if err != nil {
+		panic(err) // only for a size of 0 or less
+	}
+	k := &Keeper{
+		o:         o.withDefaults(),
+		order:     fair.New[*claim](),
+		upstreams: make(map[string]*upstream),
+		marks:     make(map[string]wire.UpstreamMark),
+		routers:   make(map[wire.RouterID]*router),
+		slots:     make(map[key]*slot),
+		orgSlots:  make(map[string]int),
+		recent:    newRecent(),
+		prefixes:  prefixes,
+		expected:  make(map[wire.RouterID]bool),
+		lastNext:  now,
+	}
+	for _, id := range alive {
+		k.expected[id] = true
+	}
+	k.settle(now)
+	return k
+}
+
+// Settling says that the keeper still learns what runs and grants nothing.
+func (k *Keeper) Settling() bool { return k.settling }
+
+// Virtual returns an organisation's counter.
+func (k *Keeper) Virtual(org string) wire.Units { return k.order.Virtual(org) }
+
+// Gap returns the largest difference of counters among backlogged organisations.
+func (k *Keeper) Gap() wire.Units { return k.order.Gap() }
+
+// Backlog returns the number of waiting claims.
+func (k *Keeper) Backlog() int { return k.order.Len() }
+
+// Slots returns the number of slots in use.
+func (k *Keeper) Slots() int { return len(k.slots) }
+
+// Spare returns the number of free slots, without those granted ahead.
+func (k *Keeper) Spare(now time.Time) int {
+	if k.settling || k.leaving {
+		return 0
+	}
+	n := 0
+	for _, u := range k.ranked {
+		n += u.free(now, 0)
+	}
+	return n
+}
+
+func sortedClaims(m map[wire.ClaimID]*claim) []*claim {
+	list := make([]*claim, 0, len(m))
+	for _, id := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[id])
+	}
+	return list
+}
+
+func sortedSlots[K comparable](m map[K]*slot) []*slot {
+	return slices.SortedFunc(maps.Values(m), compareSlots)
+}
--- /dev/null
+++ b/pkg/keeper/refuse.go
@@ -0,0 +1,40 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+func (k *Keeper) refuse(c key, reason wire.RefusalReason, retryMs uint32) {
+	k.outbox = append(k.outbox, Out{
+		To:          c.router,
+		Incarnation: c.incarnation,
+		Refusal:     &wire.Refusal{ID: c.id, Cell: k.o.Cell, Reason: reason, RetryMs: retryMs},
+	})
+}
+
+// retryMs is the time in which the organisation's own queue drains, when every
+// backlogged organisation gets its turn.
+func (k *Keeper) retryMs(org string, now time.Time) uint32 {
+	n := min(k.order.Waiting(org)*max(k.order.Backlogged(), 1), k.order.Len())
+	return uint32(k.drained.retry(n, now).Milliseconds())
+}
+
+// Leave hands the cell over: waiting claims are refused, so that their routers claim at
+// the next keeper at once, and nothing is granted any more.
+func (k *Keeper) Leave() {
+	k.leaving = true
+	for _, id := range sortedRouters(k.routers) {
+		for _, c := range sortedClaims(k.routers[id].waiting) {
+			k.drop(c)
+			k.refuse(c.key, wire.RefusedLeaving, 0)
+		}
+	}
+}
+
+func sortedRouters(m map[wire.RouterID]*router) []wire.RouterID {
+	return slices.Sorted(maps.Keys(m))
+}
