--- /dev/null
+++ b/pkg/claimant/cell.go
@@ -0,0 +1,91 @@
+package claimant
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// cell is what this router has in one cell.
+type cell struct {
+	id     wire.CellID
+	pool   string
+	keeper wire.RouterID // "" when unknown
+
+	waiting *list.List // of *claim, the longest in the cell first
+	// unconfirmed holds the claims that the keeper isn't known to have.
+	unconfirmed map[wire.ClaimID]*claim
+	running     map[wire.ClaimID]*slot
+
+	// delivered is this router's service through the cell; virtual the largest
+	// counter seen in grants; told what the keeper was last told. Organisations are
+	// declared, so these maps are bounded.
+	delivered map[string]wire.Units
+	virtual   map[string]wire.Units
+	told      map[string]wire.OrgCounter
+
+	reports  reportLog
+	reportAt time.Time
+	needFull bool
+	partial  int // reports since the last full one
+	// owesFull stays set after a slot or claim went until the keeper has answered a
+	// full report: the message that said so may have been lost, and with nothing else
+	// in the cell no other report would free what the keeper holds.
+	owesFull bool
+	fullSeq  uint64 // newest full report since owesFull was set; 0 for none
+
+	spare   uint32
+	backlog uint32
+	stateAt time.Time
+}
+
+func newCell(id wire.CellID, pool string) *cell {
+	return &cell{
+		id:          id,
+		pool:        pool,
+		waiting:     list.New(),
+		unconfirmed: make(map[wire.ClaimID]*claim),
+		running:     make(map[wire.ClaimID]*slot),
+		delivered:   make(map[string]wire.Units),
+		virtual:     make(map[string]wire.Units),
+		told:        make(map[string]wire.OrgCounter),
+	}
+}
+
+func (c *cell) busy() bool { return c.waiting.Len() > 0 || len(c.running) > 0 || c.owesFull }
+
+// owe notes that the keeper may hold something that is gone here.
+func (c *cell) owe() {
+	c.owesFull = true
+	c.fullSeq = 0
+}
+
+func (c *cell) add(cl *claim, now time.Time) {
+	cl.cell = c
+	cl.placed = now
+	cl.place = c.waiting.PushBack(cl)
+	c.unconfirmed[cl.id] = cl
+}
+
+func (c *cell) remove(cl *claim) {
+	c.waiting.Remove(cl.place)
+	delete(c.unconfirmed, cl.id)
+}
+
+// newKeeper forgets all that only the former keeper knew.
+func (c *cell) newKeeper(k wire.RouterID) {
+	c.keeper = k
+	c.needFull = true
+	c.spare, c.backlog, c.stateAt = 0, 0, time.Time{}
+	clear(c.told)
+	for e := c.waiting.Front(); e != nil; e = e.Next() {
+		cl := e.Value.(*claim)
+		cl.listed = 0
+		cl.resend = 0
+		c.unconfirmed[cl.id] = cl
+	}
+	for _, s := range c.running {
+		s.listed = false
+	}
+}
--- /dev/null
+++ b/pkg/claimant/machine.go
@@ -0,0 +1,144 @@
+package claimant
+
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/cost"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// machine decides for the duty. It takes the time as an argument and leaves what it
+// wants sent in out.
+type machine struct {
+	owner     *Claimant
+	directory Directory
+	report    time.Duration
+	marks     func() []wire.UpstreamMark
+	costs     *cost.Predictor
+	out       outbox
+
+	lastID wire.ClaimID
+	claims map[wire.ClaimID]*claim
+	cells  map[wire.CellID]*cell
+	// totals is the service delivered to each organisation through all cells.
+	totals map[string]wire.Units
+}
+
+func newMachine(owner *Claimant, d Directory, o Options) *machine {
+	return &machine{
+		owner:     owner,
+		directory: d,
+		report:    o.Report,
+		marks:     o.Marks,
+		costs:     cost.NewPredictor(cost.DefaultKeys),
+		lastID:    firstID(o.Incarnation),
+		claims:    make(map[wire.ClaimID]*claim),
+		cells:     make(map[wire.CellID]*cell),
+		totals:    make(map[string]wire.Units),
+	}
+}
+
+// join takes a caller's request.
+func (m *machine) join(now time.Time, t *ticket) {
+	c := m.choose(now, t.req.Pool, nil)
+	if c == nil {
+		t.resolve(answer{err: noUpstream(unknownRetry)})
+		return
+	}
+	cl := &claim{ticket: t, exclude: t.req.Exclude}
+	cl.predict = m.costs.Predict(cl.key(), t.req.Hint)
+	t.claim = cl
+	m.place(now, cl, c)
+	m.send(now, cl)
+}
+
+// leave takes back the claim of a caller that has gone.
+func (m *machine) leave(t *ticket) {
+	cl := t.claim
+	if cl == nil || m.claims[cl.id] != cl {
+		return
+	}
+	m.withdraw(cl)
+}
+
+// place puts a claim under a new ID into a cell. A claim's ID is never used again
+// after it left a cell, so a grant that comes late can't be taken for a new one.
+func (m *machine) place(now time.Time, cl *claim, c *cell) {
+	m.lastID++
+	cl.id = m.lastID
+	cl.firsts = nil
+	cl.listed = 0
+	cl.resend = 0
+	m.claims[cl.id] = cl
+	c.add(cl, now)
+}
+
+// send sends a copy of a claim to the keeper of its cell.
+func (m *machine) send(now time.Time, cl *claim) {
+	c := cl.cell
+	cl.resend = min(max(2*cl.resend, minResend), maxResend)
+	cl.resendAt = now.Add(cl.resend)
+	if c.keeper == "" {
+		return
+	}
+	if _, ok := cl.first(c.keeper); !ok {
+		cl.firsts = append(cl.firsts, firstCopy{keeper: c.keeper, at: now})
+	}
+	f := m.out.to(c.keeper)
+	f.Claims = append(f.Claims, cl.message(now))
+}
+
+// drop forgets a claim here.
+func (m *machine) drop(cl *claim) {
+	cl.cell.remove(cl)
+	delete(m.claims, cl.id)
+}
+
+// withdraw takes a claim back from its keeper.
+func (m *machine) withdraw(cl *claim) {
+	c := cl.cell
+	m.drop(cl)
+	c.owe()
+	if c.keeper == "" {
+		return
+	}
+	f := m.out.to(c.keeper)
+	f.Cancels = append(f.Cancels, wire.Cancel{ID: cl.id, Cell: c.id})
+}
+
+// refuse answers a waiting claim with an error.
+func (m *machine) refuse(cl *claim, err *verdict.Error) {
+	m.drop(cl)
+	cl.ticket.resolve(answer{err: err})
+}
+
+// tick does all that depends on time alone. It is called several times a report interval.
+func (m *machine) tick(now time.Time) {
+	m.followKeepers(now)
+	m.probe(now)
+	for _, c := range m.cells {
+		m.resendDue(now, c)
+		m.reclaimForfeited(now, c)
+		if c.busy() && c.keeper != "" && !now.Before(c.reportAt) {
+			m.sendReport(now, c)
+		}
+	}
+}
+
+func (m *machine) resendDue(now time.Time, c *cell) {
+	for _, cl := range c.unconfirmed {
+		if !now.Before(cl.resendAt) {
+			m.send(now, cl)
+		}
+	}
+}
+
+// reclaimForfeited gives slots back whose caller let the grant lapse.
+func (m *machine) reclaimForfeited(now time.Time, c *cell) {
+	for _, s := range c.running {
+		if s.forfeited(now) {
+			m.end(ended{slot: s, outcome: wire.OutcomeUnused})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/claimant/options.go
@@ -0,0 +1,50 @@
+package claimant
+
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/resource"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// Options sets up a Claimant.
+type Options struct {
+	// Incarnation of this router; claim IDs of different incarnations differ.
+	Incarnation wire.Incarnation
+	// Report is the time between two reports for one cell.
+	Report time.Duration
+	// MaxQueued bounds all waiting requests.
+	MaxQueued int
+	// OrgQueued bounds an organisation's waiting requests; nil takes the default for all.
+	OrgQueued func(org string) int
+	// Marks gives the leaving marks that changed lately; may be nil.
+	Marks func() []wire.UpstreamMark
+	// Entries gives addresses of other routers for refused callers; may be nil.
+	Entries func() []string
+}
+
+// Defaults of Options.
+const (
+	defaultReport    = 500 * time.Millisecond
+	defaultMaxQueued = 4096
+)
+
+func (o Options) withDefaults() Options {
+	if o.Report <= 0 {
+		o.Report = defaultReport
+	}
+	if o.MaxQueued <= 0 {
+		o.MaxQueued = defaultMaxQueued
+	}
+	if o.OrgQueued == nil {
+		o.OrgQueued = func(string) int { return resource.DefaultMaxQueued }
+	}
+	return o
+}
+
+// firstID keeps a late grant for an earlier incarnation's claim from matching a claim
+// of this one: the request would run on a slot charged to another organisation. IDs
+// stay below 2^32, which is 5 bytes on the wire, for the first million claims.
+func firstID(inc wire.Incarnation) wire.ClaimID {
+	return wire.ClaimID(inc&0xfff) << 20
+}
--- /dev/null
+++ b/pkg/claimant/refusals.go
@@ -0,0 +1,63 @@
+package claimant
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// statusClientClosed is the customary status for a caller that went away.
+const statusClientClosed = 499
+
+// Every error of this package is NotRun: no byte of a request leaves the router
+// before its slot's Start.
+
+func overloaded(retry time.Duration) *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusTooManyRequests, verdict.CodeOverloaded,
+		"too many requests of this organisation wait").After(retry)
+}
+
+func deadlinePassed(retry time.Duration) *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusGatewayTimeout, verdict.CodeDeadline,
+		"no slot became free within the deadline").After(retry)
+}
+
+func callerGone(cause error, retry time.Duration) *verdict.Error {
+	return verdict.Wrap(cause, verdict.NotRun, statusClientClosed, verdict.CodeCanceled,
+		"the caller went away").After(retry)
+}
+
+func noUpstream(retry time.Duration) *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeNoUpstream,
+		"no usable upstream").After(retry)
+}
+
+func quarantined() *verdict.Error {
+	return verdict.New(verdict.NotRun, http.StatusUnprocessableEntity, verdict.CodeQuarantined,
+		"requests with this content crashed upstreams")
+}
+
+func draining(entries []string) *verdict.Error {
+	e := verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeDraining,
+		"this router is leaving").After(minRetry)
+	e.Entries = entries
+	return e
+}
+
+// fromRefusal turns a keeper's refusal into the caller's error.
+func fromRefusal(r wire.Refusal) *verdict.Error {
+	retry := time.Duration(r.RetryMs) * time.Millisecond
+	if retry == 0 {
+		retry = unknownRetry
+	}
+	switch r.Reason {
+	case wire.RefusedQuarantine:
+		return quarantined()
+	case wire.RefusedNoUpstream:
+		return noUpstream(retry)
+	default:
+		return overloaded(retry)
+	}
+}
--- /dev/null
+++ b/pkg/claimant/report.go
@@ -0,0 +1,144 @@
+package claimant
+
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// A full report goes out after fullEvery partial ones, less often the more it holds,
+// but at least after fullAtMost.
+const (
+	fullEvery  = 4
+	fullItems  = 32 // listed items for one more partial report
+	fullAtMost = 16
+)
+
+func (c *cell) fullDue() bool {
+	items := c.waiting.Len() + len(c.running)
+	return c.needFull || items == 0 || c.partial >= min(fullEvery+items/fullItems, fullAtMost)
+}
+
+// sendReport tells the keeper of a cell what waits and runs here.
+func (m *machine) sendReport(now time.Time, c *cell) {
+	full := c.fullDue()
+	r := wire.Report{Cell: c.id, Seq: c.reports.next(c.keeper, now), Full: full}
+	r.Running = m.running(c, full)
+	r.Waiting = waiting(c, full, r.Seq)
+	r.Orgs = m.counters(c)
+	if m.marks != nil {
+		r.Down = m.marks()
+	}
+	c.reportAt = now.Add(m.report)
+	c.partial++
+	if full {
+		c.partial = 0
+		c.needFull = false
+		if c.fullSeq == 0 {
+			c.fullSeq = r.Seq
+		}
+	}
+	f := m.out.to(c.keeper)
+	f.Reports = append(f.Reports, r)
+}
+
+// running lists the slots in use; in a partial report those that changed.
+func (m *machine) running(c *cell, full bool) []wire.Running {
+	var list []wire.Running
+	for _, s := range c.running {
+		service := s.service()
+		m.count(s, service)
+		if !full && s.listed && service == s.told {
+			continue
+		}
+		s.told, s.listed = service, true
+		list = append(list, wire.Running{
+			ID: s.id, Org: s.org, Upstream: s.upstream,
+			Cost: service, Predict: s.predict.Units, Alone: s.alone,
+		})
+	}
+	return list
+}
+
+// waiting lists the claims; in a partial report those not confirmed yet.
+func waiting(c *cell, full bool, seq uint64) []wire.ClaimID {
+	for _, cl := range c.unconfirmed {
+		if cl.listed == 0 {
+			cl.listed = seq
+		}
+	}
+	var list []wire.ClaimID
+	if !full {
+		for id := range c.unconfirmed {
+			list = append(list, id)
+		}
+		return list
+	}
+	for e := c.waiting.Front(); e != nil; e = e.Next() {
+		list = append(list, e.Value.(*claim).id)
+	}
+	return list
+}
+
+// counters lists the counters that the keeper hasn't been told.
+func (m *machine) counters(c *cell) []wire.OrgCounter {
+	var list []wire.OrgCounter
+	for org, total := range m.totals {
+		o := wire.OrgCounter{Org: org, Elsewhere: total - c.delivered[org], Virtual: c.virtual[org]}
+		if o != c.told[org] && (o.Elsewhere > 0 || o.Virtual > 0) {
+			c.told[org] = o
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// count adds a slot's service to the counters, up to what it has delivered so far.
+func (m *machine) count(s *slot, service wire.Units) {
+	fresh := service - s.counted
+	if fresh <= 0 {
+		return
+	}
+	s.counted = service
+	m.totals[s.org] += fresh
+	s.cell.delivered[s.org] += fresh
+}
+
+// state takes a keeper's answer to a report.
+func (m *machine) state(now time.Time, from wire.RouterID, st wire.CellState) {
+	c, ok := m.cells[st.Cell]
+	if !ok || c.keeper != from {
+		return
+	}
+	if _, ours := c.reports.sentAt(st.Seq, from); !ours {
+		return
+	}
+	c.spare, c.backlog, c.stateAt = st.Spare, st.Backlog, now
+	if c.fullSeq != 0 && st.Seq >= c.fullSeq {
+		c.owesFull = false
+	}
+	m.confirm(now, c, st)
+	if c.spare > 0 {
+		m.fill(now, c)
+	}
+}
+
+// confirm marks the claims that the answered report listed as known to the keeper,
+// and sends those again that it doesn't know.
+func (m *machine) confirm(now time.Time, c *cell, st wire.CellState) {
+	for id, cl := range c.unconfirmed {
+		if cl.listed != 0 && cl.listed <= st.Seq {
+			delete(c.unconfirmed, id)
+		}
+	}
+	for _, id := range st.Resend {
+		cl, ok := m.claims[id]
+		if !ok || cl.cell != c {
+			continue
+		}
+		cl.listed = 0
+		cl.resend = 0
+		c.unconfirmed[id] = cl
+		m.send(now, cl)
+	}
+}
--- /dev/null
+++ b/pkg/claimant/slot.go
@@ -0,0 +1,97 @@
+package claimant
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/cost"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// slot implements sched.Slot. The first fields never change; the duty owns the rest
+// but for the atomic ones.
+type slot struct {
+	owner    *Claimant
+	id       wire.ClaimID
+	cell     *cell
+	keeper   wire.RouterID // who granted it
+	org      string
+	content  uint64
+	key      cost.Key
+	upstream string
+	url      string
+	lapses   time.Time
+	alone    bool
+	predict  cost.Prediction
+
+	started atomic.Bool
+	done    atomic.Bool
+	units   atomic.Uint64 // service so far, as the bits of a float64
+
+	counted wire.Units // part of the service that the counters hold
+	told    wire.Units // service in the last report
+	listed  bool       // in a report since the keeper changed
+}
+
+// Upstream implements sched.Slot.
+func (s *slot) Upstream() string { return s.upstream }
+
+// URL implements sched.Slot.
+func (s *slot) URL() string { return s.url }
+
+// Alone says that the request must run as the only one on its upstream.
+func (s *slot) Alone() bool { return s.alone }
+
+// Start implements sched.Slot.
+//
+// The failure it guards against: the router is paused with a grant in hand, the
+// keeper takes the slot for lost and gives it to another, and the request runs all
+// the same, on an upstream that is full or has left. lapses counts from a moment
+// before the keeper granted, so it passes here before the keeper gives the slot away.
+// started is set before the clock is read: the duty, which takes back lapsed slots
+// that were not started, then either sees it or has made Start fail.
+func (s *slot) Start() bool {
+	if s.done.Load() {
+		return false
+	}
+	s.started.Store(true)
+	if time.Now().Before(s.lapses) && s.owner.directory.Usable(s.upstream) {
+		return true
+	}
+	s.started.Store(false)
+	return false
+}
+
+// Progress implements sched.Slot.
+func (s *slot) Progress(total wire.Units) {
+	if math.IsNaN(total) || math.IsInf(total, 0) {
+		return
+	}
+	for {
+		old := s.units.Load()
+		if total <= math.Float64frombits(old) {
+			return
+		}
+		if s.units.CompareAndSwap(old, math.Float64bits(total)) {
+			return
+		}
+	}
+}
+
+// Done implements sched.Slot. Calls after the first do nothing.
+func (s *slot) Done(outcome wire.Outcome, cost wire.Units, first, step time.Duration) {
+	if s.done.Swap(true) {
+		return
+	}
+	s.Progress(cost)
+	s.owner.call(ended{slot: s, outcome: outcome, first: first, step: step})
+}
+
+func (s *slot) service() wire.Units { return math.Float64frombits(s.units.Load()) }
+
+// forfeited says that the grant lapsed before the caller made use of it: Start can't
+// succeed any more.
+func (s *slot) forfeited(now time.Time) bool {
+	return !s.started.Load() && !now.Before(s.lapses)
+}
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -23,6 +23,9 @@
 	Deadline time.Time
 	// Exclude names upstreams that this request must not go to again.
 	Exclude []string
+	// Since is when the request was accepted; a later attempt of the same request keeps
+	// it, and so its age. The zero time means now.
+	Since time.Time
 }
 
 // Slot is the right to run one request on one upstream. Done must be called once.
--- a/pkg/wire/claim.go
+++ b/pkg/wire/claim.go
@@ -26,7 +26,9 @@
 }
 
 // Grant gives a claim one slot on Upstream. It lapses TTLMs after the router *sent*
-// the claim's latest copy (EchoMs below), on the router's own clock.
+// the later of two things, on the router's own clock: the claim's first copy, or the
+// Report that EchoSeq names. Both were sent before the keeper granted, so the router
+// always counts from a moment before the grant and gives up before the keeper does.
 type Grant struct {
 	ID       ClaimID `cbor:"1,keyasint"`
 	Cell     CellID  `cbor:"2,keyasint"`
@@ -37,6 +39,9 @@
 	TTLMs   uint32 `cbor:"5,keyasint"`
 	// Alone asks the router to treat the request as a suspect that runs by itself.
 	Alone bool `cbor:"6,keyasint,omitempty"`
+	// EchoSeq is the highest Report.Seq that the keeper has had from this router for
+	// this cell; 0 when none.
+	EchoSeq uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // RefusalReason says why a keeper turned a claim down.
