Add the callers' HTTP face and the dispatch of one attempt

Cause: a router needs a path from a caller to an upstream and back before the fair order can be joined to it.

Ruled out: letting net/http decide what was sent.

Change: pkg/dispatch sends one attempt; a gate before each write of the connection asks Slot.Start within the first write and after its sealing lets no byte pass, so "not run" is a fact of this process. Streams are relayed event by event, resumed by number and cancelled. pkg/edge authenticates, bounds, queues, inspects, retries what did not run and answers with verdicts.

--- /dev/null
+++ b/pkg/dispatch/cancel.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// cancel tells a model engine to stop the attempt. An engine keeps a stream going for
+// a while when only its connection breaks, to let it be resumed; without this it would
+// go on producing for a caller that is gone.
+func (a *attempt) cancel() {
+	if !a.call.Model {
+		return
+	}
+	target, err := a.target(a.streamPath(), "")
+	if err != nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(a.ctx), a.d.limits.Cancel)
+	defer stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: new(gate).arm})
+	req := (&http.Request{Method: http.MethodDelete, URL: target, Header: http.Header{HeaderAttempt: {a.id}}}).WithContext(ctx)
+	resp, err := a.d.transport.RoundTrip(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"github.com/flamingowind/flamingowind/pkg/sched"
+)
+
+// Dispatcher sends attempts over kept-alive connections. It may be used by many goroutines.
+type Dispatcher struct {
+	limits    Limits
+	transport *http.Transport
+}
+
+// New makes a Dispatcher.
+func New(l Limits) *Dispatcher {
+	return &Dispatcher{limits: l, transport: newTransport()}
+}
+
+// Close closes idle connections.
+func (d *Dispatcher) Close() { d.transport.CloseIdleConnections() }
+
+// Do runs call once on slot's upstream and gives the slot back. ctx ends when the
+// caller is gone. A streamed answer goes to sink as it comes; any other is in the Result.
+func (d *Dispatcher) Do(ctx context.Context, slot sched.Slot, call *Call, sink Sink) Result {
+	a := &attempt{d: d, ctx: ctx, slot: slot, call: call, sink: sink, id: uuid.NewString()}
+	a.gate = &gate{start: slot.Start}
+	a.meter = meter{slot: slot, gap: call.Gap}
+	r := a.run()
+	r.Attempt, r.Upstream, r.Begun = a.id, slot.Upstream(), a.begun
+	slot.Done(r.Outcome, r.Cost, r.First, r.Step)
+	return r
+}
--- /dev/null
+++ b/pkg/dispatch/resume.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// canResume reports whether the engine can go on with this attempt: its connection
+// broke or fell silent after a byte of the request may have reached it.
+func (a *attempt) canResume(err error) bool {
+	if !errors.Is(err, errBroken) && !errors.Is(err, errHang) {
+		return false
+	}
+	return a.gate.seal() == gateOpen && a.call.resumes(a.slot.Upstream())
+}
+
+// resume goes on from the first event that is missing, a bounded number of times.
+func (a *attempt) resume(err error) error {
+	pause := a.d.limits.Backoff
+	for range a.d.limits.Resumes {
+		if !a.wait(pause) {
+			return errCaller
+		}
+		pause *= 2
+		err = a.again()
+		if err == nil || !a.canResume(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func (a *attempt) wait(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+// again asks for the rest of the stream on a new connection and relays it.
+func (a *attempt) again() error {
+	s := a.newSource()
+	defer s.close()
+	target, err := a.target(a.streamPath(), "from="+strconv.FormatInt(a.next, 10))
+	if err != nil {
+		return errors.WithType(err, errBroken)
+	}
+	g := new(gate)
+	ctx := httptrace.WithClientTrace(s.ctx, &httptrace.ClientTrace{GotConn: g.arm})
+	req := (&http.Request{Method: http.MethodGet, URL: target, Header: http.Header{HeaderAttempt: {a.id}}}).WithContext(ctx)
+	resp, err := a.d.transport.RoundTrip(req)
+	if err != nil {
+		return broke(a.ctx, s.ctx, err)
+	}
+	if resp, err = a.checked(resp, g); err != nil {
+		return err
+	}
+	if !isEventStream(resp) {
+		_ = resp.Body.Close()
+		return errors.WithType(errors.Errorf("resume answered %d", resp.StatusCode), errLost)
+	}
+	s.open(resp, a.d.limits.MaxEvent)
+	return a.relay(s)
+}
+
+func (a *attempt) streamPath() string { return "/v1/streams/" + a.id }
--- /dev/null
+++ b/pkg/dispatch/sink.go
@@ -0,0 +1,12 @@
+package dispatch
+
+import "net/http"
+
+// Sink takes a streamed answer on its way to the caller.
+type Sink interface {
+	// Begin is called once, before the first Write.
+	Begin(status int, header http.Header)
+	// Write sends p to the caller before it returns; p is not valid afterwards. An
+	// error means that the caller is gone.
+	Write(p []byte) error
+}
--- /dev/null
+++ b/pkg/dispatch/stream_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+func TestStreamIsRelayedWhole(t *testing.T) {
+	text := eventsText(0, 40) + "id: 40\ndata: {\"usage\":{\"completion_tokens\": 77}}\n\n" + doneText
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, text) })
+	r, slot, sink := do(t, up.URL, streamCall(true))
+	whole(t, r)
+	same(t, "r.Verdict", verdict.Ran, r.Verdict)
+	same(t, "sink.String", text, sink.String())
+	same(t, "r.Tokens", 77, r.Tokens)
+	same(t, "cost", wire.Units(77), r.Cost)
+	same(t, "slot.outcome", []wire.Outcome{wire.OutcomeServed}, slot.outcome)
+	same(t, "progress told", true, len(slot.progress) > 0)
+	same(t, "slot.starts", 1, slot.starts)
+}
+
+// A caller reads a streamed answer when the connection between router and engine
+// breaks in the middle of an event. The engine goes on and repeats some events in the
+// resumed part. The caller must see each event once, in order, and the end.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			sendEvents(w, r, eventsText(0, 5)+"id: 5\ndata: {\"n\"")
+			panic(http.ErrAbortHandler)
+		case r.URL.Query().Get("from") == "5":
+			sendEvents(w, r, eventsText(3, 8))
+			panic(http.ErrAbortHandler)
+		default:
+			sendEvents(w, r, eventsText(8, 10)+doneText)
+		}
+	})
+	r, _, sink := do(t, up.URL, streamCall(true))
+	whole(t, r)
+	same(t, "sink.String", eventsText(0, 10)+doneText, sink.String())
+	same(t, "r.Tokens", 10, r.Tokens)
+}
+
+// A stream breaks in the middle and its upstream can't resume: the attempt must end as
+// may-have-run with what was sent marked as begun, so that the caller is cut off.
+func TestBrokenStreamWithoutResume(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sendEvents(w, r, eventsText(0, 5))
+		panic(http.ErrAbortHandler)
+	})
+	r, slot, sink := do(t, up.URL, streamCall(false))
+	same(t, "failed", true, r.Err != nil)
+	same(t, "begun", true, r.Begun)
+	same(t, "r.Verdict", verdict.MayHaveRun, r.Verdict)
+	same(t, "sink.String", eventsText(0, 5), sink.String())
+	same(t, "slot.outcome", []wire.Outcome{wire.OutcomeDied}, slot.outcome)
+}
+
+// An engine crashes under a request and is back within the resume's pauses, with no
+// memory of the attempt. It must count as having died with that request.
+func TestResumeAtRestartedEngine(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			sendEvents(w, r, eventsText(0, 2))
+			panic(http.ErrAbortHandler)
+		}
+		echo(w, r)
+		w.WriteHeader(http.StatusNotFound)
+	})
+	r, _, _ := do(t, up.URL, streamCall(true))
+	same(t, "r.Verdict", verdict.MayHaveRun, r.Verdict)
+	same(t, "r.Outcome", wire.OutcomeDied, r.Outcome)
+}
+
+// The caller goes away in the middle of a stream. The engine would go on producing for
+// nobody, so the attempt must be cancelled there before its slot is given back.
+func TestCallerGoneCancels(t *testing.T) {
+	cancelled := make(chan string, 1)
+	posted := make(chan string, 1)
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			cancelled <- strings.TrimPrefix(r.URL.Path, "/v1/streams/")
+			echo(w, r)
+			return
+		}
+		posted <- r.Header.Get(HeaderAttempt)
+		sendEvents(w, r, eventsText(0, 3))
+		<-r.Context().Done()
+	})
+	d := New(testLimits())
+	defer d.Close()
+	slot := &fakeSlot{url: up.URL}
+	r := d.Do(context.Background(), slot, streamCall(true), &fakeSink{failAt: 2})
+	same(t, "r.Outcome", wire.OutcomeCanceled, r.Outcome)
+	same(t, "r.Verdict", verdict.MayHaveRun, r.Verdict)
+	same(t, "cancelled attempt", <-posted, <-cancelled)
+}
--- /dev/null
+++ b/pkg/edge/body.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+)
+
+// readBody reads a body within its bounds of size and time, and gives the function
+// that frees its share of memory.
+func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, org string) ([]byte, func(), *verdict.Error) {
+	size := r.ContentLength
+	if size > e.Limits.MaxBody {
+		return nil, nil, e.closing(w, tooLarge(e.Limits.MaxBody))
+	}
+	if size < 0 {
+		size = e.Limits.MaxBody
+	}
+	free, err := e.bodies.take(org, size)
+	if err != nil {
+		return nil, nil, e.closing(w, err)
+	}
+	body, err := e.readTimed(w, r)
+	if err != nil {
+		free()
+		return nil, nil, e.closing(w, err)
+	}
+	return body, free, nil
+}
+
+// readTimed guards against a sender that holds a place by sending a byte now and then:
+// the whole body must come within BodyTimeout. The deadline is taken back afterwards,
+// since the same connection is watched for the caller's going away.
+func (e *Edge) readTimed(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(e.Limits.BodyTimeout))
+	body, err := readSized(r, e.Limits.MaxBody)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	if int64(len(body)) > e.Limits.MaxBody {
+		return nil, tooLarge(e.Limits.MaxBody)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func readSized(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return io.ReadAll(io.LimitReader(r.Body, limit+1))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	if err == nil {
+		// net/http notices that the caller goes away only after the body's end was read.
+		_, err = io.Copy(io.Discard, r.Body)
+	}
+	return body, err
+}
+
+func bodyError(err error) *verdict.Error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return verdict.Wrap(err, verdict.NotRun, http.StatusRequestTimeout, verdict.CodeBadRequest, "the body came too slowly")
+	}
+	return verdict.Wrap(err, verdict.NotRun, http.StatusBadRequest, verdict.CodeBadRequest, "the body can't be read")
+}
+
+func tooLarge(limit int64) *verdict.Error {
+	message := "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"
+	return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, message)
+}
+
+// closing marks the connection for closing: the rest of the body would have to be read
+// before the next request on it.
+func (e *Edge) closing(w http.ResponseWriter, err *verdict.Error) *verdict.Error {
+	w.Header().Set("Connection", "close")
+	return err
+}
--- /dev/null
+++ b/pkg/edge/edge.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+
+	"github.com/flamingowind/flamingowind/pkg/dispatch"
+	"github.com/flamingowind/flamingowind/pkg/sched"
+)
+
+// Config holds what an Edge works with.
+type Config struct {
+	Limits     Limits
+	Source     Source
+	Gate       Gate
+	Scheduler  sched.Scheduler
+	Dispatcher *dispatch.Dispatcher
+	Entries    Entries
+	Guard      Guard         // nil: calls that may not be repeated are refused
+	Suspects   Suspects      // may be nil
+	Observer   Observer      // may be nil
+	Log        log.Interface // may be nil
+}
+
+// Edge serves callers.
+type Edge struct {
+	Config
+	queue  *admission
+	bodies *bodyBudget
+	budget *retryBudget
+	flight *flight
+	router *mux.Router
+}
+
+// New makes an Edge.
+func New(c Config) *Edge {
+	if c.Observer == nil {
+		c.Observer = noObserver{}
+	}
+	if c.Log == nil {
+		c.Log = log.Log
+	}
+	e := &Edge{
+		Config: c,
+		queue:  newAdmission(c.Limits.MaxQueued),
+		bodies: newBodyBudget(c.Limits.MaxBodies),
+		budget: newRetryBudget(c.Limits.RetryShare),
+		flight: new(flight),
+	}
+	e.router = e.routes()
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
--- /dev/null
+++ b/pkg/edge/request.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/dispatch"
+	"github.com/flamingowind/flamingowind/pkg/sched"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// request is one call on its way from its caller to an upstream and back.
+type request struct {
+	caller
+	options
+	edge    *Edge
+	w       http.ResponseWriter
+	r       *http.Request
+	place   *place
+	free    func() // frees the body's memory
+	body    []byte
+	model   string // name of the model or service
+	route   Route
+	prefix  uint64
+	content uint64
+	call    dispatch.Call
+	result  dispatch.Result
+}
+
+func newRequest(e *Edge, w http.ResponseWriter, r *http.Request, c caller) *request {
+	return &request{edge: e, w: w, r: r, caller: c}
+}
+
+// receive takes a place in the queue, then reads headers and body.
+func (q *request) receive() (err *verdict.Error) {
+	if q.place, err = q.edge.queue.enter(q.org, q.received); err != nil {
+		return err
+	}
+	if q.options, err = readOptions(q.r.Header, q.edge.Limits); err != nil {
+		return err
+	}
+	q.body, q.free, err = q.edge.readBody(q.w, q.r, q.org.Name)
+	return err
+}
+
+// end gives back what the request still holds.
+func (q *request) end() {
+	if q.place != nil {
+		q.place.leave(time.Now())
+	}
+	if q.free != nil {
+		q.free()
+	}
+	q.log()
+}
+
+func (q *request) refuse(err *verdict.Error) {
+	q.result.Err, q.result.Verdict = err, err.Verdict
+	q.edge.Observer.Refused(q.org.Name, q.class, err.Code)
+	q.edge.refuse(q.w, err, q.org.Name, q.model)
+}
+
+func (q *request) gap(d time.Duration) {
+	q.edge.Observer.BetweenTokens(q.org.Name, q.class, d)
+}
+
+func (q *request) claim() sched.Request {
+	return sched.Request{
+		Org:      q.org.Name,
+		Class:    q.class,
+		Pool:     q.route.Pool,
+		Hint:     min(q.hint, wire.Units(maxHint)),
+		Prefix:   q.prefix,
+		Content:  q.content,
+		Deadline: q.received.Add(q.deadline),
+	}
+}
--- /dev/null
+++ b/pkg/edge/seams.go
@@ -0,0 +1,22 @@
+package edge
+
+import "time"
+
+// Gate says whether this router may accept requests: its configuration is confirmed
+// and it isn't leaving. The error is a *verdict.Error with verdict NotRun.
+type Gate interface {
+	Admit() error
+}
+
+// Entries gives addresses worth using and how long to keep them; org and model may be empty.
+type Entries interface {
+	For(org, model string) (addrs []string, keep time.Duration)
+}
+
+// Suspects contains requests that crash upstreams.
+type Suspects interface {
+	// Check returns a *verdict.Error with verdict NotRun when content must not run.
+	Check(content uint64) error
+	// Died tells that contents were running on upstream when it died.
+	Died(upstream string, contents ...uint64)
+}
--- /dev/null
+++ b/pkg/edge/ticket.go
@@ -0,0 +1,8 @@
+package edge
+
+// noTicket is for calls that may be repeated.
+type noTicket struct{}
+
+func (noTicket) Ran(int, []byte) {}
+func (noTicket) MayHaveRun()     {}
+func (noTicket) NotRun()         {}
--- /dev/null
+++ b/pkg/edge/write.go
@@ -0,0 +1,35 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+)
+
+// writePiece is the most that is written under one write deadline, in bytes.
+const writePiece = 64 << 10
+
+// write sends a whole answer with its declared length.
+func (e *Edge) write(w http.ResponseWriter, status int, contentType string, v verdict.Verdict, body []byte) {
+	h := w.Header()
+	if contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	h.Set(verdict.Header, v.String())
+	if status != http.StatusNoContent && status != http.StatusNotModified && h.Get("Content-Length") == "" {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(e.Limits.WriteTimeout))
+	w.WriteHeader(status)
+	for len(body) > 0 {
+		n := min(len(body), writePiece)
+		_ = control.SetWriteDeadline(time.Now().Add(e.Limits.WriteTimeout))
+		if _, err := w.Write(body[:n]); err != nil {
+			return
+		}
+		body = body[n:]
+	}
+}
