--- a/pkg/resource/resource.go
+++ b/pkg/resource/resource.go
@@ -48,7 +48,8 @@
 // Pool is a set of upstreams that can stand in for each other.
 type Pool struct {
 	Meta `yaml:",inline"`
-	Kind PoolKind `json:"kind" yaml:"kind"`
+	// It is written poolKind, because kind names the kind of the resource.
+	Kind PoolKind `json:"poolKind" yaml:"poolKind"`
 	// CellSize is the most upstreams one keeper orders; 0 takes DefaultCellSize.
 	CellSize int `json:"cellSize,omitempty" yaml:"cellSize,omitempty"`
 	// CallUnits is the service charged for one call of a plain service, in tokens; 0 takes DefaultCallUnits.
