--- /dev/null
+++ b/pkg/platform/platformtest/fault.go
@@ -0,0 +1,13 @@
+package platformtest
+
+// Fault is what happens to one commit.
+type Fault uint8
+
+// Faults of a commit.
+const (
+	FaultNone    Fault = iota
+	FaultRefuse        // ErrRefused, nothing written
+	FaultLost          // ErrUnknown, never written
+	FaultUnheard       // ErrUnknown, but written
+	FaultLate          // ErrUnknown, tried later by Table.DeliverLate
+)
