Join the parts into a router: the thin path end to end

Cause: the parts stood apart; nothing ran from a caller to an upstream and back. Change: keeping duty, leaving marks, daemon by fx, flamingowindd run and check, devfleet seeds through the operator API. A frame carries the sender's life, since gossip of a restart may come after its first claims.

--- /dev/null
+++ b/cmd/flamingowindd/main.go
@@ -0,0 +1,18 @@
+// Command flamingowindd is the router daemon.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/flamingowindd/run.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/flamingowind/flamingowind/pkg/daemon"
+	"github.com/flamingowind/flamingowind/pkg/settings"
+)
+
+// exitSettings is the exit code for faulty settings.
+const exitSettings subcommands.ExitStatus = 2
+
+type runCommand struct{ file string }
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run a router" }
+func (*runCommand) Usage() string {
+	return "flamingowindd run -settings FILE\n" +
+		"Runs a router until SIGTERM or SIGINT, then drains; a second signal ends it at once.\n" +
+		"Exit codes: 0 drained, 1 failed, 2 faulty settings.\n"
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", "", "YAML settings file")
+}
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, status := load(c.file)
+	if status != subcommands.ExitSuccess {
+		return status
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// After the first signal the default handling is back: a second one ends the process.
+	context.AfterFunc(ctx, stop)
+	d, err := daemon.New(s, os.Stderr)
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "flamingowindd:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func load(file string) (settings.Settings, subcommands.ExitStatus) {
+	s, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return s, exitSettings
+	}
+	return s, subcommands.ExitSuccess
+}
--- a/internal/devfleet/seed.go
+++ b/internal/devfleet/seed.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/pkg/operator"
 	"github.com/flamingowind/flamingowind/pkg/platform"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 )
@@ -44,40 +45,38 @@
 // seed applies the whole configuration in one operation; it is tried again until a
 // router takes it, since the operation's ID makes it idempotent.
 func (f *Fleet) seed(ctx context.Context) error {
-	op := Apply{OpID: newSecret("seed"), Resources: f.resources()}
+	op := operator.Apply{OpID: newSecret("seed")}
+	for _, r := range f.resources() {
+		op.Put = append(op.Put, operator.ApplyItem{Resource: resource.Document{Resource: r}})
+	}
 	first := f.Routers[0]
 	return poll(ctx, first.Process, func() error { return f.Apply(ctx, 0, op) })
 }
 
-// Apply is one operation on the operator API.
-type Apply struct {
-	OpID      string `json:"opId"`
-	Resources []any  `json:"resources"`
-}
-
 // Apply sends op to the operator API of router i.
-func (f *Fleet) Apply(ctx context.Context, i int, op Apply) error {
+func (f *Fleet) Apply(ctx context.Context, i int, op operator.Apply) error {
 	url := "http://" + f.Routers[i].Settings.Listen.Operator + "/api/v1/apply"
 	return send(ctx, http.MethodPost, url, f.Ready.OperatorToken, op)
 }
 
-func (f *Fleet) resources() []any {
-	list := []any{
-		pool{resource.KindPool, resource.Pool{Meta: named(ModelPool), Kind: resource.PoolModel, CellSize: f.Plan.CellSize}},
-		pool{resource.KindPool, resource.Pool{Meta: named(ServicePool), Kind: resource.PoolService}},
-		route{resource.KindRoute, resource.Route{Meta: named(f.Plan.Model), Model: f.Plan.Model, Pool: ModelPool}},
-		route{resource.KindRoute, resource.Route{
+func (f *Fleet) resources() []resource.Resource {
+	list := []resource.Resource{
+		&resource.Pool{Meta: named(ModelPool), Kind: resource.PoolModel, CellSize: f.Plan.CellSize},
+		&resource.Pool{Meta: named(ServicePool), Kind: resource.PoolService},
+		&resource.Route{Meta: named(f.Plan.Model), Model: f.Plan.Model, Pool: ModelPool},
+		&resource.Route{
 			Meta: named(f.Plan.Service), Service: f.Plan.Service, Pool: ServicePool,
 			AtMostOnce: []string{http.MethodPost},
-		}},
+		},
 	}
 	for _, o := range f.Ready.Organisations {
-		list = append(list, organisation{resource.KindOrganisation, resource.Organisation{
+		list = append(list, &resource.Organisation{
 			Meta: named(o.Name), Weight: o.Weight, KeyHashes: []string{keyHash(o.Key)},
-		}})
+		})
 	}
 	for _, u := range f.Ready.Upstreams {
-		list = append(list, upstream{resource.KindUpstream, f.upstreamResource(u)})
+		r := f.upstreamResource(u)
+		list = append(list, &r)
 	}
 	return list
 }
@@ -92,26 +91,6 @@
 
 func named(name string) resource.Meta { return resource.Meta{Name: name} }
 
-// The operator API's form of a resource: its fields beside its kind.
-type (
-	organisation struct {
-		Kind resource.Kind `json:"kind"`
-		resource.Organisation
-	}
-	pool struct {
-		Kind resource.Kind `json:"kind"`
-		resource.Pool
-	}
-	upstream struct {
-		Kind resource.Kind `json:"kind"`
-		resource.Upstream
-	}
-	route struct {
-		Kind resource.Kind `json:"kind"`
-		resource.Route
-	}
-)
-
 // send writes body as JSON; anything but a 2xx answer is an error.
 func send(ctx context.Context, method, url, token string, body any) error {
 	data, err := json.Marshal(body)
--- a/pkg/config/live.go
+++ b/pkg/config/live.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,6 +139,7 @@
 	l.wakeIfBehind()
 }
 
+// wakeIfBehind tells the Syncer.
 func (l *Live) wakeIfBehind() {
 	if c := l.cur.Load(); c == nil || l.newest() > c.Snapshot.Version {
 		wake(l.behind)
@@ -149,3 +152,27 @@
 	default:
 	}
 }
+
+// IsBehind says whether nothing is in force yet, or a newer version is known.
+func (l *Live) IsBehind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cur.Load()
+	return c == nil || l.newest() > c.Snapshot.Version
+}
+
+// newerPeers draws up to most peers that told a newer version.
+func (l *Live) newerPeers(most int, random *rand.Rand) []wire.RouterID {
+	have := l.Version()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var peers []wire.RouterID
+	for id, version := range l.heard.versions {
+		if version > have {
+			peers = append(peers, id)
+		}
+	}
+	slices.Sort(peers)
+	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(most, len(peers))]
+}
--- /dev/null
+++ b/pkg/daemon/run.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+	"go.uber.org/fx"
+
+	"github.com/flamingowind/flamingowind/pkg/claimant"
+	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/edge"
+	"github.com/flamingowind/flamingowind/pkg/keeping"
+	"github.com/flamingowind/flamingowind/pkg/member"
+	"github.com/flamingowind/flamingowind/pkg/once"
+	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/peer"
+	"github.com/flamingowind/flamingowind/pkg/settings"
+	"github.com/flamingowind/flamingowind/pkg/telemetry"
+)
+
+// metricsHeaderTimeout bounds a scraper that sends its request slowly.
+const metricsHeaderTimeout = 5 * time.Second
+
+// router is all that start puts into motion.
+type router struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  settings.Settings
+	Log       log.Interface
+	Metrics   *telemetry.Metrics
+	Duties    *duties
+	Frames    *frames
+	Transport *peer.Transport
+	Members   *member.Duty
+	Live      *config.Live
+	Exchange  *config.Exchange
+	Syncer    *config.Syncer
+	Poller    *config.Poller
+	Keeping   *keeping.Duty
+	Claimant  *claimant.Claimant
+	Book      *once.Book
+	Suspects  *suspects
+	Edge      *edge.Edge
+	Operator  *operator.API
+	Drain     *drain
+}
+
+// start joins the parts that need each other and starts the duties.
+func start(r router) {
+	r.Members.Attach(r.Transport)
+	r.Frames.setMarked(r.Keeping.Mark)
+	r.Frames.set(
+		r.Members, r.Keeping, r.Suspects,
+		claimantFrames{r.Claimant},
+		configFrames{r.Exchange, r.Transport, r.Log},
+	)
+	r.Lifecycle.Append(fx.Hook{OnStart: r.onStart, OnStop: r.onStop})
+}
+
+func (r router) onStart(context.Context) error {
+	callers, err := net.Listen("tcp", r.Settings.Listen.Entry)
+	if err != nil {
+		return errors.Annotate(err, "listen.entry")
+	}
+	operators, err := net.Listen("tcp", r.Settings.Listen.Operator)
+	if err != nil {
+		return errors.Annotate(err, "listen.operator")
+	}
+	metrics, err := net.Listen("tcp", r.Settings.Listen.Metrics)
+	if err != nil {
+		return errors.Annotate(err, "listen.metrics")
+	}
+	r.runDuties()
+	r.Duties.run(func(ctx context.Context) { r.report("operator API", r.Operator.Serve(ctx, operators)) })
+	r.Duties.run(func(ctx context.Context) { r.report("metrics", serveMetrics(ctx, metrics, r.Metrics)) })
+	r.Drain.serve(r.Edge.Server(), r.Edge.Listener(callers))
+	r.Log.WithField("entry", callers.Addr().String()).Info("router started")
+	return nil
+}
+
+func (r router) runDuties() {
+	r.Duties.run(r.Members.Run)
+	r.Duties.run(r.Poller.Run)
+	r.Duties.run(r.Syncer.Run)
+	r.Duties.run(r.Keeping.Run)
+	r.Duties.run(r.Claimant.Run)
+	r.Duties.run(func(ctx context.Context) { r.report("idempotency records", r.Book.Run(ctx)) })
+	r.Duties.run(r.watchChanges)
+	g := &gauges{
+		scope: r.Metrics.Scope, transport: r.Transport, keeping: r.Keeping,
+		claimant: r.Claimant, live: r.Live, members: r.Members,
+	}
+	r.Duties.run(g.run)
+}
+
+// watchChanges tells keeping and claimant of a new configuration or membership.
+func (r router) watchChanges(ctx context.Context) {
+	views, endViews := r.Members.Subscribe()
+	defer endViews()
+	versions, endVersions := r.Live.Subscribe()
+	defer endVersions()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-views:
+		case <-versions:
+		}
+		r.Keeping.Changed()
+		r.Claimant.KeepersChanged()
+	}
+}
+
+func (r router) report(what string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		r.Log.WithError(err).WithField("duty", what).Error("duty ended")
+	}
+}
+
+func serveMetrics(ctx context.Context, l net.Listener, m *telemetry.Metrics) error {
+	routes := mux.NewRouter()
+	routes.Path("/metrics").Methods(http.MethodGet).Handler(m)
+	server := &http.Server{Handler: routes, ReadHeaderTimeout: metricsHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/suspects.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"github.com/flamingowind/flamingowind/pkg/member"
+	"github.com/flamingowind/flamingowind/pkg/peer"
+	"github.com/flamingowind/flamingowind/pkg/quarantine"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// suspicionFanout is the number of peers that one piece of news goes to; each that
+// hears it first passes it on, so it reaches 330 routers in three or four hops while
+// no router sends more than a few messages.
+const suspicionFanout = 8
+
+// suspects joins the list of suspect contents to the edge and to the other routers.
+type suspects struct {
+	list      *quarantine.List
+	members   *member.Duty
+	transport *peer.Transport
+}
+
+// Check implements edge.Suspects.
+func (s *suspects) Check(content uint64) error { return s.list.Check(content) }
+
+// Died implements edge.Suspects. A content that was a suspect already ran alone.
+func (s *suspects) Died(_ string, contents ...uint64) {
+	for _, c := range contents {
+		if news, ok := s.list.Died(c, s.list.Deaths(c) > 0); ok {
+			s.spread(news)
+		}
+	}
+}
+
+// Served implements edge.Suspects.
+func (s *suspects) Served(content uint64) {
+	if s.list.Deaths(content) == 0 {
+		return
+	}
+	if news, ok := s.list.EndedAlone(content); ok {
+		s.spread(news)
+	}
+}
+
+// HandleFrame implements peer.Handler.
+func (s *suspects) HandleFrame(_ wire.RouterID, f *wire.Frame) {
+	if len(f.Suspicions) > 0 {
+		s.spread(s.list.Merge(f.Suspicions)...)
+	}
+}
+
+func (s *suspects) spread(news ...wire.Suspicion) {
+	if len(news) == 0 {
+		return
+	}
+	view := s.members.View()
+	for _, id := range view.First(string(view.Self.ID), suspicionFanout) {
+		if id != view.Self.ID {
+			s.transport.Send(id, func(f *wire.Frame) { f.Suspicions = append(f.Suspicions, news...) })
+		}
+	}
+}
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -128,8 +128,17 @@
 	if res.Cost > 0 {
 		q.edge.Observer.Served(q.org.Name, q.class, res.Cost)
 	}
-	if s := q.edge.Suspects; s != nil && res.Outcome == wire.OutcomeDied && res.Verdict != verdict.NotRun {
+	q.observeSuspect(res)
+}
+
+func (q *request) observeSuspect(res dispatch.Result) {
+	s := q.edge.Suspects
+	switch {
+	case s == nil:
+	case res.Outcome == wire.OutcomeDied && res.Verdict != verdict.NotRun:
 		s.Died(res.Upstream, q.content)
+	case res.Outcome == wire.OutcomeServed:
+		s.Served(q.content)
 	}
 }
 
--- a/pkg/edge/seams.go
+++ b/pkg/edge/seams.go
@@ -19,4 +19,6 @@
 	Check(content uint64) error
 	// Died tells that contents were running on upstream when it died.
 	Died(upstream string, contents ...uint64)
+	// Served tells that content ran to its end.
+	Served(content uint64)
 }
--- a/pkg/telemetry/requests.go
+++ b/pkg/telemetry/requests.go
@@ -16,6 +16,9 @@
 // Buckets of the request histograms: from 1 ms to about a minute.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 24)
 
+// Buckets of the service histogram: from 1 to about half a million units.
+var unitBuckets = tally.MustMakeExponentialValueBuckets(1, 2, 20)
+
 // Requests keeps the histograms of each organisation and class.
 type Requests struct {
 	scope tally.Scope
@@ -57,16 +60,16 @@
 	r.set(org, class).queueWait.RecordDuration(d)
 }
 
-// Service records the time a request held its slot, and its units of service.
-func (r *Requests) Service(org, class string, d time.Duration, units float64) {
+// Served records the service of one attempt, in units.
+func (r *Requests) Served(org, class string, units float64) {
 	s := r.set(org, class)
-	s.service.RecordDuration(d)
+	s.service.RecordValue(units)
 	s.units.Inc(int64(units))
 }
 
-// Ended counts one answer by its code ("ok" or a verdict.Code) and verdict.
-func (r *Requests) Ended(org, class, code, verdict string) {
-	r.set(org, class).scope.Tagged(map[string]string{"code": code, "verdict": verdict}).Counter("ended").Inc(1)
+// Refused counts one error answer by its code.
+func (r *Requests) Refused(org, class, code string) {
+	r.set(org, class).scope.Tagged(map[string]string{"code": code}).Counter("refused").Inc(1)
 }
 
 func (r *Requests) set(org, class string) *requestSet {
@@ -92,7 +95,7 @@
 		firstToken:    scope.Histogram("first_token_seconds", latencyBuckets),
 		betweenTokens: scope.Histogram("between_tokens_seconds", latencyBuckets),
 		queueWait:     scope.Histogram("queue_wait_seconds", latencyBuckets),
-		service:       scope.Histogram("service_seconds", latencyBuckets),
+		service:       scope.Histogram("service_units", unitBuckets),
 		units:         scope.Counter("units"),
 		scope:         scope,
 	}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -19,6 +19,10 @@
 	Suspicions []Suspicion  `cbor:"10,keyasint,omitempty"`
 	Asks       []ConfigAsk  `cbor:"11,keyasint,omitempty"`
 	Configs    []ConfigData `cbor:"12,keyasint,omitempty"`
+	// Life is the sender's life, set with claims, cancels, dones and reports: a keeper
+	// must not take a restarted router's claims for those of its earlier life, and
+	// gossip of the restart may come later than they do.
+	Life Incarnation `cbor:"13,keyasint,omitempty"`
 }
 
 // MaxFrame bounds an encoded frame, in bytes.
