--- a/pkg/claimant/acquire_test.go
+++ b/pkg/claimant/acquire_test.go
@@ -12,9 +12,7 @@
 		claim := f.claim("k1")
 		f.grant("k1", claim, "u1", 0)
 		s := mustSlot(t, done)
-		if s.Upstream() != "u1" || s.URL() != "http://u1" || !s.Start() {
-			t.Fatalf("slot on %s at %s", s.Upstream(), s.URL())
-		}
+		check(t, s.Upstream() == "u1" && s.URL() == "http://u1" && s.Start(), "slot on %s at %s", s.Upstream(), s.URL())
 		s.Progress(7)
 		s.Done(wire.OutcomeServed, 12, 0, 0)
 		s.Done(wire.OutcomeFailed, 99, 0, 0)
--- a/pkg/claimant/claimant.go
+++ b/pkg/claimant/claimant.go
@@ -75,7 +75,7 @@
 	select {
 	case c.calls <- joined{t}:
 	case <-ctx.Done():
-		return nil, callerGone(ctx.Err(), c.retryAfter(t))
+		return nil, contextEnded(ctx, c.retryAfter(t))
 	case <-expired:
 		return nil, deadlinePassed(c.retryAfter(t))
 	case <-c.stopped:
@@ -85,7 +85,7 @@
 	case a := <-t.answer:
 		return a.slot, a.err
 	case <-ctx.Done():
-		return nil, c.giveUp(t, callerGone(ctx.Err(), c.retryAfter(t)))
+		return nil, c.giveUp(t, contextEnded(ctx, c.retryAfter(t)))
 	case <-expired:
 		return nil, c.giveUp(t, deadlinePassed(c.retryAfter(t)))
 	case <-c.stopped:
--- a/pkg/claimant/fake_test.go
+++ b/pkg/claimant/fake_test.go
@@ -177,7 +177,15 @@
 	}
 }
 
-// dones checks that a router got exactly one Done, and returns it.
+// check fails the test unless ok.
+func check(t testing.TB, ok bool, format string, args ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
+
+// done checks that a router got exactly one Done, and returns it.
 func (f *fleet) done(to wire.RouterID, id wire.ClaimID, want wire.Outcome) wire.Done {
 	f.t.Helper()
 	dones := f.take(to).Dones
@@ -195,8 +203,9 @@
 		f := newFleet(t, o)
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
+		duty := f.claimant
 		go func() {
-			f.claimant.Run(ctx)
+			duty.Run(ctx)
 			close(stopped)
 		}()
 		test(t, f)
@@ -216,3 +225,11 @@
 	f.claimant = New(f, f, o)
 	return f
 }
+
+// addCellB gives the pool a second cell, kept by k2.
+func (f *fleet) addCellB() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cells = append(f.cells, cellB)
+	f.keepers[cellB] = "k2"
+}
--- a/pkg/claimant/grant.go
+++ b/pkg/claimant/grant.go
@@ -9,10 +9,8 @@
 
 // grant takes a keeper's grant.
 func (m *machine) grant(now time.Time, from wire.RouterID, g wire.Grant) {
-	if c, ok := m.cells[g.Cell]; ok {
-		if s, ok := c.running[g.ID]; ok && s.keeper == from && s.upstream == g.Upstream {
-			return // a second copy of the grant that runs
-		}
+	if m.runs(from, g) {
+		return
 	}
 	cl, ok := m.claims[g.ID]
 	if !ok || cl.cell.id != g.Cell {
@@ -36,6 +34,18 @@
 	m.hand(now, cl, s)
 }
 
+// runs says that a grant is for the slot that runs already: a second copy of its grant,
+// or the grant of a new keeper that chose the same upstream as the former. Giving it back
+// would free a slot in use.
+func (m *machine) runs(from wire.RouterID, g wire.Grant) bool {
+	c, ok := m.cells[g.Cell]
+	if !ok {
+		return false
+	}
+	s, ok := c.running[g.ID]
+	return ok && s.upstream == g.Upstream && (from == s.keeper || from == c.keeper)
+}
+
 // slotOf makes the slot of a grant; nil when the claim was never sent to that router.
 func (m *machine) slotOf(from wire.RouterID, cl *claim, g wire.Grant) *slot {
 	base, ok := grantBase(from, cl, g)
--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -20,7 +20,9 @@
 
 	lastID wire.ClaimID
 	claims map[wire.ClaimID]*claim
-	cells  map[wire.CellID]*cell
+	// cells are never dropped: report numbers and counters must not fall within one
+	// incarnation. Cells are declared, so the map is bounded.
+	cells map[wire.CellID]*cell
 	// totals is the service delivered to each organisation through all cells.
 	totals map[string]wire.Units
 }
@@ -46,6 +48,7 @@
 		t.resolve(answer{err: noUpstream(unknownRetry)})
 		return
 	}
+	m.totals[t.req.Org] += 0 // reports list the organisation from now on
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
 	cl.predict = m.costs.Predict(cl.key(), t.req.Hint)
 	t.claim = cl
--- a/pkg/claimant/refusals.go
+++ b/pkg/claimant/refusals.go
@@ -1,9 +1,12 @@
 package claimant
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
@@ -24,8 +27,12 @@
 		"no slot became free within the deadline").After(retry)
 }
 
-func callerGone(cause error, retry time.Duration) *verdict.Error {
-	return verdict.Wrap(cause, verdict.NotRun, statusClientClosed, verdict.CodeCanceled,
+// contextEnded tells a context's own deadline from a caller that went away.
+func contextEnded(ctx context.Context, retry time.Duration) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return deadlinePassed(retry)
+	}
+	return verdict.Wrap(ctx.Err(), verdict.NotRun, statusClientClosed, verdict.CodeCanceled,
 		"the caller went away").After(retry)
 }
 
--- a/pkg/claimant/report.go
+++ b/pkg/claimant/report.go
@@ -25,7 +25,7 @@
 	r := wire.Report{Cell: c.id, Seq: c.reports.next(c.keeper, now), Full: full}
 	r.Running = m.running(c, full)
 	r.Waiting = waiting(c, full, r.Seq)
-	r.Orgs = m.counters(c)
+	r.Orgs = m.counters(c, full)
 	if m.marks != nil {
 		r.Down = m.marks()
 	}
@@ -80,15 +80,18 @@
 	return list
 }
 
-// counters lists the counters that the keeper hasn't been told.
-func (m *machine) counters(c *cell) []wire.OrgCounter {
+// counters lists the counters; in a partial report those that the keeper hasn't been
+// told. A lost partial report is made good by the next full one. A counter of 0 is listed
+// too: the keeper charges what a counter grows by after the first value it saw.
+func (m *machine) counters(c *cell, full bool) []wire.OrgCounter {
 	var list []wire.OrgCounter
 	for org, total := range m.totals {
 		o := wire.OrgCounter{Org: org, Elsewhere: total - c.delivered[org], Virtual: c.virtual[org]}
-		if o != c.told[org] && (o.Elsewhere > 0 || o.Virtual > 0) {
-			c.told[org] = o
-			list = append(list, o)
+		if o == c.told[org] && !full {
+			continue
 		}
+		c.told[org] = o
+		list = append(list, o)
 	}
 	return list
 }
--- a/pkg/claimant/slot.go
+++ b/pkg/claimant/slot.go
@@ -50,7 +50,8 @@
 // the same, on an upstream that is full or has left. lapses counts from a moment
 // before the keeper granted, so it passes here before the keeper gives the slot away.
 // started is set before the clock is read: the duty, which takes back lapsed slots
-// that were not started, then either sees it or has made Start fail.
+// that were not started, then either sees it or has made Start fail. A pause between
+// Start and the first byte isn't covered: no check on this side can be.
 func (s *slot) Start() bool {
 	if s.done.Load() {
 		return false
