--- a/pkg/once/load_test.go
+++ b/pkg/once/load_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -37,7 +38,9 @@
 		for _, err := range begin() {
 			require.NoError(t, err)
 		}
-		require.NoError(t, b.Flush(t.Context()))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.NoError(t, b.Flush(ctx))
 		for _, err := range begin() {
 			var replay *Replay
 			require.True(t, errors.As(err, &replay))
