Give orders to engines from the daemon, and notice restarted keepers

Cause: the reconciler of orders and the notice of a peer's restart existed without a caller. Change: ranks by one rendezvous lookup a place, table writes shared among the routers alive, lives compared at each view. Ruled out: a sorted ranking for each engine, which costs a sort of the fleet 2,100 times every few seconds. Conclusion: failure tests can now bring these about.

--- a/pkg/daemon/fx.go
+++ b/pkg/daemon/fx.go
@@ -17,6 +17,7 @@
 	"github.com/flamingowind/flamingowind/pkg/member"
 	"github.com/flamingowind/flamingowind/pkg/once"
 	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/order"
 	"github.com/flamingowind/flamingowind/pkg/peer"
 	"github.com/flamingowind/flamingowind/pkg/platform"
 	"github.com/flamingowind/flamingowind/pkg/platform/httpplatform"
@@ -33,7 +34,7 @@
 		newPlatform, newTable, newStore, newLive, newExchange, newSyncer, newPoller,
 		newMarks, newMembers, newTransport, newSender,
 		newDirectory, newKeeping, newClaimant,
-		newBook, newSuspects, newEntries, newEdge, newOperator, newDrain,
+		newBook, newReconciler, newSuspects, newEntries, newEdge, newOperator, newDrain,
 	),
 )
 
@@ -150,6 +151,12 @@
 	})
 }
 
+func newReconciler(c *httpplatform.Client, r *reach, l *config.Live, s settings.Settings) *order.Reconciler {
+	return order.NewReconciler(c.Table(), c.Weights(), order.NewHTTPEngine(), r, l.Snapshot, order.Options{
+		Timeout: s.Platform.Timeout.Std(),
+	})
+}
+
 func newSuspects(m *member.Duty, t *peer.Transport) *suspects {
 	return &suspects{list: quarantine.New(quarantine.Config{}), members: m, transport: t}
 }
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -18,6 +18,7 @@
 	"github.com/flamingowind/flamingowind/pkg/member"
 	"github.com/flamingowind/flamingowind/pkg/once"
 	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/order"
 	"github.com/flamingowind/flamingowind/pkg/peer"
 	"github.com/flamingowind/flamingowind/pkg/settings"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
@@ -45,6 +46,7 @@
 	Keeping   *keeping.Duty
 	Claimant  *claimant.Claimant
 	Book      *once.Book
+	Orders    *order.Reconciler
 	Suspects  *suspects
 	Edge      *edge.Edge
 	Operator  *operator.API
@@ -91,6 +93,7 @@
 	r.Duties.run(r.Keeping.Run)
 	r.Duties.run(r.Claimant.Run)
 	r.Duties.run(func(ctx context.Context) { r.report("idempotency records", r.Book.Run(ctx)) })
+	r.Duties.run(func(ctx context.Context) { r.report("orders to engines", r.Orders.Run(ctx)) })
 	r.Duties.run(r.watchChanges)
 	g := &gauges{
 		scope: r.Metrics.Scope, transport: r.Transport, keeping: r.Keeping,
@@ -105,7 +108,13 @@
 	defer endViews()
 	versions, endVersions := r.Live.Subscribe()
 	defer endVersions()
+	share := shares{r.Members, r.Book, r.Orders}
+	known := lives{}
 	for {
+		share.set()
+		for _, id := range known.restarted(r.Members.View()) {
+			r.Claimant.PeerRestarted(id)
+		}
 		select {
 		case <-ctx.Done():
 			return
