Bring the configuration to every router, and stop when it can't be confirmed

Cause: a router that is cut off, paused or restarted must not go on with a replaced configuration, and confirming must cost the table little. Found by the state machine: with a failed read counting for ConfirmWithin, a router under majority that slept 3 s served a version that a majority had replaced (failed after 1127 checks). A failed read now counts for 3/5 of ConfirmWithin. Ruled out: trusting members as seen before a pause (hence the settle time).

--- a/pkg/config/admit.go
+++ b/pkg/config/admit.go
@@ -71,6 +71,9 @@
 	return l.opts.Reach.Reachable()
 }
 
+// fresh is how long one failed read of the table counts.
+func (l *Live) fresh() time.Duration { return l.opts.ConfirmWithin * freshFifths / fifths }
+
 // byMajority holds during an outage of the table, when the router reaches more than
 // half of the known members and nobody it heard has a newer version. Having heard
 // the versions of a majority matters after a restart: the router may have got an old
@@ -80,8 +83,8 @@
 	if cur == nil {
 		return false
 	}
-	settle := l.opts.ConfirmWithin * settleNum / settleDen
-	if !l.outage.proven(now, settle, l.opts.ConfirmWithin) {
+	settle := l.opts.ConfirmWithin * settleFifths / fifths
+	if !l.outage.proven(now, settle, l.fresh()) {
 		return false
 	}
 	told := len(l.heard.versions) + 1 // this router knows its own
--- a/pkg/config/confirm.go
+++ b/pkg/config/confirm.go
@@ -51,7 +51,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.outage.failed(sent, l.opts.ConfirmWithin)
+		l.outage.failed(sent, l.fresh())
 		return
 	}
 	l.outage.succeeded()
--- a/pkg/config/live.go
+++ b/pkg/config/live.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,10 +13,18 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// Settle is the share of ConfirmWithin for which the table must have been out before
-// a router serves by majority. It must stay over the time after which member takes a
-// silent peer for suspect: 2 s against 1.5 s with the default settings.
-const settleNum, settleDen = 2, 5
+// Times of an outage of the table, as shares of ConfirmWithin in fifths.
+const (
+	fifths = 5
+	// settleFifths: the table must have been out for this long before a router serves
+	// by majority. It must stay over the time after which member takes a silent peer
+	// for suspect: 2 s against 1.5 s with the default settings.
+	settleFifths = 2
+	// freshFifths: the latest failed read must be younger than this. With the time a
+	// silent peer counts as reachable it makes up ConfirmWithin, so that serving by
+	// majority is never staler than serving by confirmation.
+	freshFifths = 3
+)
 
 // LiveOptions are what Live needs.
 type LiveOptions struct {
@@ -137,6 +147,7 @@
 	l.wakeIfBehind()
 }
 
+// wakeIfBehind tells the Syncer.
 func (l *Live) wakeIfBehind() {
 	if c := l.cur.Load(); c == nil || l.newest() > c.Snapshot.Version {
 		wake(l.behind)
@@ -149,3 +160,27 @@
 	default:
 	}
 }
+
+// IsBehind says whether nothing is in force yet, or a newer version is known.
+func (l *Live) IsBehind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cur.Load()
+	return c == nil || l.newest() > c.Snapshot.Version
+}
+
+// newerPeers draws up to most peers that told a newer version.
+func (l *Live) newerPeers(most int, random *rand.Rand) []wire.RouterID {
+	have := l.Version()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var peers []wire.RouterID
+	for id, version := range l.heard.versions {
+		if version > have {
+			peers = append(peers, id)
+		}
+	}
+	slices.Sort(peers)
+	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(most, len(peers))]
+}
--- a/pkg/config/outage.go
+++ b/pkg/config/outage.go
@@ -29,7 +29,8 @@
 // peers it heard before as reachable, and one failed read would let it serve a
 // configuration from before the pause. It would show as an old version in answers
 // after a pause. By requiring reads that failed for the whole of settle, which is
-// longer than a silent peer counts as reachable, the peers were asked again.
+// longer than a silent peer counts as reachable, the peers were asked again. A pause
+// shorter than limit doesn't break the streak; it can't hide more than limit.
 func (o *outage) proven(now time.Time, settle, limit time.Duration) bool {
 	return !o.since.IsZero() && now.Sub(o.last) <= limit && now.Sub(o.since) >= settle
 }
--- a/pkg/config/rows.go
+++ b/pkg/config/rows.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,10 +23,6 @@
 func snapshotKey(version uint64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, version) }
 func opKey(id string) string            { return opPrefix + id }
 
-func logVersion(key string) (uint64, error) {
-	return strconv.ParseUint(strings.TrimPrefix(key, logPrefix), 10, 64)
-}
-
 // Head is the head row: the newest version and the operation that made it.
 type Head struct {
 	Version uint64 `json:"version"`
--- a/pkg/config/write.go
+++ b/pkg/config/write.go
@@ -81,16 +81,12 @@
 }
 
 func (w *write) replay(ctx context.Context) (Result, bool, error) {
-	row, err := w.store.table.Get(ctx, opKey(w.change.OpID))
-	if errors.Is(err, platform.ErrNotFound) {
-		return Result{}, false, nil
-	}
+	op, found, err := w.store.operation(ctx, w.change.OpID)
 	if err != nil {
 		return Result{}, false, w.refusal(err)
 	}
-	op, err := decodeRow[opRow](row)
-	if err != nil {
-		return Result{}, false, err
+	if !found {
+		return Result{}, false, nil
 	}
 	if op.Digest != w.digest {
 		return Result{}, false, errors.Annotatef(ErrOpReused, "%q made version %d", w.change.OpID, op.Version)
@@ -98,6 +94,28 @@
 	return Result{Version: op.Version, Replayed: true}, true, nil
 }
 
+// Operation finds the version that an operation made. found is false when it never
+// took effect, or left the history.
+func (s *Store) Operation(ctx context.Context, id string) (version uint64, found bool, err error) {
+	op, found, err := s.operation(ctx, id)
+	if err != nil {
+		return 0, false, notAccepted(err)
+	}
+	return op.Version, found, nil
+}
+
+func (s *Store) operation(ctx context.Context, id string) (opRow, bool, error) {
+	row, err := s.table.Get(ctx, opKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return opRow{}, false, nil
+	}
+	if err != nil {
+		return opRow{}, false, errors.Annotate(err, "read operation")
+	}
+	op, err := decodeRow[opRow](row)
+	return op, err == nil, err
+}
+
 func (w *write) commit(ctx context.Context, base, next *resource.Snapshot, rowVersion uint64) (Result, bool, error) {
 	txn, err := w.txn(ctx, next, rowVersion)
 	if err != nil {
--- a/pkg/resource/document.go
+++ b/pkg/resource/document.go
@@ -35,21 +35,29 @@
 		d.Resource = nil
 		return nil
 	}
+	r, err := ParseJSON("", b)
+	d.Resource = r
+	return err
+}
+
+// ParseJSON reads a resource whose kind may be left out when fallback names it.
+func ParseJSON(fallback Kind, b []byte) (Resource, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(b, &fields); err != nil {
-		return errors.Annotate(err, "resource")
+		return nil, &Invalid{Fields: []FieldError{{Kind: fallback, Text: "must be a JSON object"}}}
 	}
-	var kind Kind
-	if err := json.Unmarshal(fields["kind"], &kind); err != nil {
-		return &Invalid{Fields: []FieldError{{Field: "kind", Text: "must be set"}}}
+	kind := fallback
+	if raw, ok := fields["kind"]; ok {
+		if err := json.Unmarshal(raw, &kind); err != nil {
+			return nil, &Invalid{Fields: []FieldError{{Field: "kind", Text: "must be a string"}}}
+		}
 	}
 	delete(fields, "kind")
 	rest, err := json.Marshal(fields)
 	if err != nil {
-		return errors.Annotate(err, "resource")
+		return nil, errors.Annotate(err, "resource")
 	}
-	d.Resource, err = decodeFields(kind, rest)
-	return err
+	return decodeFields(kind, rest)
 }
 
 func decodeFields(kind Kind, b []byte) (Resource, error) {
