--- a/pkg/config/live.go
+++ b/pkg/config/live.go
@@ -13,10 +13,18 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// Settle is the share of ConfirmWithin for which the table must have been out before
-// a router serves by majority. It must stay over the time after which member takes a
-// silent peer for suspect: 2 s against 1.5 s with the default settings.
-const settleNum, settleDen = 2, 5
+// Times of an outage of the table, as shares of ConfirmWithin in fifths.
+const (
+	fifths = 5
+	// settleFifths: the table must have been out for this long before a router serves
+	// by majority. It must stay over the time after which member takes a silent peer
+	// for suspect: 2 s against 1.5 s with the default settings.
+	settleFifths = 2
+	// freshFifths: the latest failed read must be younger than this. With the time a
+	// silent peer counts as reachable it makes up ConfirmWithin, so that serving by
+	// majority is never staler than serving by confirmation.
+	freshFifths = 3
+)
 
 // LiveOptions are what Live needs.
 type LiveOptions struct {
--- a/pkg/config/poll_plan.go
+++ b/pkg/config/poll_plan.go
@@ -48,11 +48,12 @@
 	return chosen || !ok || age >= p.fallback
 }
 
-// sent notes a read: pollers go on each Poll, the others wait a little longer, so
-// that during an outage all of them together refuse to hammer the table.
+// sent notes a read: pollers go on each Poll, the others wait up to half of it longer,
+// so that during an outage they don't all read at once. Two reads must stay closer
+// than a failed read counts (Live.fresh), also when each runs into its timeout.
 func (p *pollPlan) sent(now time.Time, chosen bool) {
 	p.next = now.Add(p.poll)
 	if !chosen {
-		p.next = p.next.Add(p.jitter(p.poll))
+		p.next = p.next.Add(p.jitter(p.poll / 2))
 	}
 }
