--- a/internal/devfleet/injector.go
+++ b/internal/devfleet/injector.go
@@ -136,13 +136,16 @@
 	j.done[at].To = time.Now()
 }
 
-// Killed reports whether the router at entry was killed between from and to: only
-// that explains a broken connection. A pause or a cut breaks none.
+// Killed reports whether a kill of the router at entry explains that a connection to
+// it broke between from and to. Besides connections that were open when it died, these
+// are connections made just before its sockets went away, and idle ones that the
+// caller took up before it noticed. A pause or a cut breaks none.
 func (j *Injector) Killed(entry string, from, to time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, i := range j.done {
-		if i.Kind == FaultKill && i.Entry == entry && !i.From.Before(from) && !i.From.After(to) {
+		endsLater := i.To.IsZero() || !i.To.Before(from)
+		if i.Kind == FaultKill && i.Entry == entry && !i.From.After(to) && endsLater {
 			return true
 		}
 	}
--- a/pkg/load/histogram.go
+++ b/pkg/load/histogram.go
@@ -13,6 +13,8 @@
 	digits      = 3
 )
 
+const microsPerMilli = 1000
+
 // Times are percentiles of a set of times, in milliseconds.
 type Times struct {
 	Count int64   `json:"count"`
@@ -32,7 +34,6 @@
 }
 
 func timesOf(h *hdrhistogram.Histogram) Times {
-	const microsPerMilli = 1000
 	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMilli }
 	return Times{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), Max: float64(h.Max()) / microsPerMilli}
 }
--- a/pkg/load/plots.go
+++ b/pkg/load/plots.go
@@ -46,7 +46,7 @@
 	p := plot.New()
 	p.Title.Text = "First token, from the intended start, " + run.Scenario.Name
 	p.X.Label.Text, p.Y.Label.Text = "milliseconds", "share of requests"
-	p.Legend.Left = true
+	p.Legend.Top, p.Legend.Left = true, true
 	for i, org := range run.Orgs {
 		points := distribution(run.Results, org.Name)
 		if len(points) == 0 {
@@ -59,14 +59,16 @@
 	return p.Save(plotWidth, plotHeight, file)
 }
 
-// distribution is the cumulative distribution of an organisation's first-token times.
+// distribution is the cumulative distribution of an organisation's first-token times,
+// at each whole percentile.
 func distribution(results []Result, org string) plotter.XYs {
 	h := firstTokens(results, func(r Result) bool { return r.Org.Name == org })
+	if h.TotalCount() == 0 {
+		return nil
+	}
 	var points plotter.XYs
-	for _, b := range h.CumulativeDistribution() {
-		if h.TotalCount() > 0 {
-			points = append(points, plotter.XY{X: float64(b.ValueAt) / 1000, Y: b.Quantile / 100})
-		}
+	for percent := 0.0; percent <= 100; percent++ {
+		points = append(points, plotter.XY{X: float64(h.ValueAtQuantile(percent)) / microsPerMilli, Y: percent / 100})
 	}
 	return points
 }
--- a/tools/devfleet/demo.go
+++ b/tools/devfleet/demo.go
@@ -9,7 +9,6 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/flamingowind/flamingowind/internal/devfleet"
 	"github.com/flamingowind/flamingowind/pkg/load"
 )
 
@@ -51,7 +50,7 @@
 	defer fleet.Stop(context.WithoutCancel(ctx))
 	caller := load.NewCaller(fleet.Ready.Model, fleet.Ready.Service, callerPatience)
 	defer caller.Close()
-	if err := checkEntries(ctx, fleet.Ready); err != nil {
+	if err := awaitEntries(ctx, fleet.Ready); err != nil {
 		return err
 	}
 	results := sendAll(ctx, caller, demoRequests(fleet.Ready, c.rounds))
@@ -61,23 +60,3 @@
 	}
 	return report(fleet.Ready, results, attempts)
 }
-
-// checkEntries asks every router which addresses to use: each must name routers of
-// this fleet only, and together they must name all of them.
-func checkEntries(ctx context.Context, ready devfleet.Ready) error {
-	known := make(map[string]bool)
-	for _, r := range ready.Routers {
-		known[r.Entry] = false
-	}
-	for _, r := range ready.Routers {
-		answer, err := load.AskEntries(ctx, r.Entry, ready.Organisations[0].Name, ready.Model)
-		if err != nil {
-			return err
-		}
-		fmt.Printf("%s (%s) names entries %v, to keep for %d s\n", r.ID, r.Entry, answer.Entries, answer.KeepSeconds)
-		if err := markKnown(known, answer.Entries); err != nil {
-			return err
-		}
-	}
-	return allKnown(known)
-}
--- a/tools/devfleet/demoload.go
+++ b/tools/devfleet/demoload.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"sync"
 
-	"github.com/juju/errors"
-
 	"github.com/flamingowind/flamingowind/internal/devfleet"
 	"github.com/flamingowind/flamingowind/pkg/load"
 )
@@ -16,28 +14,6 @@
 
 var demoForms = []load.Form{load.Streamed, load.Plain, load.ServiceCall, load.ServiceSave}
 
-func markKnown(known map[string]bool, entries []string) error {
-	if len(entries) == 0 {
-		return errors.New("a router named no entry at all")
-	}
-	for _, e := range entries {
-		if _, ok := known[e]; !ok {
-			return errors.Errorf("a router named %s, which is no entry of this fleet", e)
-		}
-		known[e] = true
-	}
-	return nil
-}
-
-func allKnown(known map[string]bool) error {
-	for entry, named := range known {
-		if !named {
-			return errors.Errorf("no router named %s", entry)
-		}
-	}
-	return nil
-}
-
 // demoRequests are rounds requests for each router, organisation and form.
 func demoRequests(ready devfleet.Ready, rounds int) []load.Request {
 	var list []load.Request
