Make the fleet's directory when it is missing

Cause: devfleet -dir with a new name failed at the first file. Change: the directory is made first. Result: seen to fail by hand before; the build passes after it. Conclusion: no set-up is needed before a start.

--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -58,6 +59,9 @@
 
 // prepare makes the authority, the operator token and the organisations' keys.
 func (f *Fleet) prepare(context.Context) error {
+	if err := os.MkdirAll(f.Plan.Dir, 0o700); err != nil {
+		return errors.Annotate(err, "make the fleet's directory")
+	}
 	authority, err := NewAuthority(f.Plan.Dir)
 	if err != nil {
 		return err
