Settle the fleet before a load; plot busy slots

Cause: the first run against the real daemon granted nothing for 0.7 to 1 s, since a new keeper waits for its members' reports, and counters of control traffic aren't shown at once. Ruled out: a warm-up with measured organisations, which changed what the fleet had learned of their costs and so the first seconds' order. Change: an organisation of its own warms every router up, readings wait for the counters, a plot shows busy slots.

--- a/cmd/flamingowind-load/run.go
+++ b/cmd/flamingowind-load/run.go
@@ -81,7 +81,7 @@
 	if err := os.WriteFile(filepath.Join(c.out, c.name+".json"), data, 0o644); err != nil {
 		return errors.Annotate(err, "write the report")
 	}
-	return load.Plots(c.out, c.name+"-", o.Run)
+	return load.Plots(c.out, c.name+"-", o)
 }
 
 func show(v load.Variant) error {
--- a/pkg/load/journals.go
+++ b/pkg/load/journals.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -37,6 +38,17 @@
 
 func contentKey(hash string) string { return "content:" + hash }
 
+// ServedBy returns a function that names the upstream that ran a request; "" when none did.
+func ServedBy(attempts []Attempt) func(Request) string {
+	upstreams := make(map[string]string, len(attempts))
+	for _, a := range attempts {
+		upstreams[a.runKey()] = a.Upstream
+	}
+	return func(q Request) string {
+		return cmp.Or(upstreams[q.Marker], upstreams[q.contentKey()])
+	}
+}
+
 type journal struct {
 	Attempts []Attempt `json:"attempts"`
 	// Dropped counts attempts that the journal had no room for.
--- a/pkg/load/plots.go
+++ b/pkg/load/plots.go
@@ -16,13 +16,18 @@
 	plotHeight = 14 * vg.Centimeter
 )
 
-// Plots writes service.png (service over time by organisation) and firsttoken.png
-// (distribution of first-token times) of a run to dir, with prefix before the names.
-func Plots(dir, prefix string, run Run) error {
-	if err := plotService(filepath.Join(dir, prefix+"service.png"), run); err != nil {
+// Plots writes three plots of an experiment to dir, with prefix before their names:
+// service.png (service over time by organisation), firsttoken.png (distribution of
+// first-token times) and busy.png (engine slots in use over time).
+func Plots(dir, prefix string, o Outcomes) error {
+	path := func(name string) string { return filepath.Join(dir, prefix+name+".png") }
+	if err := plotService(path("service"), o.Run); err != nil {
 		return errors.Annotate(err, "plot the service")
 	}
-	return errors.Annotate(plotFirstTokens(filepath.Join(dir, prefix+"firsttoken.png"), run), "plot first tokens")
+	if err := plotFirstTokens(path("firsttoken"), o.Run); err != nil {
+		return errors.Annotate(err, "plot first tokens")
+	}
+	return errors.Annotate(plotBusy(path("busy"), o), "plot busy slots")
 }
 
 func plotService(file string, run Run) error {
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -39,15 +39,20 @@
 
 // Outcomes of a whole experiment: its records, for plots, and its report.
 type Outcomes struct {
-	Run    Run
-	Report Report
+	Run Run
+	// Attempts are what the upstreams ran.
+	Attempts []Attempt
+	Report   Report
 }
 
 // Experiment drives a scenario against the fleet and reports. current gives the
 // fleet's state, whose process IDs change with restarts; excuse tells which broken
 // connections an injected fault explains.
 func Experiment(ctx context.Context, current func() devfleet.Ready, s Scenario, excuse Excuse) (Outcomes, error) {
-	before := readRouters(ctx, current().Routers)
+	if err := warmUp(ctx, current()); err != nil {
+		return Outcomes{}, err
+	}
+	before := awaitCounters(ctx, current().Routers)
 	usage := make(chan []reading, 1)
 	go func() { usage <- readAtEnd(ctx, current, s.Duration) }()
 	run := Drive(ctx, current(), s)
@@ -59,7 +64,7 @@
 	report := Analyse(run, attempts, current().Upstreams, excuse)
 	report.addRouters(routerUses(current().Routers, before, after, s.Duration))
 	report.Unmeasured = faultsOf(before, after)
-	return Outcomes{Run: run, Report: report}, nil
+	return Outcomes{Run: run, Attempts: attempts, Report: report}, nil
 }
 
 // readAtEnd looks at the routers when the sending ends, before the load fades out.
--- a/pkg/load/routeruse.go
+++ b/pkg/load/routeruse.go
@@ -36,20 +36,44 @@
 func readRouters(ctx context.Context, routers []devfleet.RouterInfo) []reading {
 	list := make([]reading, len(routers))
 	for i, r := range routers {
-		list[i] = readRouter(ctx, r)
+		list[i] = readRouter(ctx, r, len(routers) == 1)
 	}
 	return list
 }
 
-func readRouter(ctx context.Context, r devfleet.RouterInfo) reading {
+// readRouter looks at one router; one that is alone has no peers and no control traffic.
+func readRouter(ctx context.Context, r devfleet.RouterInfo, alone bool) reading {
 	usage, err := readUsage(r.PID)
 	if err != nil {
 		return reading{pid: r.PID, fault: errors.Annotate(err, r.ID)}
 	}
 	wire, err := readWire(ctx, r.Metrics)
+	if alone && errors.Is(err, errNoCounter) {
+		err = nil
+	}
 	return reading{pid: r.PID, usage: usage, wire: wire, fault: errors.Annotate(err, r.ID)}
 }
 
+// Bounds of the wait for the counters of control traffic.
+const (
+	countersWithin = 2 * time.Second
+	countersEvery  = 50 * time.Millisecond
+)
+
+// awaitCounters reads all routers once they show the counters of control traffic: a
+// counter is shown some time after its first use. Reading them as zero before would
+// count what the fleet said at its start as control traffic of the load.
+func awaitCounters(ctx context.Context, routers []devfleet.RouterInfo) []reading {
+	ctx, cancel := context.WithTimeout(ctx, countersWithin)
+	defer cancel()
+	for {
+		list := readRouters(ctx, routers)
+		if len(faultsOf(list)) == 0 || !pauseUntil(ctx, time.Now().Add(countersEvery)) {
+			return list
+		}
+	}
+}
+
 // routerUses compares two looks that were passed apart.
 func routerUses(routers []devfleet.RouterInfo, before, after []reading, passed time.Duration) []RouterUse {
 	uses := make([]RouterUse, len(routers))
--- a/tools/devfleet/demoreport.go
+++ b/tools/devfleet/demoreport.go
@@ -43,13 +43,10 @@
 }
 
 func printServed(ready devfleet.Ready, results []load.Result, attempts []load.Attempt) {
-	upstream := make(map[string]string, len(attempts))
-	for _, a := range attempts {
-		upstream[a.Marker] = a.Upstream
-	}
+	servedBy := load.ServedBy(attempts)
 	counts := make(map[served]int)
 	for _, r := range results {
-		counts[served{r.Entry, upstream[r.Marker]}]++
+		counts[served{r.Entry, servedBy(r.Request)}]++
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(table, "accepted by\t")
--- a/tools/measure/measure.go
+++ b/tools/measure/measure.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "variant %s", name)
 		}
-		if err := load.Plots(o.out, o.scenario+"-"+name+"-", outcomes.Run); err != nil {
+		if err := load.Plots(o.out, o.scenario+"-"+name+"-", outcomes); err != nil {
 			return err
 		}
 		variants = append(variants, load.Variant{Name: name, Report: outcomes.Report})
--- a/tools/measure/variant.go
+++ b/tools/measure/variant.go
@@ -80,5 +80,6 @@
 	for _, p := range s.Profiles {
 		plan.Organisations = append(plan.Organisations, devfleet.OrgPlan{Name: p.Org, Weight: p.Weight})
 	}
+	plan.Organisations = append(plan.Organisations, devfleet.OrgPlan{Name: load.WarmUpOrg, Weight: 1})
 	return plan
 }
