--- a/pkg/fair/account.go
+++ b/pkg/fair/account.go
@@ -45,7 +45,7 @@
 // order gives the lanes in the order to try: a lane passed over too often first.
 func (a *account) order() [lanes]int {
 	o := [lanes]int{laneAside, laneUrgent, laneNormal, laneBatch}
-	for i := laneUrgent + 1; i < lanes; i++ {
+	for i := laneUrgent; i < lanes; i++ {
 		if a.lanes[i].passed >= maxPassed {
 			copy(o[1:i+1], o[:i])
 			o[0] = i
--- a/pkg/fair/entry.go
+++ b/pkg/fair/entry.go
@@ -29,5 +29,5 @@
 	if e.Aside {
 		return laneAside
 	}
-	return min(int(e.Class), laneBatch)
+	return min(laneUrgent+int(e.Class), laneBatch)
 }
--- a/pkg/fair/view.go
+++ b/pkg/fair/view.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// EachBacklogged calls f for each organisation with waiting entries.
+func (o *Order[T]) EachBacklogged(f func(org string)) {
+	for _, a := range o.backlog {
+		f(a.org)
+	}
+}
+
 // Virtual returns the organisation's counter.
 func (o *Order[T]) Virtual(org string) wire.Units {
 	if a := o.accounts[org]; a != nil {
--- a/pkg/keeper/claim.go
+++ b/pkg/keeper/claim.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if c := r.waiting[w.ID]; c != nil {
-		c.until = until(w, now)
+		k.expiry.set(c, until(w, now))
 		c.omitted = 0
 		return
 	}
@@ -40,6 +40,8 @@
 		Claim: w,
 		since: now.Add(-time.Duration(w.AgeMs) * time.Millisecond),
 		until: until(w, now),
+
+		expiryAt: noExpiry,
 	}
 	if reason, refused := k.refusal(c); refused {
 		k.refuse(c.key, reason, k.retryMs(w.Org, now))
@@ -53,6 +55,7 @@
 	c.entry = &fair.Entry[*claim]{Org: c.Org, Class: c.Class, Aside: k.deaths(c) > 0, Since: c.since, Value: c}
 	r.waiting[c.id] = c
 	k.order.Push(c.entry)
+	k.expiry.set(c, c.until)
 }
 
 func (k *Keeper) refusal(c *claim) (wire.RefusalReason, bool) {
@@ -103,6 +106,7 @@
 // drop takes a waiting claim out.
 func (k *Keeper) drop(c *claim) {
 	k.order.Remove(c.entry)
+	k.expiry.remove(c)
 	if r := k.routers[c.router]; r != nil && r.incarnation == c.incarnation {
 		delete(r.waiting, c.id)
 	}
--- a/pkg/keeper/claimstate.go
+++ b/pkg/keeper/claimstate.go
@@ -21,6 +21,8 @@
 	since time.Time // when the request began to wait, as far as the claim tells
 	until time.Time // not worth granting from then on; zero for no bound
 	entry *fair.Entry[*claim]
+	// expiryAt is the place in Keeper.expiry, noExpiry outside.
+	expiryAt int
 	// omitted counts the Full reports in a row that didn't list the claim.
 	omitted int
 }
--- a/pkg/keeper/configure.go
+++ b/pkg/keeper/configure.go
@@ -44,7 +44,7 @@
 func (k *Keeper) upstream(name string) *upstream {
 	u := k.upstreams[name]
 	if u == nil {
-		u = &upstream{name: name, limiter: limit.New(0, 0), marked: k.marks[name].Leaving}
+		u = &upstream{name: name, limiter: limit.New(0, 0), marked: k.marked(name)}
 		k.upstreams[name] = u
 	}
 	return u
@@ -77,10 +77,10 @@
 // Mark takes in that an upstream leaves, or came back. Higher generations win, so a
 // stale mark that comes late doesn't bring a leaving upstream back.
 func (k *Keeper) Mark(m wire.UpstreamMark, now time.Time) {
-	if old, ok := k.marks[m.Upstream]; ok && m.Generation <= old.Generation {
+	if old, ok := k.marks.Get(m.Upstream); ok && m.Generation <= old.Generation {
 		return
 	}
-	k.marks[m.Upstream] = m
+	k.marks.Add(m.Upstream, m)
 	u := k.upstreams[m.Upstream]
 	if u == nil {
 		return
@@ -91,6 +91,11 @@
 	}
 }
 
+func (k *Keeper) marked(name string) bool {
+	m, _ := k.marks.Get(name)
+	return m.Leaving
+}
+
 // refuseHopeless turns down waiting claims that no upstream of the cell can take.
 func (k *Keeper) refuseHopeless(now time.Time) {
 	for _, id := range sortedRouters(k.routers) {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -11,16 +11,21 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// maxPrefixes bounds the prompt prefixes whose last upstream is remembered.
-const maxPrefixes = 4096
+// Bounds of what is remembered.
+const (
+	maxPrefixes = 4096  // prompt prefixes with the upstream that served them last
+	maxMarks    = 16384 // marks of upstreams, also of other cells
+	maxRecent   = 8192  // ended claims: minutes of a cell's work, where frames are late by seconds
+)
 
 // Keeper orders one cell.
 type Keeper struct {
 	o         Options
 	order     *fair.Order[*claim]
+	expiry    expiry
 	upstreams map[string]*upstream
 	ranked    []*upstream // the declared ones by name
-	marks     map[string]wire.UpstreamMark
+	marks     *simplelru.LRU[string, wire.UpstreamMark]
 	routers   map[wire.RouterID]*router
 	slots     map[key]*slot
 	orgSlots  map[string]int
@@ -46,20 +51,16 @@
 // New returns a keeper that settles: it grants nothing until all the alive routers sent
 // a Full report, or Options.Settle has passed.
 func New(o Options, alive []wire.RouterID, now time.Time) *Keeper {
-	prefixes, err := simplelru.NewLRU[uint64, *upstream](maxPrefixes, nil)
-	if err != nil {
-		panic(err) // only for a size of 0 or less
-	}
 	k := &Keeper{
 		o:         o.withDefaults(),
 		order:     fair.New[*claim](),
 		upstreams: make(map[string]*upstream),
-		marks:     make(map[string]wire.UpstreamMark),
+		marks:     newLRU[string, wire.UpstreamMark](maxMarks),
 		routers:   make(map[wire.RouterID]*router),
 		slots:     make(map[key]*slot),
 		orgSlots:  make(map[string]int),
 		recent:    newRecent(),
-		prefixes:  prefixes,
+		prefixes:  newLRU[uint64, *upstream](maxPrefixes),
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
 	}
@@ -85,7 +86,7 @@
 // Slots returns the number of slots in use.
 func (k *Keeper) Slots() int { return len(k.slots) }
 
-// Spare returns the number of free slots, without those granted ahead.
+// Spare returns the number of free slots, without those granted ahead or in reserve.
 func (k *Keeper) Spare(now time.Time) int {
 	if k.settling || k.leaving {
 		return 0
@@ -94,7 +95,15 @@
 	for _, u := range k.ranked {
 		n += u.free(now, 0)
 	}
-	return n
+	return max(n-k.o.ReserveUrgent, 0)
+}
+
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	lru, err := simplelru.NewLRU[K, V](size, nil)
+	if err != nil {
+		panic(err) // only for a size of 0 or less
+	}
+	return lru
 }
 
 func sortedClaims(m map[wire.ClaimID]*claim) []*claim {
--- a/pkg/keeper/lost_test.go
+++ b/pkg/keeper/lost_test.go
@@ -54,3 +54,15 @@
 	equal(t, 0, len(grants(out)))
 	equal(t, []wire.RefusalReason{wire.RefusedNoUpstream}, refusals(out))
 }
+
+// Story: a grant is lost, and the router's reports list only what changed, as most do. The
+// slot would stay idle until the next Full report, seconds later.
+func TestLostGrantIsRepeatedOnPartialReports(t *testing.T) {
+	b := newBed(t, Options{}, engine("u", 1))
+	b.claim("r", 1, 7, "a")
+	b.next()
+	b.pass(500 * time.Millisecond)
+	b.k.Report("r", 1, wire.Report{Seq: 1}, b.now)
+	equal(t, []wire.ClaimID{7}, grants(b.next()))
+	equal(t, 1, b.k.Slots())
+}
--- a/pkg/keeper/picker.go
+++ b/pkg/keeper/picker.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/fair"
-	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // picker finds the upstream for one grant.
@@ -26,7 +25,7 @@
 	switch {
 	case c.expired(p.now) || deaths >= p.k.o.MaxDeaths:
 		return true
-	case p.urgentOnly && !p.reserved(c):
+	case p.urgentOnly && !p.k.reserved(c, p.now):
 		return false
 	case deaths == 0:
 		p.choice, p.alone = p.choose(c), false
@@ -58,15 +57,3 @@
 func (p *picker) open(u *upstream, c *claim) bool {
 	return u != p.k.emptied && u.free(p.now, p.k.o.GrantAhead) > 0 && !slices.Contains(c.Exclude, u.name)
 }
-
-// reserved says whether the claim may take a slot kept for urgent work: it is urgent and
-// its organisation uses less than its share of the slots, so that labelling all work
-// urgent wins nothing.
-func (p *picker) reserved(c *claim) bool {
-	if c.Class != wire.ClassUrgent {
-		return false
-	}
-	k := p.k
-	part := len(k.slots) / (max(len(k.orgSlots), 1))
-	return k.orgSlots[c.Org] <= part
-}
--- a/pkg/keeper/recent.go
+++ b/pkg/keeper/recent.go
@@ -6,10 +6,6 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// maxRecent bounds the ended claims that are remembered: minutes of a cell's work, where
-// frames are late by seconds.
-const maxRecent = 8192
-
 // ended is a claim that holds no slot any more.
 type ended struct {
 	upstream string
@@ -28,13 +24,7 @@
 	lru *simplelru.LRU[key, ended]
 }
 
-func newRecent() recent {
-	lru, err := simplelru.NewLRU[key, ended](maxRecent, nil)
-	if err != nil {
-		panic(err) // only for a size of 0 or less
-	}
-	return recent{lru}
-}
+func newRecent() recent { return recent{newLRU[key, ended](maxRecent)} }
 
 func (r recent) add(k key, e ended) { r.lru.Add(k, e) }
 
--- a/pkg/keeper/report.go
+++ b/pkg/keeper/report.go
@@ -86,8 +86,7 @@
 // adopt enters running work that this keeper holds no slot for, nil when a report older
 // than its Done lists it. A Done that called the grant unused doesn't hide work that cost
 // something: it turned down this keeper's grant for a request that runs under another's.
-// While settling nothing is charged: the forerunner's charge is
-// in the merged counter.
+// While settling nothing is charged: the forerunner's charge is in the merged counter.
 func (k *Keeper) adopt(r *router, w *wire.Running, now time.Time) *slot {
 	id := r.key(w.ID)
 	e, known := k.recent.get(id)
--- /dev/null
+++ b/pkg/keeper/reserve.go
@@ -0,0 +1,32 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// reserved says whether the claim may take a slot kept for urgent work: it is urgent and
+// its organisation uses less than its weighted share of the slots among those that run
+// or wait. Labelling all work urgent therefore wins nothing against others.
+func (k *Keeper) reserved(c *claim, now time.Time) bool {
+	if c.Class != wire.ClassUrgent {
+		return false
+	}
+	var weights float64
+	for org := range k.orgSlots {
+		weights += k.order.Weight(org)
+	}
+	k.order.EachBacklogged(func(org string) {
+		if k.orgSlots[org] == 0 {
+			weights += k.order.Weight(org)
+		}
+	})
+	slots := 0
+	for _, u := range k.ranked {
+		if u.usable() {
+			slots += u.limiter.Limit(now)
+		}
+	}
+	return float64(k.orgSlots[c.Org]) < float64(slots)*k.order.Weight(c.Org)/weights
+}
--- a/pkg/keeper/router.go
+++ b/pkg/keeper/router.go
@@ -53,10 +53,21 @@
 		k.routers[id] = r
 	}
 	r.heard = now
-	r.gone = time.Time{}
+	r.returned()
 	return r
 }
 
+// returned takes back that the router was declared dead: it was only cut off.
+func (r *router) returned() {
+	if r.gone.IsZero() {
+		return
+	}
+	r.gone = time.Time{}
+	for _, s := range r.slots {
+		s.expires = time.Time{}
+	}
+}
+
 // endLife drops the waiting claims and lets the slots run out, see case 4 of the
 // package's rule. What was charged stays charged.
 func (k *Keeper) endLife(r *router, now time.Time) {
@@ -70,7 +81,7 @@
 	}
 }
 
-// RouterGone tells that membership declared the router dead. A report of the same life
+// RouterGone tells that membership declared the router dead. A message of the same life
 // takes its slots back.
 func (k *Keeper) RouterGone(id wire.RouterID, now time.Time) {
 	delete(k.expected, id)
--- a/pkg/keeper/settle.go
+++ b/pkg/keeper/settle.go
@@ -40,8 +40,11 @@
 	if pause <= k.o.TTL {
 		return
 	}
-	for _, r := range k.routers {
+	for id, r := range k.routers {
 		r.heard = r.heard.Add(pause)
+		if r.gone.IsZero() {
+			k.expected[id] = true
+		}
 	}
 	for _, s := range k.slots {
 		s.news = s.news.Add(pause)
--- /dev/null
+++ b/pkg/keeper/sim_test.go
@@ -0,0 +1,192 @@
+package keeper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/flamingowind/flamingowind/pkg/resource"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+const (
+	simSlots   = 2
+	simRouters = 3
+)
+
+// delivery is a message on its way. Each direction keeps its order; copies come late.
+type delivery struct {
+	at time.Time
+	do func()
+}
+
+// sim joins routers, a lossy network and a keeper, in virtual time.
+type sim struct {
+	t       *rapid.T
+	now     time.Time
+	k       *Keeper
+	routers []*simRouter
+	links   map[string][]delivery
+	copies  []delivery
+	lossy   bool
+	starts  map[string]int // by request
+	served  int
+}
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{t: t, now: epoch, links: map[string][]delivery{}, starts: map[string]int{}, lossy: true}
+	for i := range simRouters {
+		s.routers = append(s.routers, &simRouter{
+			id: wire.RouterID(fmt.Sprint("r", i)), inc: 1, sent: map[uint64]time.Time{},
+		})
+	}
+	s.takeOver()
+	return s
+}
+
+// takeOver puts a keeper without state in the former one's place.
+func (s *sim) takeOver() {
+	alive := []wire.RouterID{}
+	for _, r := range s.routers {
+		alive = append(alive, r.id)
+	}
+	s.k = New(Options{TTL: simTTL, Report: simReport}, alive, s.now)
+	s.k.Configure([]resource.Upstream{engine("u", simSlots), engine("v", simSlots)}, map[string]float64{"a": 1, "b": 1}, s.now)
+}
+
+func (s *sim) chance(percent int) bool { return rapid.IntRange(0, 99).Draw(s.t, "chance") < percent }
+
+func (s *sim) millis(most int) time.Duration {
+	return time.Duration(rapid.IntRange(0, most).Draw(s.t, "ms")) * time.Millisecond
+}
+
+// pass sends a message: it may be lost, late, or doubled.
+func (s *sim) pass(link string, do func()) {
+	if s.lossy && s.chance(10) {
+		return
+	}
+	at := s.now.Add(s.millis(200))
+	if q := s.links[link]; len(q) > 0 && q[len(q)-1].at.After(at) {
+		at = q[len(q)-1].at
+	}
+	s.links[link] = append(s.links[link], delivery{at, do})
+	if s.lossy && s.chance(10) {
+		s.copies = append(s.copies, delivery{at.Add(s.millis(3000)), do})
+	}
+}
+
+func (s *sim) deliver() {
+	for _, r := range s.routers {
+		for _, link := range []string{"to " + string(r.id), "from " + string(r.id)} {
+			for q := s.links[link]; len(q) > 0 && !q[0].at.After(s.now); q = s.links[link] {
+				s.links[link] = q[1:]
+				q[0].do()
+			}
+		}
+	}
+	rest := s.copies[:0]
+	for _, d := range s.copies {
+		if d.at.After(s.now) {
+			rest = append(rest, d)
+		} else {
+			d.do()
+		}
+	}
+	s.copies = rest
+}
+
+// step moves time on by one tick.
+func (s *sim) step() {
+	s.now = s.now.Add(simTick)
+	s.deliver()
+	for _, r := range s.routers {
+		s.turn(r)
+	}
+	for _, o := range s.k.Next(s.now) {
+		for _, r := range s.routers {
+			if r.id == o.To && o.Grant != nil {
+				s.pass("to "+string(r.id), func() { s.grant(r, o.Incarnation, *o.Grant) })
+			}
+		}
+	}
+}
+
+func (s *sim) startedOn(upstream string) (n int) {
+	for _, r := range s.routers {
+		for _, q := range r.requests {
+			if q.started && q.upstream == upstream {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// play runs a random story; the keeper may be replaced in it.
+func (s *sim) play(takeOvers bool) {
+	for range 400 {
+		r := s.routers[rapid.IntRange(0, simRouters-1).Draw(s.t, "router")]
+		switch n := rapid.IntRange(0, 199).Draw(s.t, "event"); {
+		case n < 30 && len(r.requests) < 8:
+			s.join(r)
+		case n < 34:
+			s.cancel(r)
+		case n == 34:
+			s.restart(r)
+		case n == 35:
+			s.k.RouterGone(r.id, s.now)
+		case n == 36 && takeOvers:
+			s.takeOver()
+		}
+		s.step()
+		for _, u := range []string{"u", "v"} {
+			if n := s.startedOn(u); !takeOvers && n > simSlots {
+				s.t.Fatalf("%d requests run on %s, which has %d slots", n, u, simSlots)
+			}
+		}
+	}
+}
+
+// finish lets the network heal and everything end.
+func (s *sim) finish() {
+	s.lossy = false
+	left := 1
+	for n := 0; n < 3000 && left > 0; n++ {
+		s.step()
+		left = s.k.Slots() + s.k.Backlog()
+		for _, r := range s.routers {
+			left += len(r.requests)
+		}
+	}
+	if left > 0 {
+		s.t.Fatalf("a minute later %d slots are held and %d claims wait", s.k.Slots(), s.k.Backlog())
+	}
+	for id, n := range s.starts {
+		if n > 1 {
+			s.t.Fatalf("request %s started %d times", id, n)
+		}
+	}
+}
+
+// Story: messages are lost, late and doubled, routers pause with grants in hand, restart,
+// and are taken for dead. No upstream ever runs more than its slots, and once the network
+// heals every request ends and every slot is free.
+func TestLossyNetwork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		s.play(false)
+		s.finish()
+	})
+}
+
+// Story: besides, keepers are replaced by new ones without state, again and again. They
+// may admit too much for a moment, but no claim is forgotten and no slot leaks.
+func TestLossyNetworkWithTakeOvers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		s.play(true)
+		s.finish()
+	})
+}
--- a/pkg/keeper/sweep.go
+++ b/pkg/keeper/sweep.go
@@ -26,8 +26,13 @@
 	for _, s := range sortedSlots(due) {
 		k.giveUp(s)
 	}
-	for _, id := range sortedRouters(k.routers) {
-		k.sweepRouter(k.routers[id], now)
+	for c := k.expiry.due(now); c != nil; c = k.expiry.due(now) {
+		k.drop(c)
+	}
+	for id, r := range k.routers {
+		if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter && len(r.slots) == 0 {
+			delete(k.routers, id)
+		}
 	}
 }
 
@@ -38,14 +43,3 @@
 	}
 	return time.Time{}
 }
-
-func (k *Keeper) sweepRouter(r *router, now time.Time) {
-	for _, c := range r.waiting {
-		if c.expired(now) {
-			k.drop(c)
-		}
-	}
-	if !r.gone.IsZero() && now.Sub(r.gone) > forgetAfter && len(r.slots) == 0 {
-		delete(k.routers, r.id)
-	}
-}
--- /dev/null
+++ b/pkg/limit/limiter_test.go
@@ -0,0 +1,147 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func served(firstMs float64, running int, at time.Time) Sample {
+	return Sample{Outcome: wire.OutcomeServed, FirstMs: uint32(firstMs), StepUs: 10_000, Granted: at, Running: running}
+}
+
+// The limit stays within [1, maxSlots] under any samples, or at 0 while taken out.
+func TestLimitBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 40).Draw(t, "most")
+		l := New(rapid.IntRange(1, 40).Draw(t, "slots"), most)
+		now := epoch
+		t.Repeat(map[string]func(*rapid.T){"ended": func(t *rapid.T) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			granted := now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "ago")) * time.Millisecond)
+			for range rapid.IntRange(1, 50).Draw(t, "times") {
+				l.Ended(Sample{
+					Outcome: wire.Outcome(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4}).Draw(t, "outcome")),
+					FirstMs: rapid.Uint32().Draw(t, "first"), StepUs: rapid.Uint32().Draw(t, "step"),
+					Org: "a", Granted: granted, Running: rapid.IntRange(0, 50).Draw(t, "running"),
+				}, now)
+			}
+			n := l.Limit(now)
+			if at, out := l.Retry(now); out {
+				if n != 0 || at.Sub(now) > maxBackoff {
+					t.Fatalf("limit %d, out for %v", n, at.Sub(now))
+				}
+			} else if n < 1 || n > most {
+				t.Fatalf("limit %d not in [1, %d]", n, most)
+			}
+		}})
+	})
+}
+
+// Story: times vary by half to either side because prompts vary. A limit that takes this
+// for overload shrinks and idles the engine. It has to reach its bound all the same.
+func TestNoiseDoesNotShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(8, 16)
+		factors := rapid.SliceOfN(rapid.Float64Range(0.5, 1.5), 64, 64).Draw(t, "factors")
+		for i := range 2000 {
+			l.Ended(served(200*factors[i%64], l.Limit(epoch), epoch), epoch)
+			if i > 400 && l.Limit(epoch) != 16 {
+				t.Fatalf("limit %d after %d samples", l.Limit(epoch), i)
+			}
+		}
+	})
+}
+
+// Story: an engine queues inside from 12 requests on. Its first tokens get later with
+// each further one, and there the fair order doesn't reach. The limit stays near 12.
+func TestLimitFindsKnee(t *testing.T) {
+	const knee = 12
+	l := New(4, 64)
+	for i := range 20_000 {
+		n := l.Limit(epoch)
+		first := 100.0
+		if n > knee {
+			first += 300 * float64(n-knee) / knee
+		}
+		l.Ended(served(first, n, epoch), epoch)
+		if i > 2000 && (n < knee*3/4 || n > knee*2) {
+			t.Fatalf("limit %d after %d samples, knee %d", n, i, knee)
+		}
+	}
+}
+
+// Story: an engine becomes three times slower for good. At first its limit shrinks, then
+// the new speed is taken for normal; it isn't held at one slot for ever.
+func TestSlowUpstreamShrinksThenRecovers(t *testing.T) {
+	l := New(8, 8)
+	run := func(n int, ms float64) (least int) {
+		least = 8
+		for range n {
+			l.Ended(served(ms, l.Limit(epoch), epoch), epoch)
+			least = min(least, l.Limit(epoch))
+		}
+		return least
+	}
+	run(200, 100)
+	if least := run(200, 300); least > 4 {
+		t.Fatalf("limit %d on a slow engine", least)
+	}
+	run(2000, 300)
+	if l.Limit(epoch) != 8 {
+		t.Fatalf("limit %d in the end", l.Limit(epoch))
+	}
+}
+
+// Story: an engine crashes under eight requests, is away for a while, and crashes again
+// when probed. Eight reports of one crash are one death; each further death doubles the
+// wait; a probe is one request, and its success brings all slots back.
+func TestDeathAndProbe(t *testing.T) {
+	l := New(8, 0)
+	died := Sample{Outcome: wire.OutcomeDied, Granted: epoch}
+	now := epoch
+	for range 8 {
+		l.Ended(died, now)
+	}
+	wait := minBackoff
+	for range 10 {
+		at, out := l.Retry(now)
+		if !out || l.Limit(now) != 0 || at.Sub(now) != wait {
+			t.Fatalf("out %v for %v, want %v", out, at.Sub(now), wait)
+		}
+		now = at
+		if l.Limit(now) != 1 || !l.Probing(now) {
+			t.Fatalf("limit %d at the probe", l.Limit(now))
+		}
+		l.Ended(Sample{Outcome: wire.OutcomeDied, Granted: now}, now)
+		wait = min(2*wait, maxBackoff)
+	}
+	now = now.Add(maxBackoff)
+	l.Ended(served(100, 1, now), now)
+	l.Ended(died, now) // a late word of the first death
+	if l.Limit(now) != 8 {
+		t.Fatalf("limit %d after the probe", l.Limit(now))
+	}
+}
+
+// Story: one organisation's requests all fail by their own fault. Taking the upstream out
+// for them would punish the others; failures of several organisations in a row do count.
+func TestFailuresOfOneOrganisation(t *testing.T) {
+	l := New(8, 0)
+	fail := func(org string) { l.Ended(Sample{Org: org, Outcome: wire.OutcomeFailed, Granted: epoch}, epoch) }
+	for range 100 {
+		fail("a")
+	}
+	if l.Limit(epoch) != 8 {
+		t.Fatal("one organisation took the upstream out")
+	}
+	fail("b")
+	if l.Limit(epoch) != 0 {
+		t.Fatal("an upstream that fails for all stays in")
+	}
+}
