Order by delivered service plus the expected rest; stop charging predictions

Cause: predictions were charged to the counters at the grant and credited back at the end. Every router learns costs for itself, so at a start the predictions of two organisations differed by far more than their costs; the plot showed one organisation without a token for 1.7 s, and small ones, lifted to inflated counters, without one for 4.6 s. Ruled out: a smaller first prediction alone (any change of an organisation's work brings the same); dropping predictions (the least counter would then take every slot until first tokens arrive). Change: counters take delivered service only; the order adds the expected rest of running work, the router's prediction within a factor of two of the cell's mean; a lift looks at counters alone.

--- a/pkg/fair/account.go
+++ b/pkg/fair/account.go
@@ -19,7 +19,9 @@
 type account struct {
 	org     string
 	weight  float64
-	virtual float64
+	virtual float64 // service received, by weight
+	// expected is what running work will take yet, by weight.
+	expected float64
 	// floor is the level the organisation was lifted to (or above) when it last became
 	// backlogged. A credit for work from before the lift must not take the counter under
 	// it: that would be hoarded credit.
@@ -37,6 +39,9 @@
 	a.virtual = max(a.virtual+units/a.weight, a.floor)
 }
 
+// key orders the backlogged accounts.
+func (a *account) key() float64 { return a.virtual + a.expected }
+
 func (a *account) lift(level float64) {
 	a.floor = level
 	a.virtual = max(a.virtual, level)
--- a/pkg/fair/heap.go
+++ b/pkg/fair/heap.go
@@ -1,14 +1,14 @@
 package fair
 
-// accountHeap implements heap.Interface: the least counter first, then the name, so
+// accountHeap implements heap.Interface: the least key first, then the name, so
 // that the order is the same in each run.
 type accountHeap []*account
 
 func (h accountHeap) Len() int { return len(h) }
 
 func (h accountHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+	if a, b := h[i].key(), h[j].key(); a != b {
+		return a < b
 	}
 	return h[i].org < h[j].org
 }
--- a/pkg/fair/order.go
+++ b/pkg/fair/order.go
@@ -61,7 +61,7 @@
 	return q.InsertAfter(e, at)
 }
 
-// level is the counter below which a newly backlogged organisation must not start.
+// level is the counter of whoever is next, below which a newly backlogged organisation must not start.
 // Without the lift an organisation that idled for an hour would return with an hour's
 // credit and hold all others up until it had used it.
 func (o *Order[T]) level() float64 {
@@ -133,6 +133,22 @@
 	return found
 }
 
+// Expect adds to what the organisation's running work is expected to take yet; negative
+// units say that it was delivered, or won't be.
+//
+// Without it an organisation with the least counter would be given every slot that
+// frees until the first tokens of all that work arrive. With it charged to the counter
+// instead, a prediction that was too large is credited back later, and an organisation
+// that was lifted to the inflated counters starves until the others have caught up.
+func (o *Order[T]) Expect(org string, units wire.Units) {
+	if math.IsNaN(units) || math.IsInf(units, 0) {
+		return
+	}
+	a := o.account(org)
+	a.expected = max(a.expected+units/a.weight, 0)
+	o.moved(a)
+}
+
 // Charge adds units of service to the organisation's counter; negative units are a credit.
 func (o *Order[T]) Charge(org string, units wire.Units) {
 	if math.IsNaN(units) || math.IsInf(units, 0) {
--- a/pkg/fair/view.go
+++ b/pkg/fair/view.go
@@ -7,7 +7,10 @@
 	if !(weight > 0) {
 		weight = 1
 	}
-	o.account(org).weight = weight
+	a := o.account(org)
+	a.expected *= a.weight / weight
+	a.weight = weight
+	o.moved(a)
 }
 
 // Weight returns the organisation's weight.
@@ -47,6 +50,14 @@
 	return 0
 }
 
+// Expected returns what the organisation's running work is expected to take yet.
+func (o *Order[T]) Expected(org string) wire.Units {
+	if a := o.accounts[org]; a != nil {
+		return a.expected * a.weight
+	}
+	return 0
+}
+
 // Waiting returns the number of the organisation's waiting entries.
 func (o *Order[T]) Waiting(org string) int {
 	if a := o.accounts[org]; a != nil {
--- a/pkg/keeper/done.go
+++ b/pkg/keeper/done.go
@@ -29,6 +29,9 @@
 	}
 	k.observe(s, d, now)
 	k.drained.add(now)
+	if d.Outcome == wire.OutcomeServed {
+		k.learnCost(boundCost(d.Cost))
+	}
 	k.release(s, k.settledCost(s, d))
 	k.recent.add(s.key, ended{upstream: s.upstream.name, org: s.org, final: true, unused: d.Outcome == wire.OutcomeUnused})
 }
@@ -60,25 +63,37 @@
 	return max(boundCost(d.Cost), s.cost)
 }
 
-// release frees a slot whose whole cost is known, and charges or credits the rest.
-func (k *Keeper) release(s *slot, cost wire.Units) {
-	k.order.Charge(s.org, cost-s.charged)
+// deliver charges what the work has taken so far and expects that much less.
+func (k *Keeper) deliver(s *slot, cost wire.Units) {
+	more := cost - s.charged
+	if more <= 0 {
+		return
+	}
+	k.order.Charge(s.org, more)
 	s.charged = cost
+	k.expectLess(s, min(more, s.expected))
+}
+
+func (k *Keeper) expectLess(s *slot, units wire.Units) {
+	k.order.Expect(s.org, -units)
+	s.expected -= units
+}
+
+// release frees a slot whose whole cost is known.
+func (k *Keeper) release(s *slot, cost wire.Units) {
+	k.deliver(s, cost)
 	k.remove(s)
 }
 
-// giveUp frees a slot that the router didn't give back. A slot that never ran is
-// credited; one that ran keeps its charge, and a late Done corrects it.
+// giveUp frees a slot that the router didn't give back. What it was seen to deliver
+// stays charged, and a late Done charges the rest.
 func (k *Keeper) giveUp(s *slot) {
-	if !s.started {
-		k.order.Charge(s.org, -s.charged)
-		s.charged = 0
-	}
 	k.remove(s)
 	k.recent.add(s.key, ended{upstream: s.upstream.name, org: s.org, charged: s.charged})
 }
 
 func (k *Keeper) remove(s *slot) {
+	k.expectLess(s, s.expected)
 	delete(k.slots, s.key)
 	if r := k.routers[s.router]; r != nil && r.incarnation == s.incarnation {
 		delete(r.slots, s.id)
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -32,6 +32,7 @@
 	recent    recent
 	prefixes  *simplelru.LRU[uint64, *upstream]
 	drained   rate
+	mean      wire.Units // cost of settled requests
 	outbox    []Out
 
 	configured bool
@@ -63,6 +64,7 @@
 		prefixes:  newLRU[uint64, *upstream](maxPrefixes),
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
+		mean:      firstMean,
 	}
 	for _, id := range alive {
 		k.expected[id] = true
--- a/pkg/keeper/report.go
+++ b/pkg/keeper/report.go
@@ -77,16 +77,13 @@
 	s.news = now
 	s.expires = time.Time{}
 	s.cost = max(s.cost, boundCost(w.Cost))
-	if s.cost > s.charged {
-		k.order.Charge(s.org, s.cost-s.charged)
-		s.charged = s.cost
-	}
+	k.deliver(s, s.cost)
 }
 
 // adopt enters running work that this keeper holds no slot for, nil when a report older
 // than its Done lists it. A Done that called the grant unused doesn't hide work that cost
 // something: it turned down this keeper's grant for a request that runs under another's.
-// While settling nothing is charged: the forerunner's charge is in the merged counter.
+// While settling nothing is charged: what was delivered so far is in the merged counter.
 func (k *Keeper) adopt(r *router, w *wire.Running, now time.Time) *slot {
 	id := r.key(w.ID)
 	e, known := k.recent.get(id)
@@ -99,8 +96,10 @@
 	k.recent.forget(id)
 	s := &slot{key: id, org: w.Org, alone: w.Alone, granted: now, sent: now, charged: e.charged}
 	if k.settling {
-		s.charged = max(boundCost(w.Predict), boundCost(w.Cost))
+		s.charged = boundCost(w.Cost)
 	}
+	s.expected = max(k.expect(boundPredict(w.Predict))-boundCost(w.Cost), 0)
+	k.order.Expect(s.org, s.expected)
 	k.hold(r, s, k.upstream(w.Upstream))
 	return s
 }
--- a/pkg/keeper/slot.go
+++ b/pkg/keeper/slot.go
@@ -25,8 +25,9 @@
 	news    time.Time // last word that the router may hold it
 	expires time.Time // when it is freed since its router is gone; zero while it lives
 
-	charged wire.Units
-	cost    wire.Units
+	cost     wire.Units // delivered, as the router reported
+	charged  wire.Units // of that, what stands in the organisation's counter
+	expected wire.Units // what it is expected to take yet
 }
 
 // lapsed says that the router can't start the grant any more.
