--- a/pkg/load/omission_test.go
+++ b/pkg/load/omission_test.go
@@ -54,7 +54,7 @@
 		}
 		caller := NewCaller("m", "s", time.Minute)
 		caller.client.Transport = stalledFleet{over}
-		r := &runner{scenario: s, caller: caller, entries: []string{"127.0.0.1:1"}, start: start}
+		r := &runner{scenario: s, caller: caller, entries: []string{"127.0.0.1:1"}, maxOpen: 512, start: start}
 		r.sendAll(context.Background(), context.Background(), []devfleet.OrgInfo{{Name: "org-01"}})
 
 		held := 0
--- a/pkg/load/runner.go
+++ b/pkg/load/runner.go
@@ -16,8 +16,9 @@
 	// patience bounds one request, so that a lost answer ends the run.
 	patience = 30 * time.Second
 	// maxOpen bounds one organisation's open-loop requests in flight. Arrivals over it
-	// wait, and their time counts from when they were meant to be sent.
-	maxOpen = 512
+	// wait, and their time counts from when they were meant to be sent. It is far over
+	// the routers' own bounds, so that a flood meets those and isn't throttled here.
+	maxOpen = 4096
 	// refusedPause is the pause of a closed-loop sender after a refusal.
 	refusedPause = 50 * time.Millisecond
 )
@@ -39,6 +40,7 @@
 	caller   *Caller
 	start    time.Time
 	entries  []string
+	maxOpen  int64
 
 	mu      sync.Mutex
 	results []Result
@@ -51,7 +53,7 @@
 	caller := NewCaller(ready.Model, ready.Service, patience)
 	defer caller.Close()
 	caller.OnToken = meter.Add
-	r := &runner{scenario: s, caller: caller, entries: entriesOf(ready), start: time.Now()}
+	r := &runner{scenario: s, caller: caller, entries: entriesOf(ready), maxOpen: maxOpen, start: time.Now()}
 	sending, stop := context.WithDeadline(ctx, r.start.Add(s.Duration))
 	defer stop()
 	samples := make(chan []Sample, 1)
@@ -77,7 +79,7 @@
 
 // openLoop sends at the planned times, whatever became of earlier requests.
 func (r *runner) openLoop(ctx, sending context.Context, g *generator, picker *entryPicker) {
-	slots := semaphore.NewWeighted(maxOpen)
+	slots := semaphore.NewWeighted(r.maxOpen)
 	var all sync.WaitGroup
 	defer all.Wait()
 	for _, at := range g.arrivals(r.scenario.Duration) {
--- a/pkg/load/scenarios.go
+++ b/pkg/load/scenarios.go
@@ -111,12 +111,13 @@
 )
 
 // flood: fifteen organisations with Poisson arrivals; from half-time on, one more
-// floods two routers.
+// floods two routers. It stops a little before the end, and what it has queued by then
+// keeps the engines full to the end.
 func flood(duration time.Duration, seed uint64) Scenario {
 	s := tutor(duration, seed)
 	s.Name, s.CalmUntil, s.Flooder = Flood, duration/2, orgName(0)
 	s.Profiles = []Profile{{
-		Org: s.Flooder, Weight: 1, Routers: []int{0, 1}, Rate: floodRate, From: s.CalmUntil, Lengths: tutorLengths,
+		Org: s.Flooder, Weight: 1, Routers: []int{0, 1}, Rate: floodRate, From: s.CalmUntil, To: duration * 17 / 20, Lengths: tutorLengths,
 	}}
 	for i := 1; i < 16; i++ {
 		s.Profiles = append(s.Profiles, Profile{
--- a/tools/measure/options.go
+++ b/tools/measure/options.go
@@ -29,7 +29,7 @@
 	f.StringVar(&o.out, "out", "out/measure", "directory for the JSON report and the plots")
 	f.StringVar(&o.scenario, "scenario", load.Tutor, "one of "+strings.Join(load.ScenarioNames(), ", "))
 	f.StringVar(&o.variants, "variants", strings.Join([]string{alone, single, fleet}, ","), "variants to run")
-	f.DurationVar(&o.duration, "duration", 10*time.Second, "time of the load in each variant")
+	f.DurationVar(&o.duration, "duration", 9*time.Second, "time of the load in each variant")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the load")
 	f.IntVar(&o.maxSlots, "max-slots", 0, "bound of the adaptive limit of an engine; 0 fixes the limit at its slots")
 	f.BoolVar(&o.keepLogs, "keep-logs", false, "keep the processes' settings and logs")
