Prove the edge's and the dispatch's failures, and mend two found faults

Its failure tests found that a refusal of a request whose announced body never comes was held by net/http, which reads the rest before it answers: a flooder could hold a goroutine for good. They also found that an answer's head cut by the end of its connection was taken for garbage of a living upstream.

Ruled out: a read deadline on refused requests (it would still wait), and telling a cut head by net/http's error text (it says "malformed" for both).

Change: an answer closes its connection unless the body was read; the connection itself notes its end.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -45,7 +45,7 @@
 	}
 	resp, err := a.d.transport.RoundTrip(req)
 	if err != nil {
-		return nil, broke(a.ctx, ctx, err)
+		return nil, broke(a.ctx, ctx, err, a.gate.ended())
 	}
 	a.meter.began = a.gate.beganAt()
 	return a.checked(resp, a.gate)
@@ -87,12 +87,18 @@
 // step the echoed ID is another one or missing. The connection is dropped, since all
 // that follows on it would be out of step too.
 func (a *attempt) checked(resp *http.Response, g *gate) (*http.Response, error) {
-	if echo := resp.Header[HeaderAttempt]; len(echo) == 1 && echo[0] == a.id {
-		return resp, nil
+	echo := resp.Header[HeaderAttempt]
+	switch {
+	case len(echo) != 1 || echo[0] != a.id:
+		g.drop()
+		_ = resp.Body.Close()
+		return nil, errWrongID
+	case resp.StatusCode < http.StatusOK:
+		g.drop()
+		_ = resp.Body.Close()
+		return nil, errors.WithType(errors.Errorf("status %d", resp.StatusCode), errGarbage)
 	}
-	g.drop()
-	_ = resp.Body.Close()
-	return nil, errWrongID
+	return resp, nil
 }
 
 // failed makes the Result of an attempt without a whole answer.
--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -9,7 +9,17 @@
 // conn asks the gate of the attempt that holds it before each write.
 type conn struct {
 	net.Conn
-	gate atomic.Pointer[gate]
+	gate  atomic.Pointer[gate]
+	ended atomic.Bool // a read met the connection's end
+}
+
+// Read notes the connection's end: a head cut by it is reported by net/http as malformed.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.ended.Store(true)
+	}
+	return n, err
 }
 
 // Write passes p on when the gate allows; without a gate (a TLS handshake) it always does.
--- a/pkg/dispatch/faults.go
+++ b/pkg/dispatch/faults.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -22,18 +25,34 @@
 	errRefused = errors.ConstError("the upstream refused the request")
 )
 
-// broke tells why a read or a round trip failed: the caller, our own timer, or the connection.
-func broke(caller, own context.Context, err error) error {
+// broke tells why a read or a round trip failed: the caller, our own timer, the
+// connection, or an answer that isn't HTTP. ended says that the connection is known to
+// have ended before an answer's head was complete.
+func broke(caller, own context.Context, err error, ended bool) error {
 	switch {
 	case caller.Err() != nil:
 		return errCaller
 	case errors.Is(context.Cause(own), errHang):
 		return errHang
-	default:
+	case ended || lost(err):
 		return errors.WithType(err, errBroken)
+	default:
+		return errors.WithType(err, errGarbage)
 	}
 }
 
+// closedIdle is the text of net/http's error, which it doesn't export, for a kept-alive
+// connection that the upstream closed under a request.
+const closedIdle = "server closed idle connection"
+
+// lost reports whether err is of the connection and not of what came over it. An
+// upstream that sends malformed HTTP lives; one whose connection breaks may be dead.
+func lost(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || strings.Contains(err.Error(), closedIdle)
+}
+
 // died reports whether the upstream may be dead, or was restarted under the request.
 func died(err error) bool { return errors.Is(err, errBroken) || errors.Is(err, errLost) }
 
--- a/pkg/dispatch/gate.go
+++ b/pkg/dispatch/gate.go
@@ -68,6 +68,13 @@
 	return g.began
 }
 
+// ended reports whether the connection that carried the request has ended.
+func (g *gate) ended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.conn != nil && g.conn.ended.Load()
+}
+
 // seal ends the attempt for writes that haven't begun and gives the final state.
 func (g *gate) seal() gateState {
 	g.mu.Lock()
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -109,7 +109,7 @@
 	body, err := readUpTo(resp.Body, resp.ContentLength, limit)
 	switch {
 	case err != nil:
-		return nil, broke(a.ctx, ctx, err)
+		return nil, broke(a.ctx, ctx, err, false)
 	case int64(len(body)) > limit:
 		return nil, errTooMuch
 	}
--- /dev/null
+++ b/pkg/dispatch/reader_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// readAll gives the raw events of src and the error that ended it.
+func readAll(src io.Reader, max int) (events [][]byte, err error) {
+	r := newEventReader(src, max)
+	defer r.release()
+	for {
+		for raw := r.cut(); raw != nil; raw = r.cut() {
+			events = append(events, bytes.Clone(raw))
+		}
+		if err := r.fill(); err != nil {
+			return events, err
+		}
+	}
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte(eventsText(0, 3) + doneText))
+	f.Add([]byte("\r\n\r\ndata: {}\r\n\r\n: ping\n\nid: 9\ndata:x\n\n"))
+	f.Add([]byte("id: 99999999999999999999\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const max = 512
+		whole, wholeErr := readAll(bytes.NewReader(input), max)
+		single, singleErr := readAll(iotest.OneByteReader(bytes.NewReader(input)), max)
+		same(t, "end", wholeErr.Error(), singleErr.Error())
+		same(t, "events", whole, single)
+		if !bytes.HasPrefix(stripLead(input), bytes.Join(whole, nil)) && len(whole) == 1 {
+			t.Errorf("event %q isn't of the input", whole[0])
+		}
+		for _, raw := range whole {
+			e, err := parseEvent(raw)
+			if err == nil && e.data != nil && !e.done {
+				usageOf(e.data)
+			}
+		}
+	})
+}
+
+// stripLead drops the blank lines before the first event.
+func stripLead(b []byte) []byte {
+	for {
+		switch {
+		case bytes.HasPrefix(b, newline):
+			b = b[1:]
+		case bytes.HasPrefix(b, []byte("\r\n")):
+			b = b[2:]
+		default:
+			return b
+		}
+	}
+}
+
+func TestUsageIsNotReadFromText(t *testing.T) {
+	for text, want := range map[string]int{
+		`{"usage":{"completion_tokens": 12}}`:              12,
+		`{"text":"\"completion_tokens\":99","usage":null}`: 0,
+		`{"usage":{"completion_tokens":-3}}`:               0,
+		`{"usage":{"completion_tokens":9999999999999999}}`: 0,
+	} {
+		got, _ := usageOf([]byte(text))
+		same(t, text, want, got)
+	}
+}
+
+func TestMeter(t *testing.T) {
+	slot := new(fakeSlot)
+	began := time.Unix(100, 0)
+	m := meter{slot: slot, began: began}
+	for n := range 40 {
+		m.event(began.Add(time.Duration(50+n)*time.Millisecond), []byte("{}"))
+	}
+	m.event(began.Add(time.Second), []byte(`{"usage":{"completion_tokens":38}}`))
+	same(t, "progress", []wire.Units{16, 32}, slot.progress)
+	same(t, "first", 50*time.Millisecond, m.firstTime())
+	same(t, "step", time.Millisecond, m.step())
+	same(t, "tokens", 38, m.tokens())
+}
--- a/pkg/dispatch/resume.go
+++ b/pkg/dispatch/resume.go
@@ -58,7 +58,7 @@
 	req := (&http.Request{Method: http.MethodGet, URL: target, Header: http.Header{HeaderAttempt: {a.id}}}).WithContext(ctx)
 	resp, err := a.d.transport.RoundTrip(req)
 	if err != nil {
-		return broke(a.ctx, s.ctx, err)
+		return broke(a.ctx, s.ctx, err, g.ended())
 	}
 	if resp, err = a.checked(resp, g); err != nil {
 		return err
--- a/pkg/dispatch/source.go
+++ b/pkg/dispatch/source.go
@@ -44,7 +44,7 @@
 			return event{}, err
 		}
 		if err != nil {
-			return event{}, broke(s.caller, s.ctx, err)
+			return event{}, broke(s.caller, s.ctx, err, false)
 		}
 		raw = s.events.cut()
 	}
--- /dev/null
+++ b/pkg/dispatch/status_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// A status alone doesn't say how far an upstream got. Only its own statement that it
+// refused a request for lack of room makes the attempt not run.
+func TestVerdictOfStatuses(t *testing.T) {
+	cases := []struct {
+		status  int
+		header  string
+		verdict verdict.Verdict
+		outcome wire.Outcome
+	}{
+		{200, "", verdict.Ran, wire.OutcomeServed},
+		{204, "", verdict.Ran, wire.OutcomeServed},
+		{404, "", verdict.MayHaveRun, wire.OutcomeServed},
+		{404, "not-run", verdict.MayHaveRun, wire.OutcomeServed},
+		{429, "", verdict.MayHaveRun, wire.OutcomeServed},
+		{429, "not-run", verdict.NotRun, wire.OutcomeFailed},
+		{503, "not-run", verdict.NotRun, wire.OutcomeFailed},
+		{500, "not-run", verdict.MayHaveRun, wire.OutcomeFailed},
+		{503, "ran", verdict.MayHaveRun, wire.OutcomeFailed},
+	}
+	for _, c := range cases {
+		up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			if c.header != "" {
+				w.Header().Set(verdict.Header, c.header)
+			}
+			w.WriteHeader(c.status)
+		})
+		r, slot, _ := do(t, up.URL, &Call{Method: http.MethodPost, Units: 16})
+		same(t, "verdict", c.verdict, r.Verdict)
+		same(t, "outcome", []wire.Outcome{c.outcome}, slot.outcome)
+		if r.Err == nil {
+			same(t, "status", c.status, r.Status)
+			same(t, "cost", wire.Units(16), r.Cost)
+		}
+	}
+}
+
+// An engine refuses a request for a stream: the caller gets the engine's own error.
+func TestErrorInPlaceOfStream(t *testing.T) {
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = w.Write([]byte(`{"error":{}}`))
+	})
+	r, _, sink := do(t, up.URL, streamCall(true))
+	whole(t, r)
+	same(t, "status", http.StatusBadRequest, r.Status)
+	same(t, "body", `{"error":{}}`, string(r.Body))
+	same(t, "begun", 0, sink.begun)
+}
--- /dev/null
+++ b/pkg/dispatch/unsent_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
+
+// An upstream's process is gone and nothing listens at its address. No byte can have
+// left, so the caller may be told so and the call may go to another upstream.
+func TestUnreachableUpstreamIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + l.Addr().String()
+	_ = l.Close()
+	for name, call := range map[string]*Call{"plain": {Method: http.MethodPost}, "stream": streamCall(true)} {
+		r, slot, _ := do(t, url, call)
+		same(t, name+": verdict", verdict.NotRun, r.Verdict)
+		same(t, name+": code", verdict.CodeNoUpstream, r.Err.Code)
+		same(t, name+": starts", 0, slot.starts)
+		same(t, name+": outcome", []wire.Outcome{wire.OutcomeDied}, slot.outcome)
+	}
+}
+
+// A router is paused between the grant and the send; meanwhile the grant lapses and
+// its slot goes to another request. When the router goes on it must send nothing, on
+// a fresh connection as on a kept-alive one.
+func TestLapsedGrantSendsNothing(t *testing.T) {
+	var requests atomic.Int32
+	up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		echo(w, r)
+	})
+	d := New(testLimits())
+	defer d.Close()
+	call := &Call{Method: http.MethodPost, Body: []byte("x")}
+	for _, before := range []int32{0, 1} {
+		slot := &fakeSlot{url: up.URL, lapsed: true}
+		r := d.Do(t.Context(), slot, call, nil)
+		same(t, "verdict", verdict.NotRun, r.Verdict)
+		same(t, "outcome", []wire.Outcome{wire.OutcomeUnused}, slot.outcome)
+		same(t, "requests", before, requests.Load())
+		whole(t, d.Do(t.Context(), &fakeSlot{url: up.URL}, call, nil))
+	}
+}
+
+// The caller goes away while its request waits for a connection. The transport gives
+// up, but its write loop may still be about to write: after the verdict is made no byte
+// may pass.
+func TestSealedGatePassesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	g := &gate{start: func() bool { t.Error("started after the seal"); return true }}
+	c := &conn{Conn: near}
+	c.gate.Store(g)
+	same(t, "state", gateSealed, g.seal())
+	_, err := c.Write([]byte("GET"))
+	same(t, "error", errSealed.Error(), err.Error())
+}
+
+// The transport sends a request on one connection and, when that fails, takes a second
+// one for the same attempt. The second must stay silent.
+func TestGatePassesOneConnectionOnly(t *testing.T) {
+	starts := 0
+	g := &gate{start: func() bool { starts++; return true }}
+	first, second := new(conn), new(conn)
+	same(t, "first write", nil, g.pass(first))
+	same(t, "more of it", nil, g.pass(first))
+	same(t, "other connection refused", true, g.pass(second) != nil)
+	same(t, "starts", 1, starts)
+	same(t, "state", gateOpen, g.seal())
+}
+
+func TestCallerGoneBeforeTheFirstByte(t *testing.T) {
+	up := newUpstream(t, func(http.ResponseWriter, *http.Request) { t.Error("request arrived") })
+	d := New(testLimits())
+	defer d.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	slot := &fakeSlot{url: up.URL}
+	r := d.Do(ctx, slot, &Call{Method: http.MethodPost}, nil)
+	same(t, "verdict", verdict.NotRun, r.Verdict)
+	same(t, "outcome", []wire.Outcome{wire.OutcomeUnused}, slot.outcome)
+}
--- a/pkg/edge/body.go
+++ b/pkg/edge/body.go
@@ -16,21 +16,25 @@
 // that frees its share of memory.
 func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, org string) ([]byte, func(), *verdict.Error) {
 	size := r.ContentLength
+	if size == 0 {
+		return nil, func() {}, nil
+	}
 	if size > e.Limits.MaxBody {
-		return nil, nil, e.closing(w, tooLarge(e.Limits.MaxBody))
+		return nil, nil, tooLarge(e.Limits.MaxBody)
 	}
 	if size < 0 {
 		size = e.Limits.MaxBody
 	}
 	free, err := e.bodies.take(org, size)
 	if err != nil {
-		return nil, nil, e.closing(w, err)
+		return nil, nil, err
 	}
 	body, err := e.readTimed(w, r)
 	if err != nil {
 		free()
-		return nil, nil, e.closing(w, err)
+		return nil, nil, err
 	}
+	keepAlive(w)
 	return body, free, nil
 }
 
@@ -75,10 +79,3 @@
 	message := "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"
 	return verdict.New(verdict.NotRun, http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, message)
 }
-
-// closing marks the connection for closing: the rest of the body would have to be read
-// before the next request on it.
-func (e *Edge) closing(w http.ResponseWriter, err *verdict.Error) *verdict.Error {
-	w.Header().Set("Connection", "close")
-	return err
-}
--- a/pkg/edge/fake_test.go
+++ b/pkg/edge/fake_test.go
@@ -49,16 +49,18 @@
 
 // fakeScheduler grants each URL in turn, then the last one again and again.
 type fakeScheduler struct {
-	mu     sync.Mutex
-	urls   []string
-	err    error
-	gotten []sched.Request
-	done   []wire.Outcome
-	hold   chan struct{} // when set, Acquire waits for it
+	mu      sync.Mutex
+	urls    []string
+	err     error
+	gotten  []sched.Request
+	done    []wire.Outcome
+	hold    chan struct{} // when set, Acquire waits for it
+	waiting chan struct{} // told when Acquire begins to wait
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, r sched.Request) (sched.Slot, error) {
 	if s.hold != nil {
+		s.waiting <- struct{}{}
 		select {
 		case <-s.hold:
 		case <-ctx.Done():
--- a/pkg/edge/flight_middleware.go
+++ b/pkg/edge/flight_middleware.go
@@ -18,6 +18,7 @@
 
 // ServeHTTP passes the request on, or refuses it as not run.
 func (m *flightMiddleware) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	closeUnlessRead(w, r)
 	if !m.edge.flight.enter() {
 		m.edge.refuse(w, errDraining(), "", "")
 		return
@@ -25,12 +26,24 @@
 	defer m.edge.flight.leave()
 	if err := m.edge.Gate.Admit(); err != nil {
 		w.Header().Set("Connection", "close")
-		m.edge.refuse(w, verdict.From(err), "", "")
+		m.edge.refuse(w, notRun(err), "", "")
 		return
 	}
 	m.next.ServeHTTP(w, r)
 }
 
+// closeUnlessRead guards against callers that announce a body and don't send it: before
+// an answer net/http reads the rest of the body, to use the connection again, so that a
+// refusal would wait for the sender and hold a goroutine. An answer that closes the
+// connection goes out at once. keepAlive takes the mark back when the body was read.
+func closeUnlessRead(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+func keepAlive(w http.ResponseWriter) { w.Header().Del("Connection") }
+
 func errDraining() *verdict.Error {
 	return verdict.New(verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeDraining, "this router is leaving; use another address")
 }
--- a/pkg/edge/health.go
+++ b/pkg/edge/health.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if err := h.edge.Gate.Admit(); err != nil {
-		h.edge.refuse(w, verdict.From(err), "", "")
+		h.edge.refuse(w, notRun(err), "", "")
 		return
 	}
 	if h.edge.Source.Current() == nil {
--- a/pkg/edge/refuse.go
+++ b/pkg/edge/refuse.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
@@ -58,6 +60,16 @@
 	e.write(w, err.Status, "application/json", err.Verdict, body)
 }
 
+// notRun gives the error of a refusal before anything was sent. A step that returned
+// another kind of error didn't send anything either.
+func notRun(err error) *verdict.Error {
+	var known *verdict.Error
+	if errors.As(err, &known) && known.Verdict == verdict.NotRun {
+		return known
+	}
+	return verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeInternal, "the request was not sent")
+}
+
 func wholeSeconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
--- a/pkg/edge/routes.go
+++ b/pkg/edge/routes.go
@@ -34,6 +34,7 @@
 }
 
 // ServeHTTP refuses.
-func (f *fixedRefusal) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (f *fixedRefusal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	closeUnlessRead(w, r)
 	f.edge.refuse(w, f.err, "", "")
 }
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -23,7 +23,7 @@
 	}
 	if s := q.edge.Suspects; s != nil {
 		if err := s.Check(q.content); err != nil {
-			q.refuse(verdict.From(err))
+			q.refuse(notRun(err))
 			return
 		}
 	}
@@ -90,7 +90,7 @@
 		slot, err := q.edge.Scheduler.Acquire(q.r.Context(), claim)
 		q.place.leave(time.Now())
 		if err != nil {
-			return unsent(err)
+			return dispatch.Result{Verdict: verdict.NotRun, Err: notRun(err)}
 		}
 		q.edge.Observer.Waited(q.org.Name, q.class, time.Since(q.received))
 		res := q.edge.Dispatcher.Do(q.r.Context(), slot, &q.call, q.sink())
@@ -104,15 +104,6 @@
 	}
 }
 
-// unsent is the result when no slot was granted: nothing was sent, whatever err says.
-func unsent(err error) dispatch.Result {
-	var known *verdict.Error
-	if !errors.As(err, &known) || known.Verdict != verdict.NotRun {
-		known = verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeInternal, "no slot was granted")
-	}
-	return dispatch.Result{Verdict: verdict.NotRun, Err: known}
-}
-
 // mayRetry allows another attempt only when the last one certainly didn't run.
 func (q *request) mayRetry(res dispatch.Result) bool {
 	if res.Err == nil || res.Verdict != verdict.NotRun || res.Begun {
@@ -135,9 +126,9 @@
 
 func (q *request) sink() *streamSink {
 	return &streamSink{
+		edge:    q.edge,
 		w:       q.w,
 		control: http.NewResponseController(q.w),
-		timeout: q.edge.Limits.WriteTimeout,
 		began: func() {
 			q.edge.Observer.FirstToken(q.org.Name, q.class, time.Since(q.received))
 		},
--- a/pkg/edge/sink.go
+++ b/pkg/edge/sink.go
@@ -13,9 +13,9 @@
 // A caller that reads nothing would hold its slot for as long as it likes: each write
 // has a deadline of its own, and one that passes ends the attempt as the caller's going.
 type streamSink struct {
+	edge    *Edge
 	w       http.ResponseWriter
 	control *http.ResponseController
-	timeout time.Duration
 	began   func()
 }
 
@@ -23,14 +23,15 @@
 func (s *streamSink) Begin(status int, header http.Header) {
 	maps.Copy(s.w.Header(), header)
 	s.w.Header().Set(verdict.Header, verdict.Ran.String())
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout))
+	s.edge.closeWhenDraining(s.w.Header())
+	_ = s.control.SetWriteDeadline(time.Now().Add(s.edge.Limits.WriteTimeout))
 	s.w.WriteHeader(status)
 	s.began()
 }
 
 // Write sends p at once.
 func (s *streamSink) Write(p []byte) error {
-	if err := s.control.SetWriteDeadline(time.Now().Add(s.timeout)); err != nil {
+	if err := s.control.SetWriteDeadline(time.Now().Add(s.edge.Limits.WriteTimeout)); err != nil {
 		return err
 	}
 	if _, err := s.w.Write(p); err != nil {
--- a/pkg/edge/write.go
+++ b/pkg/edge/write.go
@@ -11,6 +11,13 @@
 // writePiece is the most that is written under one write deadline, in bytes.
 const writePiece = 64 << 10
 
+// closeWhenDraining makes callers on kept-alive connections look for another router.
+func (e *Edge) closeWhenDraining(h http.Header) {
+	if _, draining := e.flight.state(); draining {
+		h.Set("Connection", "close")
+	}
+}
+
 // write sends a whole answer with its declared length.
 func (e *Edge) write(w http.ResponseWriter, status int, contentType string, v verdict.Verdict, body []byte) {
 	h := w.Header()
@@ -21,6 +28,7 @@
 	if status != http.StatusNoContent && status != http.StatusNotModified && h.Get("Content-Length") == "" {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	e.closeWhenDraining(h)
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(time.Now().Add(e.Limits.WriteTimeout))
 	w.WriteHeader(status)
