--- a/pkg/edge/fake_test.go
+++ b/pkg/edge/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -49,16 +50,18 @@
 
 // fakeScheduler grants each URL in turn, then the last one again and again.
 type fakeScheduler struct {
-	mu     sync.Mutex
-	urls   []string
-	err    error
-	gotten []sched.Request
-	done   []wire.Outcome
-	hold   chan struct{} // when set, Acquire waits for it
+	mu      sync.Mutex
+	urls    []string
+	err     error
+	gotten  []sched.Request
+	done    []wire.Outcome
+	hold    chan struct{} // when set, Acquire waits for it
+	waiting chan struct{} // told when Acquire begins to wait
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, r sched.Request) (sched.Slot, error) {
 	if s.hold != nil {
+		s.waiting <- struct{}{}
 		select {
 		case <-s.hold:
 		case <-ctx.Done():
@@ -154,9 +157,8 @@
 // engine answers completions as a model engine does.
 func engine(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(dispatch.HeaderAttempt, r.Header.Get(dispatch.HeaderAttempt))
-	body := new(strings.Builder)
-	_, _ = copyTo(body, r)
-	if !strings.Contains(body.String(), `"stream":true`) {
+	body, _ := io.ReadAll(r.Body)
+	if !strings.Contains(string(body), `"stream":true`) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(plainAnswer))
 		return
