--- a/pkg/member/detect.go
+++ b/pkg/member/detect.go
@@ -62,7 +62,7 @@
 	for _, e := range r.entries {
 		switch {
 		case e.State == wire.MemberSuspect:
-			if now.Sub(e.suspected) >= r.opts.DeadAfter-r.opts.SuspectAfter {
+			if now.Sub(e.suspected) >= r.graceOfSuspects() {
 				e.State = wire.MemberDead
 				r.entryChanged(e)
 			}
@@ -76,6 +76,25 @@
 	}
 }
 
+// graceOfSuspects is the time that a suspect has for its refutation to arrive here.
+//
+// Guard: in a large fleet a suspicion reaches its member, and the refutation everyone,
+// over several hops of gossip. With the small fleet's time half of the others would
+// already have buried a living member. The hops grow with the logarithm of the fleet,
+// and so does the time: there and back, one heartbeat a hop.
+func (r *Roster) graceOfSuspects() time.Duration {
+	grace := r.opts.DeadAfter - r.opts.SuspectAfter
+	rs := r.currentRings()
+	if rs.orders == nil {
+		return grace
+	}
+	hops := 0
+	for reached := 1; reached <= len(rs.all); reached *= r.opts.Rings + 1 {
+		hops++
+	}
+	return grace + time.Duration(2*hops)*r.opts.Heartbeat
+}
+
 // overdue lists the targets that were silent for half of SuspectAfter: others are
 // asked about them, so that one broken path between two routers kills nobody.
 func (r *Roster) overdue(now time.Time, targets []wire.RouterID) []wire.RouterID {
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -15,10 +15,15 @@
 	vouched time.Time
 	// watched is since when this router pings the member; zero when it doesn't.
 	watched time.Time
+	// pinged is when the member's latest ping came; skips counts the pings left out since.
+	pinged time.Time
+	skips  int
 	// suspected is since when State is MemberSuspect.
 	suspected time.Time
 	// accused is a suspicion that was not taken over, zero when there is none.
 	accused wire.Member
+	// outdated says that the member itself sent an older record than the one known here.
+	outdated bool
 	// excused is when the accused member last got a fresh period.
 	excused time.Time
 	// left says that the member announced its leave in this incarnation.
--- a/pkg/member/exchange.go
+++ b/pkg/member/exchange.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -16,15 +18,35 @@
 	}
 	var out []outgoing
 	for _, id := range targets {
+		if asks[id] == nil && r.maySkip(now, r.entries[id]) {
+			continue
+		}
 		out = append(out, r.pingTo(now, l, id, asks[id]))
 		delete(asks, id)
 	}
-	for id, ask := range asks {
-		out = append(out, r.pingTo(now, l, id, ask))
+	for _, id := range slices.Sorted(maps.Keys(asks)) {
+		out = append(out, r.pingTo(now, l, id, asks[id]))
 	}
 	return out
 }
 
+// maxSkips bounds the heartbeats in a row in which a member gets no ping.
+const maxSkips = 3
+
+// maySkip says that e needs no ping now: its own ping came within this heartbeat, so it
+// lives and has had the news in the answer. Of two routers that ping each other only the
+// one with the larger ID skips, so one exchange a heartbeat stays, and it pings now and
+// then all the same, because only an answer confirms the configuration.
+func (r *Roster) maySkip(now time.Time, e *entry) bool {
+	fresh := now.Sub(e.pinged) <= r.opts.Heartbeat && e.acked == r.selfSeq
+	if r.self.ID < e.ID || !fresh || e.skips >= maxSkips {
+		e.skips = 0
+		return false
+	}
+	e.skips++
+	return true
+}
+
 func (r *Roster) pingTo(now time.Time, l local, id wire.RouterID, ask []wire.RouterID) outgoing {
 	p := r.newPing(now, l, id)
 	p.Ask = ask
@@ -56,11 +78,12 @@
 func (r *Roster) Ping(now time.Time, l local, from wire.RouterID, p wire.Ping) wire.Pong {
 	r.setVersion(l.version)
 	known := r.entries[from] != nil
-	r.merge(now, p.Members)
+	r.merge(now, from, p.Members)
 	e := r.entries[from]
 	if e != nil {
 		first := !known || e.heard.IsZero()
 		r.hear(e, now, p.Version)
+		e.pinged = now
 		r.compareDigest(e, p.Digest, first)
 	}
 	return wire.Pong{
@@ -83,7 +106,7 @@
 	}
 	delete(r.sent, p.Nonce)
 	known := r.entries[from] != nil
-	r.merge(now, p.Members)
+	r.merge(now, from, p.Members)
 	r.vouch(ping.at, p.Heard)
 	if e := r.entries[from]; e != nil {
 		first := !known || e.heard.IsZero()
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -13,7 +13,7 @@
 
 // Bounds of what one message carries.
 const (
-	maxGossip = 6  // changed members
+	maxGossip = 12 // changed members
 	maxSync   = 48 // members of a list that is sent whole
 	tellSelf  = 3  // messages to each peer with a changed own record
 )
@@ -63,14 +63,14 @@
 
 // aboutPeer tells a member what is claimed of it, so that it can refute it.
 func aboutPeer(e *entry) []wire.Member {
-	switch {
-	case e.accused.ID != "":
+	if e.accused.ID != "" {
 		return []wire.Member{e.accused}
-	case !e.up():
+	}
+	if !e.up() || e.outdated {
+		e.outdated = false
 		return []wire.Member{e.Member}
-	default:
-		return nil
 	}
+	return nil
 }
 
 // changes takes the records that were passed on least so far.
@@ -138,6 +138,13 @@
 
 // digest sums up the members that aren't dead. Suspicion is left out: it passes.
 func (r *Roster) digest() uint64 {
+	if !r.summed {
+		r.sum, r.summed = r.sumMembers(), true
+	}
+	return r.sum
+}
+
+func (r *Roster) sumMembers() uint64 {
 	sum := memberHash(r.self.ID, r.self.Incarnation)
 	for id, e := range r.entries {
 		if e.State != wire.MemberDead {
--- a/pkg/member/merge.go
+++ b/pkg/member/merge.go
@@ -6,9 +6,10 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// merge takes claims of a peer's gossip.
-func (r *Roster) merge(now time.Time, claims []wire.Member) {
+// merge takes the claims that came with a message of the router from.
+func (r *Roster) merge(now time.Time, from wire.RouterID, claims []wire.Member) {
 	for _, c := range claims {
+		c.State = min(c.State, wire.MemberDead)
 		switch e := r.entries[c.ID]; {
 		case c.ID == "":
 		case c.ID == r.self.ID:
@@ -19,8 +20,11 @@
 			r.renew(now, e, c)
 		case c.Incarnation == e.Incarnation:
 			r.worsen(now, e, c)
+		case c.ID == from:
+			// Restarted with a clock that went back: it must learn of its last life.
+			e.outdated = true
 		}
-		// A lower incarnation is old news: the member has refuted it, or restarted.
+		// Any other lower incarnation is old news: the member refuted it, or restarted.
 	}
 }
 
--- a/pkg/member/roster.go
+++ b/pkg/member/roster.go
@@ -23,6 +23,9 @@
 	ticked  time.Time
 	probeAt time.Time
 	changed bool
+	// sum is the digest; it holds while summed is true.
+	sum    uint64
+	summed bool
 }
 
 // sentPing is a ping without an answer yet.
@@ -100,12 +103,14 @@
 
 func (r *Roster) selfChanged() {
 	r.selfSeq++
+	r.summed = false
 	r.changed = true
 }
 
 // entryChanged notes a change of e's incarnation or state, which is gossiped.
 func (r *Roster) entryChanged(e *entry) {
 	e.sends = r.retransmits()
+	r.summed = false
 	r.changed = true
 	r.rings.stale = true
 }
--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -27,7 +27,6 @@
 
 	mu     sync.Mutex // held for one write
 	stream *quic.SendStream
-	out    []byte
 }
 
 // newConn opens this side's stream and sends its header.
@@ -42,26 +41,18 @@
 	return &conn{quic: q, peer: peerIdentity(q.ConnectionState().TLS), side: s, stream: stream}, nil
 }
 
-// write sends one frame and returns its size in bytes.
+// write sends the bytes of one frame.
 //
 // Guard: a paused peer stops opening its flow control window, and the write blocks.
 // The deadline turns that into an error for this connection; other peers have their
 // own writers and don't wait.
-func (c *conn) write(f *wire.Frame, limit time.Duration) error {
+func (c *conn) write(frame []byte, limit time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var err error
-	c.out, err = appendFrame(c.out[:0], f)
-	if err != nil {
-		return err
-	}
 	if err := c.stream.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		return errors.Trace(err)
 	}
-	_, err = c.stream.Write(c.out)
-	if cap(c.out) > keepBuffer {
-		c.out = nil
-	}
+	_, err := c.stream.Write(frame)
 	return errors.Trace(err)
 }
 
--- a/pkg/peer/contact.go
+++ b/pkg/peer/contact.go
@@ -26,8 +26,8 @@
 	peer     wire.RouterID // who answered there last
 }
 
-// contactFor gives the contact of an address; nil when there are too many or the
-// transport closes.
+// contactFor gives the contact of an address; nil when too many are being dialled or
+// the transport closes.
 func (t *Transport) contactFor(addr string) *contact {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -37,7 +37,7 @@
 	if c, ok := t.contacts[addr]; ok {
 		return c
 	}
-	if len(t.contacts) >= maxContacts {
+	if len(t.contacts) >= maxContacts && !t.forgetContact() {
 		return nil
 	}
 	c := &contact{t: t, addr: addr, queue: queue{limit: maxContactMessage}}
@@ -53,7 +53,7 @@
 	if c.peer == c.t.opts.ID {
 		return
 	}
-	if c.peer != "" && c.t.connected(c.peer) {
+	if c.peer != "" && c.t.connected(c.peer, c.addr) {
 		c.t.Send(c.peer, m)
 		return
 	}
@@ -99,12 +99,28 @@
 	return c.queue.take(c.queue.len())
 }
 
-// connected reports whether a live connection to the peer exists.
-func (t *Transport) connected(peer wire.RouterID) bool {
+// connected reports whether a live connection to the peer at addr exists. The address
+// counts: the router that answered there may have moved, and another one taken it over.
+func (t *Transport) connected(peer wire.RouterID, addr string) bool {
 	l := t.linkIfAny(peer)
 	if l == nil {
 		return false
 	}
 	c, _, _ := l.current()
-	return c != nil
+	return c != nil && c.quic.RemoteAddr().String() == addr
+}
+
+// forgetContact makes room by dropping a contact that isn't being dialled; the caller
+// holds t.mu. Hosts are replaced all the time, so addresses would pile up.
+func (t *Transport) forgetContact() bool {
+	for addr, c := range t.contacts {
+		c.mu.Lock()
+		busy := c.dialling
+		c.mu.Unlock()
+		if !busy {
+			delete(t.contacts, addr)
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/peer/fleet_test.go
+++ b/pkg/peer/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/pkg/peer/devcert"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -44,22 +45,31 @@
 // fleet makes routers that trust each other, on 127.0.0.1.
 type fleet struct {
 	t    testing.TB
-	ca   authority
-	dir  string
+	ca   *devcert.Authority
 	book *book
 }
 
+func newAuthority(t testing.TB, name string) *devcert.Authority {
+	a, err := devcert.NewAuthority(name)
+	require.NoError(t, err)
+	return a
+}
+
 func newFleet(t testing.TB) *fleet {
-	return &fleet{t: t, ca: newAuthority(t, "ca"), dir: t.TempDir(), book: &book{addrs: map[wire.RouterID]string{}}}
+	return &fleet{t: t, ca: newAuthority(t, "ca"), book: &book{addrs: map[wire.RouterID]string{}}}
 }
 
 // options of a router with a fresh certificate. The long timeouts keep a slow machine
 // from changing a verdict.
-func (f *fleet) options(id wire.RouterID) Options {
-	cert, key, ca := f.ca.issue(f.t, f.dir, string(id))
+func (f *fleet) options(id wire.RouterID) Options { return f.optionsOf(f.ca, id) }
+
+// optionsOf is options with a certificate of another authority, trusting also as well.
+func (f *fleet) optionsOf(a *devcert.Authority, id wire.RouterID, also ...*devcert.Authority) Options {
+	files, err := a.Issue(f.t.TempDir(), string(id), also...)
+	require.NoError(f.t, err)
 	return Options{
-		ID: id, Listen: "127.0.0.1:0", Cert: cert, Key: key, CA: ca, Resolver: f.book,
-		Coalesce: time.Millisecond, HandshakeTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, Seed: 1,
+		ID: id, Listen: "127.0.0.1:0", Cert: files.Cert, Key: files.Key, CA: files.CA, Resolver: f.book,
+		Coalesce: time.Millisecond, IdleTimeout: time.Hour, HandshakeTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, Seed: 1,
 	}
 }
 
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -92,35 +92,6 @@
 	l.queue.messages = nil
 }
 
-// writeBatch sends a batch as one frame, on a second connection when the first breaks.
-//
-// Guard: a connection may have died unseen, or lost against a simultaneous one. The
-// peer may then get a frame twice, which idempotent messages allow; without the second
-// try a whole coalesced frame would be lost at every reconnect.
-func (l *link) writeBatch(c *conn, batch []Message) {
-	f := new(wire.Frame)
-	for _, m := range batch {
-		m(f)
-	}
-	if l.writeFrame(c, f) {
-		return
-	}
-	if second := l.connect(); second != nil && second != c && l.writeFrame(second, f) {
-		return
-	}
-	l.t.counters.undelivered.Add(uint64(len(batch)))
-}
-
-func (l *link) writeFrame(c *conn, f *wire.Frame) bool {
-	if err := c.write(f, l.t.opts.WriteTimeout); err != nil {
-		l.t.opts.Log.WithError(err).WithField("peer", l.peer).Debug("write to peer failed")
-		c.close(codeProtocol, "write failed")
-		return false
-	}
-	l.t.counters.framesSent.Add(1)
-	return true
-}
-
 // idle gives a channel that is closed when nothing waits to be sent.
 func (l *link) idle() <-chan struct{} {
 	l.mu.Lock()
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -18,8 +18,9 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
-// Message puts one message into the frame that is about to go to its peer. It is
-// called once, or not at all when the message is dropped.
+// Message puts one message into the frame that is about to go to its peer. It is not
+// called when the message is dropped, and called again for another frame when the first
+// one came out too large.
 type Message func(*wire.Frame)
 
 // Handler takes frames from peers. from is the ID in the sender's verified
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -13,6 +13,15 @@
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
+// await polls until cond holds; the limit is that of the whole test run.
+func await(cond func() bool) {
+	ticks := time.NewTicker(time.Millisecond)
+	defer ticks.Stop()
+	for !cond() {
+		<-ticks.C
+	}
+}
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestFramesCarryVerifiedSender(t *testing.T) {
@@ -82,8 +91,7 @@
 	inA.nonces(20)
 	inB.nonces(20)
 	// The connection in use is the same at both ends once either has retired the other.
-	require.Eventually(t, func() bool { return a.Stats().Connections == 1 && b.Stats().Connections == 1 },
-		time.Minute, 10*time.Millisecond)
+	await(func() bool { return a.Stats().Connections == 1 && b.Stats().Connections == 1 })
 	a.Send("b", ping(100))
 	inB.nonces(1)
 	b.Send("a", ping(101))
@@ -116,9 +124,7 @@
 	f := newFleet(t)
 	a, inA := f.router("a")
 	stranger := newAuthority(t, "stranger")
-	cert, key, ca := stranger.issue(t, t.TempDir(), "b", f.ca)
-	o := f.options("c")
-	o.ID, o.Cert, o.Key, o.CA = "b", cert, key, ca
+	o := f.optionsOf(stranger, "b", f.ca)
 	b, inB := f.start(o)
 	_, inC := f.router("c")
 	b.Send("a", ping(1))
@@ -127,8 +133,7 @@
 	a.Send("d", ping(3))
 	a.Send("c", ping(4))
 	inC.nonces(1)
-	require.Eventually(t, func() bool { return a.Stats().DialsFailed >= 2 && a.Stats().Refused >= 1 },
-		time.Minute, time.Millisecond)
+	await(func() bool { return a.Stats().DialsFailed >= 2 && a.Stats().Refused >= 1 })
 	require.Empty(t, inA)
 	require.Empty(t, inB)
 }
@@ -175,21 +180,18 @@
 	f := newFleet(t)
 	next := newAuthority(t, "next")
 	oldA := f.options("a")
-	f.ca.issue(t, f.dir, "a", next)
+	require.NoError(t, os.WriteFile(oldA.CA, append(next.PEM, f.ca.PEM...), 0o600))
 	a, inA := f.start(oldA)
-	cert, key, ca := next.issue(t, t.TempDir(), "b", f.ca)
-	o := f.options("c")
-	o.ID, o.Cert, o.Key, o.CA = "b", cert, key, ca
-	b, _ := f.start(o)
+	b, _ := f.start(f.optionsOf(next, "b", f.ca))
 	c, _ := f.router("c")
 	b.Send("a", ping(1))
 	inA.nonces(1)
 	c.Send("a", ping(2))
 	inA.nonces(1)
-	require.NoError(t, os.WriteFile(oldA.CA, next.pem, 0o600))
+	require.NoError(t, os.WriteFile(oldA.CA, next.PEM, 0o600))
 	require.True(t, a.keys.reload())
 	a.recheck()
-	require.Eventually(t, func() bool { return a.Stats().Connections == 1 }, time.Minute, time.Millisecond)
+	await(func() bool { return a.Stats().Connections == 1 })
 	b.Send("a", ping(3))
 	nonces, from := inA.nonces(1)
 	require.Equal(t, []uint64{3}, nonces)
@@ -248,5 +250,5 @@
 			in.nonces(1)
 		}
 	}
-	require.Eventually(t, func() bool { return a.Stats().Connections <= 2 }, time.Minute, time.Millisecond)
+	await(func() bool { return a.Stats().Connections <= 2 })
 }
