Expect the cell's mean of every request; drop the routers' predictions

Cause: with an expectation of its own, an organisation of short requests holds more slots than the others until its tokens arrive.

--- a/pkg/claimant/claim.go
+++ b/pkg/claimant/claim.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"time"
 
-	"github.com/flamingowind/flamingowind/pkg/cost"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -21,7 +20,6 @@
 	cell    *cell
 	place   *list.Element // in cell.waiting
 	placed  time.Time     // when it came to this cell
-	predict cost.Prediction
 	exclude []string
 	// firsts holds, for each keeper that has been asked, when the first copy was sent.
 	firsts []firstCopy
@@ -48,11 +46,6 @@
 	return time.Time{}, false
 }
 
-func (c *claim) key() cost.Key {
-	r := &c.ticket.req
-	return cost.Key{Org: r.Org, Class: r.Class, Pool: r.Pool}
-}
-
 // message is a copy of the claim for the wire.
 func (c *claim) message(now time.Time) wire.Claim {
 	r := &c.ticket.req
@@ -61,7 +54,6 @@
 		Cell:    c.cell.id,
 		Org:     r.Org,
 		Class:   r.Class,
-		Predict: c.predict.Units,
 		Prefix:  r.Prefix,
 		Content: r.Content,
 		AgeMs:   millis(now.Sub(c.ticket.since)),
--- a/pkg/claimant/grant.go
+++ b/pkg/claimant/grant.go
@@ -54,9 +54,9 @@
 	}
 	return &slot{
 		owner: m.owner, id: cl.id, cell: cl.cell, keeper: from,
-		org: cl.ticket.req.Org, content: cl.ticket.req.Content, key: cl.key(),
+		org: cl.ticket.req.Org, content: cl.ticket.req.Content,
 		upstream: g.Upstream, lapses: base.Add(time.Duration(g.TTLMs) * time.Millisecond),
-		alone: g.Alone, predict: cl.predict,
+		alone: g.Alone,
 	}
 }
 
@@ -139,9 +139,6 @@
 	c.owe()
 	service := s.service()
 	m.count(s, service)
-	if e.outcome == wire.OutcomeServed {
-		m.costs.Settle(s.key, s.predict, service)
-	}
 	done := wire.Done{
 		ID: s.id, Cell: c.id, Org: s.org, Upstream: s.upstream, Outcome: e.outcome,
 		Cost: service, FirstMs: millis(e.first), StepUs: micros(e.step), Content: s.content,
--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/flamingowind/flamingowind/pkg/cost"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
@@ -16,7 +15,6 @@
 	self      wire.RouterID
 	report    time.Duration
 	marks     func() []wire.UpstreamMark
-	costs     *cost.Predictor
 	out       outbox
 
 	lastID wire.ClaimID
@@ -35,7 +33,6 @@
 		directory: d,
 		report:    o.Report,
 		marks:     o.Marks,
-		costs:     cost.NewPredictor(cost.DefaultKeys),
 		lastID:    firstID(o.Incarnation),
 		claims:    make(map[wire.ClaimID]*claim),
 		cells:     make(map[wire.CellID]*cell),
@@ -52,7 +49,6 @@
 	}
 	m.totals[t.req.Org] += 0 // reports list the organisation from now on
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
-	cl.predict = m.costs.Predict(cl.key(), t.req.Hint)
 	t.claim = cl
 	m.place(now, cl, c)
 	m.send(now, cl)
--- a/pkg/claimant/report.go
+++ b/pkg/claimant/report.go
@@ -54,7 +54,7 @@
 		s.told, s.listed = service, true
 		list = append(list, wire.Running{
 			ID: s.id, Org: s.org, Upstream: s.upstream,
-			Cost: service, Predict: s.predict.Units, Alone: s.alone,
+			Cost: service, Alone: s.alone,
 		})
 	}
 	return list
--- a/pkg/claimant/slot.go
+++ b/pkg/claimant/slot.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/flamingowind/flamingowind/pkg/cost"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -18,12 +17,10 @@
 	keeper   wire.RouterID // who granted it
 	org      string
 	content  uint64
-	key      cost.Key
 	upstream string
 	url      string
 	lapses   time.Time
 	alone    bool
-	predict  cost.Prediction
 
 	started atomic.Bool
 	done    atomic.Bool
--- a/pkg/keeper/claim.go
+++ b/pkg/keeper/claim.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"math"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/fair"
@@ -9,8 +8,7 @@
 )
 
 const (
-	minPredict = 1
-	maxPredict = 1e7
+	maxCost = 1e7
 )
 
 // Claim takes in a claim, or one more copy of it. A copy of a granted claim is answered
@@ -34,7 +32,6 @@
 }
 
 func (k *Keeper) admit(r *router, w wire.Claim, now time.Time) {
-	w.Predict = boundPredict(w.Predict)
 	c := &claim{
 		key:   r.key(w.ID),
 		Claim: w,
@@ -128,12 +125,3 @@
 	}
 	return now.Add(time.Duration(w.WaitMs) * time.Millisecond)
 }
-
-// boundPredict keeps a wrong prediction from moving a counter by nothing, backwards or
-// to infinity.
-func boundPredict(u wire.Units) wire.Units {
-	if math.IsNaN(u) {
-		return minPredict
-	}
-	return min(max(u, minPredict), maxPredict)
-}
--- a/pkg/keeper/done.go
+++ b/pkg/keeper/done.go
@@ -109,5 +109,5 @@
 	if math.IsNaN(u) {
 		return 0
 	}
-	return min(max(u, 0), maxPredict)
+	return min(max(u, 0), maxCost)
 }
--- a/pkg/wire/claim.go
+++ b/pkg/wire/claim.go
@@ -8,7 +8,6 @@
 	Cell    CellID  `cbor:"2,keyasint"`
 	Org     string  `cbor:"3,keyasint"`
 	Class   Class   `cbor:"4,keyasint,omitempty"`
-	Predict Units   `cbor:"5,keyasint,omitempty"`
 	Prefix  uint64  `cbor:"6,keyasint,omitempty"` // hash of the prompt's head, a hint
 	Content uint64  `cbor:"7,keyasint,omitempty"` // hash of the whole request, for quarantine
 	// WaitMs is how long the claim stays worth granting, counted from its sending.
--- a/pkg/wire/report.go
+++ b/pkg/wire/report.go
@@ -5,9 +5,8 @@
 	ID       ClaimID `cbor:"1,keyasint"`
 	Org      string  `cbor:"2,keyasint"`
 	Upstream string  `cbor:"3,keyasint"`
-	// Cost is the service so far, Predict what was charged at the grant.
+	// Cost is the service so far.
 	Cost    Units `cbor:"4,keyasint,omitempty"`
-	Predict Units `cbor:"5,keyasint,omitempty"`
 	Alone   bool  `cbor:"6,keyasint,omitempty"`
 }
 
