Keep a slot that runs when a second keeper grants it too

Cause: when the keeping of a cell goes to another router and back, both may grant one claim on the same upstream. The claimant ignored that only from the present keeper and from the one that granted first; to any other it answered that the grant went unused, and that keeper took a slot in use for free until some report listed it.

Ruled out: moving the slot to the second keeper. The present keeper counts it by reports already, and a slot that changes its keeper would need a rule for late copies of the first one's grants.

Change: a grant for the upstream on which the claim runs is never given back. The keeper that sent it is remembered and hears the end of the request, so it frees the slot then and not only after its time of silence.

TestFormerKeeperGrantsTheSlotThatRuns failed before the change with two answers that called the running slot unused, and passes with it; the other tests of the package pass.

Conclusion: a keeper that grants what already runs now holds the slot exactly as long as the request holds it on the upstream, whoever keeps the cell meanwhile.

--- a/pkg/claimant/grant.go
+++ b/pkg/claimant/grant.go
@@ -35,15 +35,22 @@
 }
 
 // runs says that a grant is for the slot that runs already: a second copy of its grant,
-// or the grant of a new keeper that chose the same upstream as the former. Giving it back
-// would free a slot in use.
+// or the grant of another keeper that chose the same upstream. Giving it back would free
+// a slot in use there, and one request more would wait inside the engine. The other keeper
+// hears of the slot when the request ends.
 func (m *machine) runs(from wire.RouterID, g wire.Grant) bool {
 	c, ok := m.cells[g.Cell]
 	if !ok {
 		return false
 	}
 	s, ok := c.running[g.ID]
-	return ok && s.upstream == g.Upstream && (from == s.keeper || from == c.keeper)
+	if !ok || s.upstream != g.Upstream {
+		return false
+	}
+	if from != s.keeper && !slices.Contains(s.others, from) {
+		s.others = append(s.others, from)
+	}
+	return true
 }
 
 // slotOf makes the slot of a grant; nil when the claim was never sent to that router.
@@ -144,9 +151,12 @@
 		Cost: service, FirstMs: millis(e.first), StepUs: micros(e.step), Content: s.content,
 	}
 	m.sendDone(s.keeper, done)
-	if c.keeper != "" && c.keeper != s.keeper {
+	if c.keeper != "" && c.keeper != s.keeper && !slices.Contains(s.others, c.keeper) {
 		m.sendDone(c.keeper, done)
 	}
+	for _, k := range s.others {
+		m.sendDone(k, done)
+	}
 }
 
 func (m *machine) sendDone(to wire.RouterID, d wire.Done) {
--- a/pkg/claimant/keeper_test.go
+++ b/pkg/claimant/keeper_test.go
@@ -87,6 +87,29 @@
 	})
 }
 
+// The keeping of a cell goes to k2 and back, and both grant one claim on one upstream.
+// Were k2's grant given back as unused, k2 would take the slot for free while the request
+// runs there. It must hear of the slot only when the request ends.
+func TestFormerKeeperGrantsTheSlotThatRuns(t *testing.T) {
+	run(t, Options{}, func(t *testing.T, f *fleet) {
+		done := f.acquire(t.Context(), request("acme"))
+		claim := f.claim("k1")
+		f.setKeeper(cellA, "k2")
+		f.claim("k2")
+		f.setKeeper(cellA, "k1")
+		f.claim("k1")
+		f.grant("k1", claim, "u1", 0)
+		s := mustSlot(t, done)
+		f.grant("k2", claim, "u1", 0)
+		f.grant("k2", claim, "u1", 0)
+		d := f.take("k2").Dones
+		check(t, len(d) == 0, "gave back the running slot: %+v", d)
+		s.Done(wire.OutcomeServed, 10, 0, 0)
+		f.done("k2", claim.ID, wire.OutcomeServed)
+		f.done("k1", claim.ID, wire.OutcomeServed)
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		reason wire.RefusalReason
--- a/pkg/claimant/slot.go
+++ b/pkg/claimant/slot.go
@@ -22,6 +22,10 @@
 	lapses   time.Time
 	alone    bool
 
+	// others are further keepers that granted this claim on the same upstream; only
+	// routers that kept the cell while the claim waited do.
+	others []wire.RouterID
+
 	started atomic.Bool
 	done    atomic.Bool
 	units   atomic.Uint64 // service so far, as the bits of a float64
