Keep a little headroom from an organisation far over its share

The engines' journals show where: from a request's sending to its engine start. The engine's own part stays at 12 to 14 ms, and requests are sent on time at all routers. All 144 slots are in use; worst is the first half second, in which the flood's answers don't end yet, but it goes on.

Ruled out: queues inside engines, the step boundary, the edge of the flooded routers.

Change: up to one slot in 16 is refused to an organisation that holds three times its share, or half of the cell; how many follows from the rates at which others start and slots free. A pool with neverIdle keeps none. The baseline of slices keeps none.

--- a/pkg/keeper/bench_test.go
+++ b/pkg/keeper/bench_test.go
@@ -34,6 +34,7 @@
 		weights[names[i]] = 1
 	}
 	k.Configure(ups, weights, epoch)
+	k.KeepHeadroom(true)
 	now := epoch
 	router := func(id wire.ClaimID) wire.RouterID { return wire.RouterID(fmt.Sprint("router-", id%routers)) }
 	ids := make([]wire.RouterID, routers)
--- a/pkg/keeper/claim.go
+++ b/pkg/keeper/claim.go
@@ -45,6 +45,7 @@
 		return
 	}
 	k.recent.forget(c.key)
+	k.headroom.claimed[c.Org] = now
 	k.enqueue(r, c)
 }
 
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -32,6 +32,7 @@
 	recent    recent
 	prefixes  *simplelru.LRU[uint64, *upstream]
 	drained   rate
+	headroom  headroom
 	mean      wire.Units // cost of settled requests
 	outbox    []Out
 
@@ -65,6 +66,7 @@
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
 		mean:      firstMean,
+		headroom:  headroom{claimed: make(map[string]time.Time)},
 	}
 	for _, id := range alive {
 		k.expected[id] = true
@@ -88,7 +90,8 @@
 // Slots returns the number of slots in use.
 func (k *Keeper) Slots() int { return len(k.slots) }
 
-// Spare returns the number of free slots, without those granted ahead or in reserve.
+// Spare returns the number of free slots, without those granted ahead or in reserve. The
+// headroom counts: most organisations may use it.
 func (k *Keeper) Spare(now time.Time) int {
 	if k.settling || k.leaving {
 		return 0
--- a/pkg/keeper/next.go
+++ b/pkg/keeper/next.go
@@ -32,6 +32,7 @@
 		return false
 	}
 	p := picker{k: k, now: now, urgentOnly: free <= k.o.ReserveUrgent}
+	p.withinShare = free <= k.o.ReserveUrgent+k.headroomSlots(now)
 	e := k.order.Pick(p.usable)
 	for _, s := range p.suspects {
 		k.order.SetAside(s)
@@ -57,6 +58,9 @@
 
 func (k *Keeper) grant(c *claim, u *upstream, alone bool, now time.Time) {
 	r := k.routers[c.router]
+	if !k.farOverShare(c.Org) {
+		k.headroom.light.add(now)
+	}
 	s := &slot{key: c.key, org: c.Org, claim: c, alone: alone, granted: now, expected: k.mean}
 	k.hold(r, s, u)
 	k.order.Expect(c.Org, s.expected)
--- a/pkg/keeper/picker.go
+++ b/pkg/keeper/picker.go
@@ -12,8 +12,10 @@
 	k          *Keeper
 	now        time.Time
 	urgentOnly bool
-	choice     *upstream
-	alone      bool
+	// withinShare passes over organisations far over their share.
+	withinShare bool
+	choice      *upstream
+	alone       bool
 	// suspects are entries found to be suspect while they waited among the others.
 	suspects []*fair.Entry[*claim]
 }
@@ -27,6 +29,8 @@
 		return true
 	case p.urgentOnly && !p.k.reserved(c, p.now):
 		return false
+	case p.withinShare && p.k.farOverShare(c.Org):
+		return false
 	case deaths == 0:
 		p.choice, p.alone = p.choose(c), false
 	case e.Aside:
--- a/pkg/keeper/sweep.go
+++ b/pkg/keeper/sweep.go
@@ -17,6 +17,7 @@
 		return
 	}
 	k.nextSweep = now.Add(sweepEvery)
+	k.refreshShares(now)
 	due := make(map[key]*slot)
 	for id, s := range k.slots {
 		if s.due(&k.o, k.heard(s), now) {
--- a/pkg/keeping/refresh.go
+++ b/pkg/keeping/refresh.go
@@ -26,6 +26,7 @@
 		}
 		if !known || reconfigure {
 			k.Configure(upstreamsOf(cell), weights, now)
+			k.KeepHeadroom(!cell.Pool.NeverIdle && d.options.Keeper.Slices <= 1)
 		}
 	}
 	for id, k := range d.keepers {
--- a/pkg/resource/resource.go
+++ b/pkg/resource/resource.go
@@ -54,6 +54,9 @@
 	CellSize int `json:"cellSize,omitempty" yaml:"cellSize,omitempty"`
 	// CallUnits is the service charged for one call of a plain service, in tokens; 0 takes DefaultCallUnits.
 	CallUnits float64 `json:"callUnits,omitempty" yaml:"callUnits,omitempty"`
+	// NeverIdle gives every free slot to whoever waits. Otherwise a few are kept free from
+	// an organisation far over its share, so that the others' requests start at once.
+	NeverIdle bool `json:"neverIdle,omitempty" yaml:"neverIdle,omitempty"`
 }
 
 // Upstream is one model engine or one instance of a plain service.
