Shorten the time in which a new keeper grants nothing

Routers hear of the death up to half a second apart. One that heard before the successor did sent its full report too early, it was dropped, and partial reports followed for seconds; with any router missing, the successor waited. Routers with nothing in the cell never report at all and had the same effect.

Ruled out: the reports' own travel (0.2 to 15 ms once both sides know), and waiting for idle routers to report: a change would cost a connection from every router.

A keeper ends its settling when all routers it heard from sent a full one and none was new for half a report interval (Options.Skew).

TestReportsCountServiceElsewhere has its keeper answer the first reports, as real ones do.

--- a/pkg/claimant/cell.go
+++ b/pkg/claimant/cell.go
@@ -27,8 +27,15 @@
 
 	reports  reportLog
 	reportAt time.Time
+	// needFull stays set until a new keeper has answered a full report, or hurriedMost went.
+	//
+	// The failure it guards against: this router hears of the change before the new keeper
+	// does, which drops the report. Followed by partial ones, it was made good only seconds
+	// later, and until its bound the keeper waited for it and granted nothing.
 	needFull bool
-	partial  int // reports since the last full one
+	needSeq  uint64 // first full report since needFull was set; 0 for none
+	hurried  int    // full reports since needFull was set
+	partial  int    // reports since the last full one
 	// owesFull stays set after a slot or claim went until the keeper has answered a
 	// full report: the message that said so may have been lost, and with nothing else
 	// in the cell no other report would free what the keeper holds.
@@ -79,7 +86,7 @@
 // newKeeper forgets all that only the former keeper knew.
 func (c *cell) newKeeper(k wire.RouterID) {
 	c.keeper = k
-	c.needFull = true
+	c.needFull, c.needSeq, c.hurried = true, 0, 0
 	c.spare, c.backlog, c.stateAt = 0, 0, time.Time{}
 	clear(c.told)
 	for e := c.waiting.Front(); e != nil; e = e.Next() {
--- a/pkg/claimant/keeper_test.go
+++ b/pkg/claimant/keeper_test.go
@@ -110,6 +110,38 @@
 	})
 }
 
+// This router hears that k2 keeps the cell before k2 does, and k2 drops its full report.
+// Were the next ones partial, k2 would wait for this router until its bound, and no slot
+// be granted meanwhile. Full ones must follow soon until k2 answers, but not for ever.
+func TestFullReportUntilTheNewKeeperAnswers(t *testing.T) {
+	run(t, Options{}, func(t *testing.T, f *fleet) {
+		full := func() (n int, last uint64) {
+			for _, r := range f.take("k2").Reports {
+				if last = r.Seq; r.Full {
+					n++
+				}
+			}
+			return n, last
+		}
+		f.acquire(t.Context(), request("acme"))
+		for _, answered := range []bool{true, false} {
+			f.setKeeper(cellA, "k2")
+			full() // lost
+			time.Sleep(250 * time.Millisecond)
+			n, last := full()
+			check(t, n == 2, "%d full reports in 250 ms", n)
+			if answered {
+				f.claimant.HandleState("k2", wire.CellState{Cell: cellA, Seq: last})
+			}
+			time.Sleep(1500 * time.Millisecond)
+			n, _ = full()
+			check(t, answered == (n == 0) && n < hurriedMost, "%d full reports more, answered: %v", n, answered)
+			f.setKeeper(cellA, "k1")
+			f.take("k1")
+		}
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		reason wire.RefusalReason
@@ -230,7 +262,9 @@
 		second := f.acquire(t.Context(), request("acme"))
 		b := f.claim("k2")
 		time.Sleep(100 * time.Millisecond)
-		f.take("k1")
+		for _, r := range f.take("k1").Reports {
+			f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: r.Seq})
+		}
 		f.acquire(t.Context(), request("new"))
 		time.Sleep(500 * time.Millisecond)
 		orgs := f.take("k1").Reports[0].Orgs
--- a/pkg/claimant/report.go
+++ b/pkg/claimant/report.go
@@ -1,6 +1,7 @@
 package claimant
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -12,6 +13,9 @@
 	fullEvery  = 4
 	fullItems  = 32 // listed items for one more partial report
 	fullAtMost = 16
+	// hurriedMost is how many reports go to a new keeper, one each tick, until it has
+	// answered: by then it has settled without this router.
+	hurriedMost = 2 * ticksPerReport
 )
 
 func (c *cell) fullDue() bool {
@@ -31,9 +35,14 @@
 	}
 	c.reportAt = now.Add(m.report)
 	c.partial++
+	if c.needFull {
+		c.reportAt = now.Add(m.report / ticksPerReport)
+		c.needSeq = cmp.Or(c.needSeq, r.Seq)
+		c.hurried++
+		c.needFull = c.hurried < hurriedMost
+	}
 	if full {
 		c.partial = 0
-		c.needFull = false
 		if c.fullSeq == 0 {
 			c.fullSeq = r.Seq
 		}
@@ -116,6 +125,9 @@
 	if _, ours := c.reports.sentAt(st.Seq, from); !ours {
 		return
 	}
+	if c.needSeq != 0 && st.Seq >= c.needSeq {
+		c.needFull, c.needSeq = false, 0
+	}
 	c.spare, c.backlog, c.stateAt = st.Spare, st.Backlog, now
 	if c.fullSeq != 0 && st.Seq >= c.fullSeq {
 		c.owesFull = false
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -41,9 +41,11 @@
 	// settling is true from the start, or the end of a pause, until the routers reported.
 	settling   bool
 	settleEnds time.Time
-	expected   map[wire.RouterID]bool
-	lastNext   time.Time
-	nextSweep  time.Time
+	// settleBegan is when settling began, lastFull when a router's first Full report came.
+	settleBegan, lastFull time.Time
+	expected              map[wire.RouterID]bool
+	lastNext              time.Time
+	nextSweep             time.Time
 
 	// emptied is the upstream that gets no new work until emptiedFor can run there alone.
 	emptied    *upstream
--- a/pkg/keeper/options.go
+++ b/pkg/keeper/options.go
@@ -18,6 +18,8 @@
 	Report time.Duration
 	// Settle bounds how long a new keeper waits for Full reports [2 × Report].
 	Settle time.Duration
+	// Skew is how far apart routers learn that a cell's keeper changed [Report/2].
+	Skew time.Duration
 	// Silent is how long a slot is held without any news of it [TTL + Margin + 4 × Report].
 	Silent time.Duration
 	// MaxWaiting bounds the waiting claims of all organisations [16384]; organisations
@@ -49,6 +51,7 @@
 	setDefault(&o.Margin, o.TTL/4)
 	setDefault(&o.Report, 500*time.Millisecond)
 	setDefault(&o.Settle, 2*o.Report)
+	setDefault(&o.Skew, o.Report/2)
 	setDefault(&o.Silent, o.TTL+o.Margin+4*o.Report)
 	setDefault(&o.MaxWaiting, 16384)
 	setDefault(&o.MaxWaitingOrg, 4096)
--- a/pkg/keeper/report.go
+++ b/pkg/keeper/report.go
@@ -31,7 +31,9 @@
 	}
 	resend = k.waiting(r, w.Waiting, now)
 	if w.Full {
-		r.full = true
+		if !r.full {
+			r.full, k.lastFull = true, now
+		}
 		k.omitted(r, w, now)
 	}
 	k.repeat(r, now)
--- a/pkg/keeper/settle.go
+++ b/pkg/keeper/settle.go
@@ -8,25 +8,47 @@
 func (k *Keeper) settle(now time.Time) {
 	k.settling = true
 	k.settleEnds = now.Add(k.o.Settle)
+	k.settleBegan, k.lastFull = now, time.Time{}
 	for _, r := range k.routers {
 		r.full = false
 	}
 }
 
-// settled ends the learning when all expected routers reported, or after its bound: a
-// router that can't be heard must not stop the cell.
+// settled ends the learning when all expected routers reported, when those that take part
+// in the cell did, or after its bound: a router that can't be heard must not stop the cell.
 func (k *Keeper) settled(now time.Time) {
-	if !k.settling {
-		return
+	if k.settling && (k.allReported() || k.takersReported(now) || !now.Before(k.settleEnds)) {
+		k.settling = false
+	}
+}
+
+func (k *Keeper) allReported() bool {
+	for id := range k.expected {
+		if r := k.routers[id]; r == nil || !r.full {
+			return false
+		}
 	}
-	if now.Before(k.settleEnds) {
-		for id := range k.expected {
-			if r := k.routers[id]; r == nil || !r.full {
-				return
-			}
+	return true
+}
+
+// takersReported says that every router heard since settling began sent a Full report, and
+// that none was heard for the first time during Options.Skew.
+//
+// The failure it guards against: routers with nothing in the cell send nothing, so a cell
+// idled for the whole of Options.Settle after each change of its keeper while requests
+// waited. Routers learn of the change within the skew of the membership's news, and those
+// with work in the cell report at once. One that learns later finds its upstreams filled a
+// second time for a moment: a short queue inside the engines, and no promise broken.
+func (k *Keeper) takersReported(now time.Time) bool {
+	if k.lastFull.IsZero() || now.Sub(k.lastFull) < k.o.Skew {
+		return false
+	}
+	for _, r := range k.routers {
+		if !r.full && !r.heard.Before(k.settleBegan) {
+			return false
 		}
 	}
-	k.settling = false
+	return true
 }
 
 // resume handles a pause of the keeper itself. It shows as a long gap between two calls
