Find an engine's knee without idling it; fixed limits stay fixed

A window of the limiter counted work that was granted before the limit's last change, so growth went on beyond the knee and the decrease far under it.

Ruled out: noise in first-token times (no limit shrank without grants ahead), and a smaller decrease alone: it would still count the old work.

A pool's grantAhead (0 to 16, checked) lets requests wait inside upstreams whose limit is fixed; an adaptive limit never has any.

--- a/pkg/keeper/headroom.go
+++ b/pkg/keeper/headroom.go
@@ -46,6 +46,9 @@
 // KeepHeadroom switches the headroom on or off.
 func (k *Keeper) KeepHeadroom(on bool) { k.headroom.enabled = on }
 
+// GrantAhead sets how many grants go out beyond the limit of each upstream, see Options.
+func (k *Keeper) GrantAhead(n int) { k.o.GrantAhead = n }
+
 // refreshShares works out what the organisations' shares follow from.
 func (k *Keeper) refreshShares(now time.Time) {
 	h := &k.headroom
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -53,7 +53,8 @@
 }
 
 // New returns a keeper that settles: it grants nothing until all the alive routers sent
-// a Full report, or Options.Settle has passed.
+// a Full report, or those of them that take part in the cell did, or Options.Settle has
+// passed.
 func New(o Options, alive []wire.RouterID, now time.Time) *Keeper {
 	k := &Keeper{
 		o:         o.withDefaults(),
--- a/pkg/keeper/options.go
+++ b/pkg/keeper/options.go
@@ -31,8 +31,8 @@
 	// ReserveUrgent is the number of the cell's slots that only urgent claims of
 	// organisations within their share may take [0].
 	ReserveUrgent int
-	// GrantAhead is the number of grants beyond the limit of each upstream [0]: it hides
-	// the round trip after a slot is freed, at the price of a queue inside the engine.
+	// GrantAhead is the number of grants beyond the fixed limit of each upstream [0]: it
+	// hides the round trip after a slot is freed, at the price of a queue inside the engine.
 	GrantAhead int
 	// Slice and Slices give this keeper one of Slices parts of every upstream, for the
 	// baseline in which each router keeps all cells for itself [whole upstreams].
--- a/pkg/keeper/policy_test.go
+++ b/pkg/keeper/policy_test.go
@@ -85,6 +85,19 @@
 	equal(t, 3, len(grants(b.next())))
 }
 
+// Story: as before, but the engine's limit adapts. The queue inside the engine that a grant
+// ahead makes would look like overload, and the limit would shrink far under the slots.
+func TestNoGrantAheadOfAnAdaptiveLimit(t *testing.T) {
+	u := engine("u", 2)
+	u.MaxSlots = 4
+	b := newBed(t, Options{}, u)
+	b.k.GrantAhead(1)
+	for id := range wire.ClaimID(4) {
+		b.claim("r", 1, id, "a")
+	}
+	equal(t, 2, len(grants(b.next())))
+}
+
 // Story: a request failed on an upstream and must not go there again. That upstream has
 // the only free slot: the request waits, and holds nobody up.
 func TestExcludedUpstreamIsNotUsed(t *testing.T) {
--- a/pkg/keeper/upstream.go
+++ b/pkg/keeper/upstream.go
@@ -22,13 +22,14 @@
 // usable says that the upstream may get new work at all.
 func (u *upstream) usable() bool { return u.declared && !u.leaving && !u.marked }
 
-// free returns the number of grants the upstream can take now.
+// free returns the number of grants the upstream can take now. Nothing is granted ahead of
+// an adaptive limit: the queue inside the engine would look like overload and shrink it.
 func (u *upstream) free(now time.Time, ahead int) int {
 	if !u.usable() || u.alone > 0 {
 		return 0
 	}
 	n := u.limiter.Limit(now)
-	if n > 0 && !u.limiter.Probing(now) {
+	if n > 0 && u.limiter.Fixed() && !u.limiter.Probing(now) {
 		n += ahead
 	}
 	return max(n-u.running, 0)
--- a/pkg/keeping/refresh.go
+++ b/pkg/keeping/refresh.go
@@ -26,6 +26,7 @@
 		}
 		if !known || reconfigure {
 			k.Configure(upstreamsOf(cell), weights, now)
+			k.GrantAhead(cell.Pool.GrantAhead)
 			k.KeepHeadroom(!cell.Pool.NeverIdle && d.options.Keeper.Slices <= 1)
 		}
 	}
--- /dev/null
+++ b/pkg/limit/engine_test.go
@@ -0,0 +1,54 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+// Story: an engine runs eight requests at once; more wait inside, where the fair order
+// doesn't reach. The limit may go up to 32. It tries more now and then, and must neither
+// leave slots idle after a try nor keep a queue inside. Work that was granted before a
+// change says nothing about it, and ends about a second later.
+func TestLimitStaysAtTheEnginesSlots(t *testing.T) {
+	const slots, rest = 8, 860
+	l := New(slots, 32)
+	free := make([]int, slots) // when each slot of the engine is free, in ms
+	var granted, starts, ends []int
+	busy, queued, total := 0, 0, 0
+	for ms := 0; ms < 120_000; ms++ {
+		at := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for i := 0; i < len(ends); i++ {
+			if ends[i] > ms {
+				continue
+			}
+			first := starts[i] + 20 - granted[i]
+			l.Ended(served(float64(first), len(ends), epoch.Add(time.Duration(granted[i])*time.Millisecond)), at)
+			granted, starts, ends = drop(granted, i), drop(starts, i), drop(ends, i)
+			i--
+		}
+		for len(ends) < l.Limit(at) {
+			s := earliest(free)
+			start := max(free[s], ms)
+			free[s] = start + rest/2 + (len(ends)*7919+ms*31)%rest
+			granted, starts, ends = append(granted, ms), append(starts, start), append(ends, free[s])
+		}
+		busy += min(len(ends), slots)
+		queued += max(len(ends)-slots, 0)
+		total++
+	}
+	if share, queue := float64(busy)/slots/float64(total), float64(queued)/float64(total); share < 0.98 || queue > 0.5 {
+		t.Fatalf("%.3f of the slots busy, %.2f requests wait inside the engine", share, queue)
+	}
+}
+
+func drop(list []int, i int) []int { return append(list[:i], list[i+1:]...) }
+
+func earliest(free []int) int {
+	best := 0
+	for i := range free {
+		if free[i] < free[best] {
+			best = i
+		}
+	}
+	return best
+}
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -10,8 +10,14 @@
 // is noise.
 const minWindow = 8
 
-// shrink is the multiplicative decrease.
-const shrink = 0.85
+const (
+	// shrink is the multiplicative decrease.
+	shrink = 0.85
+	// minPatience and maxPatience bound the windows that pass after a growth was undone
+	// before the next one is tried.
+	minPatience = 4
+	maxPatience = 64
+)
 
 // Sample is the end of one piece of work.
 type Sample struct {
@@ -33,6 +39,10 @@
 	step     track
 	samples  int
 	bound    bool // the limit was reached in this window
+	grew     bool // the last change was a growth
+	changed  time.Time
+	patience int // windows to let pass after the next growth that is undone
+	wait     int // windows to let pass yet
 	health   health
 }
 
@@ -51,18 +61,19 @@
 	}
 	fresh := l.slots == 0
 	l.slots, l.maxSlots = max(slots, 0), max(maxSlots, 0)
-	if fresh || l.fixed() {
+	if fresh || l.Fixed() {
 		l.limit = float64(l.slots)
 	}
 	l.bind()
 }
 
-func (l *Limiter) fixed() bool { return l.maxSlots == 0 || l.slots == 0 }
+// Fixed says that the limit doesn't adapt.
+func (l *Limiter) Fixed() bool { return l.maxSlots == 0 || l.slots == 0 }
 
 // bind keeps the limit within its bounds. The lower one is 1: noise must never take an
 // upstream out, since with no work there would be no sample to bring it back.
 func (l *Limiter) bind() {
-	if !l.fixed() {
+	if !l.Fixed() {
 		l.limit = min(max(l.limit, 1), float64(l.maxSlots))
 	}
 }
@@ -97,31 +108,54 @@
 		l.health.failed(s.Org, s.Granted, now)
 	case wire.OutcomeServed:
 		l.health.served(s.Granted, now)
-		l.measured(s)
+		l.measured(s, now)
 	}
 }
 
-func (l *Limiter) measured(s Sample) {
+// measured takes in a sample. Work that was granted before the limit's last change is
+// left out: it ran under the old limit and says nothing about the new one. Counted, it
+// made the limit grow on beyond the knee, and later shrink far under it.
+func (l *Limiter) measured(s Sample, now time.Time) {
+	if s.Granted.Before(l.changed) {
+		return
+	}
 	l.first.add(float64(s.FirstMs))
 	l.step.add(float64(s.StepUs))
 	l.samples++
 	l.bound = l.bound || s.Running >= int(l.limit)
 	if l.samples >= max(minWindow, int(l.limit)) {
-		l.decide()
+		l.decide(now)
 	}
 }
 
 // decide closes a window. The limit grows only when it was reached: growth without
 // need would leave it far over the knee when the load comes.
-func (l *Limiter) decide() {
+func (l *Limiter) decide(now time.Time) {
 	slowFirst, slowStep := l.first.close(), l.step.close()
+	slow, before := slowFirst || slowStep, l.limit
 	switch {
-	case l.fixed():
-	case slowFirst || slowStep:
+	case l.Fixed():
+	case slow && l.grew:
+		l.undo()
+	case slow:
 		l.limit *= shrink
+	case l.wait > 0:
+		l.wait--
 	case l.bound:
 		l.limit++
 	}
 	l.bind()
+	if l.limit != before {
+		l.grew, l.changed = l.limit > before, now
+	}
 	l.samples, l.bound = 0, false
 }
+
+// undo takes the last growth back. The knee is known then: it is tried again after some
+// windows, after more of them each time. A multiplicative decrease would idle slots of an
+// engine that is as fast as before, and a try at each window keeps a queue inside it.
+func (l *Limiter) undo() {
+	l.limit--
+	l.patience = min(max(2*l.patience, minPatience), maxPatience)
+	l.wait = l.patience
+}
--- a/pkg/resource/resource.go
+++ b/pkg/resource/resource.go
@@ -57,6 +57,10 @@
 	// NeverIdle gives every free slot to whoever waits. Otherwise a few are kept free from
 	// an organisation far over its share, so that the others' requests start at once.
 	NeverIdle bool `json:"neverIdle,omitempty" yaml:"neverIdle,omitempty"`
+	// GrantAhead is how many requests may wait inside each upstream, so that a slot which
+	// ends there is taken at once. First tokens come later by that queue. Upstreams with an
+	// adaptive limit keep none.
+	GrantAhead int `json:"grantAhead,omitempty" yaml:"grantAhead,omitempty"`
 }
 
 // Upstream is one model engine or one instance of a plain service.
--- a/pkg/resource/resource_test.go
+++ b/pkg/resource/resource_test.go
@@ -32,7 +32,7 @@
 			{Meta: meta("a"), Weight: -1, KeyHashes: []string{hash}},
 			{Meta: meta("b b"), KeyHashes: []string{hash, "short"}},
 		},
-		Pools:     []resource.Pool{{Meta: meta("p"), Kind: "x"}, {Meta: meta("p"), Kind: resource.PoolModel}},
+		Pools:     []resource.Pool{{Meta: meta("p"), Kind: "x", GrantAhead: 17}, {Meta: meta("p"), Kind: resource.PoolModel}},
 		Upstreams: []resource.Upstream{{Meta: meta("u"), Pool: "none", URL: "http://engine.example:9000", Slots: 8, MaxSlots: 2}},
 		Routes:    []resource.Route{{Meta: meta("r"), Pool: "none", AtMostOnce: []string{"post"}}, {Meta: meta("q"), Model: "m", Pool: "p"}, {Meta: meta("z"), Model: "m", Pool: "p"}},
 		Orders:    []resource.Order{{Meta: meta("o"), Upstream: "none"}},
@@ -46,7 +46,7 @@
 	require.Equal(t, []string{
 		"Organisation/b b:name", "Pool/p:name",
 		"Organisation/a:weight", "Organisation/b b:keyHashes", "Organisation/b b:keyHashes",
-		"Pool/p:poolKind", "Upstream/u:pool", "Upstream/u:url", "Upstream/u:maxSlots",
+		"Pool/p:poolKind", "Pool/p:grantAhead", "Upstream/u:pool", "Upstream/u:url", "Upstream/u:maxSlots",
 		"Route/r:pool", "Route/r:model", "Route/r:atMostOnce", "Route/z:model", "Order/o:upstream",
 	}, got)
 }
@@ -100,6 +100,12 @@
 	require.Equal(t, "sise", invalid.Fields[0].Field)
 }
 
+// An operator declares an engine's slots and no maxSlots. The limit must be fixed then; one
+// that adapts would idle slots whenever a noisy host makes the engine look slow.
+func TestNoMaxSlotsFixesTheLimit(t *testing.T) {
+	require.Zero(t, resource.NewIndex(fleet(1, 0)).Upstream("engine-0000").MaxSlots)
+}
+
 func cellsOf(s *resource.Snapshot) map[string]string {
 	x := resource.NewIndex(s)
 	where := make(map[string]string)
--- a/pkg/resource/validate.go
+++ b/pkg/resource/validate.go
@@ -10,6 +10,7 @@
 	maxWeight   = 1e6
 	maxSlots    = 4096
 	maxCellSize = 4096
+	maxAhead    = 16
 	maxQueued   = 1 << 20
 	maxText     = 128
 )
@@ -100,6 +101,7 @@
 			v.add(p, "poolKind", "must be model or service")
 		}
 		v.between(p, "cellSize", float64(p.CellSize), 0, maxCellSize, "must be from 0 to 4096")
+		v.between(p, "grantAhead", float64(p.GrantAhead), 0, maxAhead, "must be from 0 to 16")
 		v.between(p, "callUnits", p.CallUnits, 0, maxWeight, "must be from 0 to 1000000")
 	}
 }
