Take out engines that are far slower than the rest of their cell

The limiter learns from work that ends, eight pieces for one decision, and there work takes 4 to 30 s; with a fixed limit nothing reacts at all. Each slot that ended was filled anew with a request that then took ten times as long.

Ruled out: reacting to the ends' step times, which come too late for the same reason, and the mean pace on an engine, which callers that read slowly would pull down.

Change: the keeper takes the progress of running work from reports. Each second it compares the fastest request of each upstream with the median of the cell's. Under a quarter of that in two windows in a row the upstream is out like a dead one and probed, if work of two organisations shows it, or the upstream is being probed. Cells with fewer than four upstreams at work compare nothing.

Its probe waits for that work to end, and its return to speed was not measured.

--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -46,6 +46,7 @@
 	expected              map[wire.RouterID]bool
 	lastNext              time.Time
 	nextSweep             time.Time
+	comparePacesAt        time.Time
 
 	// emptied is the upstream that gets no new work until emptiedFor can run there alone.
 	emptied    *upstream
--- a/pkg/keeper/report.go
+++ b/pkg/keeper/report.go
@@ -78,6 +78,7 @@
 	s.started, s.omitted = true, false
 	s.news = now
 	s.expires = time.Time{}
+	s.advance(boundCost(w.Cost), now)
 	s.cost = max(s.cost, boundCost(w.Cost))
 	k.deliver(s, s.cost)
 }
--- a/pkg/keeper/slot.go
+++ b/pkg/keeper/slot.go
@@ -26,6 +26,7 @@
 	expires time.Time // when it is freed since its router is gone; zero while it lives
 
 	cost     wire.Units // delivered, as the router reported
+	advanced time.Time  // when cost last grew
 	charged  wire.Units // of that, what stands in the organisation's counter
 	expected wire.Units // what it is expected to take yet
 }
--- a/pkg/keeper/sweep.go
+++ b/pkg/keeper/sweep.go
@@ -18,6 +18,7 @@
 	}
 	k.nextSweep = now.Add(sweepEvery)
 	k.refreshShares(now)
+	k.comparePaces(now)
 	due := make(map[key]*slot)
 	for id, s := range k.slots {
 		if s.due(&k.o, k.heard(s), now) {
--- a/pkg/keeper/upstream.go
+++ b/pkg/keeper/upstream.go
@@ -12,6 +12,7 @@
 	limiter *limit.Limiter
 	running int
 	alone   int // slots that run alone here
+	pace    pace
 	// declared says that the upstream is in the cell's configuration; others are known
 	// only by work that still runs there.
 	declared bool
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -94,6 +94,9 @@
 // Probing says that a single piece of work is tried on an upstream that was taken out.
 func (l *Limiter) Probing(now time.Time) bool { return l.health.probing(now) }
 
+// Slow takes the upstream out like a death: it runs what it has, and is probed later.
+func (l *Limiter) Slow(now time.Time) { l.health.died(now, now) }
+
 // Retry returns when an upstream that is taken out may be probed.
 func (l *Limiter) Retry(now time.Time) (at time.Time, out bool) {
 	return l.health.until, l.health.out(now)
