--- a/pkg/config/confirm.go
+++ b/pkg/config/confirm.go
@@ -26,7 +26,13 @@
 func (l *Live) Confirm(at time.Time, version uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conf.note(at, version)
+	// A router that comes back with no state doesn't know what it had in force. A peer
+	// that was cut off before the last change still passes on an older version, lately
+	// confirmed, and a key that this router refused before its restart would open it.
+	// What was the newest after the start can't be older than what was in force before.
+	if !at.Before(l.opts.Started) {
+		l.conf.note(at, version)
+	}
 	l.wakeIfBehind()
 }
 
--- a/pkg/config/live.go
+++ b/pkg/config/live.go
@@ -22,6 +22,8 @@
 type LiveOptions struct {
 	// ConfirmWithin is how long a version counts as current after it was confirmed.
 	ConfirmWithin time.Duration
+	// Started is when this router started; confirmations from before it don't count.
+	Started time.Time
 	// Reach is asked during an outage of the table; without it no outage is survived.
 	Reach Reach
 }
--- a/pkg/daemon/fx.go
+++ b/pkg/daemon/fx.go
@@ -54,7 +54,11 @@
 func newStore(t platform.Table) *config.Store { return config.NewStore(t, config.StoreOptions{}) }
 
 func newLive(s settings.Settings, r *reach) *config.Live {
-	return config.NewLive(config.LiveOptions{ConfirmWithin: s.Timing.ConfirmWithin.Std(), Reach: r})
+	return config.NewLive(config.LiveOptions{
+		ConfirmWithin: s.Timing.ConfirmWithin.Std(),
+		Started:       time.Now(),
+		Reach:         r,
+	})
 }
 
 func newExchange(s *config.Store, l *config.Live) *config.Exchange { return config.NewExchange(s, l) }
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/juju/errors"
@@ -29,10 +30,16 @@
 	Items   []resource.Document `json:"items"`
 }
 
-// newest reads the table, and during an outage what is in force here.
+// newest reads the table, and during an outage what is in force here. What it read
+// takes effect here: otherwise, were the table to go out next, an operator who asks
+// again would be shown an older version and take an accepted change for reverted.
 func (a *API) newest(ctx context.Context) (*resource.Snapshot, Source, error) {
+	sent := time.Now()
 	snap, err := a.opts.Store.Load(ctx)
 	if err == nil {
+		if snap.Version > a.opts.Live.Version() {
+			a.adopt(sent, snap)
+		}
 		return snap, SourceTable, nil
 	}
 	if snap := a.opts.Live.Snapshot(); snap != nil {
