Check slots of a dead router, and that nothing starts while cut off

Cause: the killed router of the first tests was the keeper, whose successor never knew its slots; and nothing looked at whether requests that waited at a cut-off router began to run there. Ruled out: reading it from the callers' answers, which look whole.

--- a/internal/fleettest/metrics.go
+++ b/internal/fleettest/metrics.go
@@ -78,15 +78,21 @@
 // when no request is left has leaked. All slots must be spare.
 func (f *Fleet) WaitIdle(slots int) {
 	f.t.Helper()
-	f.Eventually("all slots come free", func() error { return f.idle(slots) })
+	f.WaitIdleAt(f.All(), slots)
 }
 
-func (f *Fleet) idle(slots int) error {
+// WaitIdleAt is WaitIdle for the routers in list; the others don't run.
+func (f *Fleet) WaitIdleAt(list []int, slots int) {
+	f.t.Helper()
+	f.Eventually("all slots come free", func() error { return f.idle(list, slots) })
+}
+
+func (f *Fleet) idle(list []int, slots int) error {
 	want := []float64{0, 0, 0, float64(slots)}
 	got := make([]float64, len(want))
 	for i, name := range []string{SlotsUsed, Backlog, Waiting, SlotsSpare} {
 		var err error
-		if got[i], err = f.Sum(f.All(), name); err != nil {
+		if got[i], err = f.Sum(list, name); err != nil {
 			return err
 		}
 	}
--- a/test/fleet/config_test.go
+++ b/test/fleet/config_test.go
@@ -63,19 +63,17 @@
 		},
 		{name: "quiet again"},
 	}
-	version := uint64(0)
 	for n, r := range rounds {
-		version = runRound(t, f, n+1, r)
+		runRound(t, f, n+1, r)
 	}
-	version = measureInForce(t, f, len(rounds))
-	f.WaitInForce(version, f.All())
+	f.WaitInForce(measureInForce(t, f, len(rounds)), f.All())
 	looks, stepsBack := watch.Stop()
 	t.Logf("%d looks at versions", looks)
 	require.Empty(t, stepsBack)
 	require.Greater(t, looks, 100)
 }
 
-func runRound(t *testing.T, f *fleettest.Fleet, n int, r round) uint64 {
+func runRound(t *testing.T, f *fleettest.Fleet, n int, r round) {
 	run(r.begin)
 	written := f.Accept(0, fleettest.PutKey(n))
 	accepted := time.Now()
@@ -88,7 +86,6 @@
 	run(r.end)
 	f.WaitInForce(written.Version, f.All())
 	requireKeys(t, f, n, f.All())
-	return written.Version
 }
 
 const (
--- a/test/fleet/keeper_test.go
+++ b/test/fleet/keeper_test.go
@@ -69,3 +69,19 @@
 	require.True(t, audit.Clean(), "%v", audit.Faults)
 	f.WaitIdle(8)
 }
+
+// A router that isn't the keeper dies with requests on the engines and never comes
+// back. The keeper can't hear from it that they ended; when it is declared dead its
+// slots must come free, or each such death would take capacity away for good.
+func TestSlotsOfADeadRouterComeFree(t *testing.T) {
+	t.Parallel()
+	f, traffic, keeper := startBacklogged(t)
+	dead := (keeper + 1) % len(f.Routers)
+	f.Kill(dead)
+	traffic.WaitWhole(60)
+	audit := f.Audit(traffic.Stop().Results)
+	t.Logf("%+v", audit)
+	require.True(t, audit.Clean(), "%v", audit.Faults)
+	require.NotZero(t, audit.Excused, "the kill hit no request")
+	f.WaitIdleAt(f.But(dead), 8)
+}
--- a/test/fleet/partition_test.go
+++ b/test/fleet/partition_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
@@ -97,7 +99,12 @@
 	f.Partition(2)
 	f.WaitBasis(config.BasisNone, []int{2})
 	askRefused(t, f, []int{2}, "cut-off")
-	traffic.WaitWhole(20)
+	// What was sent to the engine before is served first by then: it takes requests in
+	// order of arrival, and at most 4 of the 10 were sent before.
+	traffic.WaitWhole(10)
+	from := time.Now()
+	traffic.WaitWhole(10)
+	to := time.Now()
 	f.Mend(2)
 	f.WaitBasis(config.BasisConfirmed, f.All())
 	f.Eventually("the rejoined router serves", func() error {
@@ -109,5 +116,19 @@
 	audit := f.Audit(traffic.Stop().Results)
 	t.Logf("%+v", audit)
 	require.True(t, audit.Clean(), "%v", audit.Faults)
+	requireNothingStarted(t, f, f.Ready.Organisations[0].Name, from, to)
 	f.WaitIdle(2)
 }
+
+// requireNothingStarted checks that no request of the organisation began to run
+// between the two moments.
+func requireNothingStarted(t *testing.T, f *fleettest.Fleet, org string, from, to time.Time) {
+	t.Helper()
+	attempts, err := load.Journals(f.Ctx, f.Current().Upstreams)
+	require.NoError(t, err)
+	for _, a := range attempts {
+		if strings.HasPrefix(a.Marker, org) {
+			require.False(t, a.Started.After(from) && a.Started.Before(to), "%s began at a router that was cut off", a.Marker)
+		}
+	}
+}
