--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/flamingowind/flamingowind/pkg/cost"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
@@ -13,9 +12,9 @@
 type machine struct {
 	owner     *Claimant
 	directory Directory
+	self      wire.RouterID
 	report    time.Duration
 	marks     func() []wire.UpstreamMark
-	costs     *cost.Predictor
 	out       outbox
 
 	lastID wire.ClaimID
@@ -30,10 +29,10 @@
 func newMachine(owner *Claimant, d Directory, o Options) *machine {
 	return &machine{
 		owner:     owner,
+		self:      o.Self,
 		directory: d,
 		report:    o.Report,
 		marks:     o.Marks,
-		costs:     cost.NewPredictor(cost.DefaultKeys),
 		lastID:    firstID(o.Incarnation),
 		claims:    make(map[wire.ClaimID]*claim),
 		cells:     make(map[wire.CellID]*cell),
@@ -50,7 +49,6 @@
 	}
 	m.totals[t.req.Org] += 0 // reports list the organisation from now on
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
-	cl.predict = m.costs.Predict(cl.key(), t.req.Hint)
 	t.claim = cl
 	m.place(now, cl, c)
 	m.send(now, cl)
--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -49,7 +49,7 @@
 	return Result{
 		Verdict: verdict.NotRun,
 		Outcome: wire.OutcomeFailed,
-		Err:     verdict.Wrap(errRefused, verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeNoUpstream, errRefused.Error()),
+		Err:     verdict.Wrap(errRefused, verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeNoUpstream, errRefused.Error()).After(retryAfter),
 	}
 }
 
@@ -109,7 +109,7 @@
 	body, err := readUpTo(resp.Body, resp.ContentLength, limit)
 	switch {
 	case err != nil:
-		return nil, broke(a.ctx, ctx, err)
+		return nil, broke(a.ctx, ctx, err, false)
 	case int64(len(body)) > limit:
 		return nil, errTooMuch
 	}
--- a/pkg/keeper/claim.go
+++ b/pkg/keeper/claim.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"math"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/fair"
@@ -9,8 +8,7 @@
 )
 
 const (
-	minPredict = 1
-	maxPredict = 1e7
+	maxCost = 1e7
 )
 
 // Claim takes in a claim, or one more copy of it. A copy of a granted claim is answered
@@ -26,7 +24,7 @@
 		return
 	}
 	if c := r.waiting[w.ID]; c != nil {
-		c.until = until(w, now)
+		k.expiry.set(c, until(w, now))
 		c.omitted = 0
 		return
 	}
@@ -34,12 +32,13 @@
 }
 
 func (k *Keeper) admit(r *router, w wire.Claim, now time.Time) {
-	w.Predict = boundPredict(w.Predict)
 	c := &claim{
 		key:   r.key(w.ID),
 		Claim: w,
 		since: now.Add(-time.Duration(w.AgeMs) * time.Millisecond),
 		until: until(w, now),
+
+		expiryAt: noExpiry,
 	}
 	if reason, refused := k.refusal(c); refused {
 		k.refuse(c.key, reason, k.retryMs(w.Org, now))
@@ -53,6 +52,7 @@
 	c.entry = &fair.Entry[*claim]{Org: c.Org, Class: c.Class, Aside: k.deaths(c) > 0, Since: c.since, Value: c}
 	r.waiting[c.id] = c
 	k.order.Push(c.entry)
+	k.expiry.set(c, c.until)
 }
 
 func (k *Keeper) refusal(c *claim) (wire.RefusalReason, bool) {
@@ -103,6 +103,7 @@
 // drop takes a waiting claim out.
 func (k *Keeper) drop(c *claim) {
 	k.order.Remove(c.entry)
+	k.expiry.remove(c)
 	if r := k.routers[c.router]; r != nil && r.incarnation == c.incarnation {
 		delete(r.waiting, c.id)
 	}
@@ -124,12 +125,3 @@
 	}
 	return now.Add(time.Duration(w.WaitMs) * time.Millisecond)
 }
-
-// boundPredict keeps a wrong prediction from moving a counter by nothing, backwards or
-// to infinity.
-func boundPredict(u wire.Units) wire.Units {
-	if math.IsNaN(u) {
-		return minPredict
-	}
-	return min(max(u, minPredict), maxPredict)
-}
--- a/pkg/load/plots.go
+++ b/pkg/load/plots.go
@@ -16,13 +16,18 @@
 	plotHeight = 14 * vg.Centimeter
 )
 
-// Plots writes service.png (service over time by organisation) and firsttoken.png
-// (distribution of first-token times) of a run to dir, with prefix before the names.
-func Plots(dir, prefix string, run Run) error {
-	if err := plotService(filepath.Join(dir, prefix+"service.png"), run); err != nil {
+// Plots writes three plots of an experiment to dir, with prefix before their names:
+// service.png (service over time by organisation), firsttoken.png (distribution of
+// first-token times) and busy.png (engine slots in use over time).
+func Plots(dir, prefix string, o Outcomes) error {
+	path := func(name string) string { return filepath.Join(dir, prefix+name+".png") }
+	if err := plotService(path("service"), o.Run); err != nil {
 		return errors.Annotate(err, "plot the service")
 	}
-	return errors.Annotate(plotFirstTokens(filepath.Join(dir, prefix+"firsttoken.png"), run), "plot first tokens")
+	if err := plotFirstTokens(path("firsttoken"), o.Run); err != nil {
+		return errors.Annotate(err, "plot first tokens")
+	}
+	return errors.Annotate(plotBusy(path("busy"), o), "plot busy slots")
 }
 
 func plotService(file string, run Run) error {
@@ -46,7 +51,7 @@
 	p := plot.New()
 	p.Title.Text = "First token, from the intended start, " + run.Scenario.Name
 	p.X.Label.Text, p.Y.Label.Text = "milliseconds", "share of requests"
-	p.Legend.Left = true
+	p.Legend.Top, p.Legend.Left = true, true
 	for i, org := range run.Orgs {
 		points := distribution(run.Results, org.Name)
 		if len(points) == 0 {
@@ -59,14 +64,16 @@
 	return p.Save(plotWidth, plotHeight, file)
 }
 
-// distribution is the cumulative distribution of an organisation's first-token times.
+// distribution is the cumulative distribution of an organisation's first-token times,
+// at each whole percentile.
 func distribution(results []Result, org string) plotter.XYs {
 	h := firstTokens(results, func(r Result) bool { return r.Org.Name == org })
+	if h.TotalCount() == 0 {
+		return nil
+	}
 	var points plotter.XYs
-	for _, b := range h.CumulativeDistribution() {
-		if h.TotalCount() > 0 {
-			points = append(points, plotter.XY{X: float64(b.ValueAt) / 1000, Y: b.Quantile / 100})
-		}
+	for percent := 0.0; percent <= 100; percent++ {
+		points = append(points, plotter.XY{X: float64(h.ValueAtQuantile(percent)) / microsPerMilli, Y: percent / 100})
 	}
 	return points
 }
