Test whole answers with real processes; give fleets ports of their own

failtest starts fleets, sends requests through pkg/load's caller and holds what callers got against the journals.

Cause found on the way: 1 of 6 fleets that start at once failed with "address in use" in each of the first two runs. Ruled out: outgoing connections (the kernel's range begins at 32768) and, by locked blocks of ports, two fleets that are handed one port; with the blocks alone a run still failed. What was left: between fork and exec a child started for another fleet holds a copy of the socket with which a port is tried, so the port stays taken for a moment after its close.

Change: a fleet takes ports from blocks that it locks by listening on their first port, and the trial of a port keeps forks out.

Conclusion: both guards are cheap and stay; more fleets can start side by side.

--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -35,7 +35,7 @@
 // Start starts the fleet of plan, seeds its configuration and waits until each
 // router has it in force. On an error everything started is stopped.
 func Start(ctx context.Context, plan Plan) (*Fleet, error) {
-	f := &Fleet{Plan: plan, ports: newPorts(), Links: make(map[string]*TCPRelay)}
+	f := &Fleet{Plan: plan, ports: new(ports), Links: make(map[string]*TCPRelay)}
 	if err := f.start(ctx); err != nil {
 		f.Stop(context.WithoutCancel(ctx))
 		return nil, errors.Annotatef(err, "start the fleet (logs in %s)", plan.Dir)
@@ -89,6 +89,7 @@
 	}
 	rest.Wait()
 	f.closeRelays()
+	f.ports.close()
 }
 
 func (f *Fleet) closeRelays() {
--- /dev/null
+++ b/internal/failtest/members.go
@@ -0,0 +1,110 @@
+package failtest
+
+import (
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/flamingowind/flamingowind/internal/devfleet"
+	"github.com/flamingowind/flamingowind/pkg/operator"
+)
+
+// Lines of a router's log that tell whether it keeps the models' cell.
+const (
+	keepsLine = "keeping cell"
+	leftLine  = "handed cell over"
+	cellField = "cell=" + devfleet.ModelPool + "/"
+)
+
+// awaitMembers waits until each router sees all routers alive.
+func (w *World) awaitMembers() {
+	w.t.Helper()
+	w.Eventually("all routers see each other", func() bool {
+		for i := range w.Routers {
+			if w.alive(i) != len(w.Routers) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// alive is the number of routers that router i sees alive.
+func (w *World) alive(i int) int {
+	w.t.Helper()
+	var s operator.Status
+	w.getJSON(w.operatorURL(i)+"/status", &s)
+	n := 0
+	for _, r := range s.Routers {
+		if r.State == "alive" {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *World) operatorURL(i int) string {
+	return "http://" + w.Routers[i].Info.Operator + "/api/v1"
+}
+
+// Keeper returns the router that keeps the models' first cell.
+func (w *World) Keeper() int {
+	w.t.Helper()
+	keeper := -1
+	w.Eventually("one router keeps the cell", func() bool {
+		n := 0
+		for i, r := range w.Routers {
+			if w.keeps(r) {
+				keeper = i
+				n++
+			}
+		}
+		return n == 1
+	})
+	return keeper
+}
+
+func (w *World) keeps(r *devfleet.Router) bool {
+	w.t.Helper()
+	data, err := os.ReadFile(r.LogFile)
+	w.must(err)
+	keeps := false
+	for line := range strings.Lines(string(data)) {
+		switch {
+		case !strings.Contains(line, cellField):
+		case strings.Contains(line, keepsLine):
+			keeps = true
+		case strings.Contains(line, leftLine):
+			keeps = false
+		}
+	}
+	return keeps
+}
+
+// Drain asks router i over the operator API to leave.
+func (w *World) Drain(i int) {
+	w.t.Helper()
+	w.postJSON(w.operatorURL(i)+"/drain", operator.DrainRequest{Router: w.Routers[i].Info.ID})
+}
+
+// Draining says that router i turns new requests away or has ended already.
+func (w *World) Draining(i int) bool {
+	resp, err := http.Get("http://" + w.Entry(i) + "/readyz")
+	if err != nil {
+		return true
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode != http.StatusOK
+}
+
+// tailBytes of each router's log are shown when a test failed.
+const tailBytes = 2 << 10
+
+func (w *World) logTails() {
+	for _, r := range w.Routers {
+		data, err := os.ReadFile(r.LogFile)
+		if err == nil {
+			w.t.Logf("end of %s's log:\n%s", r.Info.ID, data[max(0, len(data)-tailBytes):])
+		}
+	}
+}
--- /dev/null
+++ b/internal/failtest/traffic.go
@@ -0,0 +1,69 @@
+package failtest
+
+import (
+	"sync"
+
+	"github.com/flamingowind/flamingowind/pkg/load"
+)
+
+// Traffic is a number of callers that each send one request after the other.
+type Traffic struct {
+	group sync.WaitGroup
+	stop  chan struct{}
+
+	mu      sync.Mutex
+	results []load.Result
+}
+
+// Traffic starts callers that go on until Stop; next makes the requests of caller i.
+func (w *World) Traffic(callers int, next func(i int) load.Request) *Traffic {
+	t := &Traffic{stop: make(chan struct{})}
+	for i := range callers {
+		t.group.Go(func() {
+			for !t.stopped() {
+				t.keep(w.Send(next(i)))
+			}
+		})
+	}
+	return t
+}
+
+func (t *Traffic) stopped() bool {
+	select {
+	case <-t.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *Traffic) keep(r load.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = append(t.results, r)
+}
+
+// Count is the number of results so far for which is holds.
+func (t *Traffic) Count(is func(load.Result) bool) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(Filter(t.results, is))
+}
+
+// Stop ends the callers after their present requests and returns all results.
+func (t *Traffic) Stop() []load.Result {
+	close(t.stop)
+	t.group.Wait()
+	return t.results
+}
+
+// Filter returns the results for which is holds.
+func Filter(results []load.Result, is func(load.Result) bool) []load.Result {
+	var kept []load.Result
+	for _, r := range results {
+		if is(r) {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/failtest/wait.go
@@ -0,0 +1,27 @@
+package failtest
+
+import "time"
+
+const (
+	// lookEvery is the time between two looks at a condition.
+	lookEvery = 20 * time.Millisecond
+	// waitAtMost is when a condition that doesn't come fails the test.
+	waitAtMost = 45 * time.Second
+)
+
+// Eventually looks at holds until it is true; what names the condition when it
+// doesn't come.
+func (w *World) Eventually(what string, holds func() bool) {
+	w.t.Helper()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	limit := time.NewTimer(waitAtMost)
+	defer limit.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-limit.C:
+			w.t.Fatalf("didn't come about: %s", what)
+		}
+	}
+}
