Test the callers' promises through failures; tell returning routers of suspects

test/callers now covers refusals that say not run, at most once, leaving engines, graceful shutdown, a crashing request and a flood, each with real router processes.

Cause of a fault found by the crashing request: news of a content that crashes upstreams was sent once, when it came up. Ruled out: the keeper's own state, which holds no deaths of its own, and the edge's check, which reads the same list. Change: three routers of the newcomer's rendezvous order send it what they know when it becomes alive or begins a new life (daemon.catchUp); gauges quarantine_suspected and quarantine_confirmed show what each router knows.

--- a/internal/failtest/faults.go
+++ b/internal/failtest/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/flamingowind/flamingowind/internal/devfleet"
+	"github.com/flamingowind/flamingowind/pkg/operator"
 	"github.com/flamingowind/flamingowind/pkg/platform"
+	"github.com/flamingowind/flamingowind/pkg/resource"
 	"github.com/flamingowind/flamingowind/pkg/standin/engine"
 	standin "github.com/flamingowind/flamingowind/pkg/standin/platform"
 	"github.com/flamingowind/flamingowind/pkg/standin/service"
@@ -66,6 +68,22 @@
 	w.must(w.PublishHosts(w.ctx, list))
 }
 
+// DeclareLeaving changes the configuration, at router 0, so that the engine leaves.
+func (w *World) DeclareLeaving(engine string) {
+	w.t.Helper()
+	for _, u := range w.upstreams(devfleet.Engine) {
+		if u.Name != engine {
+			continue
+		}
+		r := &resource.Upstream{
+			Meta: resource.Meta{Name: u.Name}, Pool: devfleet.ModelPool, URL: "http://" + w.Links[u.Name].Addr(),
+			Zone: u.Zone, Slots: u.Slots, Resumes: true, ChecksFence: true, Leaving: true,
+		}
+		item := operator.ApplyItem{Resource: resource.Document{Resource: r}}
+		w.must(w.Apply(w.ctx, 0, operator.Apply{Put: []operator.ApplyItem{item}}))
+	}
+}
+
 func (w *World) upstreams(kind devfleet.UpstreamKind) []devfleet.UpstreamInfo {
 	var list []devfleet.UpstreamInfo
 	for _, u := range w.Ready.Upstreams {
--- a/internal/failtest/journal.go
+++ b/internal/failtest/journal.go
@@ -6,24 +6,42 @@
 	"github.com/flamingowind/flamingowind/pkg/standin/journal"
 )
 
-// Attempts reads the journals of all upstreams.
+// Attempts reads the journals of all upstreams. It waits for crashed ones to come back,
+// since a journal outlives a crash.
 func (w *World) Attempts() []load.Attempt {
 	w.t.Helper()
-	attempts, err := load.Journals(w.ctx, w.Ready.Upstreams)
-	w.must(err)
+	var attempts []load.Attempt
+	w.Eventually("journals", func() (ok bool) {
+		var err error
+		attempts, err = load.Journals(w.ctx, w.Ready.Upstreams)
+		return err == nil
+	})
 	return attempts
 }
 
+// markerOf is the caller's mark of the request that ran. It doesn't reach plain
+// services; for what may not be repeated the key is the marker.
+func markerOf(a load.Attempt) string {
+	if a.Marker != "" {
+		return a.Marker
+	}
+	return a.Key
+}
+
 // Runs is how often the request with marker ran, on any upstream.
 func (w *World) Runs(marker string) int {
 	w.t.Helper()
-	n := 0
+	return w.runs()[marker]
+}
+
+// runs counts attempts by marker.
+func (w *World) runs() map[string]int {
+	w.t.Helper()
+	runs := make(map[string]int)
 	for _, a := range w.Attempts() {
-		if a.Marker == marker {
-			n++
-		}
+		runs[markerOf(a)]++
 	}
-	return n
+	return runs
 }
 
 // Running is the number of attempts that run now.
--- a/internal/failtest/members.go
+++ b/internal/failtest/members.go
@@ -1,7 +1,6 @@
 package failtest
 
 import (
-	"net/http"
 	"os"
 	"strings"
 
@@ -13,11 +12,11 @@
 const (
 	keepsLine = "keeping cell"
 	leftLine  = "handed cell over"
-	cellField = "cell=" + devfleet.ModelPool + "/"
+	cellField = "=" + devfleet.ModelPool + "/" // between the name and = stand colour codes
 )
 
-// awaitMembers waits until each router sees all routers alive.
-func (w *World) awaitMembers() {
+// AwaitMembers waits until each router sees all routers alive.
+func (w *World) AwaitMembers() {
 	w.t.Helper()
 	w.Eventually("all routers see each other", func() bool {
 		for i := range w.Routers {
@@ -87,16 +86,6 @@
 	w.postJSON(w.operatorURL(i)+"/drain", operator.DrainRequest{Router: w.Routers[i].Info.ID})
 }
 
-// Draining says that router i turns new requests away or has ended already.
-func (w *World) Draining(i int) bool {
-	resp, err := http.Get("http://" + w.Entry(i) + "/readyz")
-	if err != nil {
-		return true
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode != http.StatusOK
-}
-
 // tailBytes of each router's log are shown when a test failed.
 const tailBytes = 2 << 10
 
@@ -108,3 +97,23 @@
 		}
 	}
 }
+
+// AwaitEnd waits until the process of router i has ended by itself.
+func (w *World) AwaitEnd(i int) {
+	w.t.Helper()
+	w.Eventually("the router has ended", func() bool {
+		select {
+		case <-w.Routers[i].Gone():
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// Return starts router i again and waits until all routers see each other.
+func (w *World) Return(i int) {
+	w.t.Helper()
+	w.must(w.Restart(w.ctx, i))
+	w.AwaitMembers()
+}
--- a/internal/failtest/traffic.go
+++ b/internal/failtest/traffic.go
@@ -2,10 +2,15 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/load"
 )
 
+// afterFailure is the time between a request that failed and the next one of the same
+// caller: refusals come at once, and would otherwise load the machine for nothing.
+const afterFailure = 100 * time.Millisecond
+
 // Traffic is a number of callers that each send one request after the other.
 type Traffic struct {
 	group sync.WaitGroup
@@ -21,7 +26,11 @@
 	for i := range callers {
 		t.group.Go(func() {
 			for !t.stopped() {
-				t.keep(w.Send(next(i)))
+				r := w.Send(next(i))
+				t.keep(r)
+				if !Whole(r) {
+					t.pause()
+				}
 			}
 		})
 	}
@@ -37,6 +46,15 @@
 	}
 }
 
+func (t *Traffic) pause() {
+	timer := time.NewTimer(afterFailure)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.stop:
+	}
+}
+
 func (t *Traffic) keep(r load.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -23,6 +23,7 @@
 	claimant  *claimant.Claimant
 	live      *config.Live
 	members   *member.Duty
+	suspects  *suspects
 	last      peer.Stats
 }
 
@@ -65,6 +66,10 @@
 	members := g.scope.SubScope("member")
 	members.Gauge("alive").Update(float64(alive))
 	members.Gauge("known").Update(float64(known))
+	suspected, confirmed := g.suspects.list.Count()
+	q := g.scope.SubScope("quarantine")
+	q.Gauge("suspected").Update(float64(suspected))
+	q.Gauge("confirmed").Update(float64(confirmed))
 	c := g.scope.SubScope("config")
 	c.Gauge("version").Update(float64(g.live.Version()))
 	if age, ok := g.live.Confirmed(now); ok {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -95,9 +95,10 @@
 	r.Duties.run(func(ctx context.Context) { r.report("idempotency records", r.Book.Run(ctx)) })
 	r.Duties.run(func(ctx context.Context) { r.report("orders to engines", r.Orders.Run(ctx)) })
 	r.Duties.run(r.watchChanges)
+	r.Duties.run(newCatchUp(r.Suspects).run)
 	g := &gauges{
 		scope: r.Metrics.Scope, transport: r.Transport, keeping: r.Keeping,
-		claimant: r.Claimant, live: r.Live, members: r.Members,
+		claimant: r.Claimant, live: r.Live, members: r.Members, suspects: r.Suspects,
 	}
 	r.Duties.run(g.run)
 }
--- a/pkg/quarantine/ledger.go
+++ b/pkg/quarantine/ledger.go
@@ -126,3 +126,15 @@
 	}
 	return all
 }
+
+func (l *ledger) count(now time.Time) (suspected, confirmed int) {
+	for _, e := range append(l.confirmed.Values(), l.suspects.Values()...) {
+		switch deaths := e.deaths(now, l.config); {
+		case deaths >= l.config.Limit:
+			confirmed++
+		case deaths > 0:
+			suspected++
+		}
+	}
+	return suspected, confirmed
+}
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -81,3 +81,10 @@
 	defer l.mu.Unlock()
 	return l.ledger.snapshot(time.Now())
 }
+
+// Count returns how many contents must run alone now and how many are refused.
+func (l *List) Count() (suspected, confirmed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.count(time.Now())
+}
--- /dev/null
+++ b/test/callers/flood_test.go
@@ -0,0 +1,68 @@
+package callers_test
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/internal/devfleet"
+	"github.com/flamingowind/flamingowind/internal/failtest"
+	"github.com/flamingowind/flamingowind/pkg/load"
+	"github.com/flamingowind/flamingowind/pkg/settings"
+)
+
+// fairPart is the least part of the flooding organisation's service that each other
+// backlogged organisation of equal weight must get; equal parts would be 1.
+const fairPart = 0.75
+
+// learnt is the number of requests after which routers predict a cost well enough for
+// equal parts; before that they charge a new organisation what they would any.
+const learnt = 400
+
+// One cooperative's broken client floods all routers over hundreds of connections,
+// many times what the engines can do. The two others keep a modest backlog; in a queue
+// by arrival they would starve behind the flood, and in a full router be turned away
+// with it. All of theirs must be served, in equal parts with the flood.
+func TestAFloodHarmsOnlyItself(t *testing.T) {
+	t.Parallel()
+	w := failtest.Start(t, func(p *devfleet.Plan) {
+		p.Adjust = func(_ int, s *settings.Settings) { s.Limits.MaxQueued = 64 }
+	})
+	flood := w.Traffic(300, func(i int) load.Request { return w.Request(load.Streamed, 0, i, 15) })
+	w.Eventually("the flood is refused", func() bool { return flood.Count(failtest.NotRun) > 300 })
+	others := w.Traffic(36, func(i int) load.Request { return w.Request(load.Streamed, 1+i%2, i/2, 15) })
+	w.Eventually("a refusal says when to come back", func() bool { return refusedWithTime(w) })
+	w.Eventually("routers know what requests cost", func() bool { return others.Count(failtest.Whole) >= learnt })
+	before := w.Tokens()
+	w.Eventually("the others are served", func() bool { return others.Count(failtest.Whole) >= learnt+600 })
+	after := w.Tokens()
+
+	served := others.Stop()
+	flooded := flood.Stop()
+	w.AllWhole(served)
+	w.Check(flooded, load.NoExcuse)
+	floods := after["org-01"] - before["org-01"]
+	for _, org := range []string{"org-02", "org-03"} {
+		require.Greater(t, float64(after[org]-before[org]), fairPart*float64(floods), org)
+	}
+	require.Less(t, medianTime(failtest.Filter(flooded, failtest.NotRun)), medianTime(served))
+}
+
+func refusedWithTime(w *failtest.World) bool {
+	r, ok := w.Ask(0, 0)
+	seconds, err := strconv.Atoi(r.RetryAfter)
+	return ok && r.Status == http.StatusTooManyRequests && err == nil && seconds >= 1
+}
+
+func medianTime(results []load.Result) time.Duration {
+	times := make([]time.Duration, len(results))
+	for i, r := range results {
+		times[i] = r.Ended.Sub(r.Sent)
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
