--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -57,6 +57,7 @@
 func start(r router) {
 	r.Members.Attach(r.Transport)
 	r.Frames.setMarked(r.Keeping.Mark)
+	r.Suspects.notify = r.Keeping.Suspected
 	r.Frames.set(
 		r.Members, r.Keeping, r.Suspects,
 		claimantFrames{r.Claimant},
--- a/pkg/daemon/suspects.go
+++ b/pkg/daemon/suspects.go
@@ -17,6 +17,8 @@
 	list      *quarantine.List
 	members   *member.Duty
 	transport *peer.Transport
+	// notify tells the keepers of news; set before the first frame comes.
+	notify func(content uint64)
 }
 
 // Check implements edge.Suspects.
@@ -52,6 +54,9 @@
 	if len(news) == 0 {
 		return
 	}
+	for _, n := range news {
+		s.notify(n.Content)
+	}
 	view := s.members.View()
 	for _, id := range view.First(string(view.Self.ID), suspicionFanout) {
 		if id != view.Self.ID {
--- a/pkg/edge/request.go
+++ b/pkg/edge/request.go
@@ -77,6 +77,7 @@
 		Org:      q.org.Name,
 		Class:    q.class,
 		Pool:     q.route.Pool,
+		Since:    q.received,
 		Hint:     min(q.hint, wire.Units(maxHint)),
 		Prefix:   q.prefix,
 		Content:  q.content,
--- a/pkg/keeping/duty.go
+++ b/pkg/keeping/duty.go
@@ -49,6 +49,8 @@
 	from  wire.RouterID
 	frame *wire.Frame
 	mark  *wire.UpstreamMark
+	// content is news of a suspect, 0 for none.
+	content uint64
 }
 
 // Duty owns the keepers of this router. Run must be running.
@@ -99,6 +101,10 @@
 // Mark tells the keepers that an upstream leaves or came back.
 func (d *Duty) Mark(m wire.UpstreamMark) { d.put(event{mark: &m}) }
 
+// Suspected tells the keepers that there is news of a content that crashes upstreams:
+// its waiting claims are refused, or run alone, at once and not when their turn comes.
+func (d *Duty) Suspected(content uint64) { d.put(event{content: content}) }
+
 // Changed says that the configuration or the membership changed.
 func (d *Duty) Changed() {
 	select {
--- a/pkg/keeping/handle.go
+++ b/pkg/keeping/handle.go
@@ -8,10 +8,24 @@
 )
 
 func (d *Duty) handle(e event, now time.Time) {
-	if e.mark != nil {
+	switch {
+	case e.mark != nil:
 		d.applyMark(*e.mark, now)
-		return
+	case e.frame != nil:
+		d.handleFrame(e, now)
+	default:
+		d.suspected(e.content)
+	}
+}
+
+func (d *Duty) suspected(content uint64) {
+	for _, k := range d.keepers {
+		k.Suspected(content)
 	}
+	d.touchAll()
+}
+
+func (d *Duty) handleFrame(e event, now time.Time) {
 	f := e.frame
 	for _, r := range f.Reports {
 		d.report(e.from, f.Life, r, now)
--- a/pkg/wire/report.go
+++ b/pkg/wire/report.go
@@ -6,8 +6,8 @@
 	Org      string  `cbor:"2,keyasint"`
 	Upstream string  `cbor:"3,keyasint"`
 	// Cost is the service so far.
-	Cost    Units `cbor:"4,keyasint,omitempty"`
-	Alone   bool  `cbor:"6,keyasint,omitempty"`
+	Cost  Units `cbor:"4,keyasint,omitempty"`
+	Alone bool  `cbor:"6,keyasint,omitempty"`
 }
 
 // OrgCounter is what one router delivered to one organisation through all other
