Share one table in memory among the tests

Cause: three packages' tests held nearly the same fake of the table, which a later change would have to meet three times. Ruled out: the stand-in's HTTP table, which brings sockets into tests with virtual time. Conclusion: one place for the table's faults in tests.

--- a/pkg/claimant/fake_test.go
+++ b/pkg/claimant/fake_test.go
@@ -233,3 +233,6 @@
 	f.cells = append(f.cells, cellB)
 	f.keepers[cellB] = "k2"
 }
+
+// pass lets fake time go by.
+func pass(d time.Duration) { <-time.After(d) }
--- a/pkg/claimant/keeper_test.go
+++ b/pkg/claimant/keeper_test.go
@@ -16,16 +16,16 @@
 	run(t, Options{}, func(t *testing.T, f *fleet) {
 		f.acquire(t.Context(), request("acme"))
 		first := f.claim("k1")
-		time.Sleep(minResend)
+		pass(minResend)
 		frame := f.take("k1")
 		check(t, len(frame.Claims) == 1 && frame.Claims[0].ID == first.ID && frame.Claims[0].AgeMs == 1000, "claims %+v", frame.Claims)
 		last := frame.Reports[len(frame.Reports)-1]
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: last.Seq, Resend: last.Waiting})
 		f.claim("k1")
-		time.Sleep(600 * time.Millisecond)
+		pass(600 * time.Millisecond)
 		reports := f.take("k1").Reports
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: reports[len(reports)-1].Seq})
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		if again := f.take("k1").Claims; len(again) != 0 {
 			t.Fatalf("confirmed claim sent again: %+v", again)
 		}
@@ -107,7 +107,7 @@
 			f.claimant.HandleRefusal("k1", wire.Refusal{ID: claim.ID, Cell: cellA, Reason: c.reason, RetryMs: 700})
 			if c.code == "" {
 				mustWait(t, done)
-				time.Sleep(600 * time.Millisecond)
+				pass(600 * time.Millisecond)
 				f.claim("k1")
 				return
 			}
@@ -140,7 +140,7 @@
 		done := f.acquire(t.Context(), request("acme"))
 		old := f.claim("k1")
 		f.addCellB()
-		time.Sleep(1100 * time.Millisecond)
+		pass(1100 * time.Millisecond)
 		probes := f.take("k2").Reports
 		check(t, len(probes) != 0, "the other cell was never asked")
 		f.take("k1")
@@ -170,13 +170,13 @@
 		f.grant("k1", f.claim("k1"), "u1", 0)
 		mustSlot(t, done).Done(wire.OutcomeServed, 5, 0, 0)
 		f.take("k1") // lost
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		reports := f.take("k1").Reports
 		check(t, len(reports) >= 5, "%d reports in 3 s", len(reports))
 		last := reports[len(reports)-1]
 		check(t, last.Full && len(last.Running) == 0, "report %+v", last)
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: last.Seq})
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		if r := f.take("k1").Reports; len(r) != 0 {
 			t.Fatalf("%d reports with nothing to say", len(r))
 		}
@@ -206,10 +206,10 @@
 		a := f.claim("k1")
 		second := f.acquire(t.Context(), request("acme"))
 		b := f.claim("k2")
-		time.Sleep(100 * time.Millisecond)
+		pass(100 * time.Millisecond)
 		f.take("k1")
 		f.acquire(t.Context(), request("new"))
-		time.Sleep(500 * time.Millisecond)
+		pass(500 * time.Millisecond)
 		orgs := f.take("k1").Reports[0].Orgs
 		check(t, slices.Equal(orgs, []wire.OrgCounter{{Org: "new"}}), "no starting point for a counter: %+v", orgs)
 		f.take("k2")
@@ -220,10 +220,10 @@
 		sa.Progress(30)
 		sa.Progress(20) // never falls
 		sb.Progress(4)
-		time.Sleep(1100 * time.Millisecond)
+		pass(1100 * time.Millisecond)
 		check(t, elsewhere(f.take("k1")) == 4, "k1 doesn't know the 4 units of k2")
 		check(t, elsewhere(f.take("k2")) == 30, "k2 doesn't know the 30 units of k1")
-		time.Sleep(5 * time.Second) // the frames above may have been lost: a full report tells it again
+		pass(5 * time.Second) // the frames above may have been lost: a full report tells it again
 		check(t, elsewhere(f.take("k1")) == 4, "no full report tells the counters again")
 	})
 }
--- a/pkg/claimant/lapse_test.go
+++ b/pkg/claimant/lapse_test.go
@@ -16,7 +16,7 @@
 	run(t, Options{}, func(t *testing.T, f *fleet) {
 		done := f.acquire(t.Context(), request("acme"))
 		old := f.claim("k1")
-		time.Sleep(ttl)
+		pass(ttl)
 		f.take("k1")
 		f.grant("k1", old, "u1", 0)
 		frame := f.take("k1")
@@ -48,7 +48,7 @@
 			run(t, Options{}, func(t *testing.T, f *fleet) {
 				done := f.acquire(t.Context(), request("acme"))
 				claim := f.claim("k1")
-				time.Sleep(10 * time.Second)
+				pass(10 * time.Second)
 				reports := f.take("k1").Reports
 				f.grant("k1", claim, "u1", c.echo(reports[len(reports)-1].Seq))
 				if c.used {
@@ -68,7 +68,7 @@
 	run(t, Options{}, func(t *testing.T, f *fleet) {
 		f.acquire(t.Context(), request("acme"))
 		claim := f.claim("k1")
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		reports := f.take("k1").Reports
 		last := reports[len(reports)-1].Seq
 		f.setKeeper(cellA, "k2")
@@ -87,7 +87,7 @@
 		claim := f.claim("k1")
 		f.grant("k1", claim, "u1", 0)
 		s := mustSlot(t, done)
-		time.Sleep(ttl + time.Millisecond)
+		pass(ttl + time.Millisecond)
 		check(t, !s.Start(), "started on a lapsed grant")
 		f.done("k1", claim.ID, wire.OutcomeUnused)
 		s.Done(wire.OutcomeUnused, 0, 0, 0)
@@ -105,7 +105,7 @@
 		f.grant("k1", f.claim("k1"), "u1", 0)
 		s := mustSlot(t, done)
 		check(t, s.Start(), "not started")
-		time.Sleep(10 * ttl)
+		pass(10 * ttl)
 		if d := f.take("k1").Dones; len(d) != 0 {
 			t.Fatalf("taken back while it runs: %+v", d)
 		}
--- a/pkg/config/history_test.go
+++ b/pkg/config/history_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 )
@@ -15,7 +16,7 @@
 // restart from the oldest change that is left would hide the ones before it.
 func TestEventsResumeOrSayGone(t *testing.T) {
 	ctx := context.Background()
-	table := newFakeTable()
+	table := memtable.New()
 	store := config.NewStore(table, config.StoreOptions{History: 4})
 	for i := range 10 {
 		mustWrite(t, store, putOrg(fmt.Sprintf("op-%d", i), "north", float64(i+1)))
@@ -34,5 +35,5 @@
 	events, err = store.Events(ctx, 10)
 	require.NoError(t, err)
 	require.Empty(t, events)
-	require.Len(t, table.rows, 1+3*4, "the head, and three rows for each version of the history")
+	require.Equal(t, 1+3*4, table.Len(), "the head, and three rows for each version of the history")
 }
--- a/pkg/config/never_reverts_test.go
+++ b/pkg/config/never_reverts_test.go
@@ -27,7 +27,7 @@
 
 // noteAccepted looks into the table: a write whose answer was lost counts too.
 func (w *world) noteAccepted() {
-	head, err := config.NewStore(&fakeTable{rows: w.table.rows}, config.StoreOptions{}).Head(context.Background())
+	head, err := config.NewStore(w.table.Copy(), config.StoreOptions{}).Head(context.Background())
 	if err != nil {
 		panic(err)
 	}
@@ -94,10 +94,10 @@
 					r.side, r.cut, r.paused = 0, false, false
 				}
 			},
-			"tableDown": func(t *rapid.T) { w.table.setDown(rapid.Bool().Draw(t, "down")) },
+			"tableDown": func(t *rapid.T) { w.table.SetDown(rapid.Bool().Draw(t, "down")) },
 			"loseAnswers": func(t *rapid.T) {
 				lose := rapid.Bool().Draw(t, "lose")
-				w.table.lose = func() bool { return lose && w.random.IntN(2) == 0 }
+				w.table.Lose(func() bool { return lose && w.random.IntN(2) == 0 })
 			},
 			"ticks": func(t *rapid.T) {
 				for range rapid.IntRange(1, 16).Draw(t, "ticks") {
@@ -118,7 +118,7 @@
 	for range 8 {
 		w.step(len(w.routers))
 	}
-	w.table.setDown(true)
+	w.table.SetDown(true)
 	for elapsed := time.Duration(0); elapsed < time.Hour; elapsed += tick {
 		w.step(len(w.routers))
 		for _, r := range w.routers {
--- a/pkg/config/poller_test.go
+++ b/pkg/config/poller_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/platform"
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -15,12 +16,12 @@
 
 // slowTable answers a read only when release is closed.
 type slowTable struct {
-	*fakeTable
+	*memtable.Table
 	release chan struct{}
 }
 
 func (t slowTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	row, err := t.fakeTable.Get(context.WithoutCancel(ctx), key)
+	row, err := t.Table.Get(context.WithoutCancel(ctx), key)
 	<-t.release
 	return row, err
 }
@@ -34,8 +35,8 @@
 // the old version would look fresh, and callers would be served by it for seconds.
 func TestPausedRouterDistrustsOldAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := slowTable{newFakeTable(), make(chan struct{})}
-		writer := config.NewStore(table.fakeTable, config.StoreOptions{})
+		table := slowTable{memtable.New(), make(chan struct{})}
+		writer := config.NewStore(table.Table, config.StoreOptions{})
 		first := mustWrite(t, writer, putOrg("a", "north", 1))
 		live := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
 		require.NoError(t, live.Adopt(time.Now(), first.Snapshot))
@@ -57,12 +58,12 @@
 // from that router: it is accepted, so callers may rely on it.
 func TestSyncerFetchesFromPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := newFakeTable()
+		table := memtable.New()
 		store := config.NewStore(table, config.StoreOptions{})
 		result := mustWrite(t, store, putOrg("a", "north", 1))
 		source := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
 		require.NoError(t, source.Adopt(time.Now(), result.Snapshot))
-		table.setDown(true)
+		table.SetDown(true)
 
 		live := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
 		behind := config.NewStore(table, config.StoreOptions{})
@@ -94,7 +95,7 @@
 // A damaged peer sends a snapshot with a fault, or under a wrong version. It must not
 // take effect, not even in part.
 func TestDataIsValidatedWhole(t *testing.T) {
-	store := config.NewStore(newFakeTable(), config.StoreOptions{})
+	store := config.NewStore(memtable.New(), config.StoreOptions{})
 	live := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
 	exchange := config.NewExchange(store, live)
 	result := mustWrite(t, store, putOrg("a", "north", 1))
@@ -119,7 +120,7 @@
 	for range warmUp {
 		w.step(1)
 	}
-	before := w.table.reads
+	before := w.table.Reads()
 	for range measured {
 		w.step(1)
 		for _, r := range w.routers {
@@ -128,7 +129,7 @@
 		}
 	}
 	seconds := (measured * tick).Seconds()
-	return float64(w.table.reads-before) / seconds, oldest
+	return float64(w.table.Reads()-before) / seconds, oldest
 }
 
 // The table gives about two thousand reads a second to all. Confirmation must cost it
--- a/pkg/config/routertable_test.go
+++ b/pkg/config/routertable_test.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/platform"
 )
 
 // routerTable is the table as one router sees it: a cut router can't reach it.
 type routerTable struct {
-	table  *fakeTable
+	table  *memtable.Table
 	router *router
 }
 
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 )
@@ -32,9 +33,9 @@
 // answer of the table is lost. An organisation that was accepted is missing later:
 // the second write was worked out from a snapshot from before the first.
 func TestRacingWritersLoseNothing(t *testing.T) {
-	table := newFakeTable()
+	table := memtable.New()
 	random := rand.New(rand.NewPCG(1, 2))
-	table.lose = func() bool { return random.IntN(3) == 0 }
+	table.Lose(func() bool { return random.IntN(3) == 0 })
 	const writers, writes = 2, 200
 	var wg sync.WaitGroup
 	for w := range writers {
@@ -60,7 +61,7 @@
 // Two operators change one organisation that both have read. Both are told that
 // their change holds: the second one overwrote the first unseen.
 func TestStaleWriteIsRefusedWithTheCurrentState(t *testing.T) {
-	store := config.NewStore(newFakeTable(), config.StoreOptions{})
+	store := config.NewStore(memtable.New(), config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
 	first, second := org("north", 2), org("north", 3)
 	first.Version, second.Version = 1, 1
@@ -77,17 +78,16 @@
 // also gives up; it sends the write again. It is told of a conflict with itself, or
 // the change is made twice.
 func TestWriteSentAgainIsRecognised(t *testing.T) {
-	table := newFakeTable()
+	table := memtable.New()
 	store := config.NewStore(table, config.StoreOptions{})
 	change := putOrg("op-1", "north", 1)
 	zero := uint64(0)
 	change.Ops[0].Expect = &zero
-	table.lose = func() bool { return true }
 	// From the lost answer on the table is out: the writer can't read back.
-	table.hook = func() { table.lose = func() bool { table.down = true; return true } }
+	table.LoseNextAndGoDown()
 	_, err := store.Write(context.Background(), change)
 	require.ErrorIs(t, err, config.ErrUndecided)
-	table.setDown(false)
+	table.SetDown(false)
 	again := mustWrite(t, store, change)
 	require.True(t, again.Replayed)
 	require.EqualValues(t, 1, again.Version)
@@ -100,13 +100,13 @@
 // The table is out before anything was sent. The operator must read "not accepted",
 // and find nothing of the change once the table is back.
 func TestOutageAcceptsNothing(t *testing.T) {
-	table := newFakeTable()
+	table := memtable.New()
 	store := config.NewStore(table, config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
-	table.setDown(true)
+	table.SetDown(true)
 	_, err := store.Write(context.Background(), putOrg("b", "south", 1))
 	require.ErrorIs(t, err, config.ErrNotAccepted)
-	table.setDown(false)
+	table.SetDown(false)
 	snap, err := store.Load(context.Background())
 	require.NoError(t, err)
 	require.EqualValues(t, 1, snap.Version)
@@ -114,7 +114,7 @@
 }
 
 func TestApplyingTwiceMakesNoVersion(t *testing.T) {
-	store := config.NewStore(newFakeTable(), config.StoreOptions{})
+	store := config.NewStore(memtable.New(), config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
 	second := mustWrite(t, store, putOrg("b", "north", 1))
 	require.EqualValues(t, 1, second.Version)
--- a/pkg/config/world_test.go
+++ b/pkg/config/world_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
@@ -26,7 +27,7 @@
 
 // world is a fleet in virtual time over one fake table.
 type world struct {
-	table   *fakeTable
+	table   *memtable.Table
 	now     time.Time
 	routers []*router
 	random  *rand.Rand
@@ -55,7 +56,7 @@
 }
 
 func newWorld(n int, seed uint64) *world {
-	w := &world{table: newFakeTable(), now: start, random: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{table: memtable.New(), now: start, random: rand.New(rand.NewPCG(seed, 1))}
 	for i := range n {
 		r := &router{world: w, index: i}
 		w.routers = append(w.routers, r)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/ctl"
 	"github.com/flamingowind/flamingowind/pkg/operator"
@@ -30,7 +31,7 @@
 // site is one router's API over a fake table, and a way to run the command on it.
 type site struct {
 	t      *testing.T
-	table  *fakeTable
+	table  *memtable.Table
 	env    map[string]string
 	server *httptest.Server
 	// intercept, when set, sees requests first and says whether it answered.
@@ -41,7 +42,7 @@
 func (s *site) Members() []wire.Member { return nil }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, table: newFakeTable()}
+	s := &site{t: t, table: memtable.New()}
 	file := filepath.Join(t.TempDir(), "token")
 	require.NoError(t, os.WriteFile(file, []byte("secret\n"), 0o600))
 	tokens, err := operator.NewTokens(file)
@@ -180,7 +181,7 @@
 
 func TestOutageIsNotAccepted(t *testing.T) {
 	s := newSite(t)
-	s.table.setDown(true)
+	s.table.SetDown(true)
 	closed := httptest.NewServer(nil)
 	closed.Close()
 	out := s.run("apply", "-f", declarations)
--- a/pkg/operator/api_test.go
+++ b/pkg/operator/api_test.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/operator"
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -28,7 +29,7 @@
 // site is one router's API over a fake table.
 type site struct {
 	t       *testing.T
-	table   *fakeTable
+	table   *memtable.Table
 	live    *config.Live
 	server  *httptest.Server
 	members []wire.Member
@@ -39,7 +40,7 @@
 func (s *site) Members() []wire.Member { return append([]wire.Member(nil), s.members...) }
 
 func newSite(t *testing.T, history uint64) *site {
-	s := &site{t: t, table: newFakeTable(), live: config.NewLive(config.LiveOptions{ConfirmWithin: time.Hour})}
+	s := &site{t: t, table: memtable.New(), live: config.NewLive(config.LiveOptions{ConfirmWithin: time.Hour})}
 	s.tokens = filepath.Join(t.TempDir(), "tokens")
 	require.NoError(t, os.WriteFile(s.tokens, []byte("# operators\n"+token+"\n"), 0o600))
 	tokens, err := operator.NewTokens(s.tokens)
@@ -124,7 +125,7 @@
 	s := newSite(t, 0)
 	put := `"put":[{"resource":{"kind":"Organisation","name":"a"}},{"resource":{"kind":"Organisation","name":"b"}}]`
 	s.do(200, "POST", "/apply", `{"dryRun":true,`+put+`}`)
-	require.Empty(t, s.table.rows, "a dry run writes nothing")
+	require.Zero(t, s.table.Len(), "a dry run writes nothing")
 	s.do(200, "POST", "/apply", `{`+put+`}`)
 	var done operator.Written
 	require.NoError(t, json.Unmarshal([]byte(s.do(200, "POST", "/apply", `{`+put+`}`)), &done))
@@ -138,13 +139,13 @@
 // operator must not read "not accepted"; sent again, the write is found to be done.
 func TestLostAnswerAndOutage(t *testing.T) {
 	s := newSite(t, 0)
-	s.table.lost = true
+	s.table.LoseNextAndGoDown()
 	f := s.refused(504, "PUT", "/organisations/north", north, operator.OperationHeader, "op-1", "If-None-Match", "*")
 	require.Equal(t, operator.CodeUndecided, f.Code)
 	require.Equal(t, "op-1", f.OpID)
 	f = s.refused(503, "PUT", "/organisations/south", `{"name":"south"}`)
 	require.Equal(t, operator.CodeNotAccepted, f.Code)
-	s.table.setDown(false)
+	s.table.SetDown(false)
 	var done operator.Written
 	again := s.do(200, "PUT", "/organisations/north", north, operator.OperationHeader, "op-1", "If-None-Match", "*")
 	require.NoError(t, json.Unmarshal([]byte(again), &done))
@@ -207,7 +208,7 @@
 	require.True(t, status.Routers[0].Confirmed)
 	require.EqualValues(t, 1, status.Newest)
 	require.Equal(t, config.BasisConfirmed, status.Basis)
-	s.table.setDown(true)
+	s.table.SetDown(true)
 	require.NoError(t, json.Unmarshal([]byte(s.do(200, "GET", "/status", "")), &status))
 	require.False(t, status.TableReadable)
 }
