Check times that contradict each other, and open three fixed limits to settings

Cause: a suspectAfter near confirmWithin lets a cut-off group count dead members as a majority while others accept a change; three limits of the callers' face could not be set. Change: settings refuse both contradictions with the line; maxBodies, idleTimeout and maxDeadline are settings with the former values. Measured: golden files show each fault by line; settings tests green with -race. Conclusion: no unsafe pair of times starts a router.

--- a/pkg/daemon/convert.go
+++ b/pkg/daemon/convert.go
@@ -24,6 +24,9 @@
 func edgeLimits(l settings.Limits) edge.Limits {
 	limits := edge.DefaultLimits()
 	limits.MaxBody = int64(l.MaxBody)
+	limits.MaxBodies = int64(l.MaxBodies)
+	limits.IdleTimeout = l.IdleTimeout.Std()
+	limits.MaxDeadline = l.MaxDeadline.Std()
 	limits.MaxHeader = int(l.MaxHeader)
 	limits.MaxConnections = l.MaxConnections
 	limits.MaxQueued = l.MaxQueued
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -102,6 +102,13 @@
 	c.positive("limits.bodyTimeout", int64(l.BodyTimeout))
 	c.positive("limits.writeTimeout", int64(l.WriteTimeout))
 	c.positive("limits.requestTimeout", int64(l.RequestTimeout))
+	c.positive("limits.idleTimeout", int64(l.IdleTimeout))
+	if l.MaxBodies < l.MaxBody {
+		c.add("limits.maxBodies", "must not be under limits.maxBody")
+	}
+	if l.MaxDeadline < l.RequestTimeout {
+		c.add("limits.maxDeadline", "must not be under limits.requestTimeout")
+	}
 	if l.RetryShare < 0 || l.RetryShare > 1 {
 		c.add("limits.retryShare", "must be from 0 to 1")
 	}
@@ -122,6 +129,12 @@
 	if t.ConfirmWithin <= t.Poll {
 		c.add("timing.confirmWithin", "must be over timing.poll")
 	}
+	// A router that can't read the table goes on with a majority of the members. One that
+	// counts members as alive for too long after they were cut off would take a minority
+	// for a majority while the others accept a change.
+	if 5*t.SuspectAfter >= 2*t.ConfirmWithin {
+		c.add("timing.suspectAfter", "must be under two fifths of timing.confirmWithin")
+	}
 }
 
 func (c *checker) sharing(s Sharing) {
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -8,12 +8,15 @@
 		Platform: Platform{Timeout: Duration(time.Second)},
 		Limits: Limits{
 			MaxBody:        1 << 20,
+			MaxBodies:      16 << 20,
 			MaxHeader:      32 << 10,
 			MaxConnections: 4096,
 			MaxQueued:      4096,
 			BodyTimeout:    Duration(10 * time.Second),
 			WriteTimeout:   Duration(20 * time.Second),
+			IdleTimeout:    Duration(2 * time.Minute),
 			RequestTimeout: Duration(60 * time.Second),
+			MaxDeadline:    Duration(15 * time.Minute),
 			RetryShare:     0.1,
 		},
 		Timing: Timing{
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -66,12 +66,15 @@
 // Limits bound what callers can make a router hold.
 type Limits struct {
 	MaxBody        Bytes    `yaml:"maxBody"`
+	MaxBodies      Bytes    `yaml:"maxBodies"` // all request bodies held at once; one organisation gets a quarter
 	MaxHeader      Bytes    `yaml:"maxHeader"`
 	MaxConnections int      `yaml:"maxConnections"`
 	MaxQueued      int      `yaml:"maxQueued"`      // waiting requests in the router, all organisations
 	BodyTimeout    Duration `yaml:"bodyTimeout"`    // a slow sender is refused after this
 	WriteTimeout   Duration `yaml:"writeTimeout"`   // a reader that takes nothing for this long is cut
+	IdleTimeout    Duration `yaml:"idleTimeout"`    // a kept-alive connection without a request is closed after this
 	RequestTimeout Duration `yaml:"requestTimeout"` // deadline of requests that give none
+	MaxDeadline    Duration `yaml:"maxDeadline"`    // largest deadline that a request may give
 	RetryShare     float64  `yaml:"retryShare"`     // the system's own retries, as a share of requests
 }
 
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -69,7 +69,8 @@
 		"contradictions": {
 			{"deadAfter: 3s", "deadAfter: 1s"}, {"mode: fleet", "mode: solo"}, {"level: info", "level: loud"},
 			{"entry: 127.0.0.1:8080      #", "entry: localhost:8080 #"}, {"cert: router.crt", "cert: missing.crt"},
-			{"retryShare: 0.1", "retryShare: 1.5"},
+			{"retryShare: 0.1", "retryShare: 1.5"}, {"maxBodies: 16MiB", "maxBodies: 1KiB"},
+			{"suspectAfter: 1500ms", "suspectAfter: 2s"}, {"maxDeadline: 15m", "maxDeadline: 1s"},
 		},
 		"wrong_shapes": {{"seeds: [127.0.0.1:8190, 127.0.0.1:8290]", "seeds: 5"}, {"maxQueued: 4096", "maxQueued: many"}},
 		"not_yaml":     {{"router:", "router: ["}},
