Keep a left-out maxSlots as a fixed limit

The index put slots in place of a left-out maxSlots, so the limiter adapted between 1 and slots, though the resource says that 0 fixes the limit: two keepers' work at once made the engine slow for moments, the limit shrank, and without load nothing made it grow again. Ruled out, with a build that counts and logs: a slot that leaked in the keeper (slots held and work counted on each upstream always agreed) and an upstream being probed. Change: the index leaves maxSlots as declared. Conclusion: declared slots are used in full; an adaptive limit needs a maxSlots.

--- a/pkg/resource/index.go
+++ b/pkg/resource/index.go
@@ -72,7 +72,6 @@
 	members := make(map[string][]*Upstream)
 	for _, u := range x.snapshot.Upstreams {
 		u.Slots = orDefault(u.Slots, DefaultSlots)
-		u.MaxSlots = orDefault(u.MaxSlots, u.Slots)
 		x.upstreams[u.Name] = &u
 		members[u.Pool] = append(members[u.Pool], &u)
 	}
