Note the head that a status reads

Cause: status read the head row without telling the router; with the table out right after, the next status showed an older newest version. Change: the head read by status is noted as a confirmation, counted from its sending. Conclusion: what an operator saw stays.

--- a/pkg/operator/api_test.go
+++ b/pkg/operator/api_test.go
@@ -220,3 +220,23 @@
 	s.do(202, "POST", "/drain", `{"router":"router-1"}`)
 	require.Equal(t, 1, s.drained)
 }
+
+// Another router accepts a change, and a status here reads its version from the table.
+// Then the table goes out. The next status must not show an older newest version:
+// an operator would take the change for lost.
+func TestStatusNeverShowsAnOlderNewestVersion(t *testing.T) {
+	s := newSite(t, 0)
+	s.do(200, "PUT", "/organisations/north", north)
+	elsewhere := config.NewStore(s.table, config.StoreOptions{})
+	org := &resource.Organisation{Meta: resource.Meta{Name: "south"}}
+	_, err := elsewhere.Write(t.Context(), config.Change{OpID: "elsewhere", Ops: []resource.Op{resource.PutOp(org)}})
+	require.NoError(t, err)
+	newest := func() uint64 {
+		var status operator.Status
+		require.NoError(t, json.Unmarshal([]byte(s.do(200, "GET", "/status", "")), &status))
+		return status.Newest
+	}
+	require.EqualValues(t, 2, newest())
+	s.table.SetDown(true)
+	require.EqualValues(t, 2, newest())
+}
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -49,7 +49,10 @@
 	if age, ok := a.opts.Live.Confirmed(now); ok {
 		s.ConfirmedMs = age.Milliseconds()
 	}
+	// The head read here is noted: without it the table could go out right after, and the
+	// next status would show an older newest version than this one did.
 	if head, err := a.opts.Store.Head(ctx); err == nil {
+		a.opts.Live.Confirm(now, head.Version)
 		s.TableReadable, s.Newest = true, max(s.Newest, head.Version)
 	}
 	a.addRouters(&s, now)
