--- a/pkg/operator/api_test.go
+++ b/pkg/operator/api_test.go
@@ -21,6 +21,7 @@
 	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/resource"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
