--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := bin
 ROUTERS ?= 8
 SCENARIO ?= tutor
+SOAK ?= 10m
+FUZZTIME ?= 5s
 PROGRAMS := flamingowindd flamingowindctl flamingowind-standin flamingowind-load
 
 .PHONY: all build demo up test lint unit failures model model-mutants measure slopes bench fuzz soak clean
@@ -49,7 +51,11 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
 
 fuzz:
-	scripts/fuzz.sh
+	GO="$(GO)" FUZZTIME=$(FUZZTIME) scripts/fuzz.sh
+
+# Kills, pauses and cuts under load for SOAK; fails when anything was lost, doubled or cut.
+soak: build
+	$(BIN)/measure -bin $(BIN) -out out/soak -scenario faults -variants fleet -duration $(SOAK)
 
 clean:
 	rm -rf $(BIN) out
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -18,6 +18,19 @@
 // reportEvery is how often tally hands its values to the reporter.
 const reportEvery = time.Second
 
+// sanitizer differs from tallyprom's in the values of labels, which may hold any text in
+// the Prometheus format. Its rule would write "_" for "-" and "." and so count the
+// organisations "north-a" and "north.a" together.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters: tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // Metrics is a daemon's root scope and the handler that serves it.
 type Metrics struct {
 	Scope   tally.Scope
@@ -38,7 +51,7 @@
 		Prefix:          "flamingowind",
 		CachedReporter:  reporter,
 		Separator:       tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitizer,
 	}, reportEvery)
 	return &Metrics{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
 }
