Make each failure test of the callers' side fail without its guard

Cause: guard-off trials on a scratch copy showed four tests that passed without their guard: the replay test sent calls that used up the warm connections, the slow table had no row written because its epoch row was unknown, the leaving test could take an engine that never got work for one that gets none any more, and the shutdown test hid cuts behind its wait for refusals.

--- a/internal/failtest/starts.go
+++ b/internal/failtest/starts.go
@@ -18,6 +18,16 @@
 	return last
 }
 
+// AwaitNewWork waits until another request begins to run on the upstream.
+func (w *World) AwaitNewWork(upstream string) {
+	w.t.Helper()
+	since := time.Now()
+	w.Eventually(upstream+" gets new work", func() bool {
+		last, _ := w.lastStarts(upstream)
+		return last.After(since)
+	})
+}
+
 // lastStarts is when the newest request began to run on the upstream and elsewhere.
 func (w *World) lastStarts(upstream string) (here, others time.Time) {
 	w.t.Helper()
--- a/internal/failtest/traffic.go
+++ b/internal/failtest/traffic.go
@@ -9,7 +9,7 @@
 
 // afterFailure is the time between a request that failed and the next one of the same
 // caller: refusals come at once, and would otherwise load the machine for nothing.
-const afterFailure = 100 * time.Millisecond
+const afterFailure = 200 * time.Millisecond
 
 // Traffic is a number of callers that each send one request after the other.
 type Traffic struct {
--- a/test/callers/at_most_once_test.go
+++ b/test/callers/at_most_once_test.go
@@ -95,6 +95,7 @@
 func TestASlowTableThatFailsNeitherDoublesNorBlocks(t *testing.T) {
 	t.Parallel()
 	w := failtest.Start(t, nil)
+	w.AllWhole(w.SendAll(w.Requests(9, load.ServiceSave, 0)...).Wait()) // all know the epoch row
 	saves := w.Requests(12, load.ServiceSave, 0)
 	for _, faults := range []platform.Faults{
 		{TableDelayMs: 1500, TableLoseAnswers: 0.5},
--- a/test/callers/leaving_test.go
+++ b/test/callers/leaving_test.go
@@ -40,6 +40,7 @@
 	}
 	for i, mark := range []func(string){w.MarkLeaving, cut((keeper + 1) % 3), cut(keeper), w.DeclareLeaving} {
 		engine := fmt.Sprintf("engine-%02d", i+1)
+		w.AwaitNewWork(engine)
 		marked := time.Now()
 		mark(engine)
 		last := w.AwaitNoNewWork(engine)
@@ -58,13 +59,14 @@
 	w := failtest.Start(t, nil)
 	traffic := crowd(w)
 	alone := w.Keeper()
+	w.AwaitNewWork("engine-01")
 	w.Isolate(alone)
 	w.Routers[alone].Platform.Cut()
 	marked := time.Now()
 	w.MarkLeaving("engine-01")
+	w.Eventually("the router refuses", func() bool { return traffic.Count(failtest.Code(verdict.CodeStale)) > 0 })
 	last := w.AwaitNoNewWork("engine-01")
 	require.Less(t, last.Sub(marked), 2*leaveWithin)
-	w.Eventually("the router refuses", func() bool { return traffic.Count(failtest.Code(verdict.CodeStale)) > 0 })
 	results := traffic.Stop()
 	for _, r := range failtest.Filter(results, failtest.Code(verdict.CodeStale)) {
 		require.Equal(t, w.Entry(alone), r.Entry)
