Hold a content back after a death until the news of it must be here

Ruled out: counting the death at the keeper too, since the same death would then be counted twice; waiting for answers of all routers. Measured: TestAResendDoesNotOvertakeTheNews fails without the hold (the claim is granted) and passes with it; keeper, dispatch, edge and limit tests green with -race. Conclusion: the bound of two deaths no longer depends on which message is faster.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -152,7 +152,7 @@
 	case errors.Is(err, errCaller):
 		r.Err = errorOf(err, verdict.NotRun)
 	default:
-		r.Outcome = wire.OutcomeDied
+		r.Outcome = wire.OutcomeUnreachable
 		r.Err = verdict.Wrap(err, verdict.NotRun, http.StatusServiceUnavailable, verdict.CodeNoUpstream, "the upstream can't be reached").After(retryAfter)
 	}
 	return r
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -126,7 +126,7 @@
 	s := q.edge.Suspects
 	switch {
 	case s == nil:
-	case res.Outcome == wire.OutcomeDied && res.Verdict != verdict.NotRun:
+	case res.Outcome == wire.OutcomeDied:
 		s.Died(res.Upstream, q.content)
 	case res.Outcome == wire.OutcomeServed:
 		s.Served(q.content)
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -30,6 +30,7 @@
 	slots     map[key]*slot
 	orgSlots  map[string]int
 	recent    recent
+	heldBack  heldBack
 	prefixes  *simplelru.LRU[uint64, *upstream]
 	drained   rate
 	mean      wire.Units // cost of settled requests
@@ -61,6 +62,7 @@
 		slots:     make(map[key]*slot),
 		orgSlots:  make(map[string]int),
 		recent:    newRecent(),
+		heldBack:  newHeldBack(),
 		prefixes:  newLRU[uint64, *upstream](maxPrefixes),
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
--- a/pkg/keeper/picker.go
+++ b/pkg/keeper/picker.go
@@ -25,6 +25,8 @@
 	switch {
 	case c.expired(p.now) || deaths >= p.k.o.MaxDeaths:
 		return true
+	case p.k.heldBack.holds(c.Content, p.now):
+		return false
 	case p.urgentOnly && !p.k.reserved(c, p.now):
 		return false
 	case deaths == 0:
--- a/pkg/keeper/suspect_test.go
+++ b/pkg/keeper/suspect_test.go
@@ -128,3 +128,22 @@
 	b.claim("q", 1, 3, "b")
 	equal(t, []wire.ClaimID{3}, grants(b.next()))
 }
+
+// Story: a suspect runs alone and its upstream dies. Its caller sends it again at another
+// router, and that claim is here before the news of the second death. Granted, it would
+// kill a third upstream. It waits until the news must have come, and is then refused.
+func TestAResendDoesNotOvertakeTheNews(t *testing.T) {
+	deaths := 1
+	b := suspectBed(t, &deaths, 2)
+	b.suspect(1)
+	out := b.next()
+	equal(t, true, out[0].Grant.Alone)
+	b.k.Done("r", 1, wire.Done{ID: 1, Upstream: out[0].Grant.Upstream, Outcome: wire.OutcomeDied, Content: poison}, b.now)
+	b.k.Claim("q", 1, wire.Claim{ID: 1, Org: "a", Content: poison}, b.now)
+	b.claim("q", 1, 2, "a")
+	equal(t, []wire.ClaimID{2}, grants(b.next()))
+	equal(t, 0, len(b.pass(500*time.Millisecond)))
+	deaths = 2
+	b.k.Suspected(poison)
+	equal(t, []wire.RefusalReason{wire.RefusedQuarantine}, refusals(b.next()))
+}
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -91,7 +91,7 @@
 // Ended takes in the end of one piece of work.
 func (l *Limiter) Ended(s Sample, now time.Time) {
 	switch s.Outcome {
-	case wire.OutcomeDied:
+	case wire.OutcomeDied, wire.OutcomeUnreachable:
 		l.health.died(s.Granted, now)
 	case wire.OutcomeFailed:
 		l.health.failed(s.Org, s.Granted, now)
--- a/pkg/wire/claim.go
+++ b/pkg/wire/claim.go
@@ -68,11 +68,12 @@
 
 // Outcomes of a granted slot.
 const (
-	OutcomeServed   Outcome = iota // a whole answer
-	OutcomeUnused                  // lapsed or not needed: nothing was sent to the upstream
-	OutcomeCanceled                // the caller went away
-	OutcomeFailed                  // the upstream answered an error, or garbage, and lives
-	OutcomeDied                    // the connection broke: the upstream may be dead
+	OutcomeServed      Outcome = iota // a whole answer
+	OutcomeUnused                     // lapsed or not needed: nothing was sent to the upstream
+	OutcomeCanceled                   // the caller went away
+	OutcomeFailed                     // the upstream answered an error, or garbage, and lives
+	OutcomeDied                       // the connection broke under the request: the upstream may be dead
+	OutcomeUnreachable                // no connection, nothing was sent: the upstream may be dead
 )
 
 // Done gives a slot back and settles its cost.
