--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,11 @@
 	FLAMINGOWIND_BIN=$(abspath $(BIN)) $(GO) test -race -count=1 -timeout 15m ./test/...
 
 model:
+	scripts/spin.sh
 	spec/run.sh
 
 model-mutants:
+	scripts/spin.sh
 	spec/mutants.sh
 
 measure: build
--- a/spec/mutants.sh
+++ b/spec/mutants.sh
@@ -1,25 +1,30 @@
 #!/bin/sh
 # Turns the guards of the models off one by one; exits non-zero when one gives no counterexample.
+# Four searches run side by side.
 cd "$(dirname "$0")" || exit 2
-failed=0
-mutant() { # MODEL safety|progress GUARD [-Dswitch ...]
+
+one() { # MODEL safety|progress GUARD [-Dswitch ...]
 	m=$1; w=$2; g=$3; shift 3
 	./pan.sh "$m" "$w" "-DOFF=$g" "$@"
-	[ $? -eq 1 ] || { echo "NOT FOUND: $m $g"; failed=1; }
+	[ $? -eq 1 ] || { echo "NOT FOUND: $m $g"; exit 1; }
 }
-for g in NO_GUARD DISPATCH_FIRST NO_OWN_ROW TAKE_PENDING OUTAGE_RUN NO_RELEASE NO_TOMBSTONE NO_REWRITE \
-	NO_SETTLE_GUARD NO_RETRY; do mutant once safety $g; done
-mutant keeping safety NO_STATE_CHECK -DREQ=1
-mutant keeping safety NO_LAPSE_START -DPROMPT=1
-mutant keeping safety NO_LAPSE_FREES -DPROMPT=1
-mutant keeping progress NO_OMIT_FREES -DREQ=1 -DTWO=0 -DKILL=0
-mutant keeping progress NO_RESEND -DREQ=1 -DTWO=0 -DKILL=0
-mutant keeping progress NO_DEAD_FREES -DREQ=1 -DFAULTS=0
-for g in NO_CONDITION UNHEARD_LOST UNHEARD_WON ADOPT_ANY FROM_ANSWER NEVER_STOP START_TRUSTING; do
-	mutant config safety $g; done
-mutant config progress NO_READ -DTICKS=0 -DFAULTS=0
-for g in NO_CONDITION SAME_NUMBER NO_LAPSE_WAIT NO_LONGEST_WAIT NO_MARGIN FROM_ANSWER NO_CHECK UNHEARD_GRANTED \
-	REVOKE_ANYWAY WITH_PAUSES; do mutant order safety $g -DENGINE=IGNORES; done
-mutant order progress NO_LOOK -DENGINE=PAUSED -DFAULTS=0
-mutant order progress NO_DECLARED -DENGINE=PAUSED -DFAULTS=0
-exit $failed
+if [ "${1:-}" = one ]; then shift; one "$@"; exit 0; fi
+
+list() {
+	for g in NO_GUARD DISPATCH_FIRST NO_OWN_ROW TAKE_PENDING OUTAGE_RUN NO_RELEASE NO_TOMBSTONE NO_REWRITE \
+		NO_SETTLE_GUARD NO_RETRY; do echo once safety $g; done
+	echo keeping safety NO_STATE_CHECK -DREQ=1
+	echo keeping safety NO_LAPSE_START -DPROMPT=1
+	echo keeping safety NO_LAPSE_FREES -DPROMPT=1
+	echo keeping progress NO_OMIT_FREES -DREQ=1 -DTWO=0 -DKILL=0
+	echo keeping progress NO_RESEND -DREQ=1 -DTWO=0 -DKILL=0
+	echo keeping progress NO_DEAD_FREES -DREQ=1 -DFAULTS=0
+	for g in NO_CONDITION UNHEARD_LOST UNHEARD_WON ADOPT_ANY FROM_ANSWER NEVER_STOP START_TRUSTING; do
+		echo config safety $g; done
+	echo config progress NO_READ -DTICKS=0 -DFAULTS=0
+	for g in NO_CONDITION SAME_NUMBER NO_LAPSE_WAIT NO_LONGEST_WAIT NO_MARGIN FROM_ANSWER NO_CHECK UNHEARD_GRANTED \
+		REVOKE_ANYWAY WITH_PAUSES; do echo order safety $g -DENGINE=IGNORES; done
+	echo order progress NO_LOOK -DENGINE=PAUSED -DFAULTS=0
+	echo order progress NO_DECLARED -DENGINE=PAUSED -DFAULTS=0
+}
+list | xargs -P 4 -L 1 ./mutants.sh one
