Make order times settings, hold orders and weights at the stand-ins, and keep a lease while the weight store refuses

Cause: tests of orders with real processes need short leases, orders and openings that wait at will, and engines of both kinds. Found on the way: a holder that waited for the weight store could pause up to half its lease between two looks at it and so let it lapse; the stand-in engine took what an order leaves out as empty, while a router means "as it is"; engines were declared to check the fencing number and started without; orders were logged past the daemon's own log. Change: timing.orderTTL, orderLongest, orderInterval and orderPatience, checked, defaults as they were; the jitter of the weight store's backoff is a quarter either way; lease rows name their router; switches holdOrders and holdWeights.

--- a/internal/devfleet/plan.go
+++ b/internal/devfleet/plan.go
@@ -23,6 +23,9 @@
 	Engines, Services int
 	// EnginesPerProcess puts several engines into one process; 0 takes 1.
 	EnginesPerProcess int
+	// Fenceless is how many engines, the first ones, follow orders with old fencing
+	// numbers; the others refuse them. Counted by process when these serve several.
+	Fenceless int
 	// Slots is the number of requests an engine, and a service, runs at once.
 	Slots int
 	// MaxSlots bounds the adaptive limit of an engine; 0 fixes the limit at Slots.
--- a/internal/devfleet/ready.go
+++ b/internal/devfleet/ready.go
@@ -53,4 +53,6 @@
 	URL   string       `json:"url"`
 	PID   int          `json:"pid"`
 	Slots int          `json:"slots"`
+	// ChecksFence says that the engine refuses orders with an old fencing number.
+	ChecksFence bool `json:"checksFence,omitempty"`
 }
--- a/internal/devfleet/seed.go
+++ b/internal/devfleet/seed.go
@@ -84,7 +84,7 @@
 func (f *Fleet) upstreamResource(u UpstreamInfo) resource.Upstream {
 	r := resource.Upstream{Meta: named(u.Name), URL: f.routedURL(u), Zone: u.Zone, Slots: u.Slots, Pool: ServicePool}
 	if u.Kind == Engine {
-		r.Pool, r.MaxSlots, r.Resumes, r.ChecksFence = ModelPool, f.Plan.MaxSlots, true, true
+		r.Pool, r.MaxSlots, r.Resumes, r.ChecksFence = ModelPool, f.Plan.MaxSlots, true, u.ChecksFence
 	}
 	return r
 }
--- a/internal/devfleet/stands.go
+++ b/internal/devfleet/stands.go
@@ -46,9 +46,11 @@
 		if err != nil {
 			return err
 		}
+		u.ChecksFence = first >= f.Plan.Fenceless
 		group = append(group, u)
 	}
 	return f.startGroup(ctx, group,
+		"-checks-fence="+strconv.FormatBool(group[0].ChecksFence),
 		"-slots", strconv.Itoa(f.Plan.Slots),
 		"-step-ms", strconv.FormatInt(f.Plan.Step.Milliseconds(), 10))
 }
--- a/pkg/daemon/fx.go
+++ b/pkg/daemon/fx.go
@@ -156,9 +156,15 @@
 	})
 }
 
-func newReconciler(c *httpplatform.Client, r *reach, l *config.Live, s settings.Settings) *order.Reconciler {
+func newReconciler(c *httpplatform.Client, r *reach, l *config.Live, s settings.Settings, lg log.Interface) *order.Reconciler {
 	return order.NewReconciler(c.Table(), c.Weights(), order.NewHTTPEngine(), r, l.Snapshot, order.Options{
-		Timeout: s.Platform.Timeout.Std(),
+		Router:       s.Router.ID,
+		TTL:          s.Timing.OrderTTL.Std(),
+		LongestOrder: s.Timing.OrderLongest.Std(),
+		Interval:     s.Timing.OrderInterval.Std(),
+		Patience:     s.Timing.OrderPatience.Std(),
+		Timeout:      s.Platform.Timeout.Std(),
+		Log:          lg,
 	})
 }
 
--- a/pkg/order/fakes_test.go
+++ b/pkg/order/fakes_test.go
@@ -84,11 +84,13 @@
 type fakeWeights struct {
 	mu    sync.Mutex
 	every time.Duration // one grant each; 0 grants always
+	takes time.Duration // until the answer
 	next  time.Time
 	asked int
 }
 
 func (w *fakeWeights) Open(context.Context, string) error {
+	<-time.After(w.takes)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asked++
--- a/pkg/order/leaserow.go
+++ b/pkg/order/leaserow.go
@@ -12,7 +12,8 @@
 // leaseRow is the value of row lease/order/<upstream>. It is never deleted, so that
 // Fence and Declared only grow.
 type leaseRow struct {
-	// Holder is unique to one grant; empty when the lease was revoked.
+	// Holder is the router and an ID unique to one grant; empty when the lease was
+	// revoked.
 	Holder string `json:"holder,omitempty"`
 	Fence  uint64 `json:"fence"`
 	// Declared is the highest configuration version an order was sent for.
--- a/pkg/order/leases.go
+++ b/pkg/order/leases.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	next := leaseRow{
-		Holder:   uuid.NewString(),
+		Holder:   l.options.Router + "/" + uuid.NewString(),
 		Fence:    max(old.Fence, r.EngineFence) + 1,
 		Declared: r.Declared,
 	}
--- a/pkg/order/options.go
+++ b/pkg/order/options.go
@@ -1,9 +1,17 @@
 package order
 
-import "time"
+import (
+	"time"
+
+	"github.com/apex/log"
+)
 
 // Options set the times of leases and reconciliation. Zero fields take the defaults.
 type Options struct {
+	// Router names this router in the lease rows, for who reads them.
+	Router string
+	// Log is told of orders; nil takes the standard logger.
+	Log log.Interface
 	// TTL is the time of a lease, Margin what its holder gives up of it and what a
 	// successor waits beyond it.
 	TTL    time.Duration
@@ -43,6 +51,9 @@
 	o.Patience = orDefault(o.Patience, DefaultPatience)
 	o.WeightsPatience = orDefault(o.WeightsPatience, DefaultWeightsPatience)
 	o.Timeout = orDefault(o.Timeout, DefaultTimeout)
+	if o.Log == nil {
+		o.Log = log.Log
+	}
 	if o.GrantsPerSecond <= 0 {
 		o.GrantsPerSecond = DefaultGrantsPerSecond
 	}
--- a/pkg/order/reconciler.go
+++ b/pkg/order/reconciler.go
@@ -161,7 +161,7 @@
 }
 
 func (r *Reconciler) logResult(t target, err error) {
-	entry := log.WithFields(log.Fields{"upstream": t.upstream.Name, "order": t.order.Name, "version": t.declared})
+	entry := r.options.Log.WithFields(log.Fields{"upstream": t.upstream.Name, "order": t.order.Name, "version": t.declared})
 	switch {
 	case err == nil:
 		entry.Info("order sent")
--- a/pkg/order/reconciler_test.go
+++ b/pkg/order/reconciler_test.go
@@ -201,3 +201,26 @@
 		require.Zero(t, f.engine.orders())
 	})
 }
+
+// The weight store refuses for minutes. A holder that lets its lease run out between
+// two questions loses its turn, and a successor has to wait for the lease to lapse.
+func TestWaitForTheWeightStoreKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines = 200 // the pauses are drawn at random
+		fleets := make([]*fleet, engines)
+		for i := range fleets {
+			fleets[i] = newFleet(false)
+			fleets[i].weights = &fakeWeights{next: time.Now().Add(time.Hour), takes: DefaultTimeout - time.Millisecond}
+			fleets[i].router(t, 0, 1, "m1")
+		}
+		<-time.After(DefaultWeightsPatience - time.Second)
+		for _, f := range fleets {
+			row, err := f.table.Get(t.Context(), leaseKey("e1"))
+			require.NoError(t, err)
+			lease, err := decodeLease(row)
+			require.NoError(t, err)
+			require.EqualValues(t, 1, lease.Fence)
+			require.NotEmpty(t, lease.Holder, "the lease was lost or given back")
+		}
+	})
+}
--- a/pkg/order/weights.go
+++ b/pkg/order/weights.go
@@ -29,7 +29,7 @@
 			return err
 		}
 		select {
-		case <-time.After(backoff/2 + rand.N(backoff)):
+		case <-time.After(backoff*3/4 + rand.N(backoff/2)):
 		case <-ctx.Done():
 			return errors.Annotate(err, "weight store")
 		}
@@ -47,6 +47,9 @@
 }
 
 // keep renews a lease of which less than half is left.
+//
+// Guard: the longest pause, 5/4 of a third of the lease, and one question must fit into
+// that half, or the lease lapses in the wait and a successor has to wait it out.
 func (r *Reconciler) keep(ctx context.Context, lease *Lease) error {
 	if lease.Remaining() > r.options.TTL/2 {
 		return nil
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 )
 
 // checker gathers problems of values that decoded well.
@@ -115,6 +116,7 @@
 }
 
 func (c *checker) timing(t Timing) {
+	c.orders(t)
 	c.positive("timing.heartbeat", int64(t.Heartbeat))
 	c.positive("timing.poll", int64(t.Poll))
 	c.positive("timing.grantTTL", int64(t.GrantTTL))
@@ -137,6 +139,19 @@
 	}
 }
 
+// minOrderTTL is three times what a lease's holder gives up of it for clocks that run
+// at different speeds.
+const minOrderTTL = Duration(3 * time.Second)
+
+func (c *checker) orders(t Timing) {
+	if t.OrderTTL < minOrderTTL {
+		c.add("timing.orderTTL", "must be at least "+minOrderTTL.Std().String())
+	}
+	c.positive("timing.orderLongest", int64(t.OrderLongest))
+	c.positive("timing.orderInterval", int64(t.OrderInterval))
+	c.positive("timing.orderPatience", int64(t.OrderPatience))
+}
+
 func (c *checker) sharing(s Sharing) {
 	c.oneOf("sharing.mode", string(s.Mode), string(SharingFleet), string(SharingAlone))
 	if s.Mode == SharingAlone && (s.Slices < 1 || s.Slice < 0 || s.Slice >= s.Slices) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -89,6 +89,10 @@
 	Report        Duration `yaml:"report"`
 	Coalesce      Duration `yaml:"coalesce"` // messages for one peer wait at most this long for each other
 	DrainLimit    Duration `yaml:"drainLimit"`
+	OrderTTL      Duration `yaml:"orderTTL"`      // a router's right to order an engine lapses after this
+	OrderLongest  Duration `yaml:"orderLongest"`  // the longest time an engine takes to follow or drop an order
+	OrderInterval Duration `yaml:"orderInterval"` // between two looks at an engine
+	OrderPatience Duration `yaml:"orderPatience"` // the second router waits so long for the first, the third twice as long
 }
 
 // SharingMode says who orders the upstreams' slots.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -71,6 +71,7 @@
 			{"entry: 127.0.0.1:8080      #", "entry: localhost:8080 #"}, {"cert: router.crt", "cert: missing.crt"},
 			{"retryShare: 0.1", "retryShare: 1.5"}, {"maxBodies: 16MiB", "maxBodies: 1KiB"},
 			{"suspectAfter: 1500ms", "suspectAfter: 2s"}, {"maxDeadline: 15m", "maxDeadline: 1s"},
+			{"orderTTL: 15s", "orderTTL: 2s"}, {"orderInterval: 5s", "orderInterval: 0s"},
 		},
 		"wrong_shapes": {{"seeds: [127.0.0.1:8190, 127.0.0.1:8290]", "seeds: 5"}, {"maxQueued: 4096", "maxQueued: many"}},
 		"not_yaml":     {{"router:", "router: ["}},
--- a/pkg/standin/engine/control.go
+++ b/pkg/standin/engine/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -14,17 +15,26 @@
 type journalAnswer struct {
 	journal.Report
 	Orders []ReceivedOrder `json:"orders,omitempty"`
+	// OrdersHeld counts the orders held so far, Looks the reads of the state.
+	OrdersHeld int    `json:"ordersHeld,omitempty"`
+	Looks      uint64 `json:"looks,omitempty"`
 }
 
 func (e *Engine) getJournal(w http.ResponseWriter, _ *http.Request) {
 	report := e.Journal()
 	e.mu.Lock()
-	received := append([]ReceivedOrder(nil), e.orders.received...)
+	answer := journalAnswer{
+		Report: report, Orders: slices.Clone(e.orders.received),
+		OrdersHeld: e.orders.held, Looks: e.orders.looks,
+	}
 	e.mu.Unlock()
-	reply.JSON(w, http.StatusOK, journalAnswer{report, received})
+	reply.JSON(w, http.StatusOK, answer)
 }
 
 func (e *Engine) getState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.orders.looks++
+	e.mu.Unlock()
 	reply.JSON(w, http.StatusOK, e.state())
 }
 
@@ -39,6 +49,7 @@
 	if !reply.Decode(w, r, &order) {
 		return
 	}
+	e.holdOrder(order)
 	if err := e.openWeights(r, order); err != nil {
 		reply.Error(w, http.StatusServiceUnavailable, "weight store: "+err.Error())
 		return
@@ -50,6 +61,22 @@
 	reply.JSON(w, http.StatusOK, e.state())
 }
 
+// holdOrder returns when no switch holds the order any more.
+func (e *Engine) holdOrder(order Order) {
+	for counted := false; ; counted = true {
+		e.mu.Lock()
+		held, changed := e.faults.HoldOrders != "" && e.faults.HoldOrders == order.Model, e.faultsSet
+		if held && !counted {
+			e.orders.held++
+		}
+		e.mu.Unlock()
+		if !held {
+			return
+		}
+		<-changed
+	}
+}
+
 // openWeights asks the weight store when the order needs a load and will be taken.
 func (e *Engine) openWeights(r *http.Request, order Order) error {
 	e.mu.Lock()
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -27,6 +27,7 @@
 
 	mu        sync.Mutex
 	faults    Faults
+	faultsSet chan struct{} // closed when the faults are replaced
 	attempts  map[string]*attempt
 	waiting   []*attempt
 	running   []*attempt
@@ -42,9 +43,10 @@
 // New returns an idle engine.
 func New(options Options) *Engine {
 	e := &Engine{
-		options:  options.withDefaults(),
-		wakeup:   make(chan struct{}, 1),
-		attempts: make(map[string]*attempt),
+		options:   options.withDefaults(),
+		wakeup:    make(chan struct{}, 1),
+		attempts:  make(map[string]*attempt),
+		faultsSet: make(chan struct{}),
 	}
 	e.cache = newPrefixCache(&e.events)
 	e.orders = orders{checksFence: options.ChecksFence, state: State{Name: options.Name}}
@@ -57,6 +59,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	close(e.faultsSet)
+	e.faultsSet = make(chan struct{})
 }
 
 // Journal returns all attempts that ran.
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -37,6 +37,10 @@
 	ResumeGraceMs int `json:"resumeGraceMs"`
 	// LoadLagMs is the least age of the load report, in milliseconds; 0: 500.
 	LoadLagMs int `json:"loadLagMs"`
+	// HoldOrders is the model whose orders are held, as by a slow network: nothing of
+	// them is looked at until the switches are set anew, and they don't end with their
+	// sender's connection. Empty: none.
+	HoldOrders string `json:"holdOrders"`
 }
 
 // Check names a value that is out of range.
--- a/pkg/standin/engine/orders.go
+++ b/pkg/standin/engine/orders.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // maxOrders bounds the kept orders.
 const maxOrders = 4096
@@ -41,12 +44,26 @@
 	highest     uint64
 	state       State
 	received    []ReceivedOrder
+	held        int
+	looks       uint64
 }
 
 func (o *orders) isOld(order Order) bool { return o.checksFence && order.Fence < o.highest }
 
 func (o *orders) isLoaded(order Order) bool {
-	return o.state.Model == order.Model && o.state.Adapter == order.Adapter && o.state.Revision == order.Revision
+	next := o.after(order)
+	return o.state.Model == next.Model && o.state.Adapter == next.Adapter && o.state.Revision == next.Revision
+}
+
+// after returns the state that follows the order. What it leaves out stays.
+func (o *orders) after(order Order) State {
+	return State{
+		Name: o.state.Name, Fence: order.Fence, OrderID: order.ID,
+		Model:    cmp.Or(order.Model, o.state.Model),
+		Adapter:  cmp.Or(order.Adapter, o.state.Adapter),
+		Revision: cmp.Or(order.Revision, o.state.Revision),
+		Role:     cmp.Or(order.Role, o.state.Role),
+	}
 }
 
 // apply takes the order, or reports false when its fencing number is old.
@@ -59,10 +76,7 @@
 		return false
 	}
 	o.highest = max(o.highest, order.Fence)
-	o.state = State{
-		Name: o.state.Name, Fence: order.Fence, OrderID: order.ID,
-		Model: order.Model, Adapter: order.Adapter, Revision: order.Revision, Role: order.Role,
-	}
+	o.state = o.after(order)
 	return true
 }
 
--- a/pkg/standin/platform/faults.go
+++ b/pkg/standin/platform/faults.go
@@ -22,6 +22,8 @@
 	HostsLagMs int `json:"hostsLagMs"`
 	// HostsDown refuses the host list.
 	HostsDown bool `json:"hostsDown"`
+	// HoldWeights holds each opening of weights until the switches are set anew.
+	HoldWeights bool `json:"holdWeights"`
 	// WeightsPerSecond, WritesPerSecond and ReadsPerSecond are rate limits; 0: none.
 	WeightsPerSecond float64 `json:"weightsPerSecond"`
 	WritesPerSecond  float64 `json:"writesPerSecond"`
--- a/pkg/standin/platform/server.go
+++ b/pkg/standin/platform/server.go
@@ -18,23 +18,26 @@
 
 // Server is the stand-in's state.
 type Server struct {
-	mu      sync.Mutex
-	faults  Faults
-	limits  limits
-	stats   Stats
-	rows    *rows
-	objects map[string][]byte
-	hosts   hostHistory
-	random  *rand.Rand
+	mu     sync.Mutex
+	faults Faults
+	// faultsSet is closed when the faults are replaced.
+	faultsSet chan struct{}
+	limits    limits
+	stats     Stats
+	rows      *rows
+	objects   map[string][]byte
+	hosts     hostHistory
+	random    *rand.Rand
 }
 
 // New returns an empty platform without failures.
 func New() *Server {
 	return &Server{
-		limits:  newLimits(Faults{}),
-		rows:    newRows(),
-		objects: make(map[string][]byte),
-		random:  rand.New(rand.NewPCG(lossSeed, lossSeed)),
+		limits:    newLimits(Faults{}),
+		rows:      newRows(),
+		objects:   make(map[string][]byte),
+		faultsSet: make(chan struct{}),
+		random:    rand.New(rand.NewPCG(lossSeed, lossSeed)),
 	}
 }
 
@@ -61,6 +64,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	close(s.faultsSet)
+	s.faultsSet = make(chan struct{})
 	s.limits = newLimits(f)
 }
 
--- a/pkg/standin/platform/services.go
+++ b/pkg/standin/platform/services.go
@@ -74,6 +74,7 @@
 }
 
 func (s *Server) openWeights(w http.ResponseWriter, _ *http.Request) {
+	s.holdWeights()
 	if !s.allowWeights() {
 		reply.Error(w, http.StatusTooManyRequests, "rate limit of the weight store")
 		return
@@ -81,11 +82,28 @@
 	reply.JSON(w, http.StatusOK, struct{}{})
 }
 
+// holdWeights returns when no switch holds the opening any more.
+func (s *Server) holdWeights() {
+	for counted := false; ; counted = true {
+		s.mu.Lock()
+		held, changed := s.faults.HoldWeights, s.faultsSet
+		if held && !counted {
+			s.stats.WeightsHeld++
+		}
+		s.mu.Unlock()
+		if !held {
+			return
+		}
+		<-changed
+	}
+}
+
 func (s *Server) allowWeights() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.limits.weights.AllowN(time.Now(), 1) {
 		s.stats.Refusals++
+		s.stats.WeightRefusals++
 		return false
 	}
 	s.stats.WeightOpens++
--- a/pkg/standin/platform/stats.go
+++ b/pkg/standin/platform/stats.go
@@ -13,4 +13,7 @@
 	LostAnswers uint64 `json:"lostAnswers"`
 	// WeightOpens are granted openings of weight files.
 	WeightOpens uint64 `json:"weightOpens"`
+	// WeightRefusals are those refused by their rate, WeightsHeld those held so far.
+	WeightRefusals uint64 `json:"weightRefusals"`
+	WeightsHeld    uint64 `json:"weightsHeld"`
 }
