--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// maxFleets bounds the fleets that run at once: each has up to a dozen processes.
+	// maxFleets bounds the fleets that run at once, unless AtMost sets a lower number:
+	// each has up to a dozen processes.
 	maxFleets = 3
 	// startWithin bounds the start of a fleet on a busy machine.
 	startWithin = 60 * time.Second
@@ -22,6 +23,9 @@
 
 var fleets = make(chan struct{}, maxFleets)
 
+// AtMost bounds the fleets that run at once; to be called before Main.
+func AtMost(n int) { fleets = make(chan struct{}, min(n, maxFleets)) }
+
 // Fleet is a running fleet that ends with its test.
 type Fleet struct {
 	*devfleet.Fleet
