Read the host list at scattered moments

Cause: each router waited exactly routers x poll between two reads, so routers that started together read together for ever: in virtual time nine routers made 62 reads a minute at 13 moments, and a leaving mark could wait a whole round (8 s with 8 routers, a minute with 60 or more) while the engine still got work. Ruled out: two fixed readers each poll, as for the configuration; that doubles the reads which TestHostListReadsDoNotGrowWithTheFleet bounds, and needs a substitute when both are cut off from the list. Change: the wait is drawn from half to one and a half of the same mean. Result: the new test was red before (62 reads, 13 moments) and passed 30 times; go test -race ./pkg/member green.

--- a/pkg/member/duty_test.go
+++ b/pkg/member/duty_test.go
@@ -68,14 +68,26 @@
 	}
 }
 
-// hostReads counts reads of the host list.
-type hostReads struct{ n atomic.Int64 }
+// hostReads counts reads of the host list, and notes the moments at which there were some.
+type hostReads struct {
+	n       atomic.Int64
+	moments sync.Map
+}
 
 func (h *hostReads) Hosts(context.Context) (platform.HostList, error) {
 	h.n.Add(1)
+	h.moments.Store(time.Now(), true)
 	return platform.HostList{}, nil
 }
 
+func (h *hostReads) differentMoments() (n int) {
+	h.moments.Range(func(any, any) bool {
+		n++
+		return true
+	})
+	return n
+}
+
 // start runs a duty until ctx ends.
 func (n *network) start(ctx context.Context, wg *sync.WaitGroup, id wire.RouterID, v *versions, h platform.Hosts) *Duty {
 	d := NewDuty(Config{
@@ -187,3 +199,15 @@
 		})
 	}
 }
+
+// All routers start at once, as after an outage, and an engine leaves. Were all to read
+// the host list at the same moments, nobody would see the mark for a whole round, and the
+// engine would get work until its host goes away.
+func TestRoutersThatStartTogetherReadTheHostListApart(t *testing.T) {
+	inFleet(t, 9, func(t *testing.T, _ []*Duty, _ []*versions, reads *hostReads) {
+		read, moments := reads.n.Load(), reads.differentMoments()
+		minute := time.NewTimer(time.Minute)
+		<-minute.C
+		require.EqualValues(t, reads.n.Load()-read, reads.differentMoments()-moments)
+	})
+}
--- a/pkg/member/poll.go
+++ b/pkg/member/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	for {
 		d.readHosts(ctx)
 		alive, _ := d.View().Reachable()
-		timer := time.NewTimer(min(time.Duration(alive)*d.poll, maxPoll))
+		timer := time.NewTimer(scattered(min(time.Duration(alive)*d.poll, maxPoll)))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -24,6 +25,13 @@
 	}
 }
 
+// scattered draws a time around mean, from half of it to one and a half.
+//
+// Guard: routers that started together would read the list at the same moments for ever,
+// and between them nobody. News of a leaving upstream would wait for a whole round, which
+// is a minute in a large fleet, and its host would get work that it then cuts.
+func scattered(mean time.Duration) time.Duration { return mean/2 + rand.N(mean) }
+
 func (d *Duty) readHosts(ctx context.Context) {
 	list, err := d.hosts.Hosts(ctx)
 	if err != nil {
