--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -33,6 +33,7 @@
 	heldBack  heldBack
 	prefixes  *simplelru.LRU[uint64, *upstream]
 	drained   rate
+	headroom  headroom
 	mean      wire.Units // cost of settled requests
 	outbox    []Out
 
@@ -67,6 +68,7 @@
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
 		mean:      firstMean,
+		headroom:  headroom{claimed: make(map[string]time.Time)},
 	}
 	for _, id := range alive {
 		k.expected[id] = true
@@ -90,7 +92,8 @@
 // Slots returns the number of slots in use.
 func (k *Keeper) Slots() int { return len(k.slots) }
 
-// Spare returns the number of free slots, without those granted ahead or in reserve.
+// Spare returns the number of free slots, without those granted ahead or in reserve. The
+// headroom counts: most organisations may use it.
 func (k *Keeper) Spare(now time.Time) int {
 	if k.settling || k.leaving {
 		return 0
