List known running slots by number, and counters in turn

Cause: a report named organisation and upstream of each running request every half second, and every full report listed the counters of all organisations that the router had ever served, for each cell.

Ruled out: a numbering of names by configuration version, which two versions in force at once would make ambiguous; slower reports for all cells, which lets the counters lag where the order matters.

Change: a slot that an answered report named is listed as offset and cost. Units are written in the fewest bytes that hold them exactly. Where nothing waits the interval of reports is two. Slots without progress are listed too: left out, a prompt that takes an engine over four seconds before its first token counted as lost at the keeper.

--- a/pkg/claimant/cell.go
+++ b/pkg/claimant/cell.go
@@ -19,11 +19,11 @@
 	running     map[wire.ClaimID]*slot
 
 	// delivered is this router's service through the cell; virtual the largest
-	// counter seen in grants; told what the keeper was last told. Organisations are
+	// counter seen in grants; told the service elsewhere that the keeper was last told. Organisations are
 	// declared, so these maps are bounded.
 	delivered map[string]wire.Units
 	virtual   map[string]wire.Units
-	told      map[string]wire.OrgCounter
+	told      map[string]wire.Units
 
 	reports  reportLog
 	reportAt time.Time
@@ -34,6 +34,8 @@
 	// in the cell no other report would free what the keeper holds.
 	owesFull bool
 	fullSeq  uint64 // newest full report since owesFull was set; 0 for none
+	answered uint64 // newest report that the present keeper has answered
+	nextOrg  int    // the organisation from which the next full report lists counters
 
 	// draw orders the cells of which nothing is known, differently at each router.
 	draw uint64
@@ -52,7 +54,7 @@
 		running:     make(map[wire.ClaimID]*slot),
 		delivered:   make(map[string]wire.Units),
 		virtual:     make(map[string]wire.Units),
-		told:        make(map[string]wire.OrgCounter),
+		told:        make(map[string]wire.Units),
 	}
 }
 
@@ -71,6 +73,13 @@
 	c.unconfirmed[cl.id] = cl
 }
 
+// hasten brings the next report forward to at.
+func (c *cell) hasten(at time.Time) {
+	if c.reportAt.After(at) {
+		c.reportAt = at
+	}
+}
+
 func (c *cell) remove(cl *claim) {
 	c.waiting.Remove(cl.place)
 	delete(c.unconfirmed, cl.id)
@@ -80,6 +89,7 @@
 func (c *cell) newKeeper(k wire.RouterID) {
 	c.keeper = k
 	c.needFull = true
+	c.answered = 0
 	c.spare, c.backlog, c.stateAt = 0, 0, time.Time{}
 	clear(c.told)
 	for e := c.waiting.Front(); e != nil; e = e.Next() {
@@ -89,6 +99,6 @@
 		c.unconfirmed[cl.id] = cl
 	}
 	for _, s := range c.running {
-		s.listed = false
+		s.listed = 0
 	}
 }
--- a/pkg/claimant/claimant.go
+++ b/pkg/claimant/claimant.go
@@ -24,6 +24,8 @@
 	gate      *gate
 	draining  atomic.Bool
 	lost      atomic.Uint64
+	claims    atomic.Uint64
+	own       atomic.Uint64
 
 	calls    chan event // from callers
 	messages chan event // from keepers
@@ -143,5 +145,8 @@
 	return c.gate.total.waiting
 }
 
+// Claims counts the copies of claims sent, and those of them to this router's own cells.
+func (c *Claimant) Claims() (all, own uint64) { return c.claims.Load(), c.own.Load() }
+
 // Lost is the number of keepers' messages dropped because the duty was behind.
 func (c *Claimant) Lost() uint64 { return c.lost.Load() }
--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -24,6 +24,7 @@
 	cells map[wire.CellID]*cell
 	// totals is the service delivered to each organisation through all cells.
 	totals map[string]wire.Units
+	orgs   []string // the organisations in totals, the first served first
 }
 
 func newMachine(owner *Claimant, d Directory, o Options) *machine {
@@ -47,13 +48,22 @@
 		t.resolve(answer{err: noUpstream(unknownRetry)})
 		return
 	}
-	m.totals[t.req.Org] += 0 // reports list the organisation from now on
+	m.know(t.req.Org)
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
 	t.claim = cl
 	m.place(now, cl, c)
 	m.send(now, cl)
 }
 
+// know makes reports list an organisation from now on.
+func (m *machine) know(org string) {
+	if _, ok := m.totals[org]; ok {
+		return
+	}
+	m.totals[org] = 0
+	m.orgs = append(m.orgs, org)
+}
+
 // leave takes back the claim of a caller that has gone.
 func (m *machine) leave(t *ticket) {
 	cl := t.claim
@@ -73,6 +83,7 @@
 	cl.resend = 0
 	m.claims[cl.id] = cl
 	c.add(cl, now)
+	c.hasten(now.Add(m.report))
 }
 
 // send sends a copy of a claim to the keeper of its cell.
@@ -88,6 +99,10 @@
 	}
 	f := m.out.to(c.keeper)
 	f.Claims = append(f.Claims, cl.message(now))
+	m.owner.claims.Add(1)
+	if c.keeper == m.self {
+		m.owner.own.Add(1)
+	}
 }
 
 // drop forgets a claim here.
--- a/pkg/claimant/report.go
+++ b/pkg/claimant/report.go
@@ -23,13 +23,13 @@
 func (m *machine) sendReport(now time.Time, c *cell) {
 	full := c.fullDue()
 	r := wire.Report{Cell: c.id, Seq: c.reports.next(c.keeper, now), Full: full}
-	r.Running = m.running(c, full)
+	m.listRunning(c, &r)
 	r.Waiting = waiting(c, full, r.Seq)
-	r.Orgs = m.counters(c, full)
+	r.Orgs = m.counters(c, full, c.needFull)
 	if m.marks != nil {
 		r.Down = m.marks()
 	}
-	c.reportAt = now.Add(m.report)
+	c.reportAt = now.Add(m.pace(c))
 	c.partial++
 	if full {
 		c.partial = 0
@@ -42,22 +42,17 @@
 	f.Reports = append(f.Reports, r)
 }
 
-// running lists the slots in use; in a partial report those that changed.
-func (m *machine) running(c *cell, full bool) []wire.Running {
-	var list []wire.Running
-	for _, s := range c.running {
-		service := s.service()
-		m.count(s, service)
-		if !full && s.listed && service == s.told {
-			continue
-		}
-		s.told, s.listed = service, true
-		list = append(list, wire.Running{
-			ID: s.id, Org: s.org, Upstream: s.upstream,
-			Cost: service, Alone: s.alone,
-		})
+// quietPace is the time between two reports for a quiet cell, in report intervals. A
+// slot stays known at the keeper for more than twice as long, see keeper.Options.Silent.
+const quietPace = 2
+
+// pace is the time to the next report. Where nothing waits, the order of organisations
+// decides nothing, and what they have been served may be known a little later.
+func (m *machine) pace(c *cell) time.Duration {
+	if c.backlog == 0 && c.waiting.Len() == 0 && !c.owesFull && c.answered > 0 {
+		return quietPace * m.report
 	}
-	return list
+	return m.report
 }
 
 // waiting lists the claims; in a partial report those not confirmed yet.
@@ -80,22 +75,6 @@
 	return list
 }
 
-// counters lists the counters; in a partial report those that the keeper hasn't been
-// told. A lost partial report is made good by the next full one. A counter of 0 is listed
-// too: the keeper charges what a counter grows by after the first value it saw.
-func (m *machine) counters(c *cell, full bool) []wire.OrgCounter {
-	var list []wire.OrgCounter
-	for org, total := range m.totals {
-		o := wire.OrgCounter{Org: org, Elsewhere: total - c.delivered[org], Virtual: c.virtual[org]}
-		if o == c.told[org] && !full {
-			continue
-		}
-		c.told[org] = o
-		list = append(list, o)
-	}
-	return list
-}
-
 // count adds a slot's service to the counters, up to what it has delivered so far.
 func (m *machine) count(s *slot, service wire.Units) {
 	fresh := service - s.counted
@@ -117,6 +96,10 @@
 		return
 	}
 	c.spare, c.backlog, c.stateAt = st.Spare, st.Backlog, now
+	c.answered = max(c.answered, st.Seq)
+	if st.Unknown {
+		c.needFull, c.reportAt = true, now
+	}
 	if c.fullSeq != 0 && st.Seq >= c.fullSeq {
 		c.owesFull = false
 	}
--- a/pkg/claimant/slot.go
+++ b/pkg/claimant/slot.go
@@ -28,7 +28,7 @@
 
 	counted wire.Units // part of the service that the counters hold
 	told    wire.Units // service in the last report
-	listed  bool       // in a report since the keeper changed
+	listed  uint64     // first report since the keeper changed that listed it whole; 0 for none
 }
 
 // Upstream implements sched.Slot.
--- a/pkg/keeper/report.go
+++ b/pkg/keeper/report.go
@@ -13,6 +13,7 @@
 	if r != nil && w.Seq > r.seq {
 		r.seq = w.Seq
 		state.Resend = k.learn(r, &w, now)
+		state.Unknown = k.progress(r, &w, now)
 	}
 	state.Spare = uint32(k.Spare(now))
 	state.Backlog = uint32(k.Backlog())
@@ -73,10 +74,34 @@
 		k.vacate(s)
 		k.occupy(s, k.upstream(w.Upstream))
 	}
+	k.runs(s, w.Cost, now)
+}
+
+// progress takes in the slots that are listed without organisation and upstream, and
+// reports whether one of them isn't known here.
+//
+// The failure it guards against: the keeping of a cell goes away and comes back without
+// the router's noticing. The router goes on as if its slots were known; the new keeper
+// knows none, takes the upstreams for free and fills them twice. Asked for a Full
+// report, the router lists all slots whole within a round trip.
+func (k *Keeper) progress(r *router, w *wire.Report, now time.Time) (unknown bool) {
+	for _, p := range w.Progress {
+		id := w.Base + wire.ClaimID(p.Offset)
+		if s := r.slots[id]; s != nil {
+			k.runs(s, p.Cost, now)
+			continue
+		}
+		unknown = unknown || !k.recent.final(r.key(id))
+	}
+	return unknown
+}
+
+// runs notes that a slot is in use and what it has delivered.
+func (k *Keeper) runs(s *slot, cost wire.Units, now time.Time) {
 	s.started, s.omitted = true, false
 	s.news = now
 	s.expires = time.Time{}
-	s.cost = max(s.cost, boundCost(w.Cost))
+	s.cost = max(s.cost, boundCost(cost))
 	k.deliver(s, s.cost)
 }
 
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -51,9 +51,21 @@
 	return m
 }
 
+// encMode writes a number of units in the fewest bytes that hold it exactly: counts of
+// tokens are whole numbers, and take 3 or 5 bytes in place of 9.
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Encode returns the frame's bytes.
 func Encode(f *Frame) ([]byte, error) {
-	b, err := cbor.Marshal(f)
+	b, err := encMode.Marshal(f)
 	if err != nil {
 		return nil, errors.Annotate(err, "encode frame")
 	}
--- a/pkg/wire/report.go
+++ b/pkg/wire/report.go
@@ -6,8 +6,17 @@
 	Org      string  `cbor:"2,keyasint"`
 	Upstream string  `cbor:"3,keyasint"`
 	// Cost is the service so far.
-	Cost    Units `cbor:"4,keyasint,omitempty"`
-	Alone   bool  `cbor:"6,keyasint,omitempty"`
+	Cost  Units `cbor:"4,keyasint,omitempty"`
+	Alone bool  `cbor:"6,keyasint,omitempty"`
+}
+
+// Progress is the service so far of a slot that an answered report listed whole: its
+// organisation and upstream are known to the keeper and would be most of the bytes.
+type Progress struct {
+	_ struct{} `cbor:",toarray"`
+	// Offset added to Report.Base gives the claim's ID.
+	Offset uint64
+	Cost   Units
 }
 
 // OrgCounter is what one router delivered to one organisation through all other
@@ -29,10 +38,13 @@
 	// Seq grows with each report of one incarnation for one cell; an older one is ignored.
 	Seq uint64 `cbor:"2,keyasint"`
 	// Full says that Running and Waiting are complete.
-	Full    bool         `cbor:"3,keyasint,omitempty"`
-	Running []Running    `cbor:"4,keyasint,omitempty"`
-	Waiting []ClaimID    `cbor:"5,keyasint,omitempty"` // claims the router still wants
-	Orgs    []OrgCounter `cbor:"6,keyasint,omitempty"`
+	Full    bool      `cbor:"3,keyasint,omitempty"`
+	Running []Running `cbor:"4,keyasint,omitempty"`
+	// Progress lists slots in use that the keeper knows; never set in a Full report.
+	Progress []Progress   `cbor:"8,keyasint,omitempty"`
+	Base     ClaimID      `cbor:"9,keyasint,omitempty"`
+	Waiting  []ClaimID    `cbor:"5,keyasint,omitempty"` // claims the router still wants
+	Orgs     []OrgCounter `cbor:"6,keyasint,omitempty"`
 	// Leaving is the newest mark of leaving upstreams the router knows.
 	Down []UpstreamMark `cbor:"7,keyasint,omitempty"`
 }
@@ -54,4 +66,7 @@
 	Backlog uint32 `cbor:"4,keyasint,omitempty"`
 	// Resend lists claims in Report.Waiting that the keeper doesn't know: send them again.
 	Resend []ClaimID `cbor:"5,keyasint,omitempty"`
+	// Unknown says that Report.Progress named a slot that the keeper doesn't know: it
+	// needs a Full report.
+	Unknown bool `cbor:"6,keyasint,omitempty"`
 }
