Measure the steering of callers: own claims, cell size, followed entries

Cause: claims to own cells cost nothing on the wire, but no figure told how many there are, and with more keepers than an answer holds addresses /v1/entries named the same eight to every organisation.

Ruled out: steering with fewer than four cells, where a model's callers would meet at one router.

--- a/pkg/daemon/entries.go
+++ b/pkg/daemon/entries.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/member"
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -30,7 +32,7 @@
 // rendezvous hashing, so that one organisation's callers meet at the same ones.
 func (e *entries) For(org, model string) ([]string, time.Duration) {
 	view := e.members.View()
-	order := append(e.keepers(view, model), view.First(org, maxEntries)...)
+	order := append(turned(org, e.keepers(view, model)), view.First(org, maxEntries)...)
 	var addrs []string
 	for _, id := range order {
 		m, ok := view.Member(id)
@@ -42,6 +44,17 @@
 	return addrs[:min(len(addrs), maxEntries)], keepEntries
 }
 
+// turned starts a list of keepers at another place for each organisation. A model of
+// many cells has more keepers than an answer holds addresses: always told the same ones,
+// its callers would never come to the others, whose claims then cross the wire.
+func turned(org string, keepers []wire.RouterID) []wire.RouterID {
+	if len(keepers) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(org) % uint64(len(keepers)))
+	return append(slices.Clone(keepers[first:]), keepers[:first]...)
+}
+
 // Others are the addresses to try instead of this router.
 func (e *entries) Others() []string {
 	addrs, _ := e.For("", "")
--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -24,6 +24,8 @@
 	live      *config.Live
 	members   *member.Duty
 	last      peer.Stats
+	// claims and own are those counted already.
+	claims, own uint64
 }
 
 func (g *gauges) run(ctx context.Context) {
@@ -35,6 +37,7 @@
 			return
 		case now := <-tick.C:
 			g.wire()
+			g.sent()
 			g.fleet(now)
 		}
 	}
@@ -52,6 +55,15 @@
 	g.last = s
 }
 
+// sent counts claims, and those that cross no wire.
+func (g *gauges) sent() {
+	scope := g.scope.SubScope("claimant")
+	claims, own := g.claimant.Claims()
+	scope.Counter("claims").Inc(int64(claims - g.claims))
+	scope.Counter("claims_own").Inc(int64(own - g.own))
+	g.claims, g.own = claims, own
+}
+
 func (g *gauges) fleet(now time.Time) {
 	k := g.keeping.Stats()
 	scope := g.scope.SubScope("keeper")
--- a/pkg/load/metrics.go
+++ b/pkg/load/metrics.go
@@ -16,11 +16,15 @@
 	wireBytesReceived   = "flamingowind_peer_wire_bytes_received"
 	wirePacketsSent     = "flamingowind_peer_wire_packets_sent"
 	wirePacketsReceived = "flamingowind_peer_wire_packets_received"
+	claimsSent          = "flamingowind_claimant_claims"
+	claimsOwn           = "flamingowind_claimant_claims_own"
 )
 
 // Wire is what a router sent to and received from other routers since its start.
 type Wire struct {
 	BytesSent, BytesReceived, PacketsSent, PacketsReceived float64
+	// Claims were made, and Own of them to cells that the router keeps itself.
+	Claims, Own float64
 }
 
 // errNoCounter says that a router doesn't expose the counters of control traffic.
@@ -57,9 +61,18 @@
 		}
 		*target = sum(family)
 	}
+	// These appear with the first claim of their kind, which may never come.
+	w.Claims, w.Own = sumOrZero(families[claimsSent]), sumOrZero(families[claimsOwn])
 	return w, nil
 }
 
+func sumOrZero(f *dto.MetricFamily) float64 {
+	if f == nil {
+		return 0
+	}
+	return sum(f)
+}
+
 // sum adds up all series of a family.
 func sum(f *dto.MetricFamily) float64 {
 	var total float64
@@ -85,5 +98,6 @@
 	return Wire{
 		w.BytesSent - before.BytesSent, w.BytesReceived - before.BytesReceived,
 		w.PacketsSent - before.PacketsSent, w.PacketsReceived - before.PacketsReceived,
+		w.Claims - before.Claims, w.Own - before.Own,
 	}
 }
--- a/pkg/load/profile.go
+++ b/pkg/load/profile.go
@@ -40,6 +40,11 @@
 	CalmUntil time.Duration
 	// Flooder names the organisation whose first-token times don't count.
 	Flooder string
+	// CellSize is the model pool's; 0 takes the default.
+	CellSize int
+	// Follow makes callers use the entries that the system names for their organisation
+	// and model, instead of the profiles' routers.
+	Follow bool
 	// Faults asks for kills, pauses and cuts.
 	Faults bool
 }
--- a/pkg/load/readings_test.go
+++ b/pkg/load/readings_test.go
@@ -19,6 +19,10 @@
 flamingowind_peer_wire_packets_sent 3
 # TYPE flamingowind_peer_wire_packets_received counter
 flamingowind_peer_wire_packets_received 2
+# TYPE flamingowind_claimant_claims counter
+flamingowind_claimant_claims 9
+# TYPE flamingowind_claimant_claims_own counter
+flamingowind_claimant_claims_own 4
 `
 
 func TestWireSumsSeriesAndSeesARestart(t *testing.T) {
@@ -27,9 +31,9 @@
 	defer server.Close()
 	got, err := readWire(t.Context(), server.Listener.Addr().String())
 	require.NoError(t, err)
-	require.Equal(t, Wire{150, 70, 3, 2}, got)
-	require.Equal(t, Wire{50, 20, 1, 1}, got.since(Wire{100, 50, 2, 1}))
-	require.Equal(t, got, got.since(Wire{1000, 500, 20, 10}), "counters that fell belong to a new life")
+	require.Equal(t, Wire{150, 70, 3, 2, 9, 4}, got)
+	require.Equal(t, Wire{50, 20, 1, 1, 8, 4}, got.since(Wire{100, 50, 2, 1, 1, 0}))
+	require.Equal(t, got, got.since(Wire{1000, 500, 20, 10, 0, 0}), "counters that fell belong to a new life")
 
 	text = "up 1\n"
 	_, err = readWire(t.Context(), server.Listener.Addr().String())
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -25,7 +25,9 @@
 	// TokensPerSecond is what all callers received while requests were sent.
 	TokensPerSecond float64 `json:"tokens_s"`
 	// Means over the routers, of what each sent and received and used.
-	ControlBytes   float64 `json:"control_bytes_per_node_s"`
+	ControlBytes float64 `json:"control_bytes_per_node_s"`
+	// OwnClaims is the share of claims to cells that the claiming router keeps itself.
+	OwnClaims      float64 `json:"own_claims_share"`
 	ControlPackets float64 `json:"control_packets_per_node_s"`
 	CPUShare       float64 `json:"router_cpu_share"`
 	// RSSMB is the largest router's resident memory, in MiB.
@@ -92,12 +94,16 @@
 
 func (r *Report) addRouters(uses []RouterUse) {
 	r.Routers = uses
+	var claims float64
 	for _, u := range uses {
+		claims += u.Claims
+		r.OwnClaims += u.OwnClaims
 		r.ControlBytes += u.BytesPerSecond / float64(len(uses))
 		r.ControlPackets += u.PacketsPerSecond / float64(len(uses))
 		r.CPUShare += u.CPUShare / float64(len(uses))
 		r.RSSMB = max(r.RSSMB, u.RSSMB)
 	}
+	r.OwnClaims /= max(claims, 1)
 }
 
 // largestRequest is the longest answer of a completion that ran.
--- a/pkg/load/routeruse.go
+++ b/pkg/load/routeruse.go
@@ -19,6 +19,9 @@
 	// BytesPerSecond and PacketsPerSecond count control traffic sent and received.
 	BytesPerSecond   float64 `json:"control_bytes_s"`
 	PacketsPerSecond float64 `json:"control_packets_s"`
+	// Claims were made by the router, and OwnClaims of them to cells that it keeps itself.
+	Claims    float64 `json:"claims"`
+	OwnClaims float64 `json:"own_claims"`
 }
 
 const bytesPerMiB = 1 << 20
@@ -58,12 +61,17 @@
 const (
 	countersWithin = 2 * time.Second
 	countersEvery  = 50 * time.Millisecond
+	// countersLag is how old the shown counters may be: the routers bring them up to
+	// date every half second and publish them every second.
+	countersLag = 2 * time.Second
 )
 
 // awaitCounters reads all routers once they show the counters of control traffic: a
 // counter is shown some time after its first use. Reading them as zero before would
-// count what the fleet said at its start as control traffic of the load.
+// count what the fleet said at its start as control traffic of the load, and so would
+// reading them before the handshakes of the warm-up, some 60 KB a router, are shown.
 func awaitCounters(ctx context.Context, routers []devfleet.RouterInfo) []reading {
+	pauseUntil(ctx, time.Now().Add(countersLag))
 	ctx, cancel := context.WithTimeout(ctx, countersWithin)
 	defer cancel()
 	for {
@@ -89,6 +97,8 @@
 			RSSMB:            float64(after[i].usage.RSS) / bytesPerMiB,
 			BytesPerSecond:   (wire.BytesSent + wire.BytesReceived) / passed.Seconds(),
 			PacketsPerSecond: (wire.PacketsSent + wire.PacketsReceived) / passed.Seconds(),
+			Claims:           wire.Claims,
+			OwnClaims:        wire.Own,
 		}
 	}
 	return uses
--- a/pkg/load/runner.go
+++ b/pkg/load/runner.go
@@ -70,13 +70,29 @@
 func (r *runner) sendAll(ctx, sending context.Context, orgs []devfleet.OrgInfo) {
 	var all sync.WaitGroup
 	for i, p := range r.scenario.Profiles {
-		picker := newEntryPicker(r.entries, p.Routers)
+		picker := r.picker(ctx, p)
 		all.Go(func() { r.openLoop(ctx, sending, newGenerator(r.scenario, i, orgs[i], 0), picker) })
 		all.Go(func() { r.closedLoop(ctx, sending, newGenerator(r.scenario, i, orgs[i], 1), picker) })
 	}
 	all.Wait()
 }
 
+// picker gives a profile's entries: its routers, or those that the system names first.
+func (r *runner) picker(ctx context.Context, p Profile) *entryPicker {
+	picker := newEntryPicker(r.entries, p.Routers)
+	if !r.scenario.Follow {
+		return picker
+	}
+	// Without an answer the callers use what they have, as real ones would.
+	if told, err := AskEntries(ctx, r.entries[0], p.Org, r.scenario.Model); err == nil && len(told.Entries) > 0 {
+		picker.own = told.Entries[:min(len(told.Entries), max(len(p.Routers), followed))]
+	}
+	return picker
+}
+
+// followed is the least number of named entries that an organisation's callers use.
+const followed = 2
+
 // openLoop sends at the planned times, whatever became of earlier requests.
 func (r *runner) openLoop(ctx, sending context.Context, g *generator, picker *entryPicker) {
 	slots := semaphore.NewWeighted(r.maxOpen)
--- a/pkg/load/table.go
+++ b/pkg/load/table.go
@@ -35,6 +35,7 @@
 	{"tokens a second", "%.0f", func(r Report) any { return r.TokensPerSecond }},
 	{"control bytes a node and second", "%.0f", func(r Report) any { return r.ControlBytes }},
 	{"control packets a node and second", "%.0f", func(r Report) any { return r.ControlPackets }},
+	{"claims to own cells, share", "%.3f", func(r Report) any { return r.OwnClaims }},
 	{"processor share of a router", "%.3f", func(r Report) any { return r.CPUShare }},
 	{"resident memory of a router, MiB", "%.1f", func(r Report) any { return r.RSSMB }},
 }
--- a/pkg/slopes/load.go
+++ b/pkg/slopes/load.go
@@ -23,13 +23,14 @@
 	scheduler sched.Scheduler
 	hold      time.Duration
 	orgs      int // organisations that the requests come from, in turn
+	pools     int // pools that they go to, in turn
 	served    atomic.Int64
 	group     sync.WaitGroup
 }
 
 func (l *load) request(i int) sched.Request {
 	return sched.Request{
-		Org: orgName(i % l.orgs), Class: wire.ClassNormal, Pool: "model-00",
+		Org: orgName(i % l.orgs), Class: wire.ClassNormal, Pool: poolName(i % l.pools),
 		Prefix: rand.Uint64(), Content: rand.Uint64(),
 		Deadline: time.Now().Add(time.Minute),
 	}
--- a/pkg/slopes/path.go
+++ b/pkg/slopes/path.go
@@ -62,7 +62,7 @@
 
 // free is a cell with room: each claim is granted at once.
 func (p Path) free(ctx context.Context, dir string, r *Report, name string, rate float64, keptBy wire.RouterID, coalesce time.Duration) error {
-	return p.with(ctx, dir, cells(32, 32), keptBy, coalesce, func(ctx context.Context, l *load, pr *pair) {
+	return p.with(ctx, dir, cells(1, 32, 32), keptBy, coalesce, func(ctx context.Context, l *load, pr *pair) {
 		l.group.Go(func() { l.open(ctx, rate) })
 		p.record(ctx, r, name, l, pr)
 	})
@@ -71,7 +71,7 @@
 // backlogged is a cell in which eight times as many claims wait as run.
 func (p Path) backlogged(ctx context.Context, dir string, r *Report, rate float64) error {
 	slots := max(1, int(rate*holdShort.Seconds()))
-	return p.with(ctx, dir, cells(1, slots), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
+	return p.with(ctx, dir, cells(1, 1, slots), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
 		l.closed(ctx, 9*slots)
 		p.record(ctx, r, "path/backlog-1ms", l, pr)
 	})
@@ -84,7 +84,7 @@
 	}
 	defer pr.close()
 	ctx, stop := context.WithCancel(ctx)
-	l := &load{scheduler: pr.claimant, hold: holdShort, orgs: someOrgs}
+	l := &load{scheduler: pr.claimant, hold: holdShort, orgs: someOrgs, pools: 1}
 	f(ctx, l, pr)
 	stop()
 	l.group.Wait()
@@ -113,22 +113,22 @@
 
 // running holds a number of slots with tokens arriving and takes no new requests.
 func (p Path) running(ctx context.Context, dir string, r *Report, slots int) error {
-	return p.with(ctx, dir, cells(32, 32), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
+	return p.with(ctx, dir, cells(1, 32, 32), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
 		l.run(ctx, slots)
 		wait(ctx, p.Warm+p.Window/2)
 		p.add(r, "path/running", perRunning, float64(l.served.Load()), over(ctx, p.Window, pr.accept, pr.keep))
 	})
 }
 
-// organisations has a number of organisations served once, then 64 slots running in
-// several cells: each cell's reports carry what was delivered elsewhere.
+// organisations has a number of organisations served once, then 64 slots running in four
+// pools of one cell: each cell's reports carry what was delivered elsewhere.
 func (p Path) organisations(ctx context.Context, dir string, r *Report, orgs int) error {
-	const upstreams, slots = 96, 64
-	return p.with(ctx, dir, cells(upstreams, 32), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
-		l.orgs = orgs
+	const pools, upstreams, slots = 4, 96, 64
+	return p.with(ctx, dir, cells(pools, upstreams, 32), other, time.Millisecond, func(ctx context.Context, l *load, pr *pair) {
+		l.orgs, l.pools = orgs, pools
 		l.serve(ctx)
 		l.run(ctx, slots)
 		wait(ctx, p.Warm)
-		p.add(r, "path/organisations", perServed, float64(orgs), over(ctx, 2*p.Window, pr.accept, pr.keep))
+		p.add(r, "path/organisations", perServed, float64(orgs), over(ctx, 4*p.Window, pr.accept, pr.keep))
 	})
 }
--- a/pkg/slopes/reads.go
+++ b/pkg/slopes/reads.go
@@ -9,6 +9,7 @@
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/platform"
 	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
+	"github.com/flamingowind/flamingowind/pkg/resource"
 )
 
 // Reads counts the reads of the head row by a whole fleet on a virtual clock, with
@@ -37,6 +38,22 @@
 	return t.Table.Get(ctx, key)
 }
 
+// seeded puts a small configuration into a fresh table.
+func seeded(t *countedTable) (*config.Store, *resource.Snapshot, error) {
+	t.Table = new(platformtest.Table)
+	store := config.NewStore(t, config.StoreOptions{})
+	var c config.Change
+	c.OpID = "seed"
+	for _, r := range snapshot(0.01).All() {
+		c.Ops = append(c.Ops, resource.Op{Ref: resource.RefOf(r), Put: resource.WithVersion(r, 0)})
+	}
+	result, err := store.Write(context.Background(), c)
+	if err != nil {
+		return nil, nil, err
+	}
+	return store, result.Snapshot, nil
+}
+
 // ranked is a poller's rank: the first config.Pollers are chosen.
 type ranked int
 
@@ -58,11 +75,13 @@
 
 // fleet counts for n routers; when cut, no router hears another one.
 func (p Reads) fleet(ctx context.Context, n int, cut bool) (float64, error) {
-	table := &countedTable{Table: new(platformtest.Table)}
-	store := config.NewStore(table, config.StoreOptions{})
+	table := new(countedTable)
+	store, s, err := seeded(table)
+	if err != nil {
+		return 0, err
+	}
 	lives := make([]*config.Live, n)
 	pollers := make([]*config.Poller, n)
-	s := snapshot(0.01)
 	now := time.Now()
 	for i := range n {
 		lives[i] = config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
--- a/pkg/slopes/world.go
+++ b/pkg/slopes/world.go
@@ -27,7 +27,7 @@
 		})
 	}
 	for i := range fullPools {
-		name := fmt.Sprintf("model-%02d", i)
+		name := poolName(i)
 		s.Pools = append(s.Pools, resource.Pool{Meta: resource.Meta{Name: name, Version: 1}, Kind: resource.PoolModel})
 		s.Routes = append(s.Routes, resource.Route{Meta: resource.Meta{Name: name, Version: 1}, Model: name, Pool: name})
 	}
@@ -45,19 +45,20 @@
 	return s
 }
 
-// cells makes a configuration with one pool: one cell up to 32 upstreams.
-func cells(upstreams, slots int) *resource.Index {
+// cells makes a configuration with some pools, each of one cell, and their upstreams.
+func cells(pools, upstreams, slots int) *resource.Index {
 	s := snapshot(0.1)
 	s.Upstreams = s.Upstreams[:0]
 	for i := range upstreams {
 		s.Upstreams = append(s.Upstreams, resource.Upstream{
-			Meta: resource.Meta{Name: upstreamName(i), Version: 1}, Pool: s.Pools[0].Name,
+			Meta: resource.Meta{Name: upstreamName(i), Version: 1}, Pool: s.Pools[i%pools].Name,
 			URL: "http://10.0.0.1:9000", Slots: slots,
 		})
 	}
 	return resource.NewIndex(s)
 }
 
+func poolName(i int) string     { return fmt.Sprintf("model-%02d", i) }
 func orgName(i int) string      { return fmt.Sprintf("org-%03d", i) }
 func upstreamName(i int) string { return fmt.Sprintf("engine-%04d", i) }
 
--- a/tools/measure/measure.go
+++ b/tools/measure/measure.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return err
 	}
+	scenario.CellSize, scenario.Follow = o.cellSize, o.follow
 	if err := os.MkdirAll(o.out, 0o755); err != nil {
 		return errors.Annotate(err, "make the output directory")
 	}
--- a/tools/measure/options.go
+++ b/tools/measure/options.go
@@ -21,7 +21,8 @@
 	duration                     time.Duration
 	seed                         uint64
 	maxSlots                     int
-	keepLogs                     bool
+	cellSize                     int
+	follow, keepLogs             bool
 }
 
 func (o *options) setFlags(f *flag.FlagSet) {
@@ -32,5 +33,7 @@
 	f.DurationVar(&o.duration, "duration", 9*time.Second, "time of the load in each variant")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the load")
 	f.IntVar(&o.maxSlots, "max-slots", 0, "bound of the adaptive limit of an engine; 0 fixes the limit at its slots")
+	f.IntVar(&o.cellSize, "cell-size", 0, "most engines of one cell; 0 takes the default")
+	f.BoolVar(&o.follow, "follow", false, "callers use the entries that the system names for their model")
 	f.BoolVar(&o.keepLogs, "keep-logs", false, "keep the processes' settings and logs")
 }
--- a/tools/measure/variant.go
+++ b/tools/measure/variant.go
@@ -71,7 +71,7 @@
 		BinDir: o.bin, Dir: dir, Routers: s.Routers, Zones: s.Zones,
 		Model: s.Model, Service: s.Service, Engines: s.Engines, Services: s.Services,
 		EnginesPerProcess: enginesPerProcess, Slots: s.Slots, MaxSlots: o.maxSlots,
-		Step: s.Step, Call: s.Call,
+		CellSize: s.CellSize, Step: s.Step, Call: s.Call,
 		Mode: settings.SharingFleet, Relays: s.Faults,
 	}
 	if name == alone {
