Count service by pool, not over all pools

Cause: an organisation's tokens at the engines were charged in the cells of plain services too. An organisation that uses no engine could flood a service, and the check-ins of all others would wait behind all of that flood. Ruled out: a bound on what other pools may charge, which doesn't help while that service goes on. Conclusion: the gap is bounded in each pool in which two organisations are backlogged.

--- a/pkg/claimant/listing.go
+++ b/pkg/claimant/listing.go
@@ -50,15 +50,16 @@
 // of organisations; all of them in every full report of every cell were most of its bytes.
 const turnOrgs = 32
 
-// counters lists what organisations were served elsewhere: to a new keeper all, in a
+// counters lists what organisations were served in the pool's other cells: to a new keeper all, in a
 // partial report those that changed. A lost report is made good by the full ones, which
 // list the others in turn. A counter of 0 is listed too: the keeper charges what a counter
 // grows by after the first value it saw.
 func (m *machine) counters(c *cell, full, fresh bool) []wire.OrgCounter {
 	var list []wire.OrgCounter
-	turn := m.turn(c, full)
-	for i, org := range m.orgs {
-		elsewhere := m.totals[org] - c.delivered[org]
+	t := m.tally(c.pool)
+	turn := t.turn(c, full)
+	for i, org := range t.orgs {
+		elsewhere := t.totals[org] - c.delivered[org]
 		told, known := c.told[org]
 		if known && elsewhere == told && !fresh && !turn(i) {
 			continue
@@ -75,11 +76,11 @@
 }
 
 // turn tells which organisations' turn it is in a full report of a cell.
-func (m *machine) turn(c *cell, full bool) func(i int) bool {
-	if !full || len(m.orgs) == 0 {
+func (t *tally) turn(c *cell, full bool) func(i int) bool {
+	if !full || len(t.orgs) == 0 {
 		return func(int) bool { return false }
 	}
-	first := c.nextOrg % len(m.orgs)
+	first := c.nextOrg % len(t.orgs)
 	c.nextOrg = first + turnOrgs
-	return func(i int) bool { return (i-first+len(m.orgs))%len(m.orgs) < turnOrgs }
+	return func(i int) bool { return (i-first+len(t.orgs))%len(t.orgs) < turnOrgs }
 }
--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -22,9 +22,8 @@
 	// cells are never dropped: report numbers and counters must not fall within one
 	// incarnation. Cells are declared, so the map is bounded.
 	cells map[wire.CellID]*cell
-	// totals is the service delivered to each organisation through all cells.
-	totals map[string]wire.Units
-	orgs   []string // the organisations in totals, the first served first
+	// tallies by pool; pools are declared, so the map is bounded.
+	tallies map[string]*tally
 }
 
 func newMachine(owner *Claimant, d Directory, o Options) *machine {
@@ -37,7 +36,7 @@
 		lastID:    firstID(o.Incarnation),
 		claims:    make(map[wire.ClaimID]*claim),
 		cells:     make(map[wire.CellID]*cell),
-		totals:    make(map[string]wire.Units),
+		tallies:   make(map[string]*tally),
 	}
 }
 
@@ -48,22 +47,13 @@
 		t.resolve(answer{err: noUpstream(unknownRetry)})
 		return
 	}
-	m.know(t.req.Org)
+	m.tally(t.req.Pool).know(t.req.Org)
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
 	t.claim = cl
 	m.place(now, cl, c)
 	m.send(now, cl)
 }
 
-// know makes reports list an organisation from now on.
-func (m *machine) know(org string) {
-	if _, ok := m.totals[org]; ok {
-		return
-	}
-	m.totals[org] = 0
-	m.orgs = append(m.orgs, org)
-}
-
 // leave takes back the claim of a caller that has gone.
 func (m *machine) leave(t *ticket) {
 	cl := t.claim
--- a/pkg/claimant/report.go
+++ b/pkg/claimant/report.go
@@ -91,7 +91,7 @@
 		return
 	}
 	s.counted = service
-	m.totals[s.org] += fresh
+	m.tally(s.cell.pool).totals[s.org] += fresh
 	s.cell.delivered[s.org] += fresh
 }
 
--- a/pkg/wire/report.go
+++ b/pkg/wire/report.go
@@ -19,11 +19,11 @@
 	Cost   Units
 }
 
-// OrgCounter is what one router delivered to one organisation through all other
-// cells than the report's. It only grows within one incarnation.
+// OrgCounter is what one router delivered to one organisation through the other cells
+// of the pool. It only grows within one incarnation.
 type OrgCounter struct {
 	Org string `cbor:"1,keyasint"`
-	// Elsewhere is service delivered outside the report's cell.
+	// Elsewhere is service delivered in the pool's other cells.
 	Elsewhere Units `cbor:"2,keyasint,omitempty"`
 	// Virtual is the largest virtual counter of the organisation in this cell that
 	// the router has seen in a grant; it lets a new keeper go on where the old one was.
