Read the host list from two fixed routers, and show what peers refuse

Cause: reads of the host list scattered over all routers left its news to chance, with no bound; claims and three counters of the transport were measured and not shown or not documented. Ruled out: one reader, which may be the one that is cut off; all routers often, which grows with the fleet. Conclusion: while one reader reaches the platform, no pause is over three polls.

--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -52,6 +52,9 @@
 	scope.Counter("wire_packets_sent").Inc(int64(s.PacketsSent - last.PacketsSent))
 	scope.Counter("wire_packets_received").Inc(int64(s.PacketsReceived - last.PacketsReceived))
 	scope.Counter("messages_dropped").Inc(int64(s.Dropped - last.Dropped))
+	scope.Counter("messages_undelivered").Inc(int64(s.Undelivered - last.Undelivered))
+	scope.Counter("dials_failed").Inc(int64(s.DialsFailed - last.DialsFailed))
+	scope.Counter("refused").Inc(int64(s.Refused - last.Refused))
 	scope.Gauge("connections").Update(float64(s.Connections))
 	g.last = s
 }
--- a/pkg/member/duty_test.go
+++ b/pkg/member/duty_test.go
@@ -211,3 +211,16 @@
 		require.EqualValues(t, reads.n.Load()-read, reads.differentMoments()-moments)
 	})
 }
+
+// An engine leaves in a fleet of nine. By chance alone nobody might read the host list
+// for ten seconds, and the engine would get work until its host goes away.
+func TestTheHostListIsNeverUnreadForLong(t *testing.T) {
+	inFleet(t, 9, func(t *testing.T, _ []*Duty, _ []*versions, reads *hostReads) {
+		for range 100 {
+			before := reads.n.Load()
+			pause := time.NewTimer(3 * time.Second) // 3 × Poll
+			<-pause.C
+			require.Greater(t, reads.n.Load(), before)
+		}
+	})
+}
--- a/pkg/member/poll.go
+++ b/pkg/member/poll.go
@@ -3,23 +3,34 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxPoll bounds the time between two reads of the host list by one router.
-const maxPoll = time.Minute
+const (
+	// hostReaders routers read the host list often, each every hostReaders × Poll.
+	hostReaders = 2
+	readersKey  = "member/hosts"
+	// restPoll is the mean time between two reads by any other router. They find out
+	// what the readers can't, when those are cut off from the platform.
+	restPoll = time.Minute
+)
 
 // pollHosts reads the host list until ctx ends. The fleet's reads stay at about one
-// each Poll however many routers there are, up to the bound of maxPoll.
+// each Poll however many routers there are, beside one a minute by each.
+//
+// Guard: were the reads spread over all routers, chance alone could leave the list
+// unread for many seconds, and a leaving upstream would get work that its host then
+// cuts. Each reader draws at most one and a half times its mean, so while one of them
+// reaches the list no pause is over 3 × Poll.
 func (d *Duty) pollHosts(ctx context.Context) {
 	opts := d.roster.opts
 	random := rand.New(rand.NewPCG(opts.Seed, xxhash.Sum64String(string(opts.Self.ID))))
 	for {
 		d.readHosts(ctx)
-		alive, _ := d.View().Reachable()
-		timer := time.NewTimer(scattered(random, min(time.Duration(alive)*d.poll, maxPoll)))
+		timer := time.NewTimer(scattered(random, d.pollMean()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -29,11 +40,19 @@
 	}
 }
 
+func (d *Duty) pollMean() time.Duration {
+	view := d.View()
+	if slices.Contains(view.First(readersKey, hostReaders), view.Self.ID) {
+		return hostReaders * d.poll
+	}
+	return restPoll
+}
+
 // scattered draws a time around mean, from half of it to one and a half.
 //
 // Guard: routers that started together would read the list at the same moments for ever,
 // and between them nobody. News of a leaving upstream would wait for a whole round, which
-// is a minute in a large fleet, and its host would get work that it then cuts.
+// is a minute for most routers, and its host would get work that it then cuts.
 func scattered(random *rand.Rand, mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(random.Int64N(int64(mean)))
 }
--- a/pkg/telemetry/requests.go
+++ b/pkg/telemetry/requests.go
@@ -50,7 +50,7 @@
 	r.set(org, class).firstToken.RecordDuration(d)
 }
 
-// BetweenTokens records the mean time between tokens of one answer.
+// BetweenTokens records the time between two tokens of one answer.
 func (r *Requests) BetweenTokens(org, class string, d time.Duration) {
 	r.set(org, class).betweenTokens.RecordDuration(d)
 }
--- a/test/callers/flood_test.go
+++ b/test/callers/flood_test.go
@@ -19,9 +19,9 @@
 // backlogged organisation of equal weight must get; equal parts would be 1.
 const fairPart = 0.75
 
-// learnt is the number of requests after which routers predict a cost well enough for
-// equal parts; before that they charge a new organisation what they would any.
-const learnt = 200
+// warmUp is the number of requests after which parts are compared: the flood came first
+// and holds all slots when the others begin.
+const warmUp = 200
 
 // answer is the length of each answer in tokens: long enough that the time in which a
 // caller on a busy machine has no request waiting is small beside it.
@@ -40,9 +40,9 @@
 	w.Eventually("the flood is refused", func() bool { return flood.Count(failtest.NotRun) > 300 })
 	others := w.Traffic(36, func(i int) load.Request { return w.Request(load.Streamed, 1+i%2, i/2, answer) })
 	w.Eventually("a refusal says when to come back", func() bool { return refusedWithTime(w) })
-	w.Eventually("routers know what requests cost", func() bool { return others.Count(failtest.Whole) >= learnt })
+	w.Eventually("the others have got going", func() bool { return others.Count(failtest.Whole) >= warmUp })
 	before := w.Tokens()
-	w.Eventually("the others are served", func() bool { return others.Count(failtest.Whole) >= learnt+400 })
+	w.Eventually("the others are served", func() bool { return others.Count(failtest.Whole) >= warmUp+400 })
 	after := w.Tokens()
 
 	served := others.Stop()
