--- a/Makefile
+++ b/Makefile
@@ -33,12 +33,14 @@
 
 # Real processes on loopback: kills, pauses, cuts, outages.
 failures: build
-	FLAMINGOWIND_BIN=$(abspath $(BIN)) $(GO) test -race -count=1 -timeout 15m ./test/...
+	FLAMINGOWIND_BIN=$(abspath $(BIN)) $(GO) test -race -count=1 -p 2 -timeout 15m ./test/...
 
 model:
+	scripts/spin.sh
 	spec/run.sh
 
 model-mutants:
+	scripts/spin.sh
 	spec/mutants.sh
 
 measure: build
--- a/pkg/claimant/machine.go
+++ b/pkg/claimant/machine.go
@@ -22,8 +22,8 @@
 	// cells are never dropped: report numbers and counters must not fall within one
 	// incarnation. Cells are declared, so the map is bounded.
 	cells map[wire.CellID]*cell
-	// totals is the service delivered to each organisation through all cells.
-	totals map[string]wire.Units
+	// tallies by pool; pools are declared, so the map is bounded.
+	tallies map[string]*tally
 }
 
 func newMachine(owner *Claimant, d Directory, o Options) *machine {
@@ -36,7 +36,7 @@
 		lastID:    firstID(o.Incarnation),
 		claims:    make(map[wire.ClaimID]*claim),
 		cells:     make(map[wire.CellID]*cell),
-		totals:    make(map[string]wire.Units),
+		tallies:   make(map[string]*tally),
 	}
 }
 
@@ -47,7 +47,7 @@
 		t.resolve(answer{err: noUpstream(unknownRetry)})
 		return
 	}
-	m.totals[t.req.Org] += 0 // reports list the organisation from now on
+	m.tally(t.req.Pool).know(t.req.Org)
 	cl := &claim{ticket: t, exclude: t.req.Exclude}
 	t.claim = cl
 	m.place(now, cl, c)
@@ -73,6 +73,7 @@
 	cl.resend = 0
 	m.claims[cl.id] = cl
 	c.add(cl, now)
+	c.hasten(now.Add(m.report))
 }
 
 // send sends a copy of a claim to the keeper of its cell.
@@ -88,6 +89,10 @@
 	}
 	f := m.out.to(c.keeper)
 	f.Claims = append(f.Claims, cl.message(now))
+	m.owner.claims.Add(1)
+	if c.keeper == m.self {
+		m.owner.own.Add(1)
+	}
 }
 
 // drop forgets a claim here.
