--- a/pkg/claimant/grant.go
+++ b/pkg/claimant/grant.go
@@ -14,19 +14,19 @@
 	}
 	cl, ok := m.claims[g.ID]
 	if !ok || cl.cell.id != g.Cell {
-		m.giveBack(from, g, "", 0)
+		m.giveBack(from, g)
 		return
 	}
 	cl.cell.noteVirtual(cl.ticket.req.Org, g.Virtual)
 	s := m.slotOf(from, cl, g)
 	if s == nil || !now.Before(s.lapses) {
-		m.giveBack(from, g, cl.ticket.req.Org, cl.ticket.req.Content)
+		m.giveBack(from, g)
 		m.again(now, cl, "")
 		return
 	}
 	url, ok := m.directory.UpstreamURL(g.Upstream)
 	if !ok || !m.directory.Usable(g.Upstream) || slices.Contains(cl.exclude, g.Upstream) {
-		m.giveBack(from, g, cl.ticket.req.Org, cl.ticket.req.Content)
+		m.giveBack(from, g)
 		m.again(now, cl, g.Upstream)
 		return
 	}
@@ -54,7 +54,7 @@
 	}
 	return &slot{
 		owner: m.owner, id: cl.id, cell: cl.cell, keeper: from,
-		org: cl.ticket.req.Org, content: cl.ticket.req.Content,
+		org:      cl.ticket.req.Org,
 		upstream: g.Upstream, lapses: base.Add(time.Duration(g.TTLMs) * time.Millisecond),
 		alone: g.Alone,
 	}
@@ -111,14 +111,14 @@
 }
 
 // giveBack returns a grant that isn't used.
-func (m *machine) giveBack(to wire.RouterID, g wire.Grant, org string, content uint64) {
+func (m *machine) giveBack(to wire.RouterID, g wire.Grant) {
 	if c, ok := m.cells[g.Cell]; ok {
 		c.owe()
 	}
 	f := m.out.to(to)
 	f.Dones = append(f.Dones, wire.Done{
-		ID: g.ID, Cell: g.Cell, Org: org, Upstream: g.Upstream,
-		Outcome: wire.OutcomeUnused, Content: content,
+		ID: g.ID, Cell: g.Cell, Upstream: g.Upstream,
+		Outcome: wire.OutcomeUnused,
 	})
 }
 
@@ -140,8 +140,8 @@
 	service := s.service()
 	m.count(s, service)
 	done := wire.Done{
-		ID: s.id, Cell: c.id, Org: s.org, Upstream: s.upstream, Outcome: e.outcome,
-		Cost: service, FirstMs: millis(e.first), StepUs: micros(e.step), Content: s.content,
+		ID: s.id, Cell: c.id, Upstream: s.upstream, Outcome: e.outcome,
+		Cost: service, FirstMs: millis(e.first), StepUs: micros(e.step),
 	}
 	m.sendDone(s.keeper, done)
 	if c.keeper != "" && c.keeper != s.keeper {
--- a/pkg/claimant/slot.go
+++ b/pkg/claimant/slot.go
@@ -16,7 +16,6 @@
 	cell     *cell
 	keeper   wire.RouterID // who granted it
 	org      string
-	content  uint64
 	upstream string
 	url      string
 	lapses   time.Time
--- a/pkg/slopes/membership.go
+++ b/pkg/slopes/membership.go
@@ -97,11 +97,13 @@
 	}
 	for i := range n {
 		id := nodeName(i)
-		live := config.NewLive(config.LiveOptions{ConfirmWithin: beatsPerConfirm * beat})
+		var d *member.Duty
+		reach := config.ReachFunc(func() (alive, known int) { return d.View().Reachable() })
+		live := config.NewLive(config.LiveOptions{ConfirmWithin: beatsPerConfirm * beat, Reach: reach})
 		if err := live.Adopt(time.Now(), s); err != nil {
 			return nil, err
 		}
-		d := member.NewDuty(member.Config{Log: silent(), Versions: live, Options: member.Options{
+		d = member.NewDuty(member.Config{Log: silent(), Versions: live, Options: member.Options{
 			Self:  wire.Member{ID: id, Zone: "zone-1", PeerAddr: string(id), EntryAddr: "10.0.0.1:8080"},
 			Start: time.Now(), Seeds: []string{string(nodeName(0))}, Seed: uint64(i) + 1,
 			// Wide limits: a busy machine must not add suspicions to the count.
--- a/pkg/wire/claim.go
+++ b/pkg/wire/claim.go
@@ -75,11 +75,11 @@
 	OutcomeDied                    // the connection broke: the upstream may be dead
 )
 
-// Done gives a slot back and settles its cost.
+// Done gives a slot back and settles its cost. The keeper knows the claim's organisation
+// and content from its slot.
 type Done struct {
 	ID       ClaimID `cbor:"1,keyasint"`
 	Cell     CellID  `cbor:"2,keyasint"`
-	Org      string  `cbor:"3,keyasint"`
 	Upstream string  `cbor:"4,keyasint"`
 	Outcome  Outcome `cbor:"5,keyasint,omitempty"`
 	// Cost is the whole measured service of this request.
@@ -88,5 +88,4 @@
 	// milliseconds, mean time between tokens in microseconds; 0 when not measured.
 	FirstMs uint32 `cbor:"7,keyasint,omitempty"`
 	StepUs  uint32 `cbor:"8,keyasint,omitempty"`
-	Content uint64 `cbor:"9,keyasint,omitempty"`
 }
