Prefer an own cell up to twice the others' backlog

Cause: with a backlog in all cells of a pool, claims went to the least backlog, so callers that were steered to the keepers of their model still sent two claims of three across the wire.

Ruled out: the own cell whatever waits there, which would leave its claims behind while others drain. Spare slots elsewhere still win, and waiting claims still move to a cell that reports some.

--- a/pkg/claimant/choose.go
+++ b/pkg/claimant/choose.go
@@ -43,12 +43,24 @@
 	if spareA != spareB {
 		return spareA > spareB
 	}
-	if loadA, loadB := m.load(a), m.load(b); loadA != loadB {
+	if loadA, loadB := m.bias(a), m.bias(b); loadA != loadB {
 		return loadA < loadB
 	}
 	return a.draw < b.draw
 }
 
+// ownBias is by how much an own cell's backlog may be longer than that of the others
+// before a claim crosses the wire. Claims move anyway to a cell that reports spare slots.
+const ownBias = 2
+
+// bias is the load by which cells without spare slots are compared.
+func (m *machine) bias(c *cell) int {
+	if c.keeper == m.self && m.self != "" {
+		return m.load(c) / ownBias
+	}
+	return m.load(c)
+}
+
 // ownIdle says that this router keeps c and nothing is known to wait there.
 func (m *machine) ownIdle(now time.Time, c *cell) bool {
 	known := now.Sub(c.stateAt) <= freshFor*m.report
