--- a/pkg/keeper/done.go
+++ b/pkg/keeper/done.go
@@ -15,10 +15,10 @@
 	if r == nil || k.recent.final(r.key(d.ID)) {
 		return
 	}
-	if d.Outcome == wire.OutcomeDied {
-		k.heldBack.died(d.Content, now)
-	}
 	s := r.slots[d.ID]
+	if d.Outcome == wire.OutcomeDied && s != nil && s.claim != nil {
+		k.heldBack.died(s.claim.Content, now)
+	}
 	if s != nil && d.Outcome == wire.OutcomeUnused && d.Upstream != "" && d.Upstream != s.upstream.name {
 		// The router had two grants, of two keepers, and turns the other one down.
 		return
--- a/pkg/keeper/suspect_test.go
+++ b/pkg/keeper/suspect_test.go
@@ -138,7 +138,7 @@
 	b.suspect(1)
 	out := b.next()
 	equal(t, true, out[0].Grant.Alone)
-	b.k.Done("r", 1, wire.Done{ID: 1, Upstream: out[0].Grant.Upstream, Outcome: wire.OutcomeDied, Content: poison}, b.now)
+	b.k.Done("r", 1, wire.Done{ID: 1, Upstream: out[0].Grant.Upstream, Outcome: wire.OutcomeDied}, b.now)
 	b.k.Claim("q", 1, wire.Claim{ID: 1, Org: "a", Content: poison}, b.now)
 	b.claim("q", 1, 2, "a")
 	equal(t, []wire.ClaimID{2}, grants(b.next()))
--- a/pkg/keeping/duty_test.go
+++ b/pkg/keeping/duty_test.go
@@ -134,7 +134,7 @@
 		w.take("r1")
 		d.Mark(wire.UpstreamMark{Upstream: "e1", Generation: 3, Leaving: true})
 		d.HandleFrame("r1", claims(2))
-		d.HandleFrame("r1", &wire.Frame{Life: 1, Dones: []wire.Done{{ID: 1, Cell: cell, Org: "a", Upstream: "e1"}}})
+		d.HandleFrame("r1", &wire.Frame{Life: 1, Dones: []wire.Done{{ID: 1, Cell: cell, Upstream: "e1"}}})
 		<-time.After(time.Second)
 		got := w.take("r1")
 		if len(got.Grants) != 0 || len(got.Refusals) != 1 || got.Refusals[0].Reason != wire.RefusedNoUpstream {
