--- a/pkg/daemon/fx.go
+++ b/pkg/daemon/fx.go
@@ -55,7 +55,11 @@
 func newStore(t platform.Table) *config.Store { return config.NewStore(t, config.StoreOptions{}) }
 
 func newLive(s settings.Settings, r *reach) *config.Live {
-	return config.NewLive(config.LiveOptions{ConfirmWithin: s.Timing.ConfirmWithin.Std(), Reach: r})
+	return config.NewLive(config.LiveOptions{
+		ConfirmWithin: s.Timing.ConfirmWithin.Std(),
+		Started:       time.Now(),
+		Reach:         r,
+	})
 }
 
 func newExchange(s *config.Store, l *config.Live) *config.Exchange { return config.NewExchange(s, l) }
@@ -152,9 +156,15 @@
 	})
 }
 
-func newReconciler(c *httpplatform.Client, r *reach, l *config.Live, s settings.Settings) *order.Reconciler {
+func newReconciler(c *httpplatform.Client, r *reach, l *config.Live, s settings.Settings, lg log.Interface) *order.Reconciler {
 	return order.NewReconciler(c.Table(), c.Weights(), order.NewHTTPEngine(), r, l.Snapshot, order.Options{
-		Timeout: s.Platform.Timeout.Std(),
+		Router:       s.Router.ID,
+		TTL:          s.Timing.OrderTTL.Std(),
+		LongestOrder: s.Timing.OrderLongest.Std(),
+		Interval:     s.Timing.OrderInterval.Std(),
+		Patience:     s.Timing.OrderPatience.Std(),
+		Timeout:      s.Platform.Timeout.Std(),
+		Log:          lg,
 	})
 }
 
--- a/pkg/keeper/picker.go
+++ b/pkg/keeper/picker.go
@@ -27,6 +27,8 @@
 	switch {
 	case c.expired(p.now) || deaths >= p.k.o.MaxDeaths:
 		return true
+	case p.k.heldBack.holds(c.Content, p.now):
+		return false
 	case p.urgentOnly && !p.k.reserved(c, p.now):
 		return false
 	case p.withinShare && p.k.farOverShare(c.Org):
