--- a/pkg/claimant/keeper_test.go
+++ b/pkg/claimant/keeper_test.go
@@ -16,16 +16,16 @@
 	run(t, Options{}, func(t *testing.T, f *fleet) {
 		f.acquire(t.Context(), request("acme"))
 		first := f.claim("k1")
-		time.Sleep(minResend)
+		pass(minResend)
 		frame := f.take("k1")
 		check(t, len(frame.Claims) == 1 && frame.Claims[0].ID == first.ID && frame.Claims[0].AgeMs == 1000, "claims %+v", frame.Claims)
 		last := frame.Reports[len(frame.Reports)-1]
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: last.Seq, Resend: last.Waiting})
 		f.claim("k1")
-		time.Sleep(600 * time.Millisecond)
+		pass(600 * time.Millisecond)
 		reports := f.take("k1").Reports
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: reports[len(reports)-1].Seq})
-		time.Sleep(20 * time.Second)
+		pass(20 * time.Second)
 		if again := f.take("k1").Claims; len(again) != 0 {
 			t.Fatalf("confirmed claim sent again: %+v", again)
 		}
@@ -87,6 +87,61 @@
 	})
 }
 
+// The keeping of a cell goes to k2 and back, and both grant one claim on one upstream.
+// Were k2's grant given back as unused, k2 would take the slot for free while the request
+// runs there. It must hear of the slot only when the request ends.
+func TestFormerKeeperGrantsTheSlotThatRuns(t *testing.T) {
+	run(t, Options{}, func(t *testing.T, f *fleet) {
+		done := f.acquire(t.Context(), request("acme"))
+		claim := f.claim("k1")
+		f.setKeeper(cellA, "k2")
+		f.claim("k2")
+		f.setKeeper(cellA, "k1")
+		f.claim("k1")
+		f.grant("k1", claim, "u1", 0)
+		s := mustSlot(t, done)
+		f.grant("k2", claim, "u1", 0)
+		f.grant("k2", claim, "u1", 0)
+		d := f.take("k2").Dones
+		check(t, len(d) == 0, "gave back the running slot: %+v", d)
+		s.Done(wire.OutcomeServed, 10, 0, 0)
+		f.done("k2", claim.ID, wire.OutcomeServed)
+		f.done("k1", claim.ID, wire.OutcomeServed)
+	})
+}
+
+// This router hears that k2 keeps the cell before k2 does, and k2 drops its full report.
+// Were the next ones partial, k2 would wait for this router until its bound, and no slot
+// be granted meanwhile. Full ones must follow soon until k2 answers, but not for ever.
+func TestFullReportUntilTheNewKeeperAnswers(t *testing.T) {
+	run(t, Options{}, func(t *testing.T, f *fleet) {
+		full := func() (n int, last uint64) {
+			for _, r := range f.take("k2").Reports {
+				if last = r.Seq; r.Full {
+					n++
+				}
+			}
+			return n, last
+		}
+		f.acquire(t.Context(), request("acme"))
+		for _, answered := range []bool{true, false} {
+			f.setKeeper(cellA, "k2")
+			full() // lost
+			pass(250 * time.Millisecond)
+			n, last := full()
+			check(t, n == 2, "%d full reports in 250 ms", n)
+			if answered {
+				f.claimant.HandleState("k2", wire.CellState{Cell: cellA, Seq: last})
+			}
+			pass(1500 * time.Millisecond)
+			n, _ = full()
+			check(t, answered == (n == 0) && n < hurriedMost, "%d full reports more, answered: %v", n, answered)
+			f.setKeeper(cellA, "k1")
+			f.take("k1")
+		}
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		reason wire.RefusalReason
@@ -107,7 +162,7 @@
 			f.claimant.HandleRefusal("k1", wire.Refusal{ID: claim.ID, Cell: cellA, Reason: c.reason, RetryMs: 700})
 			if c.code == "" {
 				mustWait(t, done)
-				time.Sleep(600 * time.Millisecond)
+				pass(600 * time.Millisecond)
 				f.claim("k1")
 				return
 			}
@@ -140,7 +195,7 @@
 		done := f.acquire(t.Context(), request("acme"))
 		old := f.claim("k1")
 		f.addCellB()
-		time.Sleep(1100 * time.Millisecond)
+		pass(1100 * time.Millisecond)
 		probes := f.take("k2").Reports
 		check(t, len(probes) != 0, "the other cell was never asked")
 		f.take("k1")
@@ -170,13 +225,13 @@
 		f.grant("k1", f.claim("k1"), "u1", 0)
 		mustSlot(t, done).Done(wire.OutcomeServed, 5, 0, 0)
 		f.take("k1") // lost
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		reports := f.take("k1").Reports
 		check(t, len(reports) >= 5, "%d reports in 3 s", len(reports))
 		last := reports[len(reports)-1]
 		check(t, last.Full && len(last.Running) == 0, "report %+v", last)
 		f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: last.Seq})
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		if r := f.take("k1").Reports; len(r) != 0 {
 			t.Fatalf("%d reports with nothing to say", len(r))
 		}
@@ -206,10 +261,12 @@
 		a := f.claim("k1")
 		second := f.acquire(t.Context(), request("acme"))
 		b := f.claim("k2")
-		time.Sleep(100 * time.Millisecond)
-		f.take("k1")
+		pass(100 * time.Millisecond)
+		for _, r := range f.take("k1").Reports {
+			f.claimant.HandleState("k1", wire.CellState{Cell: cellA, Seq: r.Seq})
+		}
 		f.acquire(t.Context(), request("new"))
-		time.Sleep(500 * time.Millisecond)
+		pass(500 * time.Millisecond)
 		orgs := f.take("k1").Reports[0].Orgs
 		check(t, slices.Equal(orgs, []wire.OrgCounter{{Org: "new"}}), "no starting point for a counter: %+v", orgs)
 		f.take("k2")
@@ -220,10 +277,10 @@
 		sa.Progress(30)
 		sa.Progress(20) // never falls
 		sb.Progress(4)
-		time.Sleep(1100 * time.Millisecond)
+		pass(1100 * time.Millisecond)
 		check(t, elsewhere(f.take("k1")) == 4, "k1 doesn't know the 4 units of k2")
 		check(t, elsewhere(f.take("k2")) == 30, "k2 doesn't know the 30 units of k1")
-		time.Sleep(5 * time.Second) // the frames above may have been lost: a full report tells it again
+		pass(5 * time.Second) // the frames above may have been lost: a full report tells it again
 		check(t, elsewhere(f.take("k1")) == 4, "no full report tells the counters again")
 	})
 }
--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -23,6 +23,7 @@
 	claimant  *claimant.Claimant
 	live      *config.Live
 	members   *member.Duty
+	suspects  *suspects
 	last      peer.Stats
 	// claims and own are those counted already.
 	claims, own uint64
@@ -51,6 +52,9 @@
 	scope.Counter("wire_packets_sent").Inc(int64(s.PacketsSent - last.PacketsSent))
 	scope.Counter("wire_packets_received").Inc(int64(s.PacketsReceived - last.PacketsReceived))
 	scope.Counter("messages_dropped").Inc(int64(s.Dropped - last.Dropped))
+	scope.Counter("messages_undelivered").Inc(int64(s.Undelivered - last.Undelivered))
+	scope.Counter("dials_failed").Inc(int64(s.DialsFailed - last.DialsFailed))
+	scope.Counter("refused").Inc(int64(s.Refused - last.Refused))
 	scope.Gauge("connections").Update(float64(s.Connections))
 	g.last = s
 }
@@ -77,6 +81,10 @@
 	members := g.scope.SubScope("member")
 	members.Gauge("alive").Update(float64(alive))
 	members.Gauge("known").Update(float64(known))
+	suspected, confirmed := g.suspects.list.Count()
+	q := g.scope.SubScope("quarantine")
+	q.Gauge("suspected").Update(float64(suspected))
+	q.Gauge("confirmed").Update(float64(confirmed))
 	c := g.scope.SubScope("config")
 	c.Gauge("version").Update(float64(g.live.Version()))
 	if age, ok := g.live.Confirmed(now); ok {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -57,6 +57,7 @@
 func start(r router) {
 	r.Members.Attach(r.Transport)
 	r.Frames.setMarked(r.Keeping.Mark)
+	r.Suspects.notify = r.Keeping.Suspected
 	r.Frames.set(
 		r.Members, r.Keeping, r.Suspects,
 		claimantFrames{r.Claimant},
@@ -95,9 +96,10 @@
 	r.Duties.run(func(ctx context.Context) { r.report("idempotency records", r.Book.Run(ctx)) })
 	r.Duties.run(func(ctx context.Context) { r.report("orders to engines", r.Orders.Run(ctx)) })
 	r.Duties.run(r.watchChanges)
+	r.Duties.run(newCatchUp(r.Suspects).run)
 	g := &gauges{
 		scope: r.Metrics.Scope, transport: r.Transport, keeping: r.Keeping,
-		claimant: r.Claimant, live: r.Live, members: r.Members,
+		claimant: r.Claimant, live: r.Live, members: r.Members, suspects: r.Suspects,
 	}
 	r.Duties.run(g.run)
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -30,8 +30,10 @@
 	slots     map[key]*slot
 	orgSlots  map[string]int
 	recent    recent
+	heldBack  heldBack
 	prefixes  *simplelru.LRU[uint64, *upstream]
 	drained   rate
+	headroom  headroom
 	mean      wire.Units // cost of settled requests
 	outbox    []Out
 
@@ -40,9 +42,11 @@
 	// settling is true from the start, or the end of a pause, until the routers reported.
 	settling   bool
 	settleEnds time.Time
-	expected   map[wire.RouterID]bool
-	lastNext   time.Time
-	nextSweep  time.Time
+	// settleBegan is when settling began, lastFull when a router's first Full report came.
+	settleBegan, lastFull time.Time
+	expected              map[wire.RouterID]bool
+	lastNext              time.Time
+	nextSweep             time.Time
 
 	// emptied is the upstream that gets no new work until emptiedFor can run there alone.
 	emptied    *upstream
@@ -50,7 +54,8 @@
 }
 
 // New returns a keeper that settles: it grants nothing until all the alive routers sent
-// a Full report, or Options.Settle has passed.
+// a Full report, or those of them that take part in the cell did, or Options.Settle has
+// passed.
 func New(o Options, alive []wire.RouterID, now time.Time) *Keeper {
 	k := &Keeper{
 		o:         o.withDefaults(),
@@ -61,10 +66,12 @@
 		slots:     make(map[key]*slot),
 		orgSlots:  make(map[string]int),
 		recent:    newRecent(),
+		heldBack:  newHeldBack(),
 		prefixes:  newLRU[uint64, *upstream](maxPrefixes),
 		expected:  make(map[wire.RouterID]bool),
 		lastNext:  now,
 		mean:      firstMean,
+		headroom:  headroom{claimed: make(map[string]time.Time)},
 	}
 	for _, id := range alive {
 		k.expected[id] = true
@@ -88,7 +95,8 @@
 // Slots returns the number of slots in use.
 func (k *Keeper) Slots() int { return len(k.slots) }
 
-// Spare returns the number of free slots, without those granted ahead or in reserve.
+// Spare returns the number of free slots, without those granted ahead or in reserve. The
+// headroom counts: most organisations may use it.
 func (k *Keeper) Spare(now time.Time) int {
 	if k.settling || k.leaving {
 		return 0
--- a/pkg/resource/resource.go
+++ b/pkg/resource/resource.go
@@ -54,6 +54,13 @@
 	CellSize int `json:"cellSize,omitempty" yaml:"cellSize,omitempty"`
 	// CallUnits is the service charged for one call of a plain service, in tokens; 0 takes DefaultCallUnits.
 	CallUnits float64 `json:"callUnits,omitempty" yaml:"callUnits,omitempty"`
+	// NeverIdle gives every free slot to whoever waits. Otherwise a few are kept free from
+	// an organisation far over its share, so that the others' requests start at once.
+	NeverIdle bool `json:"neverIdle,omitempty" yaml:"neverIdle,omitempty"`
+	// GrantAhead is how many requests may wait inside each upstream, so that a slot which
+	// ends there is taken at once. First tokens come later by that queue. Upstreams with an
+	// adaptive limit keep none.
+	GrantAhead int `json:"grantAhead,omitempty" yaml:"grantAhead,omitempty"`
 }
 
 // Upstream is one model engine or one instance of a plain service.
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 )
 
 // checker gathers problems of values that decoded well.
@@ -102,12 +103,20 @@
 	c.positive("limits.bodyTimeout", int64(l.BodyTimeout))
 	c.positive("limits.writeTimeout", int64(l.WriteTimeout))
 	c.positive("limits.requestTimeout", int64(l.RequestTimeout))
+	c.positive("limits.idleTimeout", int64(l.IdleTimeout))
+	if l.MaxBodies < l.MaxBody {
+		c.add("limits.maxBodies", "must not be under limits.maxBody")
+	}
+	if l.MaxDeadline < l.RequestTimeout {
+		c.add("limits.maxDeadline", "must not be under limits.requestTimeout")
+	}
 	if l.RetryShare < 0 || l.RetryShare > 1 {
 		c.add("limits.retryShare", "must be from 0 to 1")
 	}
 }
 
 func (c *checker) timing(t Timing) {
+	c.orders(t)
 	c.positive("timing.heartbeat", int64(t.Heartbeat))
 	c.positive("timing.poll", int64(t.Poll))
 	c.positive("timing.grantTTL", int64(t.GrantTTL))
@@ -122,6 +131,25 @@
 	if t.ConfirmWithin <= t.Poll {
 		c.add("timing.confirmWithin", "must be over timing.poll")
 	}
+	// A router that can't read the table goes on with a majority of the members. One that
+	// counts members as alive for too long after they were cut off would take a minority
+	// for a majority while the others accept a change.
+	if 5*t.SuspectAfter >= 2*t.ConfirmWithin {
+		c.add("timing.suspectAfter", "must be under two fifths of timing.confirmWithin")
+	}
+}
+
+// minOrderTTL is three times what a lease's holder gives up of it for clocks that run
+// at different speeds.
+const minOrderTTL = Duration(3 * time.Second)
+
+func (c *checker) orders(t Timing) {
+	if t.OrderTTL < minOrderTTL {
+		c.add("timing.orderTTL", "must be at least "+minOrderTTL.Std().String())
+	}
+	c.positive("timing.orderLongest", int64(t.OrderLongest))
+	c.positive("timing.orderInterval", int64(t.OrderInterval))
+	c.positive("timing.orderPatience", int64(t.OrderPatience))
 }
 
 func (c *checker) sharing(s Sharing) {
