--- a/pkg/config/history_test.go
+++ b/pkg/config/history_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 )
 
@@ -16,7 +16,7 @@
 // restart from the oldest change that is left would hide the ones before it.
 func TestEventsResumeOrSayGone(t *testing.T) {
 	ctx := context.Background()
-	table := memtable.New()
+	table := new(platformtest.Table)
 	store := config.NewStore(table, config.StoreOptions{History: 4})
 	for i := range 10 {
 		mustWrite(t, store, putOrg(fmt.Sprintf("op-%d", i), "north", float64(i+1)))
--- a/pkg/config/poller_test.go
+++ b/pkg/config/poller_test.go
@@ -8,15 +8,15 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/platform"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // slowTable answers a read only when release is closed.
 type slowTable struct {
-	*memtable.Table
+	*platformtest.Table
 	release chan struct{}
 }
 
@@ -35,7 +35,7 @@
 // the old version would look fresh, and callers would be served by it for seconds.
 func TestPausedRouterDistrustsOldAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := slowTable{memtable.New(), make(chan struct{})}
+		table := slowTable{new(platformtest.Table), make(chan struct{})}
 		writer := config.NewStore(table.Table, config.StoreOptions{})
 		first := mustWrite(t, writer, putOrg("a", "north", 1))
 		live := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
@@ -58,7 +58,7 @@
 // from that router: it is accepted, so callers may rely on it.
 func TestSyncerFetchesFromPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := memtable.New()
+		table := new(platformtest.Table)
 		store := config.NewStore(table, config.StoreOptions{})
 		result := mustWrite(t, store, putOrg("a", "north", 1))
 		source := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
@@ -95,7 +95,7 @@
 // A damaged peer sends a snapshot with a fault, or under a wrong version. It must not
 // take effect, not even in part.
 func TestDataIsValidatedWhole(t *testing.T) {
-	store := config.NewStore(memtable.New(), config.StoreOptions{})
+	store := config.NewStore(new(platformtest.Table), config.StoreOptions{})
 	live := config.NewLive(config.LiveOptions{ConfirmWithin: confirmWithin})
 	exchange := config.NewExchange(store, live)
 	result := mustWrite(t, store, putOrg("a", "north", 1))
--- a/pkg/config/routertable_test.go
+++ b/pkg/config/routertable_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/platform"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 )
 
 // routerTable is the table as one router sees it: a cut router can't reach it.
 type routerTable struct {
-	table  *memtable.Table
+	table  *platformtest.Table
 	router *router
 }
 
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 )
 
@@ -33,7 +33,7 @@
 // answer of the table is lost. An organisation that was accepted is missing later:
 // the second write was worked out from a snapshot from before the first.
 func TestRacingWritersLoseNothing(t *testing.T) {
-	table := memtable.New()
+	table := new(platformtest.Table)
 	random := rand.New(rand.NewPCG(1, 2))
 	table.Lose(func() bool { return random.IntN(3) == 0 })
 	const writers, writes = 2, 200
@@ -61,7 +61,7 @@
 // Two operators change one organisation that both have read. Both are told that
 // their change holds: the second one overwrote the first unseen.
 func TestStaleWriteIsRefusedWithTheCurrentState(t *testing.T) {
-	store := config.NewStore(memtable.New(), config.StoreOptions{})
+	store := config.NewStore(new(platformtest.Table), config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
 	first, second := org("north", 2), org("north", 3)
 	first.Version, second.Version = 1, 1
@@ -78,7 +78,7 @@
 // also gives up; it sends the write again. It is told of a conflict with itself, or
 // the change is made twice.
 func TestWriteSentAgainIsRecognised(t *testing.T) {
-	table := memtable.New()
+	table := new(platformtest.Table)
 	store := config.NewStore(table, config.StoreOptions{})
 	change := putOrg("op-1", "north", 1)
 	zero := uint64(0)
@@ -100,7 +100,7 @@
 // The table is out before anything was sent. The operator must read "not accepted",
 // and find nothing of the change once the table is back.
 func TestOutageAcceptsNothing(t *testing.T) {
-	table := memtable.New()
+	table := new(platformtest.Table)
 	store := config.NewStore(table, config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
 	table.SetDown(true)
@@ -114,7 +114,7 @@
 }
 
 func TestApplyingTwiceMakesNoVersion(t *testing.T) {
-	store := config.NewStore(memtable.New(), config.StoreOptions{})
+	store := config.NewStore(new(platformtest.Table), config.StoreOptions{})
 	mustWrite(t, store, putOrg("a", "north", 1))
 	second := mustWrite(t, store, putOrg("b", "north", 1))
 	require.EqualValues(t, 1, second.Version)
--- a/pkg/config/world_test.go
+++ b/pkg/config/world_test.go
@@ -9,8 +9,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -27,7 +27,7 @@
 
 // world is a fleet in virtual time over one fake table.
 type world struct {
-	table   *memtable.Table
+	table   *platformtest.Table
 	now     time.Time
 	routers []*router
 	random  *rand.Rand
@@ -56,7 +56,7 @@
 }
 
 func newWorld(n int, seed uint64) *world {
-	w := &world{table: memtable.New(), now: start, random: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{table: new(platformtest.Table), now: start, random: rand.New(rand.NewPCG(seed, 1))}
 	for i := range n {
 		r := &router{world: w, index: i}
 		w.routers = append(w.routers, r)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -18,10 +18,10 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/ctl"
 	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -31,7 +31,7 @@
 // site is one router's API over a fake table, and a way to run the command on it.
 type site struct {
 	t      *testing.T
-	table  *memtable.Table
+	table  *platformtest.Table
 	env    map[string]string
 	server *httptest.Server
 	// intercept, when set, sees requests first and says whether it answered.
@@ -42,7 +42,7 @@
 func (s *site) Members() []wire.Member { return nil }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, table: memtable.New()}
+	s := &site{t: t, table: new(platformtest.Table)}
 	file := filepath.Join(t.TempDir(), "token")
 	require.NoError(t, os.WriteFile(file, []byte("secret\n"), 0o600))
 	tokens, err := operator.NewTokens(file)
--- a/pkg/operator/api_test.go
+++ b/pkg/operator/api_test.go
@@ -18,9 +18,9 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
-	"github.com/flamingowind/flamingowind/internal/memtable"
 	"github.com/flamingowind/flamingowind/pkg/config"
 	"github.com/flamingowind/flamingowind/pkg/operator"
+	"github.com/flamingowind/flamingowind/pkg/platform/platformtest"
 	"github.com/flamingowind/flamingowind/pkg/resource"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
@@ -30,7 +30,7 @@
 // site is one router's API over a fake table.
 type site struct {
 	t       *testing.T
-	table   *memtable.Table
+	table   *platformtest.Table
 	live    *config.Live
 	server  *httptest.Server
 	members []wire.Member
@@ -41,7 +41,7 @@
 func (s *site) Members() []wire.Member { return append([]wire.Member(nil), s.members...) }
 
 func newSite(t *testing.T, history uint64) *site {
-	s := &site{t: t, table: memtable.New(), live: config.NewLive(config.LiveOptions{ConfirmWithin: time.Hour})}
+	s := &site{t: t, table: new(platformtest.Table), live: config.NewLive(config.LiveOptions{ConfirmWithin: time.Hour})}
 	s.tokens = filepath.Join(t.TempDir(), "tokens")
 	require.NoError(t, os.WriteFile(s.tokens, []byte("# operators\n"+token+"\n"), 0o600))
 	tokens, err := operator.NewTokens(s.tokens)
--- a/pkg/platform/platformtest/fault.go
+++ b/pkg/platform/platformtest/fault.go
@@ -10,4 +10,6 @@
 	FaultLost          // ErrUnknown, never written
 	FaultUnheard       // ErrUnknown, but written
 	FaultLate          // ErrUnknown, tried later by Table.DeliverLate
+	// FaultUnheardThenDown: ErrUnknown, but written, and the table is out from then on.
+	FaultUnheardThenDown
 )
--- a/pkg/platform/platformtest/table.go
+++ b/pkg/platform/platformtest/table.go
@@ -122,10 +122,11 @@
 		return platform.ErrRefused
 	case FaultLost:
 		return platform.ErrUnknown
-	case FaultUnheard:
+	case FaultUnheard, FaultUnheardThenDown:
 		if err := t.apply(txn); err != nil {
 			return err
 		}
+		t.down = t.down || fault == FaultUnheardThenDown
 		return platform.ErrUnknown
 	case FaultLate:
 		t.late = append(t.late, txn)
