Drop an import that the split left behind

Change: the unused import goes. Ruled out: any other red, since vet and staticcheck run over the whole tree are clean. Measured: claimant tests green with -race.

--- a/pkg/claimant/keeper_test.go
+++ b/pkg/claimant/keeper_test.go
@@ -1,7 +1,6 @@
 package claimant
 
 import (
-	"slices"
 	"testing"
 	"time"
 
