Take the unused cost hint out of the request's path

Cause: hints are checked and not used since the keeper expects its mean of every request; the field still went from header to scheduler. Change: a malformed hint is refused as before, a sound one goes no further. The fuzz target no longer looks at the field that went; what it demands of malformed bodies is unchanged. Measured: edge, claimant and daemon tests green with -race, vet and staticcheck clean. Conclusion: no field that nobody reads.

--- a/pkg/edge/inspect.go
+++ b/pkg/edge/inspect.go
@@ -12,7 +12,6 @@
 type inspection struct {
 	model  string
 	stream bool
-	tokens int64  // the largest answer the request allows; 0 when it doesn't say
 	prompt string // the prompt or the messages, as JSON
 }
 
@@ -101,6 +100,5 @@
 	if value.Type != gjson.Number || value.Num < 0 {
 		return badRequest(name + " must be a number of tokens")
 	}
-	in.out.tokens = int64(min(value.Num, maxHint))
 	return nil
 }
--- a/pkg/edge/request.go
+++ b/pkg/edge/request.go
@@ -7,7 +7,6 @@
 	"github.com/flamingowind/flamingowind/pkg/dispatch"
 	"github.com/flamingowind/flamingowind/pkg/sched"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
-	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // request is one call on its way from its caller to an upstream and back.
@@ -78,7 +77,6 @@
 		Class:    q.class,
 		Pool:     q.route.Pool,
 		Since:    q.received,
-		Hint:     min(q.hint, wire.Units(maxHint)),
 		Prefix:   q.prefix,
 		Content:  q.content,
 		Deadline: q.received.Add(q.deadline),
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -14,8 +14,6 @@
 	Org   string
 	Class wire.Class
 	Pool  string
-	// Hint is the caller's rough cost, in tokens; 0 when it gave none. It never buys service.
-	Hint wire.Units
 	// Prefix is a hash of the prompt's head, Content of the whole request; 0 when unknown.
 	Prefix  uint64
 	Content uint64
