Count refusals of a draining or stale router

Cause: what a router refused before it knew the organisation was not counted, so a drain or a stale configuration showed no refusals. Measured: TestDrainFinishesWhatRuns fails on the count with the counting off and passes with it; edge tests green with -race. Conclusion: operators see a router that refuses everything.

--- a/pkg/edge/auth_middleware.go
+++ b/pkg/edge/auth_middleware.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/verdict"
-	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 const bearer = "Bearer "
@@ -27,18 +26,17 @@
 	received := time.Now()
 	catalog := m.edge.Source.Current()
 	if catalog == nil {
-		m.edge.refuse(w, errNoConfig(), "", "")
+		m.edge.refuseEarly(w, errNoConfig())
 		return
 	}
 	key, err := single(r.Header, "Authorization")
 	if err != nil {
-		m.edge.refuse(w, err, "", "")
+		m.edge.refuseEarly(w, err)
 		return
 	}
 	org, ok := m.authenticate(catalog, key)
 	if !ok || org.Disabled {
-		m.edge.Observer.Refused("", wire.ClassNormal, verdict.CodeUnauthorized)
-		m.edge.refuse(w, errUnauthorized(), "", "")
+		m.edge.refuseEarly(w, errUnauthorized())
 		return
 	}
 	m.next.serve(w, r, caller{org: org, catalog: catalog, received: received})
--- a/pkg/edge/fake_test.go
+++ b/pkg/edge/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/dispatch"
 	"github.com/flamingowind/flamingowind/pkg/sched"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -166,3 +168,15 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = w.Write([]byte(streamedAnswer))
 }
+
+// refusals counts refusals of a draining router.
+type refusals struct {
+	noObserver
+	draining atomic.Int32
+}
+
+func (r *refusals) Refused(_ string, _ wire.Class, code verdict.Code) {
+	if code == verdict.CodeDraining {
+		r.draining.Add(1)
+	}
+}
--- a/pkg/edge/flight_middleware.go
+++ b/pkg/edge/flight_middleware.go
@@ -20,13 +20,13 @@
 func (m *flightMiddleware) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	closeUnlessRead(w, r)
 	if !m.edge.flight.enter() {
-		m.edge.refuse(w, errDraining(), "", "")
+		m.edge.refuseEarly(w, errDraining())
 		return
 	}
 	defer m.edge.flight.leave()
 	if err := m.edge.Gate.Admit(); err != nil {
 		w.Header().Set("Connection", "close")
-		m.edge.refuse(w, notRun(err), "", "")
+		m.edge.refuseEarly(w, notRun(err))
 		return
 	}
 	m.next.ServeHTTP(w, r)
--- a/pkg/edge/path_test.go
+++ b/pkg/edge/path_test.go
@@ -139,11 +139,12 @@
 // requests are refused as not run with other addresses, and only then is it done.
 func TestDrainFinishesWhatRuns(t *testing.T) {
 	finish := make(chan struct{})
+	counted := new(refusals)
 	f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		beginStream(w, r)
 		<-finish
 		_, _ = io.WriteString(w, "data: [DONE]\n\n")
-	}), nil)
+	}), func(c *Config) { c.Observer = counted })
 	running := send(t, f.request(t, http.MethodPost, "/v1/completions", streamBody))
 	f.edge.Drain()
 	refused := send(t, f.request(t, http.MethodPost, "/v1/completions", modelBody))
@@ -155,6 +156,7 @@
 	same(t, "ready", http.StatusServiceUnavailable, send(t, f.request(t, http.MethodGet, "/readyz", "")).StatusCode)
 	same(t, "live", http.StatusOK, send(t, f.request(t, http.MethodGet, "/healthz", "")).StatusCode)
 	same(t, "in flight", 1, f.edge.InFlight())
+	same(t, "counted", int32(1), counted.draining.Load())
 	close(finish)
 	body, err := io.ReadAll(running.Body)
 	same(t, "error", nil, err)
--- a/pkg/edge/refuse.go
+++ b/pkg/edge/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/verdict"
+	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // Headers of refusals. The OpenAI client libraries follow headerShouldRetry before
@@ -32,6 +33,13 @@
 	Entries      []string     `json:"entries,omitempty"`
 }
 
+// refuseEarly refuses what isn't known to be any organisation's yet, and counts it: a
+// router that drains or can't confirm its configuration must show in the metrics.
+func (e *Edge) refuseEarly(w http.ResponseWriter, err *verdict.Error) {
+	e.Observer.Refused("", wire.ClassNormal, err.Code)
+	e.refuse(w, err, "", "")
+}
+
 // refuse answers with err. Its Error is shared, so that it is only read.
 func (e *Edge) refuse(w http.ResponseWriter, err *verdict.Error, org, model string) {
 	entries := err.Entries
