Take the time of a kill as the span in which it happens

Cause: TestKeeperIsKilledWhileTheTableIsOut was red once, at a load average of 20, with one request counted as lost. Its connection was reset by the killed router; it had been sent after the kill's time was noted and before the signal was delivered, so the kill did not explain it. Ruled out: a router that lost a request, since the reset came from the router that was killed. Change: the kill is remembered with its beginning and end, and explains what was at that router at some moment between.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -38,8 +38,8 @@
 }
 
 type kill struct {
-	entry string
-	at    time.Time
+	entry        string
+	begun, ended time.Time
 }
 
 // Plan is a fleet with relays, so that links can be cut; the caller changes it.
@@ -79,19 +79,21 @@
 // Kill kills router i with SIGKILL and remembers when, for Excuse.
 func (f *Fleet) Kill(i int) {
 	f.t.Helper()
-	f.mu.Lock()
-	f.kills = append(f.kills, kill{f.Routers[i].Info.Entry, time.Now()})
-	f.mu.Unlock()
+	begun := time.Now()
 	require.NoError(f.t, f.Routers[i].Kill())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kills = append(f.kills, kill{f.Routers[i].Info.Entry, begun, time.Now()})
 }
 
 // Excuse is true for a request that was at a router when Kill ended that router: only
-// that explains a connection which broke.
+// that explains a connection which broke. The process ends at some moment between begun
+// and ended, so a request that was sent in between may have met it alive.
 func (f *Fleet) Excuse(r load.Result) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range f.kills {
-		if k.entry == r.Entry && !k.at.Before(r.Sent) && !k.at.After(r.Ended) {
+		if k.entry == r.Entry && !k.ended.Before(r.Sent) && !k.begun.After(r.Ended) {
 			return true
 		}
 	}
