Let routers tell each other their work, their organisations' use and prompts read

Cause: a router that sees an eighth of the traffic can't know which engine is full, what an organisation gets or which engine has read a prompt. Change: routers exchange sealed reports every 80 ms, find each other through the store, and give a router that the store turns away the configuration and the list of upstreams.

--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -42,8 +42,9 @@
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	l := logger.WithField("router", s.Router.Name)
+	store := platform.NewStore(s.Store.Addr, l)
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
-		Store: platform.NewStore(s.Store.Addr, l), Dialect: platform.Dialect{},
+		Store: store, Registry: store, Dialect: platform.Dialect{},
 		Faces: gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
 	}, l)
 	if err == nil {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -20,7 +20,7 @@
 	mu sync.Mutex
 	// revision of the instances in set; 0 before the first list.
 	revision Revision
-	// heard is when the store last answered about instances.
+	// heard is when the list was last known to be current.
 	heard time.Time
 }
 
@@ -59,6 +59,20 @@
 	return c.revision
 }
 
+// List gives the list of instances with its revision.
+func (c *Catalog) List() (*upstream.Set, Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set.Load(), c.revision
+}
+
+// InstancesAge is the time since the list of instances was last known to be current.
+func (c *Catalog) InstancesAge(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.heard)
+}
+
 // Adopt puts cfg in force when it is newer than what is. source is for the log.
 func (c *Catalog) Adopt(cfg *routing.Config, source string) {
 	c.mu.Lock()
@@ -82,7 +96,7 @@
 	if rev < c.revision {
 		return
 	}
-	c.revision = rev
+	c.revision, c.heard = rev, time.Now()
 	c.set.Store(upstream.NewSet(list))
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
@@ -94,7 +108,7 @@
 	if after > c.revision || rev < c.revision {
 		return
 	}
-	c.revision = rev
+	c.revision, c.heard = rev, time.Now()
 	next, differs := c.set.Load().Apply(changes)
 	if !differs {
 		return
--- /dev/null
+++ b/pkg/fleet/catchup.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// CatalogPath is where a router gives others what it knows from the store.
+const CatalogPath = "/fleet/catalog"
+
+// CatalogAsk asks for what is newer than what the sender has.
+type CatalogAsk struct {
+	From      string `cbor:"1,keyasint"`
+	Config    int64  `cbor:"2,keyasint"`
+	Instances int64  `cbor:"3,keyasint"`
+}
+
+// CatalogGiven is the answer: what is not newer is left out.
+type CatalogGiven struct {
+	Config    *routing.Config     `cbor:"1,keyasint,omitempty"`
+	Instances []upstream.Instance `cbor:"2,keyasint,omitempty"`
+	Revision  int64               `cbor:"3,keyasint,omitempty"`
+}
+
+// maxCatalog bounds a catalog's message, in bytes.
+const maxCatalog = 8 << 20
+
+// Catalog asks the peer at addr for what is newer.
+func (d *Duty) Catalog(ctx context.Context, addr string, ask CatalogAsk) (*CatalogGiven, error) {
+	ask.From = d.fleet.self.Name
+	given := new(CatalogGiven)
+	if err := d.post(ctx, addr, CatalogPath, ask, given, maxCatalog); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return given, nil
+}
+
+// post sends a sealed message and reads the sealed answer.
+func (d *Duty) post(ctx context.Context, addr, path string, message, answer any, limit int64) error {
+	secret := d.fleet.Secret()
+	if secret == nil {
+		return errors.New("the fleet's secret is not known")
+	}
+	data, err := encode(message, secret)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("the peer answers %d", resp.StatusCode)
+	}
+	return errors.Trace(decode(body, secret, answer))
+}
--- /dev/null
+++ b/pkg/fleet/duty.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/pkg/forward"
+)
+
+// Path is where routers take each other's reports.
+const Path = "/fleet/report"
+
+// Duty exchanges reports with all peers.
+type Duty struct {
+	fleet *Fleet
+	http  *http.Client
+}
+
+// peerBuffer is the size of a connection's buffers, in bytes; a report fits.
+const peerBuffer = 2 << 10
+
+// NewDuty returns the duty of f.
+func NewDuty(f *Fleet) *Duty {
+	return &Duty{fleet: f, http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
+		DialContext: forward.Dialer(exchangeTimeout).DialContext, MaxIdleConnsPerHost: 1,
+		DisableCompression: true, ReadBufferSize: peerBuffer, WriteBufferSize: peerBuffer,
+	}}}
+}
+
+// Run exchanges until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	tick := time.NewTicker(exchangeEvery / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, p := range d.fleet.due(now) {
+				go d.exchange(ctx, p)
+			}
+		}
+	}
+}
+
+// due gives the peers that are asked now, and forgets those that are long gone.
+//
+// Of two routers that hear each other the one with the smaller address asks; the other
+// one asks as well when it has heard nothing for a while, as the path may work one way.
+func (f *Fleet) due(now time.Time) []*peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.secret == nil {
+		return nil
+	}
+	pause := max(exchangeEvery, time.Duration(len(f.peers))*perPeer)
+	var list []*peer
+	for addr, p := range f.peers {
+		if p.failed > 0 && now.Sub(p.heard) > forgetAfter && p.failed > maxFailedTries {
+			delete(f.peers, addr)
+			continue
+		}
+		if f.isDue(p, now, pause) {
+			p.tried, p.asking = now, true
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// maxFailedTries is how often a peer that was never heard of is asked.
+const maxFailedTries = 30
+
+func (f *Fleet) isDue(p *peer, now time.Time, pause time.Duration) bool {
+	if p.asking {
+		return false
+	}
+	if p.failed > 0 {
+		return now.Sub(p.tried) >= min(maxFailedPause, pause<<min(p.failed, 8))
+	}
+	if f.self.Peers > p.member.Peers && now.Sub(p.heard) < 3*pause {
+		return false
+	}
+	return now.Sub(p.tried) >= pause
+}
+
+func (d *Duty) exchange(ctx context.Context, p *peer) {
+	f := d.fleet
+	f.mu.Lock()
+	f.round++
+	others := f.round%othersEvery == 0 || p.heard.IsZero()
+	addr := p.member.Peers
+	f.mu.Unlock()
+	answer := new(Report)
+	err := d.post(ctx, addr, Path, f.outgoing(p, others), answer, maxMessage)
+	f.mu.Lock()
+	p.asking = false
+	f.mu.Unlock()
+	if err != nil {
+		f.miss(p, err)
+		return
+	}
+	f.incoming(answer)
+}
+
+// miss notes a failed exchange.
+func (f *Fleet) miss(p *peer, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.failed++
+	if p.failed == 1 && !p.heard.IsZero() {
+		f.log.WithFields(log.Fields{"event": "peer_missed", "peer": p.member.Name, "addr": p.member.Peers}).WithError(err).Warn("router does not answer")
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Times of the exchange.
+const (
+	// exchangeEvery is the pause between two exchanges with one peer in a small fleet: a
+	// router's picture of an engine's load is at most that old, which is short against the
+	// hundreds of milliseconds in which a prompt is read.
+	exchangeEvery = 80 * time.Millisecond
+	// perPeer stretches the pause in a larger fleet, so that a router's exchanges a second
+	// don't grow with it.
+	perPeer = 10 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// aliveFor is how long after its last report a peer counts as alive.
+	aliveFor = 1200 * time.Millisecond
+	// forgetAfter is when a peer that was not heard of is forgotten. It may be cut off and
+	// come back.
+	forgetAfter = 60 * time.Second
+	// maxFailedPause bounds the pause after failed exchanges.
+	maxFailedPause = time.Second
+	// othersEvery is the number of exchanges after which one names other routers.
+	othersEvery = 8
+)
+
+// Fleet is this router's picture of the others.
+type Fleet struct {
+	self  Member
+	local Local
+	log   log.Interface
+
+	mu     sync.Mutex
+	secret []byte
+	peers  map[string]*peer // by peers' address
+	reads  readLog
+	round  int
+}
+
+// New returns a fleet of one.
+func New(self Member, local Local, l log.Interface) *Fleet {
+	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer)}
+}
+
+// SetSecret gives the secret that seals messages; without one nothing is exchanged.
+func (f *Fleet) SetSecret(secret []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.secret = secret
+}
+
+// Secret gives the secret, nil before it is known.
+func (f *Fleet) Secret() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.secret
+}
+
+// Meet takes members that were heard of elsewhere.
+func (f *Fleet) Meet(list []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range list {
+		f.meet(m)
+	}
+}
+
+func (f *Fleet) meet(m Member) *peer {
+	if m.Peers == "" || m.Peers == f.self.Peers {
+		return nil
+	}
+	p := f.peers[m.Peers]
+	if p == nil {
+		p = &peer{member: m}
+		f.peers[m.Peers] = p
+		return p
+	}
+	if m.Started > p.member.Started {
+		p.member = m
+	}
+	return p
+}
+
+// Count is the number of routers that are alive, this one included.
+func (f *Fleet) Count() int {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 1
+	for _, p := range f.peers {
+		if p.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready gives the routers that callers may be sent to, without this one.
+func (f *Fleet) Ready() []Member {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Member
+	for _, p := range f.peers {
+		if p.alive(now) && p.report.Ready {
+			list = append(list, p.member)
+		}
+	}
+	return list
+}
+
+// Alive gives the peers that were heard of lately.
+func (f *Fleet) Alive() []Member {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Member
+	for _, p := range f.peers {
+		if p.alive(now) {
+			list = append(list, p.member)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/fleet/join.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+)
+
+// Times of joining.
+const (
+	// secretSize is the size of the fleet's secret, in bytes.
+	secretSize = 32
+	// joinTimeout bounds one call to the registry.
+	joinTimeout = 1500 * time.Millisecond
+	// joinRetry is the pause after a failed call.
+	joinRetry = 250 * time.Millisecond
+	// lookEvery is the pause between two looks at the list of members: peers name each
+	// other, so it only finds parts of the fleet that don't know of each other.
+	lookEvery = 15 * time.Second
+	// lonelyEvery is that pause while nobody is heard of.
+	lonelyEvery = time.Second
+	// leaveTimeout bounds the call that takes this router off the list.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// Joiner finds the fleet through the registry.
+type Joiner struct {
+	fleet    *Fleet
+	registry Registry
+	log      log.Interface
+}
+
+// NewJoiner returns the joiner of f.
+func NewJoiner(f *Fleet, r Registry, l log.Interface) *Joiner {
+	return &Joiner{fleet: f, registry: r, log: l}
+}
+
+// Run joins and keeps looking for members until ctx ends.
+func (j *Joiner) Run(ctx context.Context) {
+	j.until(ctx, "secret", j.secret)
+	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
+	j.until(ctx, "members", j.look)
+	last := time.Now()
+	for pause(ctx, lonelyEvery) {
+		if j.fleet.Count() > 1 && time.Since(last) < lookEvery {
+			continue
+		}
+		last = time.Now()
+		if err := j.call(ctx, j.look); err != nil {
+			j.log.WithError(err).WithField("event", "members_unread").Debug("list of routers can't be read")
+		}
+	}
+}
+
+// until repeats step until it is done.
+func (j *Joiner) until(ctx context.Context, name string, step func(context.Context) error) {
+	for tries := 1; ctx.Err() == nil; tries++ {
+		err := j.call(ctx, step)
+		if err == nil {
+			j.log.WithFields(log.Fields{"event": "join", "step": name, "tries": tries}).Info("step of joining is done")
+			return
+		}
+		if tries == 1 {
+			j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": name}).Warn("joining waits for the store")
+		}
+		pause(ctx, joinRetry)
+	}
+}
+
+func (j *Joiner) call(ctx context.Context, step func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	return step(ctx)
+}
+
+func (j *Joiner) secret(ctx context.Context) error {
+	proposal := make([]byte, secretSize)
+	if _, err := rand.Read(proposal); err != nil {
+		return errors.Trace(err)
+	}
+	secret, err := j.registry.Secret(ctx, proposal)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	j.fleet.SetSecret(secret)
+	return nil
+}
+
+func (j *Joiner) look(ctx context.Context) error {
+	list, err := j.registry.Members(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	j.fleet.Meet(list)
+	return nil
+}
+
+// Leave takes this router off the list, as well as it can.
+func (j *Joiner) Leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := j.registry.Remove(ctx, j.fleet.self); err != nil {
+		j.log.WithError(err).WithField("event", "still_listed").Info("router stays on the list")
+	}
+}
+
+// pause waits; it returns false when ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/fleet/local.go
@@ -0,0 +1,17 @@
+package fleet
+
+// Local is what this router tells and learns; the parts that decide implement it.
+type Local interface {
+	// Describe fills in what a report says of this router's work.
+	Describe(r *Report)
+	// Reads gives prompts newly read since the last call.
+	Reads() []PromptRead
+	// Learn takes what another router's engines have read.
+	Learn(list []PromptRead)
+	// Loads takes the work in progress and the use by all other routers.
+	Loads(loads map[string]InstanceLoad, uses map[string]Use)
+	// Behind is told which configuration and list a peer has.
+	Behind(peer Member, config, instances int64)
+	// Catalog gives what is newer than the ask.
+	Catalog(ask CatalogAsk) CatalogGiven
+}
--- /dev/null
+++ b/pkg/fleet/member.go
@@ -0,0 +1,13 @@
+package fleet
+
+// Member is a router as it describes itself.
+type Member struct {
+	Name string `cbor:"1,keyasint"`
+	// Peers is the address for other routers, Callers the one for callers.
+	Peers   string `cbor:"2,keyasint"`
+	Callers string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Started tells two lives of one router apart, in nanoseconds since 1970: the larger
+	// one is the newer as far as the host's time of day can be trusted.
+	Started int64 `cbor:"5,keyasint"`
+}
--- /dev/null
+++ b/pkg/fleet/registry.go
@@ -0,0 +1,15 @@
+package fleet
+
+import "context"
+
+// Registry is the operators' store as the place where routers find each other.
+type Registry interface {
+	// Secret gives the fleet's secret; the first caller's proposal becomes it.
+	Secret(ctx context.Context, proposal []byte) ([]byte, error)
+	// Register puts a member on the list.
+	Register(ctx context.Context, m Member) error
+	// Remove takes a member off the list.
+	Remove(ctx context.Context, m Member) error
+	// Members gives the list. Members that ended without a word are still on it.
+	Members(ctx context.Context) ([]Member, error)
+}
--- /dev/null
+++ b/pkg/fleet/report.go
@@ -0,0 +1,46 @@
+package fleet
+
+// Report is what a router tells another about itself.
+type Report struct {
+	From Member `cbor:"1,keyasint"`
+	// Ready is whether callers should be sent to the router.
+	Ready bool `cbor:"2,keyasint,omitempty"`
+	// Loads is the router's work in progress.
+	Loads []InstanceLoad `cbor:"3,keyasint,omitempty"`
+	// Uses is what organisations ask of the router and get from it.
+	Uses []Use `cbor:"4,keyasint,omitempty"`
+	// Read are the newest entries of the router's log of prompts read, up to number Last.
+	Read []PromptRead `cbor:"5,keyasint,omitempty"`
+	Last uint64       `cbor:"6,keyasint,omitempty"`
+	// Have is the number of the last entry of the receiver's log that the sender has,
+	// and HaveOf the life of the receiver that it counts in.
+	Have   uint64 `cbor:"7,keyasint,omitempty"`
+	HaveOf int64  `cbor:"8,keyasint,omitempty"`
+	// Others are routers that the sender has heard of lately.
+	Others []Member `cbor:"9,keyasint,omitempty"`
+	// Config is the version of the configuration in force, Instances the revision of the
+	// list of upstreams.
+	Config    int64 `cbor:"10,keyasint,omitempty"`
+	Instances int64 `cbor:"11,keyasint,omitempty"`
+}
+
+// InstanceLoad is work in progress on one instance.
+type InstanceLoad struct {
+	Instance string `cbor:"1,keyasint"`
+	Running  int    `cbor:"2,keyasint"`
+	Unread   int    `cbor:"3,keyasint,omitempty"`
+	Memory   int    `cbor:"4,keyasint,omitempty"`
+}
+
+// Use is an organisation's traffic at one router, in tokens a second.
+type Use struct {
+	Organisation string  `cbor:"1,keyasint"`
+	Asked        float64 `cbor:"2,keyasint"`
+	Got          float64 `cbor:"3,keyasint"`
+}
+
+// PromptRead says that an engine has read a prompt's beginning.
+type PromptRead struct {
+	Key      uint64 `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint"`
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	health   *upstream.Health
 	ledger   *placement.Ledger
 	holdings *placement.Holdings
+	shares   *placement.Shares
 	budget   *placement.Budget
 	peers    Peers
 	log      log.Interface
@@ -47,6 +48,7 @@
 	Health   *upstream.Health
 	Ledger   *placement.Ledger
 	Holdings *placement.Holdings
+	Shares   *placement.Shares
 	Peers    Peers
 	Log      log.Interface
 }
@@ -55,7 +57,7 @@
 func New(s Settings, p Parts) *Gateway {
 	return &Gateway{
 		settings: s, catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
-		ledger: p.Ledger, holdings: p.Holdings, peers: p.Peers, log: p.Log,
+		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, peers: p.Peers, log: p.Log,
 		budget: &placement.Budget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow},
 	}
 }
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -56,6 +56,9 @@
 		return errNoUpstream()
 	}
 	g.budget.Request(r.service.Name, r.start)
+	if r.ask.Prompt != nil {
+		g.shares.Ask(r.org, r.ask.Prompt.Size(), r.start)
+	}
 	return nil
 }
 
@@ -120,6 +123,10 @@
 }
 
 func (g *Gateway) refuse(r *request, e *verdict.Error) {
+	if r.begun {
+		// Guard: the caller has the head of an answer. Ended here, it would look complete.
+		g.cut(r)
+	}
 	r.trail.outcome, r.trail.status = string(e.Code), e.Status
 	refuse(r.w, e)
 }
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -18,7 +18,7 @@
 		return placement.Choice{}, errNoUpstream()
 	}
 	found := placement.Choose(placement.Request{
-		Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone, Limit: g.limit(r),
+		Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone, Limit: g.limit(r, now),
 	}, candidates, g.pace())
 	if !found.OK {
 		return placement.Choice{}, errOverloaded(briefly)
@@ -48,5 +48,37 @@
 	return placement.Work{Organisation: r.org, Prompt: r.ask.Prompt, Unread: unread}
 }
 
+// Shares of a route's objective that a request may be expected to wait for its first
+// event.
+const (
+	// patience is for organisations within their share: what is left of the objective
+	// covers the way to the caller and what the estimate misses.
+	patience = 0.8
+	// impatience is for those over their share: they get what others leave idle.
+	impatience = 0.35
+	// longPatience is what a request gets beside the reading of its own prompt: one whose
+	// prompt takes longer than the objective to read is late anywhere.
+	longPatience = 0.4
+)
+
 // limit is the longest wait that is worth starting.
-func (g *Gateway) limit(r *request) time.Duration { return time.Hour }
+func (g *Gateway) limit(r *request, now time.Time) time.Duration {
+	if r.service.Engine == nil || r.ask.Prompt == nil {
+		return callPatience
+	}
+	share := patience
+	r.standing = g.shares.Standing(r.org, g.capacity(), now)
+	if r.standing > 1 {
+		share = impatience
+	}
+	objective := float64(r.route.Objective)
+	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
+	limit := max(share*objective-float64(now.Sub(r.start)), own+longPatience*share*objective)
+	return time.Duration(limit)
+}
+
+// callPatience bounds the wait for a plain service, whose calls take milliseconds.
+const callPatience = 400 * time.Millisecond
+
+// capacity is what all engines do together, in tokens a second.
+func (g *Gateway) capacity() float64 { return g.catalog.Table().Config.Limits.TokensPerSecond }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -46,6 +46,11 @@
 	if err != nil {
 		return g.failed(r, st, in, err)
 	}
+	if r.begun {
+		// A stream that was to go on got something else: its caller can't be helped.
+		st.Outcome = outcomeFailure
+		g.cut(r)
+	}
 	answer := &whole{status: a.Status, header: a.Header, body: body}
 	if len(body) > wholeLimit {
 		g.relayLong(r, st, in, a, answer)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -30,7 +30,9 @@
 	// has the head of its answer.
 	cutter *forward.Events
 	begun  bool
-	trail  trail
+	// standing is what the organisation gets over what it is due.
+	standing float64
+	trail    trail
 }
 
 // left is how long an upstream may still work.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -30,9 +30,6 @@
 		now := time.Now()
 		choice, err := g.place(r, now)
 		if err != nil {
-			if r.begun {
-				g.cut(r)
-			}
 			g.refuse(r, g.afterAttempts(r, err))
 			return
 		}
@@ -142,6 +139,9 @@
 	entry := g.ledger.Begin(in.ID, g.work(r, choice.Unread))
 	defer entry.End()
 	g.holdings.Use(in.ID, r.chain, now)
+	if r.ask.Prompt != nil {
+		g.shares.Get(r.org, r.ask.Prompt.Size(), now)
+	}
 	answer, err := g.pools.Do(r.ctx, g.call(r, in, now))
 	if err != nil {
 		return g.failed(r, st, in, err)
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -43,6 +44,9 @@
 	if r.org != "" {
 		f["organisation"] = r.org
 	}
+	if r.standing > 0 {
+		f["standing"] = math.Round(r.standing*100) / 100
+	}
 	if r.service != nil {
 		f["service"] = r.service.Name
 	}
--- a/pkg/gatewayd/leave.go
+++ b/pkg/gatewayd/leave.go
@@ -21,7 +21,8 @@
 	began := time.Now()
 	p.gateway.Leave()
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("router leaves")
-	time.Sleep(refuseAfter)
+	p.joiner.Leave()
+	time.Sleep(time.Until(began.Add(refuseAfter)))
 	p.gateway.Shut()
 	end := began.Add(seconds(p.settings.Leaving.GraceSeconds) - endMargin)
 	for p.gateway.Active() > 0 && time.Now().Before(end) {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -25,9 +26,10 @@
 
 // Deployment is what an adapter provides.
 type Deployment struct {
-	Store   catalog.Store
-	Dialect gateway.Dialect
-	Faces   Faces
+	Store    catalog.Store
+	Registry fleet.Registry
+	Dialect  gateway.Dialect
+	Faces    Faces
 }
 
 // Process is a running gateway.
@@ -40,27 +42,36 @@
 	health   *upstream.Health
 	holdings *placement.Holdings
 	gateway  *gateway.Gateway
+	telling  *telling
+	fleet    *fleet.Fleet
+	exchange *fleet.Duty
+	joiner   *fleet.Joiner
 	faces    []*face
 
 	duties sync.WaitGroup
 }
 
-type alone struct{}
-
-func (alone) Count() int { return 8 }
-
 // NewProcess builds a gateway and binds its addresses.
 func NewProcess(s Settings, d Deployment, l log.Interface) (*Process, error) {
 	if s.Limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMiB<<20) * memoryShare))
 	}
+	ledger, shares := placement.NewLedger(), placement.NewShares()
 	p := &Process{settings: s, log: l, catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, l)
+	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares,
+		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
+	p.fleet = fleet.New(member(s), p.telling, l)
+	p.exchange = fleet.NewDuty(p.fleet)
+	p.joiner = fleet.NewJoiner(p.fleet, d.Registry, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
-		Ledger: placement.NewLedger(), Holdings: p.holdings, Peers: alone{}, Log: l,
+		Ledger: ledger, Holdings: p.holdings, Shares: shares, Peers: p.fleet, Log: l,
 	})
+	for _, addr := range s.Entries.Known {
+		p.fleet.Meet([]fleet.Member{{Peers: addr}})
+	}
 	return p, errors.Trace(p.bind(d.Faces))
 }
 
@@ -92,6 +103,7 @@
 	}{
 		{"callers", s.Listen.Callers, p.gateway},
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
+		{"peers", s.Listen.Peers, p.fleet.Handler()},
 		{"entries", s.Listen.Entries, f.Entries(p.entries, s.Entries.KeepSeconds)},
 	} {
 		bound, err := newFace(one.name, one.addr, one.handler)
@@ -103,11 +115,21 @@
 	return nil
 }
 
+// entries gives the addresses that callers may use.
 func (p *Process) entries(string) []string {
-	if !p.gateway.Ready() {
-		return nil
+	var list []string
+	if p.gateway.Ready() {
+		list = append(list, p.settings.Listen.Callers)
 	}
-	return []string{p.settings.Listen.Callers}
+	for _, m := range p.fleet.Ready() {
+		list = append(list, m.Callers)
+	}
+	return list
+}
+
+func member(s Settings) fleet.Member {
+	return fleet.Member{Name: s.Router.Name, Peers: s.Listen.Peers, Callers: s.Listen.Callers,
+		Zone: s.Router.Zone, Started: time.Now().UnixNano()}
 }
 
 // Run serves until ctx ends, then leaves in order.
@@ -119,6 +141,9 @@
 	p.duty(func() { p.watcher.WatchInstances(life) })
 	p.duty(func() { p.pools.Run(life, p.catalog.Instances) })
 	p.duty(func() { p.housekeeping(life) })
+	p.duty(func() { p.joiner.Run(life) })
+	p.duty(func() { p.exchange.Run(life) })
+	p.duty(func() { p.telling.catchUp(life, p.exchange, p.log) })
 	for _, f := range p.faces {
 		p.duty(func() { p.serve(f) })
 	}
--- /dev/null
+++ b/pkg/gatewayd/telling.go
@@ -0,0 +1,162 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/fleet"
+	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// telling joins the fleet's reports to the parts that decide.
+type telling struct {
+	catalog  *catalog.Catalog
+	ledger   *placement.Ledger
+	holdings *placement.Holdings
+	shares   *placement.Shares
+	ready    func() bool
+	// behind takes peers that know more than this router.
+	behind chan newer
+}
+
+// newer says that a peer has a newer configuration or list of upstreams.
+type newer struct {
+	peer              fleet.Member
+	config, instances int64
+}
+
+// Describe fills in what a report says of this router's work.
+func (t *telling) Describe(r *fleet.Report) {
+	r.Ready = t.ready()
+	r.Config, r.Instances = t.catalog.Version(), int64(t.catalog.InstancesRevision())
+	for id, l := range t.ledger.Own() {
+		r.Loads = append(r.Loads, fleet.InstanceLoad{Instance: string(id), Running: l.Running, Unread: l.Unread, Memory: l.Memory})
+	}
+	for org, u := range t.shares.Own(time.Now()) {
+		r.Uses = append(r.Uses, fleet.Use{Organisation: org, Asked: u.Asked, Got: u.Got})
+	}
+}
+
+// Reads gives prompts newly read since the last call.
+func (t *telling) Reads() []fleet.PromptRead {
+	untold := t.holdings.Untold()
+	list := make([]fleet.PromptRead, 0, len(untold))
+	for _, h := range untold {
+		list = append(list, fleet.PromptRead{Key: h.Key, Instance: string(h.Instance)})
+	}
+	return list
+}
+
+// Learn takes what other routers' engines have read.
+func (t *telling) Learn(list []fleet.PromptRead) {
+	holdings := make([]placement.Holding, 0, len(list))
+	for _, r := range list {
+		holdings = append(holdings, placement.Holding{Key: r.Key, Instance: upstream.ID(r.Instance)})
+	}
+	t.holdings.Learn(holdings, time.Now())
+}
+
+// Loads takes the work and the use by all other routers.
+func (t *telling) Loads(loads map[string]fleet.InstanceLoad, uses map[string]fleet.Use) {
+	others := make(map[upstream.ID]placement.Load, len(loads))
+	for id, l := range loads {
+		others[upstream.ID(id)] = placement.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory}
+	}
+	t.ledger.SetOthers(others)
+	shares := make(map[string]placement.Use, len(uses))
+	for org, u := range uses {
+		shares[org] = placement.Use{Asked: u.Asked, Got: u.Got}
+	}
+	t.shares.SetOthers(shares)
+}
+
+// Behind notes a peer that knows more. The channel holds one: while a peer is asked,
+// further ones are not needed, and reports come again.
+func (t *telling) Behind(peer fleet.Member, config, instances int64) {
+	if !t.lacks(config, instances) {
+		return
+	}
+	select {
+	case t.behind <- newer{peer: peer, config: config, instances: instances}:
+	default:
+	}
+}
+
+// lacks reports whether a peer with these versions knows more. The list of upstreams
+// changes all the time and every router reads it itself; peers only help one whose own
+// copy has become old.
+func (t *telling) lacks(config, instances int64) bool {
+	if config > t.catalog.Version() {
+		return true
+	}
+	return instances > int64(t.catalog.InstancesRevision()) && t.catalog.InstancesAge(time.Now()) > listOld
+}
+
+const (
+	// listOld is the age at which the copy of the list counts as old: the store was asked
+	// in vain more than once.
+	listOld = 1200 * time.Millisecond
+	// storeFirst is how long the store's own answer is waited for before a peer is asked:
+	// usually it is on its way.
+	storeFirst = 200 * time.Millisecond
+	// catchUpTimeout bounds the question to a peer.
+	catchUpTimeout = 400 * time.Millisecond
+)
+
+// Catalog gives another router what it lacks.
+func (t *telling) Catalog(ask fleet.CatalogAsk) fleet.CatalogGiven {
+	var given fleet.CatalogGiven
+	if table := t.catalog.Table(); table != nil && table.Config.Version > ask.Config {
+		given.Config = table.Config
+	}
+	set, rev := t.catalog.List()
+	if int64(rev) > ask.Instances {
+		given.Instances, given.Revision = set.List(), int64(rev)
+	}
+	return given
+}
+
+// catchUp asks peers for what this router lacks, until ctx ends.
+func (t *telling) catchUp(ctx context.Context, duty *fleet.Duty, l log.Interface) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-t.behind:
+			wait(ctx, storeFirst)
+			if t.lacks(n.config, n.instances) {
+				t.askPeer(ctx, duty, n, l)
+			}
+		}
+	}
+}
+
+func (t *telling) askPeer(ctx context.Context, duty *fleet.Duty, n newer, l log.Interface) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	ask := fleet.CatalogAsk{Config: t.catalog.Version(), Instances: int64(t.catalog.InstancesRevision())}
+	given, err := duty.Catalog(ctx, n.peer.Peers, ask)
+	if err != nil {
+		l.WithError(err).WithFields(log.Fields{"event": "catch_up_failed", "peer": n.peer.Name}).Info("peer gives no catalog")
+		return
+	}
+	if given.Config != nil {
+		t.catalog.Adopt(given.Config, "peer "+n.peer.Name)
+	}
+	if given.Revision > 0 {
+		t.catalog.Replace(given.Instances, catalog.Revision(given.Revision), "peer "+n.peer.Name)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
