Place requests with the engines that keep their prompts, and leave what is over its share to idle engines

Ruled out: first reads of new parts (30 k) and late news between routers (the predicted and the measured tokens agree). Change: a candidate without the prompt must have three times the reading of it in reserve; over its share, an organisation is refused unless some engine is idle, and then placed like any other.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -17,9 +17,9 @@
 	if len(candidates) == 0 {
 		return placement.Choice{}, errNoUpstream()
 	}
-	found := placement.Choose(placement.Request{
-		Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone, Limit: g.limit(r, now),
-	}, candidates, g.pace())
+	req := placement.Request{Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone}
+	g.limit(r, &req, now)
+	found := placement.Choose(req, candidates, g.pace())
 	if !found.OK {
 		return placement.Choice{}, errOverloaded(briefly)
 	}
@@ -61,20 +61,19 @@
 	longPatience = 0.4
 )
 
-// limit is the longest wait that is worth starting.
-func (g *Gateway) limit(r *request, now time.Time) time.Duration {
+// limit sets the longest wait that is worth starting.
+func (g *Gateway) limit(r *request, req *placement.Request, now time.Time) {
 	if r.service.Engine == nil || r.ask.Prompt == nil {
-		return callPatience
+		req.Limit = callPatience
+		return
 	}
-	share := patience
+	objective := float64(r.route.Objective)
+	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
+	req.Limit = time.Duration(max(patience*objective-float64(now.Sub(r.start)), own+longPatience*objective))
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
 	if r.standing > 1 {
-		share = impatience
+		req.IdleLimit = time.Duration(max(impatience*objective, own+impatience*longPatience*objective))
 	}
-	objective := float64(r.route.Objective)
-	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
-	limit := max(share*objective-float64(now.Sub(r.start)), own+longPatience*share*objective)
-	return time.Duration(limit)
 }
 
 // callPatience bounds the wait for a plain service, whose calls take milliseconds.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -133,7 +133,8 @@
 	r.tried[in.ID] = true
 	r.trail.steps = append(r.trail.steps, step{
 		Instance: in.ID, AtMs: now.Sub(r.start).Milliseconds(), WaitMs: choice.Wait.Milliseconds(),
-		Running: choice.Candidate.Load.Running, Unread: choice.Unread, Kept: choice.Candidate.Kept, started: now,
+		Running: choice.Candidate.Load.Running, Unread: choice.Unread, Kept: choice.Candidate.Kept,
+		Shared: sharedTokens(r), started: now,
 	})
 	st := &r.trail.steps[len(r.trail.steps)-1]
 	entry := g.ledger.Begin(in.ID, g.work(r, choice.Unread))
@@ -170,6 +171,14 @@
 	}
 }
 
+// sharedTokens is how much of the prompt other requests may have as well.
+func sharedTokens(r *request) int {
+	if len(r.chain) == 0 {
+		return 0
+	}
+	return r.chain[len(r.chain)-1].Tokens
+}
+
 // failed notes an attempt without a usable answer.
 func (g *Gateway) failed(r *request, st *step, in *upstream.Instance, err error) result {
 	st.Error = err.Error()
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -17,6 +17,7 @@
 	Running  int           `json:"running"`
 	Unread   int           `json:"unread_tokens"`
 	Kept     int           `json:"kept_tokens"`
+	Shared   int           `json:"shared_tokens"`
 	FirstMs  int64         `json:"first_ms,omitempty"`
 	Events   int           `json:"events,omitempty"`
 	Outcome  string        `json:"outcome"`
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -10,7 +10,10 @@
 const (
 	// rereadWeight is what a millisecond of reading shared parts again counts against one
 	// of waiting: it also takes that time from the requests beside it.
-	rereadWeight = 1.5
+	rereadWeight = 6.0
+	// rereadReserve is how much of that time must be left within the limit: an engine that
+	// is nearly full does better to serve prompts that it keeps.
+	rereadReserve = 3.0
 	// batchCost is the cost of a full batch: each running request slows the others' tokens.
 	batchCost = 60 * time.Millisecond
 	// farCost prefers an instance in the router's own zone where all else is equal.
@@ -33,6 +36,9 @@
 	Zone    string
 	// Limit is the longest wait to the first event that is worth starting.
 	Limit time.Duration
+	// IdleLimit refuses the request unless some candidate's wait is within it, wherever
+	// the request is then sent; 0 for none.
+	IdleLimit time.Duration
 }
 
 // Choice is an instance and what was expected of it.
@@ -44,6 +50,9 @@
 	Unread int
 	// Cost is what was compared.
 	Cost time.Duration
+
+	// reread is the time for tokens that another candidate keeps.
+	reread time.Duration
 }
 
 // Verdict is what Choose found.
@@ -61,11 +70,12 @@
 	if len(req.Chain) > 0 {
 		key = req.Chain[len(req.Chain)-1].Key
 	}
+	best := bestKept(candidates)
 	v := Verdict{Soonest: time.Hour}
 	for _, c := range candidates {
-		choice := evaluate(req, c, pace)
+		choice := evaluate(req, c, best, pace)
 		v.Soonest = min(v.Soonest, choice.Wait)
-		if choice.Wait > req.Limit {
+		if choice.Wait+time.Duration(rereadReserve*float64(choice.reread)) > req.Limit {
 			continue
 		}
 		rank := float64(score(key, c.Instance.ID)) / float64(1<<64)
@@ -74,10 +84,23 @@
 			v.Choice, v.OK = choice, true
 		}
 	}
+	if req.IdleLimit > 0 && v.Soonest > req.IdleLimit {
+		v.OK = false
+	}
 	return v
 }
 
-func evaluate(req Request, c Candidate, pace Pace) Choice {
+// bestKept is the most that any candidate keeps of the prompt. What nobody keeps has to
+// be read in any case.
+func bestKept(candidates []Candidate) int {
+	best := 0
+	for _, c := range candidates {
+		best = max(best, c.Kept)
+	}
+	return best
+}
+
+func evaluate(req Request, c Candidate, best int, pace Pace) Choice {
 	if req.Service.Engine == nil || req.Work.Prompt == nil {
 		return evaluateCall(req, c, pace)
 	}
@@ -88,8 +111,9 @@
 		wait += noMemoryWait
 	}
 	cost := wait + c.Handicap + far(req, c) + batch(c.Load, slots)
-	cost += time.Duration(rereadWeight * float64(pace.reading(reread(req.Chain, c.Kept))))
-	return Choice{Candidate: c, Wait: wait, Unread: unread, Cost: cost}
+	reread := pace.reading(best - c.Kept)
+	cost += time.Duration(rereadWeight * float64(reread))
+	return Choice{Candidate: c, Wait: wait, Unread: unread, Cost: cost, reread: reread}
 }
 
 func evaluateCall(req Request, c Candidate, pace Pace) Choice {
@@ -98,14 +122,6 @@
 	return Choice{Candidate: c, Wait: wait, Cost: cost}
 }
 
-// reread is how many tokens of the chain an instance would read that others have read.
-func reread(chain []Link, kept int) int {
-	if len(chain) == 0 {
-		return 0
-	}
-	return max(0, chain[len(chain)-1].Tokens-kept)
-}
-
 // slotWait is how long a request waits for one of an instance's slots.
 func slotWait(l Load, slots int, pace Pace) time.Duration {
 	over := l.Running + 1 - slots
