Let the organisation that is furthest over its share give way first

Change: the queue at which an organisation gives way falls with the square of its standing; shares are of what engines really do.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -54,7 +55,9 @@
 	// patience is for organisations within their share: what is left of the objective
 	// covers the way to the caller and what the estimate misses.
 	patience = 0.8
-	// impatience is for those over their share: they get what others leave idle.
+	// impatience is the queue at which an organisation that has just its share gives way;
+	// one that is further over gives way earlier, so that of several the one that is
+	// furthest over gets least.
 	impatience = 0.35
 	// longPatience is what a request gets beside the reading of its own prompt: one whose
 	// prompt takes longer than the objective to read is late anywhere.
@@ -64,18 +67,22 @@
 // limit sets the longest wait that is worth starting.
 func (g *Gateway) limit(r *request, req *placement.Request, now time.Time) {
 	if r.service.Engine == nil || r.ask.Prompt == nil {
-		req.Limit = callPatience
+		req.Limit, req.QueueLimit = callPatience, callPatience
 		return
 	}
 	objective := float64(r.route.Objective)
 	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
 	req.Limit = time.Duration(max(patience*objective-float64(now.Sub(r.start)), own+longPatience*objective))
+	req.QueueLimit = req.Limit
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
 	if r.standing > 1 {
-		req.IdleLimit = time.Duration(max(impatience*objective, own+impatience*longPatience*objective))
+		req.QueueLimit = time.Duration(impatience * objective / math.Pow(r.standing, yielding))
 	}
 }
 
+// yielding is the power of the standing by which the queue limit falls.
+const yielding = 2.0
+
 // callPatience bounds the wait for a plain service, whose calls take milliseconds.
 const callPatience = 400 * time.Millisecond
 
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -36,9 +36,9 @@
 	Zone    string
 	// Limit is the longest wait to the first event that is worth starting.
 	Limit time.Duration
-	// IdleLimit refuses the request unless some candidate's wait is within it, wherever
-	// the request is then sent; 0 for none.
-	IdleLimit time.Duration
+	// QueueLimit refuses the request unless the queue of some candidate is within it,
+	// wherever the request is then sent.
+	QueueLimit time.Duration
 }
 
 // Choice is an instance and what was expected of it.
@@ -53,6 +53,8 @@
 
 	// reread is the time for tokens that another candidate keeps.
 	reread time.Duration
+	// queue is the part of the wait that others cause.
+	queue time.Duration
 }
 
 // Verdict is what Choose found.
@@ -60,8 +62,10 @@
 	Choice Choice
 	// OK is false when no candidate is within the limit.
 	OK bool
-	// Soonest is the shortest wait of all candidates.
+	// Soonest is the shortest wait of all candidates, Queue the shortest one without what
+	// the request itself has to have read.
 	Soonest time.Duration
+	Queue   time.Duration
 }
 
 // Choose gives the candidate with the least cost of those whose wait is within the limit.
@@ -71,10 +75,11 @@
 		key = req.Chain[len(req.Chain)-1].Key
 	}
 	best := bestKept(candidates)
-	v := Verdict{Soonest: time.Hour}
+	v := Verdict{Soonest: time.Hour, Queue: time.Hour}
 	for _, c := range candidates {
 		choice := evaluate(req, c, best, pace)
 		v.Soonest = min(v.Soonest, choice.Wait)
+		v.Queue = min(v.Queue, choice.queue)
 		if choice.Wait+time.Duration(rereadReserve*float64(choice.reread)) > req.Limit {
 			continue
 		}
@@ -84,7 +89,7 @@
 			v.Choice, v.OK = choice, true
 		}
 	}
-	if req.IdleLimit > 0 && v.Soonest > req.IdleLimit {
+	if v.Queue > req.QueueLimit {
 		v.OK = false
 	}
 	return v
@@ -106,20 +111,21 @@
 	}
 	slots := req.Service.Engine.Slots
 	unread := max(0, req.Work.Prompt.Input-c.Kept)
-	wait := pace.First + pace.reading(c.Load.Unread+unread) + slotWait(c.Load, slots, pace)
+	queue := pace.reading(c.Load.Unread) + slotWait(c.Load, slots, pace)
 	if float64(c.Load.Memory+req.Work.Memory()) > memoryShare*float64(req.Service.Engine.KVCapacity) {
-		wait += noMemoryWait
+		queue += noMemoryWait
 	}
+	wait := queue + pace.First + pace.reading(unread)
 	cost := wait + c.Handicap + far(req, c) + batch(c.Load, slots)
 	reread := pace.reading(best - c.Kept)
 	cost += time.Duration(rereadWeight * float64(reread))
-	return Choice{Candidate: c, Wait: wait, Unread: unread, Cost: cost, reread: reread}
+	return Choice{Candidate: c, Wait: wait, Unread: unread, Cost: cost, reread: reread, queue: queue}
 }
 
 func evaluateCall(req Request, c Candidate, pace Pace) Choice {
 	wait := slotWait(c.Load, c.Instance.Slots, pace)
 	cost := wait + c.Handicap + far(req, c) + batch(c.Load, c.Instance.Slots)
-	return Choice{Candidate: c, Wait: wait, Cost: cost}
+	return Choice{Candidate: c, Wait: wait, Cost: cost, queue: wait}
 }
 
 // slotWait is how long a request waits for one of an instance's slots.
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -97,7 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	uses := s.total(now)
-	due := waterLevel(uses, capacity)
+	due := waterLevel(uses, min(capacity, allGot(uses)))
 	if due <= 0 {
 		return 0
 	}
@@ -116,6 +116,19 @@
 	return uses
 }
 
+// allGot is what all organisations get together.
+//
+// Guard: engines that crash or read prompts again do less than they are said to. Shares
+// of the nominal capacity would then be more than anybody gets, nobody would be over its
+// share, and whoever asks most would get most.
+func allGot(uses map[string]Use) float64 {
+	sum := 0.0
+	for _, u := range uses {
+		sum += u.Got
+	}
+	return sum
+}
+
 // waterLevel is the share at which the capacity is used up when nobody gets more than it
 // asks for; infinite when all can have what they ask.
 func waterLevel(uses map[string]Use, capacity float64) float64 {
