Keep few idle connections of callers, and send on nothing for callers who have left

Retries come on new connections and the old ones stayed open: 4,247 descriptors, so accepting failed with 'too many open files' and waited up to a second; the handler then did not know that the caller was gone. Ruled out: slow reading (the lines of one such request are 0 ms apart).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	shares   *placement.Shares
 	budget   *placement.Budget
 	peers    Peers
+	crowded  func() bool
 	log      log.Interface
 
 	// state is where the router stands between start and end.
@@ -50,14 +51,16 @@
 	Holdings *placement.Holdings
 	Shares   *placement.Shares
 	Peers    Peers
-	Log      log.Interface
+	// Crowded reports whether connections of callers should not be kept.
+	Crowded func() bool
+	Log     log.Interface
 }
 
 // New returns a gateway that serves.
 func New(s Settings, p Parts) *Gateway {
 	return &Gateway{
 		settings: s, catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
-		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, peers: p.Peers, log: p.Log,
+		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, peers: p.Peers, crowded: p.Crowded, log: p.Log,
 		budget: &placement.Budget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow},
 	}
 }
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -20,13 +20,17 @@
 	defer g.active.Add(-1)
 	r := &request{in: in, w: w, start: time.Now(), ask: g.dialect.Ask(in.Header)}
 	defer g.record(r)
-	if g.state.Load() != serving {
+	if g.state.Load() != serving || g.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := g.prepare(r); err != nil {
 		g.refuse(r, err)
 		return
 	}
+	if callerLeft(in.Context()) {
+		r.trail.outcome = outcomeCallerOff
+		return
+	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.end)
 	defer cancel()
 	r.ctx = ctx
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -192,7 +193,9 @@
 		g.timedOut(r)
 		return result{done: true}
 	}
-	g.observe(in.ID, upstream.Silent, err)
+	if !errors.Is(err, syscall.EMFILE) {
+		g.observe(in.ID, upstream.Silent, err) // a lack of descriptors is our own fault
+	}
 	return result{unsent: !sent}
 }
 
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -47,6 +47,8 @@
 	exchange *fleet.Duty
 	joiner   *fleet.Joiner
 	faces    []*face
+	// crowd counts callers' connections.
+	crowd crowd
 
 	duties sync.WaitGroup
 }
@@ -62,12 +64,14 @@
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, l)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares,
 		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
+	p.crowd.limit = int64(s.Limits.KeptConnections)
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.joiner = fleet.NewJoiner(p.fleet, d.Registry, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Peers: p.fleet, Log: l,
+		Crowded: p.crowd.full,
 	})
 	for _, addr := range s.Entries.Known {
 		p.fleet.Meet([]fleet.Member{{Peers: addr}})
@@ -95,13 +99,16 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// facingCallers names the address for callers.
+const facingCallers = "callers"
+
 func (p *Process) bind(f Faces) error {
 	s := p.settings
 	for _, one := range []struct {
 		name, addr string
 		handler    http.Handler
 	}{
-		{"callers", s.Listen.Callers, p.gateway},
+		{facingCallers, s.Listen.Callers, p.gateway},
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{"peers", s.Listen.Peers, p.fleet.Handler()},
 		{"entries", s.Listen.Entries, f.Entries(p.entries, s.Entries.KeepSeconds)},
@@ -110,6 +117,10 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
+		if one.name == facingCallers {
+			bound.server.ConnState = p.crowd.observe
+			bound.server.ConnContext = gateway.WithConn
+		}
 		p.faces = append(p.faces, bound)
 	}
 	return nil
--- a/pkg/gatewayd/server.go
+++ b/pkg/gatewayd/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,7 +15,7 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than any configured one: a connection that is closed while a
 	// caller sends on it costs that request, an idle one only a few kilobytes.
-	idleTimeout = 5 * time.Minute
+	idleTimeout = time.Minute
 	// maxHeader bounds a request's head, in bytes.
 	maxHeader = 64 << 10
 )
@@ -35,3 +36,28 @@
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}}, nil
 }
+
+// crowd counts the open connections of a face.
+type crowd struct {
+	open atomic.Int64
+	// limit is the number from which on connections are not kept.
+	limit int64
+}
+
+// observe is a server's hook for the states of its connections.
+func (c *crowd) observe(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// full reports whether there are more connections than should be kept.
+//
+// Guard: callers open a new connection for each retry and keep the old ones. Kept by us
+// as well, thousands of idle ones take the process's descriptors, new callers wait for
+// seconds to be accepted, and their memory is that of hundreds of requests. Answers that
+// say that their connection closes end it without a request crossing the close.
+func (c *crowd) full() bool { return c.open.Load() > c.limit }
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -40,6 +40,9 @@
 // LimitSettings bound what the process uses.
 type LimitSettings struct {
 	MemoryMiB int `yaml:"memoryMiB"`
+	// KeptConnections is the number of callers' connections from which on answers close
+	// theirs.
+	KeptConnections int `yaml:"keptConnections"`
 }
 
 // StoreSettings name the operators' store.
@@ -84,6 +87,9 @@
 // DefaultSettings are the settings that a file changes.
 func DefaultSettings() Settings {
 	return Settings{
+		// A connection costs about 25 KB; a router of the first deployments has some hundred
+		// requests at a time.
+		Limits:  LimitSettings{KeptConnections: 300},
 		Repeats: RepeatSettings{Ratio: 0.2, WindowSeconds: 10},
 		Leaving: LeavingSettings{GraceSeconds: 8},
 		// Engines of the first deployments read 82 to 85 tokens a millisecond, less what
