Keep what is over its share to engines with free slots once the declared capacity is in use

Change: over its share an organisation waits for the engine with its prompt or is refused, and when the declared capacity is in use takes at most half of an engine's slots; under 0.7 of its share it may be moved more easily.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -67,19 +67,45 @@
 // limit sets the longest wait that is worth starting.
 func (g *Gateway) limit(r *request, req *placement.Request, now time.Time) {
 	if r.service.Engine == nil || r.ask.Prompt == nil {
-		req.Limit, req.QueueLimit = callPatience, callPatience
+		req.Limit, req.QueueLimit, req.OwnQueueLimit = callPatience, callPatience, callPatience
 		return
 	}
 	objective := float64(r.route.Objective)
 	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
 	req.Limit = time.Duration(max(patience*objective-float64(now.Sub(r.start)), own+longPatience*objective))
-	req.QueueLimit = req.Limit
+	req.QueueLimit, req.OwnQueueLimit, req.Reserve = req.Limit, req.Limit, reserve
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
-	if r.standing > 1 {
-		req.QueueLimit = time.Duration(impatience * objective / math.Pow(r.standing, yielding))
+	if over := r.standing.Share; over > 1 {
+		req.QueueLimit = time.Duration(impatience * objective / math.Pow(over, yielding))
+		req.OwnQueueLimit = time.Duration(ownQueue * float64(req.QueueLimit))
+		req.Reserve = overReserve
+		if r.standing.Full {
+			req.Occupancy = max(leastOccupancy, 1/over)
+		}
+	}
+	if r.standing.Share < short {
+		req.Reserve = shortReserve
 	}
 }
 
+const (
+	// reserve is the usual reserve for reading a prompt again, shortReserve that of
+	// organisations that get less than the share short of what they are due: they must
+	// not wait for the one engine that keeps their prompt.
+	reserve      = 3
+	shortReserve = 2
+	short        = 0.7
+	// overReserve is that of organisations over their share: they wait for the engine that
+	// keeps their prompt, or are refused.
+	overReserve = 10
+	// leastOccupancy is the part of an engine's slots that an organisation may take however
+	// far it is over its share: what others leave idle.
+	leastOccupancy = 0.5
+	// ownQueue is how much longer than the shortest queue an organisation over its share
+	// may find the one that it waits in.
+	ownQueue = 3
+)
+
 // yielding is the power of the standing by which the queue limit falls.
 const yielding = 2.0
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -30,8 +30,8 @@
 	// has the head of its answer.
 	cutter *forward.Events
 	begun  bool
-	// standing is what the organisation gets over what it is due.
-	standing float64
+	// standing is how the organisation stands.
+	standing placement.Standing
 	trail    trail
 }
 
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -45,8 +45,8 @@
 	if r.org != "" {
 		f["organisation"] = r.org
 	}
-	if r.standing > 0 {
-		f["standing"] = math.Round(r.standing*100) / 100
+	if r.standing.Share > 0 {
+		f["standing"] = math.Round(r.standing.Share*100) / 100
 	}
 	if r.service != nil {
 		f["service"] = r.service.Name
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -11,9 +11,6 @@
 	// rereadWeight is what a millisecond of reading shared parts again counts against one
 	// of waiting: it also takes that time from the requests beside it.
 	rereadWeight = 6.0
-	// rereadReserve is how much of that time must be left within the limit: an engine that
-	// is nearly full does better to serve prompts that it keeps.
-	rereadReserve = 3.0
 	// batchCost is the cost of a full batch: each running request slows the others' tokens.
 	batchCost = 60 * time.Millisecond
 	// farCost prefers an instance in the router's own zone where all else is equal.
@@ -39,6 +36,14 @@
 	// QueueLimit refuses the request unless the queue of some candidate is within it,
 	// wherever the request is then sent.
 	QueueLimit time.Duration
+	// OwnQueueLimit is the longest queue of the candidate that is chosen.
+	OwnQueueLimit time.Duration
+	// Occupancy is the part of an engine's slots that may be taken; 0 for any.
+	Occupancy float64
+	// Reserve is how often the time for reading again what another candidate keeps must
+	// fit within the limit beside the wait: an engine that is nearly full does better to
+	// serve prompts that it keeps.
+	Reserve float64
 }
 
 // Choice is an instance and what was expected of it.
@@ -80,7 +85,7 @@
 		choice := evaluate(req, c, best, pace)
 		v.Soonest = min(v.Soonest, choice.Wait)
 		v.Queue = min(v.Queue, choice.queue)
-		if choice.Wait+time.Duration(rereadReserve*float64(choice.reread)) > req.Limit {
+		if choice.Wait+time.Duration(req.Reserve*float64(choice.reread)) > req.Limit || choice.queue > req.OwnQueueLimit || crowded(req, c) {
 			continue
 		}
 		rank := float64(score(key, c.Instance.ID)) / float64(1<<64)
@@ -95,6 +100,14 @@
 	return v
 }
 
+// crowded reports whether more of an engine's slots are taken than the request may find.
+func crowded(req Request, c Candidate) bool {
+	if req.Occupancy <= 0 || req.Service.Engine == nil {
+		return false
+	}
+	return float64(c.Load.Running+1) > req.Occupancy*float64(req.Service.Engine.Slots)
+}
+
 // bestKept is the most that any candidate keeps of the prompt. What nobody keeps has to
 // be read in any case.
 func bestKept(candidates []Candidate) int {
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -91,17 +91,25 @@
 	s.others = others
 }
 
-// Standing gives what an organisation gets over what it is due at a capacity in tokens a
-// second: over 1 it has more than its share.
-func (s *Shares) Standing(org string, capacity float64, now time.Time) float64 {
+// Standing is how an organisation stands.
+type Standing struct {
+	// Share is what it gets over what it is due: over 1 it has more than its share.
+	Share float64
+	// Full is whether all that the engines are declared to do is in use.
+	Full bool
+}
+
+// Standing gives how an organisation stands at a capacity in tokens a second.
+func (s *Shares) Standing(org string, capacity float64, now time.Time) Standing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	uses := s.total(now)
-	due := waterLevel(uses, min(capacity, allGot(uses)))
-	if due <= 0 {
-		return 0
+	got := allGot(uses)
+	standing := Standing{Full: got >= capacity}
+	if due := waterLevel(uses, min(capacity, got)); due > 0 {
+		standing.Share = uses[org].Got / due
 	}
-	return uses[org].Got / due
+	return standing
 }
 
 func (s *Shares) total(now time.Time) map[string]Use {
