--- /dev/null
+++ b/pkg/forward/fake_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+const idHeader = "Request-Id"
+
+// script plays an upstream on one connection.
+type script func(c net.Conn, r *bufio.Reader)
+
+// fakeUpstream plays one script for each connection, in order, the last one again.
+func fakeUpstream(t *testing.T, scripts ...script) *upstream.Instance {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func(s script) {
+				defer c.Close()
+				s(c, bufio.NewReader(c))
+			}(scripts[min(i, len(scripts)-1)])
+		}
+	}()
+	return &upstream.Instance{ID: "i", Addr: l.Addr().String()}
+}
+
+// readRequest reads a request and its body; nil when the connection has ended.
+func readRequest(r *bufio.Reader) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	if _, err := r.Discard(int(req.ContentLength)); err != nil {
+		return nil
+	}
+	return req
+}
+
+func get(in *upstream.Instance, id string) *Call {
+	return &Call{Instance: in, Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{idHeader: {id}}, RequestID: id}
+}
+
+func do(t *testing.T, ps *Pools, c *Call) (*Answer, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return ps.Do(ctx, c)
+}
+
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
--- /dev/null
+++ b/pkg/placement/shares_test.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestWaterLevelSharesWhatIsLeft(t *testing.T) {
+	uses := map[string]Use{"small": {Asked: 10}, "large": {Asked: 100}, "huge": {Asked: 1000}}
+	require.InDelta(t, 55, waterLevel(uses, 120), 1e-9)
+	require.True(t, math.IsInf(waterLevel(uses, 2000), 1))
+}
+
+func TestWaterLevelUsesUpTheCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		uses := make(map[string]Use)
+		total := 0.0
+		for i, a := range rapid.SliceOfN(rapid.Float64Range(0, 1e6), 1, 20).Draw(t, "asked") {
+			uses[string(rune('a'+i))] = Use{Asked: a}
+			total += a
+		}
+		capacity := rapid.Float64Range(1, 2e6).Draw(t, "capacity")
+		level := waterLevel(uses, capacity)
+		given := 0.0
+		for _, u := range uses {
+			given += min(u.Asked, level)
+		}
+		if math.Abs(given-min(total, capacity)) > 1e-6*(1+capacity) {
+			t.Fatalf("level %v gives %v of %v asked at capacity %v", level, given, total, capacity)
+		}
+	})
+}
+
+// Engines crash and do half of what they are declared to do. Measured against the
+// declared capacity nobody would be over its share, and whoever asks most would get most.
+func TestStandingIsMeasuredOnWhatEnginesDo(t *testing.T) {
+	s, now := NewShares(), time.Unix(100, 0)
+	s.Ask("flood", 10_000, now)
+	s.Get("flood", 900, now)
+	s.Ask("small", 500, now)
+	s.Get("small", 100, now)
+	require.Greater(t, s.Standing("flood", 1e6, now).Share, 1.0)
+	require.Less(t, s.Standing("small", 1e6, now).Share, 1.0)
+	require.False(t, s.Standing("flood", 1e6, now).Full)
+	require.True(t, s.Standing("flood", 400, now).Full)
+}
+
+func TestStandingCountsAllRouters(t *testing.T) {
+	s, now := NewShares(), time.Unix(100, 0)
+	s.Ask("org", 1000, now)
+	s.Get("org", 100, now)
+	s.Ask("other", 1000, now)
+	s.Get("other", 900, now)
+	require.Less(t, s.Standing("org", 1e6, now).Share, 1.0)
+	s.SetOthers(map[string]Use{"org": {Asked: 5000, Got: 4000}})
+	require.Greater(t, s.Standing("org", 1e6, now).Share, 1.0)
+}
+
+func TestUseIsForgotten(t *testing.T) {
+	s, now := NewShares(), time.Unix(100, 0)
+	s.Get("org", 1000, now)
+	later := s.Own(now.Add(10 * time.Second))["org"].Got
+	require.Less(t, later, 10.0)
+}
--- /dev/null
+++ b/pkg/upstream/health_test.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An engine crashes with twenty requests on it. All twenty break off together; counted
+// as twenty failures in a row they would keep the engine out long after it is back.
+func TestHealthCountsOneCrashOnce(t *testing.T) {
+	h, now := NewHealth(), time.Unix(0, 0)
+	require.Equal(t, firstSuspension, h.Observe("a", Silent, now))
+	for range 20 {
+		require.Zero(t, h.Observe("a", Silent, now))
+	}
+	_, ok := h.Usable("a", now)
+	require.False(t, ok)
+	handicap, ok := h.Usable("a", now.Add(firstSuspension))
+	require.True(t, ok)
+	require.Positive(t, handicap)
+	require.Equal(t, 2*firstSuspension, h.Observe("a", Silent, now.Add(firstSuspension)))
+}
+
+func TestHealthHandicapsFailuresAndForgives(t *testing.T) {
+	h, now := NewHealth(), time.Unix(0, 0)
+	for range 10 {
+		h.Observe("a", Failed, now)
+	}
+	bad, _ := h.Usable("a", now)
+	require.Greater(t, bad, failureHandicap/2)
+	for range 20 {
+		h.Observe("a", Served, now)
+	}
+	good, _ := h.Usable("a", now)
+	require.Less(t, good, failureHandicap/10)
+	h.Prune(NewSet(nil))
+	require.Empty(t, h.records)
+}
+
+func TestSetApply(t *testing.T) {
+	s := NewSet([]Instance{{ID: "b", Service: "x"}, {ID: "a", Service: "x"}})
+	require.Equal(t, ID("a"), s.Of("x")[0].ID)
+	same, differs := s.Apply([]Change{{Instance: Instance{ID: "a", Service: "x"}}, {Instance: Instance{ID: "z"}, Gone: true}})
+	require.False(t, differs)
+	require.Same(t, s, same)
+	next, differs := s.Apply([]Change{{Instance: Instance{ID: "a"}, Gone: true}, {Instance: Instance{ID: "b", Service: "x", State: Draining}}})
+	require.True(t, differs)
+	require.Nil(t, next.Get("a"))
+	require.Equal(t, Draining, next.Get("b").State)
+	require.NotNil(t, s.Get("a"), "the old set stays as it was")
+}
