--- /dev/null
+++ b/pkg/gateway/handle_test.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+)
+
+func TestServesAndPassesOn(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	status, body, _ := w.get("/safe/a?b=c")
+	require.Equal(t, 200, status)
+	require.Equal(t, "hello", body)
+	require.Equal(t, "/safe/a?b=c", w.seen[0].RequestURI)
+	require.Equal(t, "org", w.seen[0].Header.Get("X-Org"))
+	require.Empty(t, w.seen[0].Header.Get("X-Key"))
+}
+
+func TestRefusals(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	for _, c := range []struct {
+		name, path, key string
+		status          int
+	}{
+		{"no route", "/else/", "k", 404},
+		{"no slash", "/safe", "k", 404},
+		{"unknown key", "/safe/", "x", 401},
+		{"no key", "/safe/", "", 401},
+		{"public", "/public/", "", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status, _, _ := w.get(c.path, "X-Key", c.key)
+			require.Equal(t, c.status, status)
+		})
+	}
+}
+
+// A router has just started and the store is away. Whatever it refuses as unknown may be
+// known to the configuration that it lacks.
+func TestWithoutConfigurationNothingIsUnknown(t *testing.T) {
+	w := newWorld(t)
+	fresh := newWorld(t)
+	fresh.gateway.catalog = fresh.catalogWithout()
+	status, _, header := fresh.get("/else/")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.False(t, fresh.gateway.Ready())
+	w.upstreams(says(""))
+	require.True(t, w.gateway.Ready())
+}
+
+func TestSafeRequestsAreRepeated(t *testing.T) {
+	for name, broken := range map[string]http.HandlerFunc{
+		"failure":  fails(500),
+		"no bytes": breaks(""),
+		"short":    breaks("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 10\r\n\r\nshort"),
+		"garbage":  breaks("garbage\r\n\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstreams(broken, says("hello"))
+			status, body, _ := w.get("/safe/")
+			require.Equal(t, 200, status)
+			require.Equal(t, "hello", body)
+		})
+	}
+}
+
+// A call that must run once was sent and its answer is lost. Repeated, a marking would be
+// done twice; answered "not run", the caller would repeat it itself.
+func TestRequestsThatRunOnceAreNotRepeated(t *testing.T) {
+	for name, broken := range map[string]http.HandlerFunc{
+		"no bytes": breaks(""),
+		"short":    breaks("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 10\r\n\r\nshort"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstreams(broken, says("hello"))
+			status, _, _ := w.get("/once/")
+			require.Equal(t, 502, status)
+			require.Equal(t, 1, w.runs())
+		})
+	}
+}
+
+func TestFailuresOfUpstreamsArePassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(fails(500), says("hello"))
+	status, _, _ := w.get("/once/")
+	require.Equal(t, 500, status)
+	require.Equal(t, 1, w.runs())
+}
+
+func TestWhatHasNotRunGoesElsewhere(t *testing.T) {
+	w := newWorld(t)
+	full := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("X-Not-Run", "1")
+		rw.WriteHeader(503)
+	}
+	w.upstreams(full, says("hello"))
+	status, body, _ := w.get("/once/")
+	require.Equal(t, 200, status)
+	require.Equal(t, "hello", body)
+
+	w = newWorld(t)
+	w.upstreams(full, full)
+	status, _, header := w.get("/once/")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+}
+
+func TestRepeatsDrawOnABudget(t *testing.T) {
+	w := newWorld(t)
+	w.gateway.budget.Ratio, w.gateway.budget.Slack = 0, 0
+	w.upstreams(fails(500), says("hello"))
+	status, _, _ := w.get("/safe/")
+	require.Equal(t, 500, status)
+	require.Equal(t, 1, w.runs())
+}
+
+// An engine works on a request longer than the operator lets a caller wait. The caller
+// gets its final answer at that time, and the engine sees that nobody waits any more.
+func TestTimeoutIsFinal(t *testing.T) {
+	w := newWorld(t)
+	cfg := *w.config()
+	cfg.Version, cfg.Routes = 2, []routing.Route{cfg.Routes[1]}
+	cfg.Routes[0].Timeout = 50 * time.Millisecond
+	w.catalog.Adopt(&cfg, "test")
+	dropped := make(chan struct{})
+	w.upstreams(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(dropped)
+	})
+	status, _, _ := w.get("/once/")
+	require.Equal(t, 504, status)
+	<-dropped
+}
+
+func TestUpstreamsAreToldWhatIsLeft(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says(""))
+	w.get("/safe/", "X-Deadline", "1500")
+	require.LessOrEqual(t, w.seen[0].Header.Get("X-Left"), "1500")
+	require.NotEqual(t, "0", w.seen[0].Header.Get("X-Left"))
+}
+
+// A caller goes away in the middle of a stream; its engine must not work on.
+func TestEnginesAreFreedWhenCallersLeave(t *testing.T) {
+	w := newWorld(t)
+	dropped := make(chan struct{})
+	w.upstreams(func(rw http.ResponseWriter, r *http.Request) {
+		io.WriteString(rw, "id: 1\n\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(dropped)
+	})
+	resp, err := w.client.Do(w.request("/stream/"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	<-dropped
+}
+
+func TestLeaving(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	w.gateway.Leave()
+	require.False(t, w.gateway.Ready())
+	resp, err := w.client.Do(w.request("/safe/"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close, "the connection ends with its answer")
+	w.gateway.Shut()
+	status, _, _ := w.get("/safe/")
+	require.Equal(t, 503, status)
+	require.Equal(t, 1, w.runs())
+}
