--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -22,6 +22,8 @@
 	revision Revision
 	// heard is when the list was last known to be current.
 	heard time.Time
+	// lapsed are instances that are missing from the list since the store came back.
+	lapsed lapsed
 }
 
 // New returns an empty catalog.
@@ -97,10 +99,30 @@
 		return
 	}
 	c.revision, c.heard = rev, time.Now()
-	c.set.Store(upstream.NewSet(list))
+	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, c.heard)...)))
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
 
+// Returned notes that the store is back after an outage.
+func (c *Catalog) Returned(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lapsed.open(now)
+}
+
+// Settle takes instances that stay missing off the list.
+func (c *Catalog) Settle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := c.lapsed.settle(now)
+	if len(gone) == 0 {
+		return
+	}
+	next, _ := c.set.Load().Apply(gone)
+	c.set.Store(next)
+	c.logChanges(gone, c.revision, "grace after an outage")
+}
+
 // Apply takes changes that lead from after to rev; others are passed over.
 func (c *Catalog) Apply(changes []upstream.Change, after, rev Revision, source string) {
 	c.mu.Lock()
@@ -109,7 +131,7 @@
 		return
 	}
 	c.revision, c.heard = rev, time.Now()
-	next, differs := c.set.Load().Apply(changes)
+	next, differs := c.set.Load().Apply(c.lapsed.filter(c.set.Load(), changes, c.heard))
 	if !differs {
 		return
 	}
--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,201 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// fakeStore answers as it is told; all calls take no time but the waits.
+type fakeStore struct {
+	mu   sync.Mutex
+	down bool
+	// forgotten is the revision up to which changes can't be told.
+	forgotten Revision
+	config    *routing.Config
+	instances []upstream.Instance
+	changes   []upstream.Change
+	rev       Revision
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) Config(context.Context) (*routing.Config, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	if s.config == nil {
+		return nil, 0, ErrNotFound
+	}
+	return s.config, s.rev, nil
+}
+
+func (s *fakeStore) ConfigAfter(ctx context.Context, after Revision, wait time.Duration) (*routing.Config, Revision, error) {
+	sleep(ctx, min(wait, 100*time.Millisecond))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refusal(ctx, after); err != nil {
+		return nil, 0, err
+	}
+	if after < s.rev {
+		return s.config, s.rev, nil
+	}
+	return nil, s.rev, nil
+}
+
+func (s *fakeStore) Instances(context.Context) ([]upstream.Instance, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.instances, s.rev, nil
+}
+
+func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Revision, error) {
+	sleep(ctx, min(wait, 100*time.Millisecond))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refusal(ctx, after); err != nil {
+		return nil, 0, err
+	}
+	if after < s.rev {
+		return s.changes, s.rev, nil
+	}
+	return nil, s.rev, nil
+}
+
+func (s *fakeStore) refusal(ctx context.Context, after Revision) error {
+	if s.down {
+		return errDown
+	}
+	if after < s.forgotten {
+		return ErrHistoryGone
+	}
+	return ctx.Err()
+}
+
+// recorder counts log lines by their event.
+type recorder struct {
+	mu     sync.Mutex
+	events map[string]int
+}
+
+// HandleLog counts e.
+func (r *recorder) HandleLog(e *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name, _ := e.Fields["event"].(string)
+	r.events[name]++
+	return nil
+}
+
+func (r *recorder) count(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[name]
+}
+
+func quiet() (*log.Logger, *recorder) {
+	h := &recorder{events: make(map[string]int)}
+	return &log.Logger{Handler: h, Level: log.InfoLevel}, h
+}
+
+func start(t *testing.T, s *fakeStore) (*Catalog, *recorder) {
+	l, h := quiet()
+	c := New(l)
+	w := NewWatcher(c, s, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.WatchConfig(ctx)
+	go w.WatchInstances(ctx)
+	return c, h
+}
+
+// The store goes away for a minute. Requests are served on from the last copy, and what
+// changed meanwhile is there soon after its return.
+func TestCatalogOutlivesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}}, rev: 5}
+		c, h := start(t, s)
+		time.Sleep(time.Second)
+		require.True(t, c.Complete())
+		s.set(func() { s.down = true })
+		time.Sleep(time.Minute)
+		require.EqualValues(t, 1, c.Version())
+		require.NotNil(t, c.Instances().Get("a"))
+		require.Greater(t, c.InstancesAge(time.Now()), 50*time.Second)
+		require.Equal(t, 2, h.count("dependency_lost"), "each watch says so once")
+		s.set(func() { s.down, s.config, s.rev = false, &routing.Config{Version: 4}, 9 })
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 4, c.Version())
+		require.Equal(t, 2, h.count("dependency_regained"))
+	})
+}
+
+// The store has forgotten its history, and an instance left in the gap: only reading the
+// whole list shows it.
+func TestCatalogReadsAllWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}, {ID: "b"}}, rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.forgotten, s.instances, s.rev = 8, []upstream.Instance{{ID: "b"}}, 8 })
+		time.Sleep(1500 * time.Millisecond)
+		require.Nil(t, c.Instances().Get("a"))
+		require.NotNil(t, c.Instances().Get("b"))
+	})
+}
+
+// The store is away so long that the entries of all upstreams lapse; they are alive, and
+// write themselves in again within two seconds. Taken for gone, they would leave every
+// request without an upstream until then. One that stays away is gone.
+func TestCatalogKeepsInstancesThatLapsedWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}, {ID: "b"}}, rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.down, s.forgotten, s.instances, s.rev = false, 20, nil, 20 })
+		time.Sleep(time.Second)
+		require.NotNil(t, c.Instances().Get("a"))
+		s.set(func() { s.changes, s.rev = []upstream.Change{{Instance: upstream.Instance{ID: "b"}}}, 21 })
+		time.Sleep(2 * time.Second)
+		require.Nil(t, c.Instances().Get("a"))
+		require.NotNil(t, c.Instances().Get("b"))
+	})
+}
+
+// An answer of the store is late and overtaken by a peer's word of a newer version.
+func TestCatalogNeverGoesBack(t *testing.T) {
+	l, _ := quiet()
+	c := New(l)
+	c.Adopt(&routing.Config{Version: 7}, "peer")
+	c.Adopt(&routing.Config{Version: 6}, "store")
+	require.EqualValues(t, 7, c.Version())
+	c.Replace([]upstream.Instance{{ID: "new"}}, 9, "peer")
+	c.Replace([]upstream.Instance{{ID: "old"}}, 8, "store")
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 3, 7, "store")
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 11, 12, "store")
+	require.NotNil(t, c.Instances().Get("new"))
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 9, 10, "store")
+	require.Nil(t, c.Instances().Get("new"))
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -21,6 +21,9 @@
 	instancesPause = 700 * time.Millisecond
 	// readTimeout bounds a call that doesn't wait.
 	readTimeout = 1500 * time.Millisecond
+	// outage is how long the store must have been silent for entries to have lapsed: they
+	// live for three heartbeats, of a second or more.
+	outage = 3 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 200 * time.Millisecond
 )
@@ -87,6 +90,7 @@
 	for ctx.Err() == nil {
 		next, err := w.nextInstances(ctx, rev)
 		dep.observe(err)
+		w.catalog.Settle(time.Now())
 		pause := instancesPause
 		if err != nil {
 			next = 0
@@ -111,6 +115,9 @@
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
+		if now := time.Now(); w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(now) > outage {
+			w.catalog.Returned(now)
+		}
 		w.catalog.Replace(list, rev, "store")
 		return rev, nil
 	}
