--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+// router is one router with what it told and learnt.
+type router struct {
+	mu     sync.Mutex
+	loads  []InstanceLoad
+	reads  []PromptRead
+	learnt []PromptRead
+	others map[string]InstanceLoad
+	uses   map[string]Use
+	behind int64
+	heard  chan struct{}
+
+	fleet *Fleet
+	duty  *Duty
+}
+
+func (r *router) Describe(rep *Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep.Ready, rep.Loads, rep.Config = true, r.loads, 7
+	rep.Uses = []Use{{Organisation: "org", Asked: 10, Got: 5}}
+}
+
+func (r *router) Reads() []PromptRead {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.reads
+	r.reads = nil
+	return list
+}
+
+func (r *router) Learn(list []PromptRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.learnt = append(r.learnt, list...)
+}
+
+func (r *router) Loads(loads map[string]InstanceLoad, uses map[string]Use) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.others, r.uses = loads, uses
+}
+
+func (r *router) Behind(_ Member, config, _ int64) {
+	r.mu.Lock()
+	r.behind = config
+	r.mu.Unlock()
+	select {
+	case r.heard <- struct{}{}:
+	default:
+	}
+}
+
+func (r *router) Catalog(CatalogAsk) CatalogGiven { return CatalogGiven{Revision: 3} }
+
+var quiet = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+
+func newRouter(t *testing.T, name string, secret []byte) *router {
+	r := &router{heard: make(chan struct{}, 1)}
+	var f *Fleet
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) { f.Handler().ServeHTTP(w, in) }))
+	t.Cleanup(s.Close)
+	f = New(Member{Name: name, Peers: s.Listener.Addr().String(), Callers: name + ":1", Started: 1}, r, quiet)
+	f.SetSecret(secret)
+	r.fleet, r.duty = f, NewDuty(f)
+	return r
+}
+
+func (r *router) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); r.duty.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+var secret = []byte("secret")
+
+func TestRoutersTellEachOther(t *testing.T) {
+	a, b := newRouter(t, "a", secret), newRouter(t, "b", secret)
+	a.loads = []InstanceLoad{{Instance: "i", Running: 3, Unread: 100}}
+	a.reads = []PromptRead{{Key: 1, Instance: "i"}}
+	a.fleet.Meet([]Member{b.fleet.self})
+	a.run(t)
+	b.run(t)
+	<-a.heard
+	<-b.heard
+	require.Equal(t, 2, a.fleet.Count())
+	require.Equal(t, "a:1", b.fleet.Ready()[0].Callers)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	require.Equal(t, 3, b.others["i"].Running)
+	require.Equal(t, 5.0, b.uses["org"].Got)
+	require.Equal(t, []PromptRead{{Key: 1, Instance: "i"}}, b.learnt)
+	require.EqualValues(t, 7, b.behind)
+}
+
+func TestRoutersAreIntroduced(t *testing.T) {
+	a, b, c := newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)
+	a.fleet.Meet([]Member{b.fleet.self})
+	c.fleet.Meet([]Member{b.fleet.self})
+	for _, r := range []*router{a, b, c} {
+		r.run(t)
+	}
+	for a.fleet.Count() < 3 || c.fleet.Count() < 3 {
+		<-a.heard
+	}
+}
+
+// A message that doesn't come from the fleet could name any upstream as full, or bring a
+// configuration of somebody's own.
+func TestMessagesWithAWrongSealAreRefused(t *testing.T) {
+	a, stranger := newRouter(t, "a", secret), newRouter(t, "x", []byte("guess"))
+	err := stranger.duty.post(context.Background(), a.fleet.self.Peers, Path, Report{From: stranger.fleet.self}, new(Report), maxMessage)
+	require.ErrorContains(t, err, "403")
+	require.Equal(t, 1, a.fleet.Count())
+
+	data, err := encode(Report{From: Member{Name: "y", Peers: "1.2.3.4:5"}}, secret)
+	require.NoError(t, err)
+	data[len(data)-1] ^= 1
+	resp, err := http.Post("http://"+a.fleet.self.Peers+Path, "", bytes.NewReader(data))
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusForbidden, resp.StatusCode)
+}
+
+func TestCatalogIsGivenToPeers(t *testing.T) {
+	a, b := newRouter(t, "a", secret), newRouter(t, "b", secret)
+	given, err := a.duty.Catalog(context.Background(), b.fleet.self.Peers, CatalogAsk{})
+	require.NoError(t, err)
+	require.EqualValues(t, 3, given.Revision)
+}
+
+// A router is killed and starts again with an empty log. Were its entries counted on from
+// the old ones, its peers would take none until it had caught up with itself.
+func TestARestartedRouterIsHeardFromTheStart(t *testing.T) {
+	a := newRouter(t, "a", secret)
+	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1}
+	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 1}, {Key: 2}}, Last: 2})
+	m.Started = 2
+	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 3}}, Last: 1})
+	require.EqualValues(t, 1, a.fleet.peers[m.Peers].have)
+	require.Len(t, a.learnt, 3)
+	m.Started = 1
+	a.fleet.incoming(&Report{From: m, Last: 9})
+	require.EqualValues(t, 1, a.fleet.peers[m.Peers].have, "a late report of the earlier life is passed over")
+}
+
+// A router freezes. What it had in progress must not keep engines out of use for long,
+// and callers must not be sent to it.
+func TestSilentRoutersAreLeftOut(t *testing.T) {
+	a := newRouter(t, "a", secret)
+	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1}
+	a.fleet.incoming(&Report{From: m, Ready: true, Loads: []InstanceLoad{{Instance: "i", Running: 5}}})
+	require.Len(t, a.fleet.Ready(), 1)
+	later := time.Now().Add(aliveFor)
+	a.fleet.mu.Lock()
+	loads, _ := a.fleet.total(later)
+	alive := a.fleet.peers[m.Peers].alive(later)
+	a.fleet.mu.Unlock()
+	require.Empty(t, loads)
+	require.False(t, alive)
+}
+
+func TestExchangesOfAPairAreBegunByOne(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := New(Member{Peers: "b"}, nil, quiet)
+	larger, smaller := &peer{member: Member{Peers: "c"}, heard: now}, &peer{member: Member{Peers: "a"}, heard: now}
+	require.True(t, f.isDue(larger, now, exchangeEvery))
+	require.False(t, f.isDue(smaller, now, exchangeEvery))
+	require.True(t, f.isDue(smaller, now.Add(time.Second), exchangeEvery), "the other way may be cut")
+	larger.failed, larger.tried = 3, now
+	require.False(t, f.isDue(larger, now.Add(exchangeEvery), exchangeEvery))
+	require.True(t, f.isDue(larger, now.Add(maxFailedPause), exchangeEvery))
+}
