--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -33,7 +33,12 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	logger, err := telemetry.NewLog(os.Stdout, s.Log.Level, "json")
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	writing, stopWriting := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() { defer close(written); out.Run(writing) }()
+	defer func() { stopWriting(); <-written }()
+	logger, err := telemetry.NewLog(out, s.Log.Level, "json")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "flamingowind-gateway:", err)
 		return exitSettings
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -26,6 +27,8 @@
 	peers    Peers
 	crowded  func() bool
 	log      log.Interface
+	lines    lineBudget
+	meter    *meter
 
 	// state is where the router stands between start and end.
 	state  atomic.Int32
@@ -54,6 +57,8 @@
 	// Crowded reports whether connections of callers should not be kept.
 	Crowded func() bool
 	Log     log.Interface
+	// Metrics takes counters and histograms.
+	Metrics tally.Scope
 }
 
 // New returns a gateway that serves.
@@ -61,6 +66,7 @@
 	return &Gateway{
 		settings: s, catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
 		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, peers: p.Peers, crowded: p.Crowded, log: p.Log,
+		meter:  newMeter(p.Metrics),
 		budget: &placement.Budget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow},
 	}
 }
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -138,8 +139,18 @@
 // record writes the request's line. A handler that breaks an answer off panics with
 // http.ErrAbortHandler; the line is written all the same.
 func (g *Gateway) record(r *request) {
-	entry := g.log.WithFields(r.fields(time.Now()))
-	if r.trail.outcome == outcomeServed {
+	now := time.Now()
+	g.meter.request(r, now)
+	served := r.trail.outcome == outcomeServed
+	ok, leftServed, leftFailed := g.lines.allow(served, now)
+	if leftServed+leftFailed > 0 {
+		g.log.WithFields(log.Fields{"event": "lines_left_out", "served": leftServed, "failed": leftFailed}).Warn("lines of requests were left out")
+	}
+	if !ok {
+		return
+	}
+	entry := g.log.WithFields(r.fields(now))
+	if served {
 		entry.Info("request served")
 		return
 	}
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -15,6 +15,7 @@
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/telemetry"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
@@ -36,6 +37,7 @@
 type Process struct {
 	settings Settings
 	log      log.Interface
+	metrics  *telemetry.Metrics
 	catalog  *catalog.Catalog
 	watcher  *catalog.Watcher
 	pools    *forward.Pools
@@ -59,7 +61,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMiB<<20) * memoryShare))
 	}
 	ledger, shares := placement.NewLedger(), placement.NewShares()
-	p := &Process{settings: s, log: l, catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
+	p := &Process{settings: s, log: l, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, l)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares,
@@ -71,7 +73,7 @@
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Peers: p.fleet, Log: l,
-		Crowded: p.crowd.full,
+		Crowded: p.crowd.full, Metrics: p.metrics.Scope,
 	})
 	for _, addr := range s.Entries.Known {
 		p.fleet.Meet([]fleet.Member{{Peers: addr}})
@@ -111,8 +113,12 @@
 		{facingCallers, s.Listen.Callers, p.gateway},
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{"peers", s.Listen.Peers, p.fleet.Handler()},
+		{"metrics", s.Listen.Metrics, p.metrics},
 		{"entries", s.Listen.Entries, f.Entries(p.entries, s.Entries.KeepSeconds)},
 	} {
+		if one.addr == "" {
+			continue
+		}
 		bound, err := newFace(one.name, one.addr, one.handler)
 		if err != nil {
 			return errors.Trace(err)
