--- a/pkg/gatewayd/leave.go
+++ b/pkg/gatewayd/leave.go
@@ -6,11 +6,13 @@
 
 // Times of an orderly end.
 const (
-	// refuseAfter is when a leaving router stops to take requests. Callers keep its
-	// address for some seconds; a request taken later might not end within the grace.
-	refuseAfter = 3 * time.Second
-	// endMargin is how long before the end by force the process ends by itself.
-	endMargin = 300 * time.Millisecond
+	// refuseAfter is the part of the grace after which a leaving router stops to take
+	// requests. Callers keep its address for some seconds; a request taken later might
+	// not end within the grace.
+	refuseAfter = 0.375
+	// endMargin is the part of the grace that is left when the process ends by itself,
+	// before it is ended by force.
+	endMargin = 0.04
 	// leavePoll is the pause between two looks at what is still running.
 	leavePoll = 50 * time.Millisecond
 )
@@ -22,9 +24,10 @@
 	p.gateway.Leave()
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("router leaves")
 	p.joiner.Leave()
-	time.Sleep(time.Until(began.Add(refuseAfter)))
+	grace := p.settings.Leaving.GraceSeconds
+	time.Sleep(time.Until(began.Add(seconds(refuseAfter * grace))))
 	p.gateway.Shut()
-	end := began.Add(seconds(p.settings.Leaving.GraceSeconds) - endMargin)
+	end := began.Add(seconds((1 - endMargin) * grace))
 	for p.gateway.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(leavePoll)
 	}
