Share at least half of the declared capacity, and log what a refusal went by

Found with the new fields: all waiting callers come at once, queues are 200 ms long everywhere; one share of it was that of nothing got yet everybody has more than its share.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -15,12 +15,14 @@
 		r.tried = make(map[upstream.ID]bool, 1)
 	}
 	candidates := g.candidates(r, now)
+	r.trail.decided = decided{Candidates: len(candidates), Routers: g.peers.Count(), ListAgeMs: g.catalog.InstancesAge(now).Milliseconds()}
 	if len(candidates) == 0 {
 		return placement.Choice{}, errNoUpstream()
 	}
 	req := placement.Request{Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone}
 	g.limit(r, &req, now)
 	found := placement.Choose(req, candidates, g.pace())
+	r.trail.decided.limits(req, found)
 	if !found.OK {
 		return placement.Choice{}, errOverloaded(briefly)
 	}
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
@@ -26,12 +27,37 @@
 	took     time.Duration `json:"-"`
 }
 
+// decided is what the last choice of an instance went by.
+type decided struct {
+	// Candidates is the number of instances that could be given the request.
+	Candidates int `json:"candidates"`
+	// Routers is how many routers' work is counted in the loads.
+	Routers int `json:"routers"`
+	// ListAgeMs is the age of the list of instances.
+	ListAgeMs int64 `json:"list_age_ms"`
+	// SoonestMs and QueueMs are the shortest expected wait and the shortest queue.
+	SoonestMs int64 `json:"soonest_ms"`
+	QueueMs   int64 `json:"queue_ms"`
+	// LimitMs and QueueLimitMs are the longest ones that the request may have, Occupancy
+	// the part of an engine's slots that may be taken.
+	LimitMs      int64   `json:"limit_ms"`
+	QueueLimitMs int64   `json:"queue_limit_ms"`
+	Occupancy    float64 `json:"occupancy,omitempty"`
+}
+
+func (d *decided) limits(req placement.Request, v placement.Verdict) {
+	d.SoonestMs, d.QueueMs = v.Soonest.Milliseconds(), v.Queue.Milliseconds()
+	d.LimitMs, d.QueueLimitMs = req.Limit.Milliseconds(), req.QueueLimit.Milliseconds()
+	d.Occupancy = math.Round(req.Occupancy*100) / 100
+}
+
 // trail is what the log says of a request at its end.
 type trail struct {
 	steps   []step
 	outcome string
 	status  int
 	reason  string
+	decided decided
 }
 
 func (r *request) fields(now time.Time) log.Fields {
@@ -54,6 +80,9 @@
 	if r.trail.reason != "" {
 		f["reason"] = r.trail.reason
 	}
+	if r.trail.outcome != outcomeServed && r.tried != nil {
+		f["decided_by"] = r.trail.decided
+	}
 	if len(r.trail.steps) > 0 {
 		f["attempts"] = r.trail.steps
 	}
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -11,6 +11,10 @@
 // enough that an organisation which begins to ask gets its share within a second or two.
 const shareWindow = 2.0
 
+// leastDone is the part of the declared capacity that is shared at least. Just after a
+// start nobody has got anything, and of nothing everybody would have more than its share.
+const leastDone = 0.5
+
 // Use is an organisation's traffic, in tokens a second.
 type Use struct {
 	Asked float64
@@ -106,7 +110,8 @@
 	uses := s.total(now)
 	got := allGot(uses)
 	standing := Standing{Full: got >= capacity}
-	if due := waterLevel(uses, min(capacity, got)); due > 0 {
+	done := min(capacity, max(got, leastDone*capacity))
+	if due := waterLevel(uses, done); due > 0 {
 		standing.Share = uses[org].Got / due
 	}
 	return standing
