Serve what still ends while leaving; pass on an upstream's failure when nobody else is left

Change: a leaving router refuses only what might not end in time; the upstream's own failure is passed on; a repeat is counted only when it is sent; log lines are written whole.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -31,7 +31,9 @@
 	meter    *meter
 
 	// state is where the router stands between start and end.
-	state  atomic.Int32
+	state atomic.Int32
+	// end is when a leaving process ends, in nanoseconds since 1970.
+	end    atomic.Int64
 	active atomic.Int64
 }
 
@@ -40,7 +42,7 @@
 	serving int32 = iota
 	// closing: requests are still served, each on its last connection.
 	closing
-	// closed: new requests are refused.
+	// closed: requests that might not end in time are refused.
 	closed
 )
 
@@ -74,12 +76,34 @@
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool { return g.state.Load() == serving && g.catalog.Complete() }
 
-// Leave makes the gateway unready; requests are still served.
-func (g *Gateway) Leave() { g.state.CompareAndSwap(serving, closing) }
+// Leave makes the gateway unready; requests are still served. The process ends at end.
+func (g *Gateway) Leave(end time.Time) {
+	g.end.Store(end.UnixNano())
+	g.state.CompareAndSwap(serving, closing)
+}
 
-// Shut makes the gateway refuse new requests.
+// Shut makes the gateway refuse new requests that might not be answered before its end.
 func (g *Gateway) Shut() { g.state.Store(closed) }
 
+const (
+	// callTime is how long a call of a plain service takes at most, as a rule.
+	callTime = 600 * time.Millisecond
+	// tokenTime is how long an engine under load takes for a token of an answer.
+	tokenTime = 20 * time.Millisecond
+)
+
+// endsInTime reports whether a leaving gateway can still answer r.
+//
+// Guard: callers keep the address of a leaving router for some seconds. A stream that is
+// taken then and cut at the end is lost, though it could have run elsewhere.
+func (g *Gateway) endsInTime(r *request) bool {
+	takes := callTime
+	if p := r.ask.Prompt; p != nil {
+		takes = r.route.Objective + time.Duration(p.MaxOutput)*tokenTime
+	}
+	return r.start.Add(takes).UnixNano() < g.end.Load()
+}
+
 // Active is the number of requests that are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -40,9 +40,6 @@
 
 // prepare finds out what the request is and who asks.
 func (g *Gateway) prepare(r *request) *verdict.Error {
-	if g.state.Load() == closed {
-		return errLeaving()
-	}
 	table := g.catalog.Table()
 	if table == nil {
 		return errNoConfig()
@@ -51,6 +48,9 @@
 	if err := identify(r, table); err != nil {
 		return err
 	}
+	if g.state.Load() == closed && !g.endsInTime(r) {
+		return errLeaving()
+	}
 	if err := readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -116,6 +116,33 @@
 	require.NotEmpty(t, header.Get("Retry-After"))
 }
 
+// The only instance of a service answers a safe call with a failure of its own, and there
+// is no other to ask. The caller gets that failure, not one made up by the router.
+func TestFailuresArePassedOnWhenNobodyElseIsLeft(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(fails(500))
+	status, _, header := w.get("/safe/")
+	require.Equal(t, 500, status)
+	require.Equal(t, "request-1", header.Get("X-Id"))
+}
+
+// A router leaves. A call that takes milliseconds is served as long as there is time for
+// it; a stream that might be cut by the end is refused while its caller can go elsewhere.
+func TestLeavingRoutersServeWhatStillEnds(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	w.gateway.Leave(time.Now().Add(2 * time.Second))
+	w.gateway.Shut()
+	status, _, _ := w.get("/safe/")
+	require.Equal(t, 200, status)
+	status, _, _ = w.get("/stream/", "X-Tokens", "1000")
+	require.Equal(t, 200, status)
+	w.gateway.Leave(time.Now().Add(callTime / 2))
+	status, _, header := w.get("/safe/")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+}
+
 func TestRepeatsDrawOnABudget(t *testing.T) {
 	w := newWorld(t)
 	w.gateway.budget.Ratio, w.gateway.budget.Slack = 0, 0
@@ -170,7 +197,7 @@
 func TestLeaving(t *testing.T) {
 	w := newWorld(t)
 	w.upstreams(says("hello"))
-	w.gateway.Leave()
+	w.gateway.Leave(time.Now())
 	require.False(t, w.gateway.Ready())
 	resp, err := w.client.Do(w.request("/safe/"))
 	require.NoError(t, err)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -27,22 +27,25 @@
 
 // run makes attempts until one gives the caller an answer.
 func (g *Gateway) run(r *request) {
+	var last result
 	for attempt := 1; ; attempt++ {
 		now := time.Now()
 		choice, err := g.place(r, now)
 		if err != nil {
-			g.refuse(r, g.afterAttempts(r, err))
+			g.giveUp(r, last, err)
 			return
 		}
-		res := g.attempt(r, choice, now)
-		if res.done {
+		if attempt > 1 && !last.unsent && !g.budget.Repeat(r.service.Name, g.peers.Count(), now) {
+			g.giveUp(r, last, nil)
 			return
 		}
-		if !res.unsent || attempt > maxUnsent {
-			if again := g.mayRepeat(r, res, attempt); !again {
-				g.giveUp(r, res)
-				return
-			}
+		last = g.attempt(r, choice, now)
+		if last.done {
+			return
+		}
+		if !r.mayRepeat(last, attempt) {
+			g.giveUp(r, last, nil)
+			return
 		}
 	}
 }
@@ -75,41 +78,36 @@
 	return n
 }
 
-func (g *Gateway) mayRepeat(r *request, res result, attempt int) bool {
-	if r.ctx.Err() != nil || r.sent() >= r.route.MaxAttempts || attempt > r.route.MaxAttempts+maxUnsent {
+// mayRepeat reports whether another attempt is allowed after res.
+func (r *request) mayRepeat(res result, attempt int) bool {
+	if r.ctx.Err() != nil || r.sent() >= r.route.MaxAttempts {
 		return false
 	}
-	if !res.unsent && !res.notRun && !res.resumable && !r.route.Repeatable() {
-		return false
+	if res.unsent {
+		return attempt < maxUnsent
 	}
-	return g.budget.Repeat(r.service.Name, g.peers.Count(), time.Now())
+	return res.notRun || res.resumable || r.route.Repeatable()
 }
 
-// giveUp answers after the last attempt.
-func (g *Gateway) giveUp(r *request, res result) {
-	if r.begun {
-		g.cut(r)
-	}
+// giveUp answers after the last attempt. refusal is why there is no further one; nil when
+// none is allowed.
+func (g *Gateway) giveUp(r *request, res result, refusal *verdict.Error) {
 	switch {
+	case r.begun:
+		g.cut(r)
 	case res.answer != nil:
 		g.writeWhole(r, res.answer)
 	case r.ctx.Err() != nil:
 		g.refuse(r, g.ended(r))
-	case r.neverRan():
-		g.refuse(r, errOverloaded(briefly))
-	default:
+	case !r.neverRan():
 		g.refuse(r, errUpstream())
+	case refusal != nil:
+		g.refuse(r, refusal)
+	default:
+		g.refuse(r, errOverloaded(briefly))
 	}
 }
 
-// afterAttempts makes a refusal say the truth when an attempt may have run.
-func (g *Gateway) afterAttempts(r *request, err *verdict.Error) *verdict.Error {
-	if r.neverRan() {
-		return err
-	}
-	return errUpstream()
-}
-
 // ended is the answer for a request whose time is over.
 func (g *Gateway) ended(r *request) *verdict.Error {
 	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) && r.neverRan() {
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -12,19 +12,18 @@
 
 // step is one attempt of a request, for the log.
 type step struct {
-	Instance upstream.ID   `json:"instance"`
-	AtMs     int64         `json:"at_ms"`
-	WaitMs   int64         `json:"expected_wait_ms"`
-	Running  int           `json:"running"`
-	Unread   int           `json:"unread_tokens"`
-	Kept     int           `json:"kept_tokens"`
-	Shared   int           `json:"shared_tokens"`
-	FirstMs  int64         `json:"first_ms,omitempty"`
-	Events   int           `json:"events,omitempty"`
-	Outcome  string        `json:"outcome"`
-	Error    string        `json:"error,omitempty"`
-	started  time.Time     `json:"-"`
-	took     time.Duration `json:"-"`
+	Instance upstream.ID `json:"instance"`
+	AtMs     int64       `json:"at_ms"`
+	WaitMs   int64       `json:"expected_wait_ms"`
+	Running  int         `json:"running"`
+	Unread   int         `json:"unread_tokens"`
+	Kept     int         `json:"kept_tokens"`
+	Shared   int         `json:"shared_tokens"`
+	FirstMs  int64       `json:"first_ms,omitempty"`
+	Events   int         `json:"events,omitempty"`
+	Outcome  string      `json:"outcome"`
+	Error    string      `json:"error,omitempty"`
+	started  time.Time
 }
 
 // decided is what the last choice of an instance went by.
--- a/pkg/gatewayd/leave.go
+++ b/pkg/gatewayd/leave.go
@@ -6,9 +6,8 @@
 
 // Times of an orderly end.
 const (
-	// refuseAfter is the part of the grace after which a leaving router stops to take
-	// requests. Callers keep its address for some seconds; a request taken later might
-	// not end within the grace.
+	// refuseAfter is the part of the grace after which a leaving router takes only requests
+	// that are sure to end in time. Callers keep its address for some seconds.
 	refuseAfter = 0.375
 	// endMargin is the part of the grace that is left when the process ends by itself,
 	// before it is ended by force.
@@ -21,13 +20,13 @@
 // each on its last connection; later ones are refused; then what runs is waited for.
 func (p *Process) leave() {
 	began := time.Now()
-	p.gateway.Leave()
+	grace := p.settings.Leaving.GraceSeconds
+	end := began.Add(seconds((1 - endMargin) * grace))
+	p.gateway.Leave(end)
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("router leaves")
 	p.joiner.Leave()
-	grace := p.settings.Leaving.GraceSeconds
 	time.Sleep(time.Until(began.Add(seconds(refuseAfter * grace))))
 	p.gateway.Shut()
-	end := began.Add(seconds((1 - endMargin) * grace))
 	for p.gateway.Active() > 0 && time.Now().Before(end) {
 		time.Sleep(leavePoll)
 	}
--- a/pkg/telemetry/asyncwriter.go
+++ b/pkg/telemetry/asyncwriter.go
@@ -63,6 +63,12 @@
 // gather writes line and whatever else is queued, then flushes.
 func (w *AsyncWriter) gather(out *bufio.Writer, line []byte) error {
 	for {
+		if out.Available() < len(line) {
+			// Whole lines only: a reader that takes what one write brought would see two halves.
+			if err := out.Flush(); err != nil {
+				return err
+			}
+		}
 		if _, err := out.Write(line); err != nil {
 			return err
 		}
--- a/pkg/telemetry/asyncwriter_test.go
+++ b/pkg/telemetry/asyncwriter_test.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -39,3 +40,28 @@
 	w.Run(ctx)
 	require.Equal(t, "one\ntwo\n", out.String())
 }
+
+// chunks keeps what each write brought.
+type chunks struct{ writes []string }
+
+func (c *chunks) Write(b []byte) (int, error) {
+	c.writes = append(c.writes, string(b))
+	return len(b), nil
+}
+
+// The process is killed between two writes. A line that was cut in two by the buffer's
+// size would be lost to whoever reads the log line by line.
+func TestAsyncWriterWritesWholeLines(t *testing.T) {
+	out := new(chunks)
+	w := NewAsyncWriter(out)
+	line := append(bytes.Repeat([]byte("x"), 999), '\n')
+	for range 100 {
+		w.Write(line)
+	}
+	b := bufio.NewWriterSize(out, writeBuffer)
+	require.NoError(t, w.gather(b, <-w.lines))
+	require.Greater(t, len(out.writes), 1)
+	for _, chunk := range out.writes {
+		require.Zero(t, len(chunk)%len(line))
+	}
+}
