--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -138,6 +138,19 @@
 	require.Equal(t, http.StatusForbidden, resp.StatusCode)
 }
 
+// A stranger asks for the secret. Only addresses where a router is known to live get it.
+func TestTheSecretIsHandedToKnownAddressesOnly(t *testing.T) {
+	full := bytes.Repeat([]byte("s"), secretSize)
+	a, b := newRouter(t, "a", full), newRouter(t, "b", nil)
+	a.fleet.Meet([]Member{{Peers: "127.0.0.1:1"}})
+	_, err := b.duty.Secret(context.Background(), a.fleet.self.Peers)
+	require.ErrorContains(t, err, "403", "a seed that was never heard of is not known")
+	a.fleet.Meet([]Member{b.fleet.self})
+	got, err := b.duty.Secret(context.Background(), a.fleet.self.Peers)
+	require.NoError(t, err)
+	require.Equal(t, full, got)
+}
+
 func TestCatalogIsGivenToPeers(t *testing.T) {
 	a, b := newRouter(t, "a", secret), newRouter(t, "b", secret)
 	given, err := a.duty.Catalog(context.Background(), b.fleet.self.Peers, CatalogAsk{})
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -29,13 +29,16 @@
 // Joiner finds the fleet through the registry.
 type Joiner struct {
 	fleet    *Fleet
+	duty     *Duty
 	registry Registry
-	log      log.Interface
+	// seeds are addresses of routers that may be alive.
+	seeds []string
+	log   log.Interface
 }
 
-// NewJoiner returns the joiner of f.
-func NewJoiner(f *Fleet, r Registry, l log.Interface) *Joiner {
-	return &Joiner{fleet: f, registry: r, log: l}
+// NewJoiner returns the joiner of d's fleet.
+func NewJoiner(d *Duty, r Registry, seeds []string, l log.Interface) *Joiner {
+	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, log: l}
 }
 
 // Run joins and keeps looking for members until ctx ends.
@@ -83,12 +86,32 @@
 	}
 	secret, err := j.registry.Secret(ctx, proposal)
 	if err != nil {
+		secret = j.fromPeers()
+	}
+	if secret == nil {
 		return errors.Trace(err)
 	}
 	j.fleet.SetSecret(secret)
 	return nil
 }
 
+// fromPeers asks the seeds for the secret; nil when none gives it.
+func (j *Joiner) fromPeers() []byte {
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	for _, addr := range j.seeds {
+		if addr == j.fleet.self.Peers {
+			continue
+		}
+		secret, err := j.duty.Secret(ctx, addr)
+		if err == nil {
+			return secret
+		}
+		j.log.WithError(err).WithFields(log.Fields{"event": "seed_gives_nothing", "addr": addr}).Info("seed gives no secret")
+	}
+	return nil
+}
+
 func (j *Joiner) look(ctx context.Context) error {
 	list, err := j.registry.Members(ctx)
 	if err != nil {
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -11,6 +12,7 @@
 func (f *Fleet) Handler() *mux.Router {
 	r := mux.NewRouter()
 	r.HandleFunc(Path, f.take).Methods(http.MethodPost)
+	r.HandleFunc(SecretPath, f.hand).Methods(http.MethodGet)
 	r.HandleFunc(CatalogPath, f.give).Methods(http.MethodPost)
 	return r
 }
@@ -38,6 +40,37 @@
 	f.answer(w, f.outgoing(p, len(report.Others) > 0))
 }
 
+// hand gives the secret to a router that starts again while the store is away.
+//
+// Guard: without the secret that router could take no configuration from its peers, and
+// would refuse all its callers until the store is back. It is told by its address: only
+// addresses that are known from the store or from sealed reports are answered.
+func (f *Fleet) hand(w http.ResponseWriter, in *http.Request) {
+	secret := f.Secret()
+	host, _, err := net.SplitHostPort(in.RemoteAddr)
+	if err != nil || secret == nil || !f.knows(host) {
+		f.log.WithField("event", "secret_refused").WithField("from", in.RemoteAddr).Warn("secret is not handed out")
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	f.log.WithField("event", "secret_handed").WithField("to", in.RemoteAddr).Info("secret handed to a known router")
+	_, _ = w.Write(secret) // a router that is gone asks again
+}
+
+// knows reports whether a router lives, or lately lived, at an IP address. Seeds count
+// only once they were heard of.
+func (f *Fleet) knows(ip string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		host, _, err := net.SplitHostPort(p.member.Peers)
+		if err == nil && host == ip && p.member.Name != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // open reads a sealed message; when it returns false the answer has been given.
 func (f *Fleet) open(w http.ResponseWriter, in *http.Request, v any) bool {
 	secret := f.Secret()
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -69,7 +69,7 @@
 	p.crowd.limit = int64(s.Limits.KeptConnections)
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
-	p.joiner = fleet.NewJoiner(p.fleet, d.Registry, l)
+	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Peers: p.fleet, Log: l,
