--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -15,6 +15,9 @@
 	secretSize = 32
 	// joinTimeout bounds one call to the registry.
 	joinTimeout = 1500 * time.Millisecond
+	// firstTimeout bounds the first question for the secret. A store that answers at all
+	// answers within milliseconds; peers are asked next, and callers wait meanwhile.
+	firstTimeout = 300 * time.Millisecond
 	// joinRetry is the pause after a failed call.
 	joinRetry = 250 * time.Millisecond
 	// lookEvery is the pause between two looks at the list of members: peers name each
@@ -43,7 +46,10 @@
 
 // Run joins and keeps looking for members until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
-	j.until(ctx, "secret", j.secret)
+	if err := j.within(ctx, firstTimeout, j.secret); err != nil {
+		j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": "secret"}).Warn("joining waits for the store")
+		j.until(ctx, "secret", j.secret)
+	}
 	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
 	j.until(ctx, "members", j.look)
 	last := time.Now()
@@ -74,7 +80,11 @@
 }
 
 func (j *Joiner) call(ctx context.Context, step func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	return j.within(ctx, joinTimeout, step)
+}
+
+func (j *Joiner) within(ctx context.Context, limit time.Duration, step func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return step(ctx)
 }
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -79,6 +79,22 @@
 	require.Equal(t, events(1, 2), body)
 }
 
+// An engine fails part of its requests, while it says that it is healthy. A stream that
+// may go on elsewhere may as well begin there.
+func TestResumableStreamsAreRepeatedAfterAFailure(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(fails(500), says(events(1, 2)))
+	status, body, _ := w.get("/resume/")
+	require.Equal(t, 200, status)
+	require.Equal(t, events(1, 2), body)
+
+	w = newWorld(t)
+	w.upstreams(fails(500), says(events(1, 2)))
+	status, _, _ = w.get("/stream/")
+	require.Equal(t, 500, status)
+	require.Equal(t, 1, w.runs())
+}
+
 func TestEngineWithoutTimeIsRefusedAtOnce(t *testing.T) {
 	w := newWorld(t)
 	cfg := *w.config()
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -30,5 +30,5 @@
 }
 
 // Repeatable reports whether a request of the route may run more than once from its
-// beginning.
-func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
+// beginning. Streams that may go on at another upstream may also begin again there.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
