Refuse requests whose content broke three upstreams, over all routers

Change: the product's quarantine list counts breaks by caller, path and body, and routers tell each other. Test: the fourth try is refused as not run, others are served; without the check it runs a fourth time.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -10,6 +10,9 @@
 func (f *Fleet) outgoing(p *peer, others bool) Report {
 	r := Report{From: f.self}
 	f.local.Describe(&r)
+	if others {
+		r.Suspects = f.local.Suspects()
+	}
 	fresh := f.local.Reads()
 	now := time.Now()
 	f.mu.Lock()
@@ -43,7 +46,7 @@
 		p.have, p.acked = 0, 0
 	}
 	p.member, p.report, p.heard, p.failed = r.From, *r, now, 0
-	p.report.Read, p.report.Others = nil, nil
+	p.report.Read, p.report.Others, p.report.Suspects = nil, nil, nil
 	if r.HaveOf == f.self.Started {
 		p.acked = r.Have
 	}
@@ -59,6 +62,9 @@
 	if len(fresh) > 0 {
 		f.local.Learn(fresh)
 	}
+	if len(r.Suspects) > 0 {
+		f.local.Suspect(r.Suspects)
+	}
 	f.local.Loads(loads, uses)
 	f.local.Behind(r.From, r.Config, r.Instances)
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -12,18 +12,21 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // router is one router with what it told and learnt.
 type router struct {
-	mu     sync.Mutex
-	loads  []InstanceLoad
-	reads  []PromptRead
-	learnt []PromptRead
-	others map[string]InstanceLoad
-	uses   map[string]Use
-	behind int64
-	heard  chan struct{}
+	mu       sync.Mutex
+	loads    []InstanceLoad
+	reads    []PromptRead
+	learnt   []PromptRead
+	others   map[string]InstanceLoad
+	uses     map[string]Use
+	behind   int64
+	suspects []wire.Suspicion
+	heard    chan struct{}
 
 	fleet *Fleet
 	duty  *Duty
@@ -66,6 +69,16 @@
 	}
 }
 
+func (r *router) Suspects() []wire.Suspicion {
+	return []wire.Suspicion{{Content: 9, Deaths: 1, Seq: 1}}
+}
+
+func (r *router) Suspect(list []wire.Suspicion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects = list
+}
+
 func (r *router) Catalog(CatalogAsk) CatalogGiven { return CatalogGiven{Revision: 3} }
 
 var quiet = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
@@ -107,6 +120,7 @@
 	require.Equal(t, 5.0, b.uses["org"].Got)
 	require.Equal(t, []PromptRead{{Key: 1, Instance: "i"}}, b.learnt)
 	require.EqualValues(t, 7, b.behind)
+	require.Len(t, b.suspects, 1)
 }
 
 func TestRoutersAreIntroduced(t *testing.T) {
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "github.com/flamingowind/flamingowind/pkg/wire"
+
 // Local is what this router tells and learns; the parts that decide implement it.
 type Local interface {
 	// Describe fills in what a report says of this router's work.
@@ -8,6 +10,10 @@
 	Reads() []PromptRead
 	// Learn takes what another router's engines have read.
 	Learn(list []PromptRead)
+	// Suspects gives contents that ran on upstreams which broke off; Suspect takes those of
+	// others.
+	Suspects() []wire.Suspicion
+	Suspect(list []wire.Suspicion)
 	// Loads takes the work in progress and the use by all other routers.
 	Loads(loads map[string]InstanceLoad, uses map[string]Use)
 	// Behind is told which configuration and list a peer has.
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "github.com/flamingowind/flamingowind/pkg/wire"
+
 // Report is what a router tells another about itself.
 type Report struct {
 	From Member `cbor:"1,keyasint"`
@@ -22,6 +24,9 @@
 	// list of upstreams.
 	Config    int64 `cbor:"10,keyasint,omitempty"`
 	Instances int64 `cbor:"11,keyasint,omitempty"`
+	// Suspects are contents that ran on upstreams which broke off; named together with
+	// Others.
+	Suspects []wire.Suspicion `cbor:"12,keyasint,omitempty"`
 }
 
 // InstanceLoad is work in progress on one instance.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/prompt"
+	"github.com/flamingowind/flamingowind/pkg/quarantine"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -79,7 +80,8 @@
 		RepeatRatio: 1, RepeatSlack: 100, RepeatWindow: 10 * time.Second}, Parts{
 		Catalog: w.catalog, Dialect: plainDialect{}, Pools: forward.NewPools("X-Id"), Health: upstream.NewHealth(),
 		Ledger: placement.NewLedger(), Holdings: placement.NewHoldings(), Shares: placement.NewShares(),
-		Peers: onePeer{}, Crowded: func() bool { return false }, Log: quiet,
+		Suspects: quarantine.New(quarantine.Config{Limit: CrashLimit, FadeAfter: SuspectFor}),
+		Peers:    onePeer{}, Crowded: func() bool { return false }, Log: quiet,
 	})
 	w.front = httptest.NewUnstartedServer(w.gateway)
 	w.front.Config.ConnContext = WithConn
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/quarantine"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
@@ -24,6 +25,7 @@
 	holdings *placement.Holdings
 	shares   *placement.Shares
 	budget   *placement.Budget
+	suspects *quarantine.List
 	peers    Peers
 	crowded  func() bool
 	log      log.Interface
@@ -55,6 +57,7 @@
 	Ledger   *placement.Ledger
 	Holdings *placement.Holdings
 	Shares   *placement.Shares
+	Suspects *quarantine.List
 	Peers    Peers
 	// Crowded reports whether connections of callers should not be kept.
 	Crowded func() bool
@@ -67,7 +70,7 @@
 func New(s Settings, p Parts) *Gateway {
 	return &Gateway{
 		settings: s, catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
-		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, peers: p.Peers, crowded: p.Crowded, log: p.Log,
+		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, suspects: p.Suspects, peers: p.Peers, crowded: p.Crowded, log: p.Log,
 		meter:  newMeter(p.Metrics),
 		budget: &placement.Budget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow},
 	}
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -54,6 +54,10 @@
 	if err := readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
+	r.content = content(r)
+	if g.suspects.Check(r.content) != nil {
+		return errSuspect()
+	}
 	r.end = until(r.start, r.route.Timeout, r.ask.Deadline)
 	r.chain = placement.Chain(r.ask.Prompt)
 	r.service = table.Service(r.route.Pick(draw(r.ask.RequestID)))
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -143,6 +143,31 @@
 	require.NotEmpty(t, header.Get("Retry-After"))
 }
 
+// A request crashes each engine that begins to run it, and its caller asks again and
+// again. After the third engine it is refused, with the truth that it has not run; other
+// requests are served.
+func TestRequestsThatCrashUpstreamsAreRefused(t *testing.T) {
+	w := newWorld(t)
+	crash := func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/once/poison" {
+			breaks("")(rw, r)
+			return
+		}
+		io.WriteString(rw, "hello")
+	}
+	w.upstreams(crash, crash, crash, crash, crash)
+	for range CrashLimit {
+		status, _, _ := w.get("/once/poison")
+		require.Equal(t, 502, status)
+	}
+	status, _, header := w.get("/once/poison")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Equal(t, CrashLimit, w.runs())
+	status, _, _ = w.get("/once/else")
+	require.Equal(t, 200, status)
+}
+
 func TestRepeatsDrawOnABudget(t *testing.T) {
 	w := newWorld(t)
 	w.gateway.budget.Ratio, w.gateway.budget.Slack = 0, 0
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -51,6 +51,10 @@
 	return notRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "the upstreams are full", retryAfter)
 }
 
+func errSuspect() *verdict.Error {
+	return notRun(http.StatusServiceUnavailable, verdict.CodeQuarantined, "upstreams broke off while they ran this request; it is refused for a time", SuspectFor)
+}
+
 func errTimeout() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, verdict.CodeDeadline, "no answer in time")
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -64,6 +64,7 @@
 	if st.Outcome == "" {
 		st.Outcome = outcomeServed
 	}
+	g.clear(r)
 	g.observe(in.ID, upstream.Served, nil)
 	g.writeWhole(r, answer)
 	return result{done: true}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -24,6 +24,8 @@
 	org     string
 	service *routing.Service
 	body    []byte
+	// content stands for what would run.
+	content uint64
 	chain   []placement.Link
 	tried   map[upstream.ID]bool
 	// cutter holds the stream's events over all attempts; begun is set once the caller
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -191,6 +191,9 @@
 		g.timedOut(r)
 		return result{done: true}
 	}
+	if sent {
+		g.suspect(r)
+	}
 	if !errors.Is(err, syscall.EMFILE) {
 		g.observe(in.ID, upstream.Silent, err) // a lack of descriptors is our own fault
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -82,6 +82,7 @@
 		g.beginStream(r, a)
 	}
 	st.Outcome, r.trail.outcome = outcomeServed, outcomeServed
+	g.clear(r)
 	g.observe(in.ID, upstream.Served, nil)
 	return result{done: true}
 }
@@ -99,6 +100,7 @@
 		g.timedOut(r)
 		return result{done: true}
 	}
+	g.suspect(r)
 	g.observe(in.ID, upstream.Silent, err)
 	if !r.route.Resumable {
 		if r.begun {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -15,6 +15,7 @@
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/quarantine"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -60,11 +61,12 @@
 	if s.Limits.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMiB<<20) * memoryShare))
 	}
+	suspects := quarantine.New(quarantine.Config{Limit: gateway.CrashLimit, FadeAfter: gateway.SuspectFor})
 	ledger, shares := placement.NewLedger(), placement.NewShares()
 	p := &Process{settings: s, log: l, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, l)
-	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares,
+	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, suspects: suspects,
 		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
 	p.crowd.limit = int64(s.Limits.KeptConnections)
 	p.fleet = fleet.New(member(s), p.telling, l)
@@ -72,7 +74,7 @@
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
-		Ledger: ledger, Holdings: p.holdings, Shares: shares, Peers: p.fleet, Log: l,
+		Ledger: ledger, Holdings: p.holdings, Shares: shares, Suspects: suspects, Peers: p.fleet, Log: l,
 		Crowded: p.crowd.full, Metrics: p.metrics.Scope,
 	})
 	for _, addr := range s.Entries.Known {
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -9,7 +9,9 @@
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/quarantine"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
+	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
 // telling joins the fleet's reports to the parts that decide.
@@ -18,6 +20,7 @@
 	ledger   *placement.Ledger
 	holdings *placement.Holdings
 	shares   *placement.Shares
+	suspects *quarantine.List
 	ready    func() bool
 	// behind takes peers that know more than this router.
 	behind chan newer
@@ -60,6 +63,18 @@
 	t.holdings.Learn(holdings, time.Now())
 }
 
+// maxSuspects bounds the suspects in one report.
+const maxSuspects = 256
+
+// Suspects gives contents that ran on upstreams which broke off.
+func (t *telling) Suspects() []wire.Suspicion {
+	list := t.suspects.Snapshot()
+	return list[:min(len(list), maxSuspects)]
+}
+
+// Suspect takes those of another router.
+func (t *telling) Suspect(list []wire.Suspicion) { t.suspects.Merge(list) }
+
 // Loads takes the work and the use by all other routers.
 func (t *telling) Loads(loads map[string]fleet.InstanceLoad, uses map[string]fleet.Use) {
 	others := make(map[upstream.ID]placement.Load, len(loads))
