--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -155,7 +155,7 @@
 func (p *Process) Run(ctx context.Context) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	p.log.WithFields(log.Fields{"event": "start", "callers": p.settings.Listen.Callers, "zone": p.settings.Router.Zone}).Info("router starts")
+	p.log.WithFields(log.Fields{"event": "start", "callers": p.settings.Listen.Callers, "metrics": p.settings.Listen.Metrics, "zone": p.settings.Router.Zone}).Info("router starts")
 	p.duty(func() { p.watcher.WatchConfig(life) })
 	p.duty(func() { p.watcher.WatchInstances(life) })
 	p.duty(func() { p.pools.Run(life, p.catalog.Instances) })
