Introduce routers whichever of them begins the exchange; let three routers read the upstreams for all

The round that names others was counted over all peers, so with two peers it could fall on the same one each time, and the answer named others only to a peer that named some. Counted by peer now, and a report asks for them; the test covers each place of the router in the middle and failed before.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// revision of the instances in set; 0 before the first list.
 	revision Revision
+	// changed is the revision at which the list last became another.
+	changed Revision
 	// heard is when the list was last known to be current.
 	heard time.Time
 	// lapsed are instances that are missing from the list since the store came back.
@@ -68,6 +70,22 @@
 	return c.set.Load(), c.revision
 }
 
+// Same reports whether the list is still the one that it was at revision rev.
+func (c *Catalog) Same(rev Revision) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return rev > 0 && rev >= c.changed && rev <= c.revision
+}
+
+// Confirm notes that the list known here is still current at rev.
+func (c *Catalog) Confirm(rev Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rev >= c.revision && c.revision > 0 {
+		c.revision, c.heard = rev, time.Now()
+	}
+}
+
 // InstancesAge is the time since the list of instances was last known to be current.
 func (c *Catalog) InstancesAge(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -98,7 +116,7 @@
 	if rev < c.revision {
 		return
 	}
-	c.revision, c.heard = rev, time.Now()
+	c.revision, c.heard, c.changed = rev, time.Now(), rev
 	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, c.heard)...)))
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
@@ -119,6 +137,7 @@
 		return
 	}
 	next, _ := c.set.Load().Apply(gone)
+	c.changed = c.revision
 	c.set.Store(next)
 	c.logChanges(gone, c.revision, "grace after an outage")
 }
@@ -135,6 +154,7 @@
 	if !differs {
 		return
 	}
+	c.changed = rev
 	c.set.Store(next)
 	c.logChanges(changes, rev, source)
 }
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -25,6 +25,15 @@
 	instances []upstream.Instance
 	changes   []upstream.Change
 	rev       Revision
+	// follower makes the router leave the reading to others; asked counts its questions.
+	follower bool
+	asked    int
+}
+
+func (s *fakeStore) follows() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower
 }
 
 func (s *fakeStore) set(change func()) {
@@ -76,6 +85,7 @@
 	if err := s.refusal(ctx, after); err != nil {
 		return nil, 0, err
 	}
+	s.asked++
 	if after < s.rev {
 		return s.changes, s.rev, nil
 	}
@@ -121,7 +131,7 @@
 func start(t *testing.T, s *fakeStore) (*Catalog, *recorder) {
 	l, h := quiet()
 	c := New(l)
-	w := NewWatcher(c, s, l)
+	w := NewWatcher(c, s, func() bool { return !s.follows() }, l)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go w.WatchConfig(ctx)
@@ -184,6 +194,29 @@
 	})
 }
 
+// Each router's own questions about upstreams would cost calls that grow with the fleet.
+// A router that is told by its peers asks nothing; when they fall silent, or none of them
+// reaches the store, it asks within a second and a half.
+func TestCatalogLeavesTheReadingToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}}, rev: 5, follower: true}
+		c, _ := start(t, s)
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			rev := c.InstancesRevision() + 1
+			require.True(t, c.Same(rev-1))
+			c.Confirm(rev)
+		}
+		s.mu.Lock()
+		require.LessOrEqual(t, s.asked, 1)
+		s.rev, s.changes = 100, []upstream.Change{{Instance: upstream.Instance{ID: "a"}, Gone: true}}
+		s.mu.Unlock()
+		time.Sleep(followerAge + 500*time.Millisecond)
+		require.Nil(t, c.Instances().Get("a"))
+		require.False(t, c.Same(25), "the list has become another since")
+	})
+}
+
 // An answer of the store is late and overtaken by a peer's word of a newer version.
 func TestCatalogNeverGoesBack(t *testing.T) {
 	l, _ := quiet()
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -19,6 +19,9 @@
 	// time, and asking without pause would cost a call for each. It stays well under the
 	// two seconds in which a leaving upstream must be left alone.
 	instancesPause = 700 * time.Millisecond
+	// followerAge is the age at which a router that leaves the reading to others asks the
+	// store after all: they tell it several times in that time.
+	followerAge = 1400 * time.Millisecond
 	// readTimeout bounds a call that doesn't wait.
 	readTimeout = 1500 * time.Millisecond
 	// outage is how long the store must have been silent for entries to have lapsed: they
@@ -32,12 +35,15 @@
 type Watcher struct {
 	catalog *Catalog
 	store   Store
-	log     log.Interface
+	// reads reports whether this router is one of those that read the list for all.
+	reads func() bool
+	log   log.Interface
 }
 
-// NewWatcher returns a watcher that fills catalog.
-func NewWatcher(c *Catalog, s Store, l log.Interface) *Watcher {
-	return &Watcher{catalog: c, store: s, log: l}
+// NewWatcher returns a watcher that fills catalog. reads reports whether this router is
+// one of the few that read the list of instances for all.
+func NewWatcher(c *Catalog, s Store, reads func() bool, l log.Interface) *Watcher {
+	return &Watcher{catalog: c, store: s, reads: reads, log: l}
 }
 
 // WatchConfig runs until ctx ends.
@@ -88,6 +94,13 @@
 	dep := newDependency("store instances", w.log)
 	var rev Revision
 	for ctx.Err() == nil {
+		if w.followed() {
+			// The peers' list is newer than what this watch has seen.
+			rev = w.catalog.InstancesRevision()
+			w.catalog.Settle(time.Now())
+			sleep(ctx, followPause)
+			continue
+		}
 		next, err := w.nextInstances(ctx, rev)
 		dep.observe(err)
 		w.catalog.Settle(time.Now())
@@ -107,6 +120,15 @@
 	}
 }
 
+// followPause is the pause between two looks whether peers still keep the list current.
+const followPause = 100 * time.Millisecond
+
+// followed reports whether the store need not be asked: peers that read it keep the list
+// current. Each router's own questions would cost calls that grow with the fleet.
+func (w *Watcher) followed() bool {
+	return !w.reads() && w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < followerAge
+}
+
 func (w *Watcher) nextInstances(ctx context.Context, after Revision) (Revision, error) {
 	if after == 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/pkg/fleet/catchup.go
+++ b/pkg/fleet/catchup.go
@@ -27,6 +27,8 @@
 	Config    *routing.Config     `cbor:"1,keyasint,omitempty"`
 	Instances []upstream.Instance `cbor:"2,keyasint,omitempty"`
 	Revision  int64               `cbor:"3,keyasint,omitempty"`
+	// Same says that the list is at Revision what it was at the asked one.
+	Same bool `cbor:"4,keyasint,omitempty"`
 }
 
 // maxCatalog bounds a catalog's message, in bytes.
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -90,8 +90,10 @@
 func (d *Duty) exchange(ctx context.Context, p *peer) {
 	f := d.fleet
 	f.mu.Lock()
-	f.round++
-	others := f.round%othersEvery == 0 || p.heard.IsZero()
+	// Guard: counted over all peers, the rounds that name others could fall on the same
+	// peer each time, and a third router would never be heard of.
+	others := p.rounds%othersEvery == 0
+	p.rounds++
 	addr := p.member.Peers
 	f.mu.Unlock()
 	answer := new(Report)
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -11,7 +11,7 @@
 	r := Report{From: f.self}
 	f.local.Describe(&r)
 	if others {
-		r.Suspects = f.local.Suspects()
+		r.Suspects, r.AskOthers = f.local.Suspects(), true
 	}
 	fresh := f.local.Reads()
 	now := time.Now()
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -39,7 +39,6 @@
 	secret []byte
 	peers  map[string]*peer // by peers' address
 	reads  readLog
-	round  int
 }
 
 // New returns a fleet of one.
@@ -127,3 +126,18 @@
 	}
 	return list
 }
+
+// Rank is this router's place among those alive, 0 for the first. All routers that hear
+// each other agree on the order.
+func (f *Fleet) Rank() int {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rank := 0
+	for _, p := range f.peers {
+		if p.alive(now) && p.member.Peers < f.self.Peers {
+			rank++
+		}
+	}
+	return rank
+}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sort"
 	"sync"
 	"testing"
 	"time"
@@ -123,15 +124,21 @@
 	require.Len(t, b.suspects, 1)
 }
 
+// Two routers know only a third one. Whichever of them begins the exchanges, all three
+// must come to know each other: callers are sent to routers that are heard of.
 func TestRoutersAreIntroduced(t *testing.T) {
-	a, b, c := newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)
-	a.fleet.Meet([]Member{b.fleet.self})
-	c.fleet.Meet([]Member{b.fleet.self})
-	for _, r := range []*router{a, b, c} {
-		r.run(t)
-	}
-	for a.fleet.Count() < 3 || c.fleet.Count() < 3 {
-		<-a.heard
+	for _, middle := range []int{0, 1, 2} {
+		routers := []*router{newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)}
+		sort.Slice(routers, func(i, j int) bool { return routers[i].fleet.self.Peers < routers[j].fleet.self.Peers })
+		for _, r := range routers {
+			r.fleet.Meet([]Member{routers[middle].fleet.self})
+			r.run(t)
+		}
+		for _, r := range routers {
+			for r.fleet.Count() < 3 {
+				<-r.heard
+			}
+		}
 	}
 }
 
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -13,6 +13,8 @@
 	tried  time.Time
 	asking bool
 	failed int
+	// rounds counts the exchanges begun with it.
+	rounds int
 	// have is the number of the last entry of its log that came here.
 	have uint64
 	// acked is the number of the last entry of our log that it has.
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -18,8 +18,10 @@
 	// and HaveOf the life of the receiver that it counts in.
 	Have   uint64 `cbor:"7,keyasint,omitempty"`
 	HaveOf int64  `cbor:"8,keyasint,omitempty"`
-	// Others are routers that the sender has heard of lately.
-	Others []Member `cbor:"9,keyasint,omitempty"`
+	// Others are routers that the sender has heard of lately; AskOthers asks for those of
+	// the receiver.
+	Others    []Member `cbor:"9,keyasint,omitempty"`
+	AskOthers bool     `cbor:"13,keyasint,omitempty"`
 	// Config is the version of the configuration in force, Instances the revision of the
 	// list of upstreams.
 	Config    int64 `cbor:"10,keyasint,omitempty"`
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -37,7 +37,7 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	f.answer(w, f.outgoing(p, len(report.Others) > 0))
+	f.answer(w, f.outgoing(p, report.AskOthers))
 }
 
 // hand gives the secret to a router that starts again while the store is away.
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -65,12 +65,12 @@
 	ledger, shares := placement.NewLedger(), placement.NewShares()
 	p := &Process{settings: s, log: l, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
-	p.watcher = catalog.NewWatcher(p.catalog, d.Store, l)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, suspects: suspects,
 		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
 	p.crowd.limit = int64(s.Limits.KeptConnections)
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
+	p.watcher = catalog.NewWatcher(p.catalog, d.Store, func() bool { return p.fleet.Rank() < listReaders }, l)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
@@ -83,6 +83,10 @@
 	return p, errors.Trace(p.bind(d.Faces))
 }
 
+// listReaders is how many routers read the list of upstreams from the store for all. One
+// may be cut off from the store and another be gone; the rest ask it when none tells them.
+const listReaders = 3
+
 // memoryShare is the part of the memory limit at which the runtime collects at all costs;
 // the rest is for the kernel's buffers, which count as well.
 const memoryShare = 0.7
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -101,9 +101,9 @@
 	}
 }
 
-// lacks reports whether a peer with these versions knows more. The list of upstreams
-// changes all the time and every router reads it itself; peers only help one whose own
-// copy has become old.
+// lacks reports whether a peer with these versions knows more. The revision of the list
+// of upstreams grows with each of their heartbeats, so a peer is asked only once the own
+// copy is old.
 func (t *telling) lacks(config, instances int64) bool {
 	if config > t.catalog.Version() {
 		return true
@@ -112,9 +112,8 @@
 }
 
 const (
-	// listOld is the age at which the copy of the list counts as old: the store was asked
-	// in vain more than once.
-	listOld = 1200 * time.Millisecond
+	// listOld is the age at which a peer is asked for a newer list.
+	listOld = 600 * time.Millisecond
 	// storeFirst is how long the store's own answer is waited for before a peer is asked:
 	// usually it is on its way.
 	storeFirst = 200 * time.Millisecond
@@ -129,8 +128,12 @@
 		given.Config = table.Config
 	}
 	set, rev := t.catalog.List()
-	if int64(rev) > ask.Instances {
-		given.Instances, given.Revision = set.List(), int64(rev)
+	if int64(rev) <= ask.Instances {
+		return given
+	}
+	given.Revision, given.Same = int64(rev), t.catalog.Same(catalog.Revision(ask.Instances))
+	if !given.Same {
+		given.Instances = set.List()
 	}
 	return given
 }
@@ -142,7 +145,9 @@
 		case <-ctx.Done():
 			return
 		case n := <-t.behind:
-			wait(ctx, storeFirst)
+			if n.config > t.catalog.Version() {
+				wait(ctx, storeFirst)
+			}
 			if t.lacks(n.config, n.instances) {
 				t.askPeer(ctx, duty, n, l)
 			}
@@ -162,7 +167,9 @@
 	if given.Config != nil {
 		t.catalog.Adopt(given.Config, "peer "+n.peer.Name)
 	}
-	if given.Revision > 0 {
+	if given.Same {
+		t.catalog.Confirm(catalog.Revision(given.Revision))
+	} else if given.Revision > 0 {
 		t.catalog.Replace(given.Instances, catalog.Revision(given.Revision), "peer "+n.peer.Name)
 	}
 }
