Let organisations a little over their share move, and leave fewer slots to those far over it

Change: up to twice its share a request may be moved with the usual reserve; the part of an engine's slots that is open falls to a quarter with the standing.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -80,7 +80,9 @@
 	if over := r.standing.Share; over > 1 {
 		req.QueueLimit = time.Duration(impatience * objective / math.Pow(over, yielding))
 		req.OwnQueueLimit = time.Duration(ownQueue * float64(req.QueueLimit))
-		req.Reserve = overReserve
+		if over > farOver {
+			req.Reserve = farOverReserve
+		}
 		if r.standing.Full {
 			req.Occupancy = max(leastOccupancy, 1/over)
 		}
@@ -97,12 +99,14 @@
 	reserve      = 3
 	shortReserve = 2
 	short        = 0.7
-	// overReserve is that of organisations over their share: they wait for the engine that
-	// keeps their prompt, or are refused.
-	overReserve = 10
+	// farOverReserve is that of organisations that get more than farOver times their share:
+	// they wait for the engine that keeps their prompt, or are refused. Those just over it
+	// may move: locked to a busy engine they would get less than one far over its share.
+	farOverReserve = 10
+	farOver        = 2
 	// leastOccupancy is the part of an engine's slots that an organisation may take however
 	// far it is over its share: what others leave idle.
-	leastOccupancy = 0.5
+	leastOccupancy = 0.25
 	// ownQueue is how much longer than the shortest queue an organisation over its share
 	// may find the one that it waits in.
 	ownQueue = 3
