--- a/cmd/flamingowind-gateway/check.go
+++ b/cmd/flamingowind-gateway/check.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/google/subcommands"
+
+	"github.com/flamingowind/flamingowind/platform"
 )
 
 type checkCommand struct{ file string }
@@ -18,7 +20,7 @@
 }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.file, "settings", "", "YAML settings file; $"+settingsVariable+" without")
+	f.StringVar(&c.file, "settings", "", "YAML settings file; $"+platform.SettingsVariable+" without")
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
--- a/cmd/flamingowind-gateway/load.go
+++ b/cmd/flamingowind-gateway/load.go
@@ -7,17 +7,16 @@
 	"github.com/google/subcommands"
 
 	"github.com/flamingowind/flamingowind/pkg/gatewayd"
+	"github.com/flamingowind/flamingowind/platform"
 )
 
-// settingsVariable names the settings file where no flag does.
-const settingsVariable = "FLAMINGOWIND_CONFIG"
-
 // exitSettings is the exit code for faulty settings.
 const exitSettings subcommands.ExitStatus = 2
 
+// load reads file, or the one that the platform names where no flag does.
 func load(file string) (gatewayd.Settings, subcommands.ExitStatus) {
 	if file == "" {
-		file = os.Getenv(settingsVariable)
+		file = os.Getenv(platform.SettingsVariable)
 	}
 	s, err := gatewayd.LoadSettings(file)
 	if err != nil {
--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -25,7 +25,7 @@
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.file, "settings", "", "YAML settings file; $"+settingsVariable+" without")
+	f.StringVar(&c.file, "settings", "", "YAML settings file; $"+platform.SettingsVariable+" without")
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/waiting"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -57,7 +58,7 @@
 }
 
 func (s *fakeStore) ConfigAfter(ctx context.Context, after Revision, wait time.Duration) (*routing.Config, Revision, error) {
-	sleep(ctx, min(wait, 100*time.Millisecond))
+	waiting.For(ctx, min(wait, 100*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refusal(ctx, after); err != nil {
@@ -79,7 +80,7 @@
 }
 
 func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Revision, error) {
-	sleep(ctx, min(wait, 100*time.Millisecond))
+	waiting.For(ctx, min(wait, 100*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refusal(ctx, after); err != nil {
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -6,6 +6,8 @@
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
 )
 
 // Pace of the watches.
@@ -62,7 +64,7 @@
 			continue
 		}
 		rev = 0
-		sleep(ctx, retryPause)
+		waiting.For(ctx, retryPause)
 	}
 }
 
@@ -98,7 +100,7 @@
 			// The peers' list is newer than what this watch has seen.
 			rev = w.catalog.InstancesRevision()
 			w.catalog.Settle(time.Now())
-			sleep(ctx, followPause)
+			waiting.For(ctx, followPause)
 			continue
 		}
 		next, err := w.nextInstances(ctx, rev)
@@ -116,7 +118,7 @@
 			pause = 0
 		}
 		rev = next
-		sleep(ctx, pause)
+		waiting.For(ctx, pause)
 	}
 }
 
@@ -152,15 +154,3 @@
 	w.catalog.Apply(changes, after, rev, "store")
 	return rev, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -7,6 +7,8 @@
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
 )
 
 // Times of joining.
@@ -53,7 +55,7 @@
 	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
 	j.until(ctx, "members", j.look)
 	last := time.Now()
-	for pause(ctx, lonelyEvery) {
+	for waiting.For(ctx, lonelyEvery) {
 		if j.fleet.Count() > 1 && time.Since(last) < lookEvery {
 			continue
 		}
@@ -75,7 +77,7 @@
 		if tries == 1 {
 			j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": name}).Warn("joining waits for the store")
 		}
-		pause(ctx, joinRetry)
+		waiting.For(ctx, joinRetry)
 	}
 }
 
@@ -139,15 +141,3 @@
 		j.log.WithError(err).WithField("event", "still_listed").Info("router stays on the list")
 	}
 }
-
-// pause waits; it returns false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/internal/waiting"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -146,7 +147,7 @@
 			return
 		case n := <-t.behind:
 			if n.config > t.catalog.Version() {
-				wait(ctx, storeFirst)
+				waiting.For(ctx, storeFirst)
 			}
 			if t.lacks(n.config, n.instances) {
 				t.askPeer(ctx, duty, n, l)
@@ -173,12 +174,3 @@
 		t.catalog.Replace(given.Instances, catalog.Revision(given.Revision), "peer "+n.peer.Name)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
