--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -50,7 +50,8 @@
 	store := platform.NewStore(s.Store.Addr, l)
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
 		Store: store, Registry: store, Dialect: platform.Dialect{},
-		Faces: gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
+		Faces:        gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
+		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
 		err = p.Run(ctx)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -113,20 +113,6 @@
 	return list
 }
 
-// Alive gives the peers that were heard of lately.
-func (f *Fleet) Alive() []Member {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []Member
-	for _, p := range f.peers {
-		if p.alive(now) {
-			list = append(list, p.member)
-		}
-	}
-	return list
-}
-
 // Rank is this router's place among those alive, 0 for the first. All routers that hear
 // each other agree on the order.
 func (f *Fleet) Rank() int {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -32,6 +32,8 @@
 	Registry fleet.Registry
 	Dialect  gateway.Dialect
 	Faces    Faces
+	// LinesDropped counts log lines that a slow reader cost so far; nil for none.
+	LinesDropped func() int64
 }
 
 // Process is a running gateway.
@@ -50,6 +52,7 @@
 	exchange *fleet.Duty
 	joiner   *fleet.Joiner
 	faces    []*face
+	dropped  drops
 	// crowd counts callers' connections.
 	crowd crowd
 
@@ -70,6 +73,7 @@
 	p.crowd.limit = int64(s.Limits.KeptConnections)
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
+	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, func() bool { return p.fleet.Rank() < listReaders }, l)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
@@ -138,18 +142,6 @@
 	return nil
 }
 
-// entries gives the addresses that callers may use.
-func (p *Process) entries(string) []string {
-	var list []string
-	if p.gateway.Ready() {
-		list = append(list, p.settings.Listen.Callers)
-	}
-	for _, m := range p.fleet.Ready() {
-		list = append(list, m.Callers)
-	}
-	return list
-}
-
 func member(s Settings) fleet.Member {
 	return fleet.Member{Name: s.Router.Name, Peers: s.Listen.Peers, Callers: s.Listen.Callers,
 		Zone: s.Router.Zone, Started: time.Now().UnixNano()}
@@ -205,6 +197,7 @@
 		case now := <-tick.C:
 			p.holdings.Prune(now)
 			p.health.Prune(p.catalog.Instances())
+			p.dropped.tell()
 		}
 	}
 }
--- a/pkg/placement/holdings.go
+++ b/pkg/placement/holdings.go
@@ -91,15 +91,6 @@
 	return list
 }
 
-// Forget drops what an engine held, for instance as it has left.
-func (h *Holdings) Forget(id upstream.ID) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, byID := range h.links {
-		delete(byID, id)
-	}
-}
-
 // Kept gives, for each engine that holds a beginning of chain, the tokens it holds.
 func (h *Holdings) Kept(chain []Link, now time.Time) map[upstream.ID]int {
 	if len(chain) == 0 {
--- a/pkg/placement/holdings_test.go
+++ b/pkg/placement/holdings_test.go
@@ -26,8 +26,6 @@
 	h.Use("b", chain[:1], now)
 	require.Equal(t, map[upstream.ID]int{"a": 5000, "b": 500}, h.Kept(chain, now))
 	require.Empty(t, h.Kept(chain, now.Add(holdingLife)))
-	h.Forget("a")
-	require.Equal(t, map[upstream.ID]int{"b": 500}, h.Kept(chain, now))
 }
 
 func TestHoldingsTellEachUseOnce(t *testing.T) {
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -65,6 +65,3 @@
 	}
 	return list
 }
-
-// Len is the number of instances.
-func (s *Set) Len() int { return len(s.byID) }
