Hear a router whose clock went back before its restart

Cause: lives of a router were ordered by its host's time of day. After a jump back of a few seconds and a restart the new life looked older, peers dropped its reports for up to a minute: it was no entry for callers, and its work was not counted in anybody's loads. A third router that still named the old life could hide the new one again. A leaving router compared its end by the time of day too, and could take streams that it would cut. Ruled out: numbering lives by the store (it may be away at a start). Change: of two lives the one that speaks counts once the other has been silent for as long as a peer counts as alive; hearsay changes no router that was heard of; the end is kept with its steady clock. Before: the new test found no ready router (failed). After: it passes; pkg/fleet, gateway, gatewayd, platform pass with -race.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	p := f.meet(r.From)
-	if p == nil || r.From.Started < p.member.Started {
+	if p == nil || p.outdated(r, now) {
 		f.mu.Unlock()
 		return
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -79,7 +79,8 @@
 		f.peers[m.Peers] = p
 		return p
 	}
-	if m.Started > p.member.Started {
+	// A router that was heard of itself is known better than others know it.
+	if p.heard.IsZero() && m.Started > p.member.Started {
 		p.member = m
 	}
 	return p
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -194,6 +194,26 @@
 	require.EqualValues(t, 1, a.fleet.peers[m.Peers].have, "a late report of the earlier life is passed over")
 }
 
+// A host's time of day jumps back by seconds, then its router is killed. By its time of
+// start the new life seems older than the old one. Passed over for that, the router would
+// be no entry for callers and its work would be counted nowhere until it was forgotten;
+// other routers may still name the old life meanwhile.
+func TestARouterIsHeardAfterItsClockWentBack(t *testing.T) {
+	a := newRouter(t, "a", secret)
+	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1000}
+	a.fleet.incoming(&Report{From: m, Ready: true, Last: 9})
+	a.fleet.peers[m.Peers].heard = time.Now().Add(-aliveFor)
+	old := m
+	m.Started = 10
+	for range 2 {
+		a.fleet.incoming(&Report{From: m, Ready: true, Last: 1})
+		require.Len(t, a.fleet.Ready(), 1)
+		require.EqualValues(t, 1, a.fleet.peers[m.Peers].have)
+		a.fleet.Meet([]Member{old})
+	}
+	require.EqualValues(t, 10, a.fleet.peers[m.Peers].member.Started)
+}
+
 // A router freezes. What it had in progress must not keep engines out of use for long,
 // and callers must not be sent to it.
 func TestSilentRoutersAreLeftOut(t *testing.T) {
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -7,7 +7,8 @@
 	Peers   string `cbor:"2,keyasint"`
 	Callers string `cbor:"3,keyasint"`
 	Zone    string `cbor:"4,keyasint"`
-	// Started tells two lives of one router apart, in nanoseconds since 1970: the larger
-	// one is the newer as far as the host's time of day can be trusted.
+	// Started tells two lives of one router apart, in nanoseconds since 1970 by the host's
+	// time of day. That may jump, so the larger one is the newer only of two that come at
+	// about the same time.
 	Started int64 `cbor:"5,keyasint"`
 }
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -25,3 +25,12 @@
 func (p *peer) alive(now time.Time) bool {
 	return !p.heard.IsZero() && now.Sub(p.heard) < aliveFor
 }
+
+// outdated reports whether r comes from an earlier life than the peer's newest report.
+//
+// Guard: a late report of the earlier life would bring back work that ended with it. Lives
+// are told apart by the host's time of day, which may jump back: once the later life has
+// been silent, the one that speaks is the newer, whatever its clock says.
+func (p *peer) outdated(r *Report, now time.Time) bool {
+	return p.alive(now) && r.From.Started < p.report.From.Started
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,8 +34,9 @@
 
 	// state is where the router stands between start and end.
 	state atomic.Int32
-	// end is when a leaving process ends, in nanoseconds since 1970.
-	end    atomic.Int64
+	// end is when a leaving process ends; nil before it leaves. It is compared by the steady
+	// clock: the time of day may jump while the process leaves.
+	end    atomic.Pointer[time.Time]
 	active atomic.Int64
 }
 
@@ -81,11 +82,12 @@
 
 // Leave makes the gateway unready; requests are still served. The process ends at end.
 func (g *Gateway) Leave(end time.Time) {
-	g.end.Store(end.UnixNano())
+	g.end.Store(&end)
 	g.state.CompareAndSwap(serving, closing)
 }
 
-// Shut makes the gateway refuse new requests that might not be answered before its end.
+// Shut makes the gateway refuse new requests that might not be answered before its end,
+// which Leave has set.
 func (g *Gateway) Shut() { g.state.Store(closed) }
 
 const (
@@ -104,7 +106,7 @@
 	if p := r.ask.Prompt; p != nil {
 		takes = r.route.Objective + time.Duration(p.MaxOutput)*tokenTime
 	}
-	return r.start.Add(takes).UnixNano() < g.end.Load()
+	return r.start.Add(takes).Before(*g.end.Load())
 }
 
 // Active is the number of requests that are being served.
