Read the settings again on SIGHUP and when the file changes

Cause: nothing took SIGHUP, so the signal that announces other settings ended the router at once, with all that it served; and a changed file was never read. Seen: a router of the code before exits with 129 (killed by the signal) half a second after its start; the new one writes a reload line and serves on. Change: Process.WatchSettings; store, known routers, engines' pace, repeats, grace and kept connections come into force while the process runs; sections that need a restart are named in the line. A faulty file changes nothing. Tests: reload_test.go on virtual time (change without and with the signal, a faulty file, what needs a restart).

--- a/cmd/flamingowind-gateway/load.go
+++ b/cmd/flamingowind-gateway/load.go
@@ -13,11 +13,16 @@
 // exitSettings is the exit code for faulty settings.
 const exitSettings subcommands.ExitStatus = 2
 
-// load reads file, or the one that the platform names where no flag does.
-func load(file string) (gatewayd.Settings, subcommands.ExitStatus) {
+// settingsFile is file, or the one that the platform names where no flag does.
+func settingsFile(file string) string {
 	if file == "" {
-		file = os.Getenv(platform.SettingsVariable)
+		return os.Getenv(platform.SettingsVariable)
 	}
+	return file
+}
+
+// load reads file.
+func load(file string) (gatewayd.Settings, subcommands.ExitStatus) {
 	s, err := gatewayd.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -21,7 +21,8 @@
 func (*runCommand) Synopsis() string { return "run a gateway" }
 func (*runCommand) Usage() string {
 	return "flamingowind-gateway run [-settings FILE]\n" +
-		"Serves until SIGTERM or SIGINT, then leaves in order. Exit codes: 0 left, 1 failed, 2 faulty settings.\n"
+		"Serves until SIGTERM or SIGINT, then leaves in order. Reads the settings again on SIGHUP\n" +
+		"and when the file changes. Exit codes: 0 left, 1 failed, 2 faulty settings.\n"
 }
 
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
@@ -29,7 +30,10 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s, status := load(c.file)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	file := settingsFile(c.file)
+	s, status := load(file)
 	if status != subcommands.ExitSuccess {
 		return status
 	}
@@ -51,9 +55,11 @@
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
 		Store: store, Registry: store, Dialect: platform.Dialect{},
 		Faces:        gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
+		Readdress:    store.Readdress,
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
+		go p.WatchSettings(ctx, file, reload)
 		err = p.Run(ctx)
 	}
 	if err != nil {
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -124,7 +124,7 @@
 		w.t.Cleanup(s.CloseClientConnections)
 		zone := "far"
 		if i == 0 {
-			zone = w.gateway.settings.Zone
+			zone = w.gateway.settings.Load().Zone
 		}
 		list = append(list, upstream.Instance{ID: upstream.ID("i" + strconv.Itoa(i)), Service: "app", Addr: s.Listener.Addr().String(),
 			Zone: zone, Slots: 100, State: upstream.Ready})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,7 +16,7 @@
 
 // Gateway serves callers' requests.
 type Gateway struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	catalog  *catalog.Catalog
 	dialect  Dialect
 	pools    *forward.Pools
@@ -69,12 +69,20 @@
 
 // New returns a gateway that serves.
 func New(s Settings, p Parts) *Gateway {
-	return &Gateway{
-		settings: s, catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
+	g := &Gateway{
+		catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
 		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, suspects: p.Suspects, peers: p.Peers, crowded: p.Crowded, log: p.Log,
 		meter:  newMeter(p.Metrics),
-		budget: &placement.Budget{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow},
+		budget: new(placement.Budget),
 	}
+	g.Tune(s)
+	return g
+}
+
+// Tune puts other settings in force, also while requests are served.
+func (g *Gateway) Tune(s Settings) {
+	g.settings.Store(&s)
+	g.budget.Set(s.RepeatRatio, s.RepeatSlack, s.RepeatWindow)
 }
 
 // Ready reports whether callers should be sent here.
@@ -113,7 +121,8 @@
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
 func (g *Gateway) pace() placement.Pace {
-	return placement.Pace{TokensPerMs: g.settings.PrefillTokensPerMs, First: g.settings.FirstEvent, Slot: g.settings.SlotTurn}
+	s := g.settings.Load()
+	return placement.Pace{TokensPerMs: s.PrefillTokensPerMs, First: s.FirstEvent, Slot: s.SlotTurn}
 }
 
 // until gives the moment at which a request that came at start gets its final answer.
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -170,7 +170,7 @@
 
 func TestRepeatsDrawOnABudget(t *testing.T) {
 	w := newWorld(t)
-	w.gateway.budget.Ratio, w.gateway.budget.Slack = 0, 0
+	w.gateway.budget.Set(0, 0, 10*time.Second)
 	w.upstreams(fails(500), says("hello"))
 	status, _, _ := w.get("/safe/")
 	require.Equal(t, 500, status)
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -19,7 +19,7 @@
 	if len(candidates) == 0 {
 		return placement.Choice{}, errNoUpstream()
 	}
-	req := placement.Request{Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Zone}
+	req := placement.Request{Work: g.work(r, 0), Chain: r.chain, Service: r.service, Zone: g.settings.Load().Zone}
 	g.limit(r, &req, now)
 	found := placement.Choose(req, candidates, g.pace())
 	r.trail.decided.limits(req, found)
@@ -73,7 +73,7 @@
 		return
 	}
 	objective := float64(r.route.Objective)
-	own := float64(r.ask.Prompt.Input) / g.settings.PrefillTokensPerMs * float64(time.Millisecond)
+	own := float64(r.ask.Prompt.Input) / g.settings.Load().PrefillTokensPerMs * float64(time.Millisecond)
 	req.Limit = time.Duration(max(patience*objective-float64(now.Sub(r.start)), own+longPatience*objective))
 	req.QueueLimit, req.OwnQueueLimit, req.Reserve = req.Limit, req.Limit, reserve
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
--- a/pkg/gatewayd/leave.go
+++ b/pkg/gatewayd/leave.go
@@ -20,7 +20,7 @@
 // each on its last connection; later ones are refused; then what runs is waited for.
 func (p *Process) leave() {
 	began := time.Now()
-	grace := p.settings.Leaving.GraceSeconds
+	grace := p.settings.Load().Leaving.GraceSeconds
 	end := began.Add(seconds((1 - endMargin) * grace))
 	p.gateway.Leave(end)
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("router leaves")
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -22,7 +23,7 @@
 
 // Faces are the handlers that speak a deployment's own words.
 type Faces struct {
-	Entries   func(current func(zone string) []string, keepSeconds float64) http.Handler
+	Entries   func(current func(zone string) []string, keepSeconds func() float64) http.Handler
 	Readiness func(ready func() bool) http.Handler
 }
 
@@ -32,27 +33,31 @@
 	Registry fleet.Registry
 	Dialect  gateway.Dialect
 	Faces    Faces
+	// Readdress makes Store and Registry use another address of the operators' store.
+	Readdress func(addr string)
 	// LinesDropped counts log lines that a slow reader cost so far; nil for none.
 	LinesDropped func() int64
 }
 
 // Process is a running gateway.
 type Process struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	log      log.Interface
-	metrics  *telemetry.Metrics
-	catalog  *catalog.Catalog
-	watcher  *catalog.Watcher
-	pools    *forward.Pools
-	health   *upstream.Health
-	holdings *placement.Holdings
-	gateway  *gateway.Gateway
-	telling  *telling
-	fleet    *fleet.Fleet
-	exchange *fleet.Duty
-	joiner   *fleet.Joiner
-	faces    []*face
-	dropped  drops
+	// readdress is the deployment's.
+	readdress func(addr string)
+	metrics   *telemetry.Metrics
+	catalog   *catalog.Catalog
+	watcher   *catalog.Watcher
+	pools     *forward.Pools
+	health    *upstream.Health
+	holdings  *placement.Holdings
+	gateway   *gateway.Gateway
+	telling   *telling
+	fleet     *fleet.Fleet
+	exchange  *fleet.Duty
+	joiner    *fleet.Joiner
+	faces     []*face
+	dropped   drops
 	// crowd counts callers' connections.
 	crowd crowd
 
@@ -66,11 +71,12 @@
 	}
 	suspects := quarantine.New(quarantine.Config{Limit: gateway.CrashLimit, FadeAfter: gateway.SuspectFor})
 	ledger, shares := placement.NewLedger(), placement.NewShares()
-	p := &Process{settings: s, log: l, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
+	p := &Process{log: l, readdress: d.Readdress, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
+	p.settings.Store(&s)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, suspects: suspects,
 		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
-	p.crowd.limit = int64(s.Limits.KeptConnections)
+	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
@@ -81,10 +87,15 @@
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Suspects: suspects, Peers: p.fleet, Log: l,
 		Crowded: p.crowd.full, Metrics: p.metrics.Scope,
 	})
-	for _, addr := range s.Entries.Known {
+	p.meet(s.Entries.Known)
+	return p, errors.Trace(p.bind(d.Faces))
+}
+
+// meet makes the fleet ask at addresses where routers may live.
+func (p *Process) meet(addrs []string) {
+	for _, addr := range addrs {
 		p.fleet.Meet([]fleet.Member{{Peers: addr}})
 	}
-	return p, errors.Trace(p.bind(d.Faces))
 }
 
 // listReaders is how many routers read the list of upstreams from the store for all. One
@@ -115,7 +126,7 @@
 const facingCallers = "callers"
 
 func (p *Process) bind(f Faces) error {
-	s := p.settings
+	s := p.settings.Load()
 	for _, one := range []struct {
 		name, addr string
 		handler    http.Handler
@@ -124,7 +135,7 @@
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{"peers", s.Listen.Peers, p.fleet.Handler()},
 		{"metrics", s.Listen.Metrics, p.metrics},
-		{"entries", s.Listen.Entries, f.Entries(p.entries, s.Entries.KeepSeconds)},
+		{"entries", s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
 	} {
 		if one.addr == "" {
 			continue
@@ -151,7 +162,8 @@
 func (p *Process) Run(ctx context.Context) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	p.log.WithFields(log.Fields{"event": "start", "callers": p.settings.Listen.Callers, "metrics": p.settings.Listen.Metrics, "zone": p.settings.Router.Zone}).Info("router starts")
+	s := p.settings.Load()
+	p.log.WithFields(log.Fields{"event": "start", "callers": s.Listen.Callers, "metrics": s.Listen.Metrics, "zone": s.Router.Zone}).Info("router starts")
 	p.duty(func() { p.watcher.WatchConfig(life) })
 	p.duty(func() { p.watcher.WatchInstances(life) })
 	p.duty(func() { p.pools.Run(life, p.catalog.Instances) })
--- /dev/null
+++ b/pkg/gatewayd/reload_test.go
@@ -0,0 +1,103 @@
+package gatewayd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/fleet"
+	"github.com/flamingowind/flamingowind/pkg/gateway"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// reloading is a process without its addresses, with its settings in a file.
+type reloading struct {
+	*Process
+	file  string
+	lines *memory.Handler
+	store atomic.Value
+	hup   chan os.Signal
+}
+
+func newReloading(t *testing.T) *reloading {
+	r := &reloading{file: filepath.Join(t.TempDir(), "settings.yaml"), lines: memory.New(), hup: make(chan os.Signal)}
+	l := &log.Logger{Handler: r.lines, Level: log.InfoLevel}
+	s := DefaultSettings()
+	s.Router.Name, s.Store.Addr = "r", "127.0.0.1:1"
+	s.Listen = ListenSettings{Callers: "127.0.0.1:2", Readiness: "127.0.0.1:3", Peers: "127.0.0.1:4", Entries: "127.0.0.1:5"}
+	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(),
+		readdress: func(addr string) { r.store.Store(addr) }}
+	r.settings.Store(&s)
+	r.fleet = fleet.New(member(s), nil, l)
+	r.gateway = gateway.New(gatewaySettings(s), gateway.Parts{Catalog: r.catalog, Health: r.health, Log: l})
+	r.write(t, "127.0.0.1:1", "1")
+	return r
+}
+
+func (r *reloading) write(t *testing.T, store, keep string) {
+	text := "router: {name: r}\nlisten: {callers: 127.0.0.1:2, readiness: 127.0.0.1:3, peers: 127.0.0.1:4, entries: 127.0.0.1:5}\n" +
+		"store: {addr: \"" + store + "\"}\nentries: {keepSeconds: " + keep + "}\n"
+	require.NoError(t, os.WriteFile(r.file, []byte(text), 0o600))
+}
+
+// The operators move the store and write other settings, without a word or with the
+// signal for it. A router that doesn't look again asks the old store for ever.
+func TestChangedSettingsComeIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReloading(t)
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		go r.WatchSettings(ctx, r.file, r.hup)
+		synctest.Wait()
+		r.write(t, "127.0.0.1:9", "3")
+		time.Sleep(reloadEvery)
+		synctest.Wait()
+		require.Equal(t, "127.0.0.1:9", r.store.Load())
+		require.Equal(t, 3.0, r.settings.Load().Entries.KeepSeconds)
+
+		r.write(t, "127.0.0.1:10", "3")
+		r.hup <- syscall.SIGHUP
+		synctest.Wait()
+		require.Equal(t, "127.0.0.1:10", r.store.Load())
+	})
+}
+
+// A half-written or faulty file must not take the settings in force away.
+func TestFaultySettingsChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReloading(t)
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		go r.WatchSettings(ctx, r.file, r.hup)
+		synctest.Wait()
+		r.write(t, "nowhere", "3")
+		r.hup <- syscall.SIGHUP
+		synctest.Wait()
+		require.Nil(t, r.store.Load())
+		require.Equal(t, 1.0, r.settings.Load().Entries.KeepSeconds)
+		last := r.lines.Entries[len(r.lines.Entries)-1]
+		require.Equal(t, "reload_failed", last.Fields.Get("event"))
+	})
+}
+
+// An address can't be changed while it is served. The operators must be told, and what
+// can be changed must be.
+func TestReloadTellsWhatNeedsARestart(t *testing.T) {
+	r := newReloading(t)
+	s := *r.settings.Load()
+	s.Listen.Callers, s.Limits.KeptConnections = "127.0.0.1:22", 7
+	r.Reload(s)
+	require.Equal(t, []string{"listen"}, r.lines.Entries[0].Fields.Get("needs_restart"))
+	require.Equal(t, "127.0.0.1:2", r.settings.Load().Listen.Callers)
+	require.EqualValues(t, 7, r.crowd.limit.Load())
+}
--- a/pkg/gatewayd/server.go
+++ b/pkg/gatewayd/server.go
@@ -41,7 +41,7 @@
 type crowd struct {
 	open atomic.Int64
 	// limit is the number from which on connections are not kept.
-	limit int64
+	limit atomic.Int64
 }
 
 // observe is a server's hook for the states of its connections.
@@ -60,4 +60,4 @@
 // as well, thousands of idle ones take the process's descriptors, new callers wait for
 // seconds to be accepted, and their memory is that of hundreds of requests. Answers that
 // say that their connection closes end it without a request crossing the close.
-func (c *crowd) full() bool { return c.open.Load() > c.limit }
+func (c *crowd) full() bool { return c.open.Load() > c.limit.Load() }
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -106,6 +106,11 @@
 	if err != nil {
 		return Settings{}, errors.Annotate(err, "read settings")
 	}
+	return decodeSettings(file, data)
+}
+
+// decodeSettings reads and checks the content of file.
+func decodeSettings(file string, data []byte) (Settings, error) {
 	s := DefaultSettings()
 	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField()).Decode(&s); err != nil {
 		return Settings{}, errors.Annotatef(err, "%s", file)
--- a/pkg/placement/budget.go
+++ b/pkg/placement/budget.go
@@ -12,17 +12,21 @@
 // keep it down. The budget is the router's own part of one for the whole fleet: a share
 // of the requests that came through it, and of the slack as many as there are routers.
 type Budget struct {
-	// Ratio is the number of repeats allowed for each request.
-	Ratio float64
-	// Slack is allowed in each window beside them, over all routers.
-	Slack float64
-	// Window is the time over which both are counted.
-	Window time.Duration
-
 	mu       sync.Mutex
+	ratio    float64
+	slack    float64
+	length   time.Duration
 	services map[string]*window
 }
 
+// Set allows ratio repeats for each request, and slack beside them over all routers, in
+// each window of that length.
+func (b *Budget) Set(ratio, slack float64, length time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.length = ratio, slack, length
+}
+
 // budgetShare is the part of the budget that is used: windows slide, and ours don't
 // begin where those of others do.
 const budgetShare = 0.7
@@ -42,11 +46,11 @@
 		w = &window{start: now}
 		b.services[service] = w
 	}
-	for now.Sub(w.start) >= b.Window/2 {
+	for now.Sub(w.start) >= b.length/2 {
 		w.requests = [2]float64{0, w.requests[0]}
 		w.repeats = [2]float64{0, w.repeats[0]}
-		w.start = w.start.Add(b.Window / 2)
-		if now.Sub(w.start) > 2*b.Window {
+		w.start = w.start.Add(b.length / 2)
+		if now.Sub(w.start) > 2*b.length {
 			*w = window{start: now}
 		}
 	}
@@ -66,7 +70,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.of(service, now)
-	allowed := b.Ratio*(w.requests[0]+w.requests[1]) + b.Slack/float64(max(1, routers))
+	allowed := b.ratio*(w.requests[0]+w.requests[1]) + b.slack/float64(max(1, routers))
 	if w.repeats[0]+w.repeats[1]+1 > budgetShare*allowed {
 		return false
 	}
--- a/pkg/placement/budget_test.go
+++ b/pkg/placement/budget_test.go
@@ -10,7 +10,8 @@
 // A service fails half of its calls. Each failure is repeated, the repeats fail as well,
 // and the service gets far more calls than its callers make.
 func TestBudgetBoundsRepeats(t *testing.T) {
-	b := &Budget{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}
+	b := new(Budget)
+	b.Set(0.2, 40, 10*time.Second)
 	now := time.Unix(0, 0)
 	for range 100 {
 		b.Request("app", now)
