--- a/internal/devfleet/fleet.go
+++ b/internal/devfleet/fleet.go
@@ -29,14 +29,14 @@
 
 	mu        sync.Mutex // guards Ready once the fleet runs
 	authority *Authority
-	ports     *ports
+	ports     *Ports
 	tokenFile string
 }
 
 // Start starts the fleet of plan, seeds its configuration and waits until each
 // router has it in force. On an error everything started is stopped.
 func Start(ctx context.Context, plan Plan) (*Fleet, error) {
-	f := &Fleet{Plan: plan, ports: new(ports), Links: make(map[string]*TCPRelay)}
+	f := &Fleet{Plan: plan, ports: new(Ports), Links: make(map[string]*TCPRelay)}
 	if err := f.start(ctx); err != nil {
 		f.Stop(context.WithoutCancel(ctx))
 		return nil, errors.Annotatef(err, "start the fleet (logs in %s)", plan.Dir)
@@ -93,7 +93,7 @@
 	}
 	rest.Wait()
 	f.closeRelays()
-	f.ports.close()
+	f.ports.Close()
 }
 
 func (f *Fleet) closeRelays() {
--- a/internal/devfleet/ports.go
+++ b/internal/devfleet/ports.go
@@ -20,20 +20,20 @@
 	blockPorts = 100
 )
 
-// ports hands out loopback addresses that are free for TCP and for UDP.
+// Ports hands out loopback addresses that are free for TCP and for UDP.
 //
 // Guard against fleets that start at once, in this process or in others: both would
 // find a port free, and the one that binds it later would fail with "address in use".
 // A fleet takes ports only from blocks of its own; a block is its own while it
 // listens on the block's first port, which nobody else can and the kernel ends with
 // the process.
-type ports struct {
+type Ports struct {
 	next, end int
 	locks     []net.Listener
 }
 
-// take returns "127.0.0.1:port"; no address is returned twice.
-func (p *ports) take() (string, error) {
+// Take returns "127.0.0.1:port"; no address is returned twice.
+func (p *Ports) Take() (string, error) {
 	for {
 		if p.next == p.end {
 			if err := p.takeBlock(); err != nil {
@@ -49,7 +49,7 @@
 }
 
 // takeBlock locks the first free block from a random one on.
-func (p *ports) takeBlock() error {
+func (p *Ports) takeBlock() error {
 	const blocks = (lastPort - firstPort) / blockPorts
 	start := rand.IntN(blocks)
 	for i := range blocks {
@@ -65,17 +65,17 @@
 	return errors.New("no free ports on 127.0.0.1")
 }
 
-// close gives the blocks back.
-func (p *ports) close() {
+// Close gives the blocks back.
+func (p *Ports) Close() {
 	for _, l := range p.locks {
 		_ = l.Close()
 	}
 }
 
 // takeAll fills each target with an address.
-func (p *ports) takeAll(targets ...*string) error {
+func (p *Ports) takeAll(targets ...*string) error {
 	for _, t := range targets {
-		addr, err := p.take()
+		addr, err := p.Take()
 		if err != nil {
 			return err
 		}
--- a/internal/devfleet/router.go
+++ b/internal/devfleet/router.go
@@ -25,7 +25,7 @@
 // addresses are what one router binds.
 type addresses struct{ entry, operator, metrics, peer string }
 
-func (a *addresses) take(p *ports) error {
+func (a *addresses) take(p *Ports) error {
 	return p.takeAll(&a.entry, &a.operator, &a.metrics, &a.peer)
 }
 
--- a/internal/devfleet/stands.go
+++ b/internal/devfleet/stands.go
@@ -10,7 +10,7 @@
 
 // startPlatform starts the stand-in of the operators' platform.
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	addr, err := f.ports.take()
+	addr, err := f.ports.Take()
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 }
 
 func (f *Fleet) newUpstream(kind UpstreamKind, i int) (UpstreamInfo, error) {
-	addr, err := f.ports.take()
+	addr, err := f.ports.Take()
 	return UpstreamInfo{
 		Name: fmt.Sprintf("%s-%02d", kind, i+1), Kind: kind, Zone: f.Plan.zone(i),
 		URL: "http://" + addr, Slots: f.Plan.Slots,
@@ -103,7 +103,7 @@
 	if !f.Plan.Relays {
 		return nil
 	}
-	addr, err := f.ports.take()
+	addr, err := f.ports.Take()
 	if err != nil {
 		return err
 	}
--- a/internal/devfleet/tcprelay.go
+++ b/internal/devfleet/tcprelay.go
@@ -17,7 +17,9 @@
 // TCPRelay forwards connections to a target. While it is cut, bytes are held back
 // and nothing is reset, as in a network partition; after Heal they go on.
 type TCPRelay struct {
-	*gate
+	// requests holds what goes to the target, answers what comes back.
+	requests, answers *gate
+
 	listener net.Listener
 	target   string
 	done     chan struct{}
@@ -39,7 +41,7 @@
 		return nil, errors.Annotate(err, "listen for relay")
 	}
 	r := &TCPRelay{
-		gate: newGate(), listener: l, target: target,
+		requests: newGate(), answers: newGate(), listener: l, target: target,
 		done: make(chan struct{}), conns: make(map[net.Conn]struct{}),
 	}
 	go r.accept()
@@ -49,6 +51,27 @@
 // Addr returns the relay's own address.
 func (r *TCPRelay) Addr() string { return r.listener.Addr().String() }
 
+// Cut holds back everything until Heal.
+func (r *TCPRelay) Cut() {
+	r.requests.Cut()
+	r.answers.Cut()
+}
+
+// CutAnswers holds back what comes from the target: the link works one way.
+func (r *TCPRelay) CutAnswers() { r.answers.Cut() }
+
+// Heal opens the link again.
+func (r *TCPRelay) Heal() {
+	r.requests.Heal()
+	r.answers.Heal()
+}
+
+// SetDelay delays what arrives from now on by d, in each direction.
+func (r *TCPRelay) SetDelay(d time.Duration) {
+	r.requests.SetDelay(d)
+	r.answers.SetDelay(d)
+}
+
 // Break closes all connections, as a host that dies does.
 func (r *TCPRelay) Break() {
 	r.mu.Lock()
@@ -58,6 +81,16 @@
 	}
 }
 
+// Reset resets all connections: what is on its way is lost, and both ends are told.
+func (r *TCPRelay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *TCPRelay) Close() {
 	close(r.done)
@@ -78,7 +111,7 @@
 func (r *TCPRelay) serve(conn net.Conn) {
 	r.track(conn)
 	defer r.untrack(conn)
-	if !r.waitOpen() {
+	if !r.waitOpen(r.requests) {
 		return
 	}
 	up, err := net.Dial("tcp", r.target)
@@ -88,17 +121,17 @@
 	r.track(up)
 	defer r.untrack(up)
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(up, conn) })
-	both.Go(func() { r.copy(conn, up) })
+	both.Go(func() { r.copy(up, conn, r.requests) })
+	both.Go(func() { r.copy(conn, up, r.answers) })
 	both.Wait()
 }
 
 // copy forwards one direction until either side ends, then closes dst for writing.
-func (r *TCPRelay) copy(dst, src net.Conn) {
+func (r *TCPRelay) copy(dst, src net.Conn, g *gate) {
 	chunks := make(chan chunk, relayQueue)
-	go r.read(src, chunks)
+	go r.read(src, chunks, g)
 	for c := range chunks {
-		if !r.waitUntil(c.due) || !r.waitOpen() {
+		if !r.waitUntil(c.due) || !r.waitOpen(g) {
 			break
 		}
 		if _, err := dst.Write(c.data); err != nil {
@@ -113,13 +146,13 @@
 	}
 }
 
-func (r *TCPRelay) read(src net.Conn, chunks chan<- chunk) {
+func (r *TCPRelay) read(src net.Conn, chunks chan<- chunk, g *gate) {
 	defer close(chunks)
 	for {
 		buf := make([]byte, relayChunk)
 		n, err := src.Read(buf)
 		if n > 0 {
-			_, delay := r.state()
+			_, delay := g.state()
 			chunks <- chunk{data: buf[:n], due: time.Now().Add(delay)}
 		}
 		if err != nil {
@@ -128,8 +161,8 @@
 	}
 }
 
-func (r *TCPRelay) waitOpen() bool {
-	opened, _ := r.state()
+func (r *TCPRelay) waitOpen(g *gate) bool {
+	opened, _ := g.state()
 	select {
 	case <-opened:
 		return true
--- /dev/null
+++ b/internal/soak/options.go
@@ -0,0 +1,52 @@
+package soak
+
+import "time"
+
+// Options of a run.
+type Options struct {
+	// Bin is the directory of the built programs, Dir gets settings and logs.
+	Bin, Dir string
+	// Seed decides on faults and traffic.
+	Seed uint64
+	// Routers, Upstreams and Callers are their numbers.
+	Routers, Upstreams, Callers int
+	// Faults is how many faults are brought about in Length.
+	Faults int
+	Length time.Duration
+}
+
+// Small is a run for a machine that does other things as well: nine processes' worth of
+// work, and a fault about every half second.
+func Small(bin, dir string, seed uint64) Options {
+	return Options{Bin: bin, Dir: dir, Seed: seed, Routers: 4, Upstreams: 5, Callers: 32, Faults: 16, Length: 8 * time.Second}
+}
+
+// Bounds that the promises name, and how much later than them a finding is one.
+const (
+	// settle is how long after a fault ends what it touched may still be affected.
+	settle = 3 * time.Second
+	// inForce is the time in which a declared change is in force on every calm router.
+	inForce = 2 * time.Second
+	// drainTime is the time after which an upstream that leaves gets no more requests.
+	drainTime = 2 * time.Second
+	// grace is the routers' time to end in order.
+	grace = 4 * time.Second
+	// late is how much later than a bound something must be to be a finding: the bounds are
+	// the routers', and the measuring adds connections, relays and schedulers.
+	late = 700 * time.Millisecond
+	// recovery is the time after the last fault in which all must be well again.
+	recovery = 5 * time.Second
+	// quiet is the time after it in which everything must be served.
+	quiet = 2 * time.Second
+)
+
+// Grown gives the options of a run with that many routers: upstreams, callers and faults
+// grow with them.
+func (o Options) Grown(routers int) Options {
+	factor := float64(routers) / float64(o.Routers)
+	o.Upstreams = int(float64(o.Upstreams) * factor)
+	o.Callers = int(float64(o.Callers) * factor)
+	o.Faults = int(float64(o.Faults) * factor)
+	o.Routers = routers
+	return o
+}
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -24,6 +24,8 @@
 	} {
 		need(isAddr(addr), "%s: %q is no IP:port", key, addr)
 	}
+	need(s.Advertise.Callers == "" || isAddr(s.Advertise.Callers), "advertise.callers: %q is no IP:port", s.Advertise.Callers)
+	need(s.Advertise.Peers == "" || isAddr(s.Advertise.Peers), "advertise.peers: %q is no IP:port", s.Advertise.Peers)
 	need(s.Listen.Metrics == "" || isAddr(s.Listen.Metrics), "listen.metrics: %q is no IP:port", s.Listen.Metrics)
 	need(s.Limits.MemoryMiB >= 0, "limits.memoryMiB is under 0")
 	need(s.Limits.KeptConnections > 0, "limits.keptConnections must be over 0")
--- a/pkg/gatewayd/entries.go
+++ b/pkg/gatewayd/entries.go
@@ -9,7 +9,7 @@
 func (p *Process) entries(string) []string {
 	var list []string
 	if p.gateway.Ready() {
-		list = append(list, p.settings.Load().Listen.Callers)
+		list = append(list, p.settings.Load().callers())
 	}
 	for _, m := range p.fleet.Ready() {
 		list = append(list, m.Callers)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -154,7 +154,7 @@
 }
 
 func member(s Settings) fleet.Member {
-	return fleet.Member{Name: s.Router.Name, Peers: s.Listen.Peers, Callers: s.Listen.Callers,
+	return fleet.Member{Name: s.Router.Name, Peers: s.peers(), Callers: s.callers(),
 		Zone: s.Router.Zone, Started: time.Now().UnixNano()}
 }
 
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -69,7 +69,7 @@
 func (p *Process) Reload(s Settings) {
 	old := p.settings.Load()
 	needs := needRestart(*old, s)
-	s.Router, s.Listen, s.Limits.MemoryMiB, s.Log = old.Router, old.Listen, old.Limits.MemoryMiB, old.Log
+	s.Router, s.Listen, s.Advertise, s.Limits.MemoryMiB, s.Log = old.Router, old.Listen, old.Advertise, old.Limits.MemoryMiB, old.Log
 	p.settings.Store(&s)
 	p.gateway.Tune(gatewaySettings(s))
 	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
@@ -89,6 +89,7 @@
 	}{
 		{"router", old.Router != s.Router},
 		{"listen", old.Listen != s.Listen},
+		{"advertise", old.Advertise != s.Advertise},
 		{"limits.memoryMiB", old.Limits.MemoryMiB != s.Limits.MemoryMiB},
 		{"log", old.Log != s.Log},
 	} {
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"os"
 
 	"github.com/goccy/go-yaml"
@@ -10,15 +11,17 @@
 
 // Settings are a gateway's start-up settings.
 type Settings struct {
-	Router  RouterSettings  `yaml:"router"`
-	Listen  ListenSettings  `yaml:"listen"`
-	Limits  LimitSettings   `yaml:"limits"`
-	Store   StoreSettings   `yaml:"store"`
-	Repeats RepeatSettings  `yaml:"repeats"`
-	Leaving LeavingSettings `yaml:"leaving"`
-	Engines EngineSettings  `yaml:"engines"`
-	Log     LogSettings     `yaml:"log"`
-	Entries EntrySettings   `yaml:"entries"`
+	Router RouterSettings `yaml:"router"`
+	Listen ListenSettings `yaml:"listen"`
+	// Advertise is for hosts that are reached under other addresses than they listen on.
+	Advertise AdvertiseSettings `yaml:"advertise"`
+	Limits    LimitSettings     `yaml:"limits"`
+	Store     StoreSettings     `yaml:"store"`
+	Repeats   RepeatSettings    `yaml:"repeats"`
+	Leaving   LeavingSettings   `yaml:"leaving"`
+	Engines   EngineSettings    `yaml:"engines"`
+	Log       LogSettings       `yaml:"log"`
+	Entries   EntrySettings     `yaml:"entries"`
 }
 
 // RouterSettings say who and where the router is.
@@ -37,6 +40,18 @@
 	Metrics string `yaml:"metrics"`
 }
 
+// AdvertiseSettings are the addresses under which others reach the router, each IP:port;
+// empty where it is the one that it listens on.
+type AdvertiseSettings struct {
+	Callers string `yaml:"callers"`
+	Peers   string `yaml:"peers"`
+}
+
+// callers is the address that callers are told, peers the one for other routers.
+func (s Settings) callers() string { return cmp.Or(s.Advertise.Callers, s.Listen.Callers) }
+
+func (s Settings) peers() string { return cmp.Or(s.Advertise.Peers, s.Listen.Peers) }
+
 // LimitSettings bound what the process uses.
 type LimitSettings struct {
 	MemoryMiB int `yaml:"memoryMiB"`
