Large fleets tell each other of their work through hubs

Cause: every router exchanged reports with every other one. At 86 routers a pair's exchange came every 860 ms, so loads and organisations' use were up to two seconds old, counted as lost after 1.2 s, and hosts with a fifth of a core spent it on a hundred exchanges a second. Ruled out: rarer reports (older still); each router's whole table to a few peers (bytes grow with the square); a keeper for each engine (a request would wait for it). Change: over 16 routers the strongest ones (limits.cores) are hubs, one for each twelve: members tell one hub each 150 ms and get the sum of all others; hubs tell each other their groups' sums each 100 ms. Everybody works the hubs out by itself; a hub that does not answer is replaced at the next exchange; reports through hubs live 600 ms, so that a move counts twice no longer. Small fleets go on as before. The question for a newer configuration stays open for 25 s and is asked anew when the watch of the instances fails; the list of routers is looked at by one router at a time.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -29,6 +29,20 @@
 	// follower makes the router leave the reading to others; asked counts its questions.
 	follower bool
 	asked    int
+	// mute leaves calls that come without an answer for good, as a connection that died in
+	// silence does.
+	mute bool
+}
+
+func (s *fakeStore) answers(ctx context.Context) error {
+	s.mu.Lock()
+	mute := s.mute
+	s.mu.Unlock()
+	if !mute {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (s *fakeStore) follows() bool {
@@ -58,6 +72,9 @@
 }
 
 func (s *fakeStore) ConfigAfter(ctx context.Context, after Revision, wait time.Duration) (*routing.Config, Revision, error) {
+	if err := s.answers(ctx); err != nil {
+		return nil, 0, err
+	}
 	waiting.For(ctx, min(wait, 100*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,6 +97,9 @@
 }
 
 func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Revision, error) {
+	if err := s.answers(ctx); err != nil {
+		return nil, 0, err
+	}
 	waiting.For(ctx, min(wait, 100*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,6 +181,22 @@
 	})
 }
 
+// The store falls silent for some seconds; calls of that time are never answered, also
+// when it is back. The question for a newer configuration stays open for long: left to its
+// own timeout, it would keep a dropped key valid for half a minute.
+func TestCatalogAsksAnewAfterASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}}, rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.mute = true })
+		time.Sleep(3 * time.Second)
+		s.set(func() { s.mute, s.config, s.rev = false, &routing.Config{Version: 2}, 6 })
+		time.Sleep(4 * time.Second)
+		require.EqualValues(t, 2, c.Version())
+	})
+}
+
 // The store has forgotten its history, and an instance left in the gap: only reading the
 // whole list shows it.
 func TestCatalogReadsAllWhenHistoryIsGone(t *testing.T) {
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -12,9 +13,10 @@
 
 // Pace of the watches.
 const (
-	// configWait is how long one question for a newer configuration stays open. Longer
-	// waits cost fewer calls; a connection that died is noticed by its own keep-alive.
-	configWait = 8 * time.Second
+	// configWait is how long one question for a newer configuration stays open, just under
+	// the longest that the store allows. Longer waits cost fewer calls; a connection that
+	// died is noticed by its own keep-alive.
+	configWait = 25 * time.Second
 	// instancesWait is how long one question for changed instances stays open.
 	instancesWait = 2 * time.Second
 	// instancesPause is the pause between two questions: heartbeats change rows all the
@@ -40,6 +42,8 @@
 	// reads reports whether this router is one of those that read the list for all.
 	reads func() bool
 	log   log.Interface
+	// askAnew ends the open question for a newer configuration.
+	askAnew atomic.Pointer[context.CancelFunc]
 }
 
 // NewWatcher returns a watcher that fills catalog. reads reports whether this router is
@@ -81,6 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, configWait+readTimeout)
 	defer cancel()
+	w.askAnew.Store(&cancel)
 	cfg, rev, err := w.store.ConfigAfter(ctx, after, configWait)
 	if err != nil {
 		return 0, errors.Trace(err)
@@ -108,6 +113,7 @@
 		w.catalog.Settle(time.Now())
 		pause := instancesPause
 		if err != nil {
+			w.doubtConfig()
 			next = 0
 			pause = retryPause
 		}
@@ -122,6 +128,17 @@
 	}
 }
 
+// doubtConfig makes the watch of the configuration ask anew.
+//
+// Guard: a store that fell silent may never answer what it was asked then, and the question
+// for a newer configuration stays open for long. The watch of the instances asks often and
+// finds the silence out first.
+func (w *Watcher) doubtConfig() {
+	if cancel := w.askAnew.Swap(nil); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // followPause is the pause between two looks whether peers still keep the list current.
 const followPause = 100 * time.Millisecond
 
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -56,14 +56,14 @@
 	if f.secret == nil {
 		return nil
 	}
-	pause := max(exchangeEvery, time.Duration(len(f.peers))*perPeer)
+	f.last = f.role(now)
 	var list []*peer
 	for addr, p := range f.peers {
-		if p.failed > 0 && now.Sub(p.heard) > forgetAfter && p.failed > maxFailedTries {
+		if f.isForgotten(p, now) {
 			delete(f.peers, addr)
 			continue
 		}
-		if f.isDue(p, now, pause) {
+		if pause := f.pause(p, now); pause > 0 && f.isDue(p, now, pause) {
 			p.tried, p.asking = now, true
 			list = append(list, p)
 		}
@@ -71,6 +71,29 @@
 	return list
 }
 
+// isForgotten reports whether a peer is long gone.
+func (f *Fleet) isForgotten(p *peer, now time.Time) bool {
+	if p.alive(now) || now.Sub(p.met) < forgetAfter || now.Sub(p.heard) < forgetAfter {
+		return false
+	}
+	return !f.last.direct || p.failed > maxFailedTries
+}
+
+// pause is the time between two exchanges with p; 0 when none are begun with it.
+func (f *Fleet) pause(p *peer, now time.Time) time.Duration {
+	place, addr := f.last, p.member.Peers
+	switch {
+	case place.direct:
+		return max(exchangeEvery, time.Duration(len(f.peers))*perPeer)
+	case place.hub && (place.isHub(addr) || !p.alive(now)):
+		// One that is not alive may be a part of the fleet that is cut off.
+		return max(hubEvery, time.Duration(len(place.hubs))*perPeer)
+	case place.own == addr:
+		return memberEvery
+	}
+	return 0
+}
+
 // maxFailedTries is how often a peer that was never heard of is asked.
 const maxFailedTries = 30
 
@@ -81,7 +104,7 @@
 	if p.failed > 0 {
 		return now.Sub(p.tried) >= min(maxFailedPause, pause<<min(p.failed, 8))
 	}
-	if f.self.Peers > p.member.Peers && now.Sub(p.heard) < 3*pause {
+	if f.self.Peers > p.member.Peers && f.last.own != p.member.Peers && now.Sub(p.heard) < 3*pause {
 		return false
 	}
 	return now.Sub(p.tried) >= pause
@@ -97,7 +120,7 @@
 	addr := p.member.Peers
 	f.mu.Unlock()
 	answer := new(Report)
-	err := d.post(ctx, addr, Path, f.outgoing(p, others), answer, maxMessage)
+	err := d.post(ctx, addr, Path, f.question(p, others), answer, maxMessage)
 	f.mu.Lock()
 	p.asking = false
 	f.mu.Unlock()
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -6,28 +6,95 @@
 	"github.com/apex/log"
 )
 
-// outgoing builds the report for p.
-func (f *Fleet) outgoing(p *peer, others bool) Report {
+// question builds the report that begins an exchange with p.
+func (f *Fleet) question(p *peer, others bool) Report {
+	r, now := f.describe(others)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	scope := ScopeOwn
+	switch place := f.last; {
+	case place.direct:
+	case place.hub && place.isHub(p.member.Peers):
+		scope = ScopeGroup
+	case !place.hub && place.own == p.member.Peers:
+		r.AskAll = true
+	}
+	f.complete(&r, p, scope, others, now)
+	return r
+}
+
+// reply builds the answer to q from p.
+func (f *Fleet) reply(p *peer, q *Report) Report {
+	r, now := f.describe(q.AskOthers)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	scope := ScopeOwn
+	switch {
+	case q.AskAll:
+		scope = ScopeAll
+	case q.Scope == ScopeGroup:
+		scope = ScopeGroup
+	}
+	f.complete(&r, p, scope, q.AskOthers, now)
+	return r
+}
+
+// describe tells of this router alone.
+func (f *Fleet) describe(others bool) (Report, time.Time) {
 	r := Report{From: f.self}
 	f.local.Describe(&r)
 	if others {
 		r.Suspects, r.AskOthers = f.local.Suspects(), true
 	}
 	fresh := f.local.Reads()
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads.add(fresh)
-	r.Read, r.Last = f.reads.after(p.acked)
-	r.Have, r.HaveOf = p.have, p.member.Started
-	if others {
-		for _, o := range f.peers {
-			if o != p && o.alive(now) {
-				r.Others = append(r.Others, o.member)
-			}
+	for i := range f.logs {
+		f.logs[i].add(fresh)
+	}
+	return r, time.Now()
+}
+
+// complete widens r, which tells of this router alone, to a scope.
+func (f *Fleet) complete(r *Report, p *peer, scope Scope, others bool, now time.Time) {
+	r.Scope, r.ReadOf = scope, scope
+	after := p.acked
+	if p.ackedOf != scope {
+		after = 0
+	}
+	r.Read, r.Last = f.logs[scope].after(after)
+	r.Have, r.HaveOf, r.HaveReadOf = p.have, p.member.Started, p.haveOf
+	r.HaveDigest = p.digest
+	if scope != ScopeOwn {
+		f.widen(r, p, scope, now)
+		return
+	}
+	if !others || !f.last.direct {
+		return
+	}
+	for _, o := range f.peers {
+		if o != p && o.alive(now) {
+			r.Others = append(r.Others, o.member)
 		}
 	}
-	return r
+}
+
+// widen adds the work of others to r, and names the routers of the scope.
+func (f *Fleet) widen(r *Report, p *peer, scope Scope, now time.Time) {
+	total := f.group(now)
+	if scope == ScopeAll {
+		total = f.heard(now)
+		if p.heardLately(now) && p.report.Scope == ScopeOwn {
+			total.add(&p.report, -1)
+		}
+	}
+	total.add(r, 1)
+	total.fill(r)
+	list, sum := f.entriesOf(scope, Entry{Member: f.self, Ready: r.Ready}, now)
+	r.Digest = sum
+	if sum != p.theirDigest {
+		r.Entries = list
+	}
 }
 
 // incoming takes a report.
@@ -39,25 +106,28 @@
 		f.mu.Unlock()
 		return
 	}
-	if !p.alive(now) {
+	if !p.heardLately(now) && f.last.direct {
 		f.log.WithFields(log.Fields{"event": "peer_regained", "peer": r.From.Name, "addr": r.From.Peers, "started": r.From.Started}).Info("router is heard of")
 	}
 	if r.From.Started != p.report.From.Started {
 		p.have, p.acked = 0, 0
 	}
-	p.member, p.report, p.heard, p.failed = r.From, *r, now, 0
-	p.report.Read, p.report.Others, p.report.Suspects = nil, nil, nil
+	p.member, p.heard, p.failed, p.ready = r.From, now, 0, r.Ready
+	p.theirDigest = r.HaveDigest
+	f.keep(p, r, now)
 	if r.HaveOf == f.self.Started {
-		p.acked = r.Have
+		p.acked, p.ackedOf = r.Have, r.HaveReadOf
 	}
 	fresh := r.Read
-	if r.Last > p.have {
-		p.have = r.Last
+	if r.ReadOf != p.haveOf || r.Last > p.have {
+		p.have, p.haveOf = r.Last, r.ReadOf
 	}
+	f.passOn(r)
+	f.vouch(p, r, now)
 	for _, m := range r.Others {
 		f.meet(m)
 	}
-	loads, uses := f.total(now)
+	total := f.others(now)
 	f.mu.Unlock()
 	if len(fresh) > 0 {
 		f.local.Learn(fresh)
@@ -65,33 +135,35 @@
 	if len(r.Suspects) > 0 {
 		f.local.Suspect(r.Suspects)
 	}
-	f.local.Loads(loads, uses)
+	f.local.Loads(total.loads, total.uses)
 	f.local.Behind(r.From, r.Config, r.Instances)
 }
 
-// total adds up what the others alive have in progress.
-func (f *Fleet) total(now time.Time) (map[string]InstanceLoad, map[string]Use) {
-	loads := make(map[string]InstanceLoad)
-	uses := make(map[string]Use)
-	for _, p := range f.peers {
-		if !p.alive(now) {
-			continue
-		}
-		for _, l := range p.report.Loads {
-			sum := loads[l.Instance]
-			sum.Instance = l.Instance
-			sum.Running += l.Running
-			sum.Unread += l.Unread
-			sum.Memory += l.Memory
-			loads[l.Instance] = sum
-		}
-		for _, u := range p.report.Uses {
-			sum := uses[u.Organisation]
-			sum.Organisation = u.Organisation
-			sum.Asked += u.Asked
-			sum.Got += u.Got
-			uses[u.Organisation] = sum
-		}
+// keep keeps what r says of work, without what is taken over at once.
+func (f *Fleet) keep(p *peer, r *Report, now time.Time) {
+	kept := *r
+	kept.Read, kept.Others, kept.Suspects, kept.Entries = nil, nil, nil, nil
+	if r.Scope == ScopeAll {
+		f.fromHub, f.fromHubAt = &kept, now
+		// Its loads are no report of the hub's own work.
+		p.report.From, p.report.Scope, p.report.Loads, p.report.Uses = r.From, ScopeAll, nil, nil
+		return
+	}
+	p.report = kept
+	p.joined = time.Time{}
+	if r.AskAll {
+		p.joined = now
+	}
+}
+
+// passOn puts prompts that others have read into the logs for those who learn of them
+// only from here.
+func (f *Fleet) passOn(r *Report) {
+	switch {
+	case r.AskAll:
+		f.logs[ScopeGroup].add(r.Read)
+		f.logs[ScopeAll].add(r.Read)
+	case r.Scope == ScopeGroup:
+		f.logs[ScopeAll].add(r.Read)
 	}
-	return loads, uses
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -38,12 +38,18 @@
 	mu     sync.Mutex
 	secret []byte
 	peers  map[string]*peer // by peers' address
-	reads  readLog
+	// logs are prompts read, by whose: this router's own, its group's, everybody's.
+	logs [ScopeAll + 1]readLog
+	// last is this router's newest role.
+	last role
+	// fromHub is the work of all others as the hub last told it.
+	fromHub   *Report
+	fromHubAt time.Time
 }
 
 // New returns a fleet of one.
 func New(self Member, local Local, l log.Interface) *Fleet {
-	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer)}
+	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), last: role{direct: true}}
 }
 
 // SetSecret gives the secret that seals messages; without one nothing is exchanged.
@@ -75,7 +81,7 @@
 	}
 	p := f.peers[m.Peers]
 	if p == nil {
-		p = &peer{member: m}
+		p = &peer{member: m, met: time.Now()}
 		f.peers[m.Peers] = p
 		return p
 	}
@@ -107,22 +113,22 @@
 	defer f.mu.Unlock()
 	var list []Member
 	for _, p := range f.peers {
-		if p.alive(now) && p.report.Ready {
+		if p.alive(now) && p.ready {
 			list = append(list, p.member)
 		}
 	}
 	return list
 }
 
-// Rank is this router's place among those alive, 0 for the first. All routers that hear
-// each other agree on the order.
+// Rank is this router's place among those alive, 0 for the first: those with more
+// processor come first. All routers that hear of each other agree on the order.
 func (f *Fleet) Rank() int {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rank := 0
 	for _, p := range f.peers {
-		if p.alive(now) && p.member.Peers < f.self.Peers {
+		if p.alive(now) && byStrength(p.member, f.self) < 0 {
 			rank++
 		}
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -223,7 +223,7 @@
 	require.Len(t, a.fleet.Ready(), 1)
 	later := time.Now().Add(aliveFor)
 	a.fleet.mu.Lock()
-	loads, _ := a.fleet.total(later)
+	loads := a.fleet.others(later).loads
 	alive := a.fleet.peers[m.Peers].alive(later)
 	a.fleet.mu.Unlock()
 	require.Empty(t, loads)
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -22,9 +22,11 @@
 	firstTimeout = 300 * time.Millisecond
 	// joinRetry is the pause after a failed call.
 	joinRetry = 250 * time.Millisecond
-	// lookEvery is the pause between two looks at the list of members: peers name each
-	// other, so it only finds parts of the fleet that don't know of each other.
+	// lookEvery is the pause between two looks at the list of members for each lookSize
+	// routers: peers name each other, so it only finds parts of the fleet that don't know of
+	// each other, and one router that looks is enough.
 	lookEvery = 15 * time.Second
+	lookSize  = 8
 	// lonelyEvery is that pause while nobody is heard of.
 	lonelyEvery = time.Second
 	// leaveTimeout bounds the call that takes this router off the list.
@@ -56,7 +58,7 @@
 	j.until(ctx, "members", j.look)
 	last := time.Now()
 	for waiting.For(ctx, lonelyEvery) {
-		if j.fleet.Count() > 1 && time.Since(last) < lookEvery {
+		if j.fleet.Count() > 1 && time.Since(last) < lookEvery*time.Duration(1+j.fleet.Count()/lookSize) {
 			continue
 		}
 		last = time.Now()
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -11,4 +11,6 @@
 	// time of day. That may jump, so the larger one is the newer only of two that come at
 	// about the same time.
 	Started int64 `cbor:"5,keyasint"`
+	// Power is how much processor the router has, in cores; 0 when it doesn't say.
+	Power float64 `cbor:"6,keyasint,omitempty"`
 }
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -6,6 +6,8 @@
 type peer struct {
 	member Member
 	report Report
+	// met is when the peer was first heard of from anybody.
+	met time.Time
 	// heard is when the newest report came; zero before the first.
 	heard time.Time
 	// tried is when an exchange was last begun, asking while it runs, failed counts those in a row without an
@@ -15,22 +17,63 @@
 	failed int
 	// rounds counts the exchanges begun with it.
 	rounds int
-	// have is the number of the last entry of its log that came here.
-	have uint64
-	// acked is the number of the last entry of our log that it has.
-	acked uint64
+	// have is the number of the last entry of its log that came here, haveOf the log's scope.
+	have   uint64
+	haveOf Scope
+	// acked is the number of the last entry of our log that it has, ackedOf the log's scope.
+	acked   uint64
+	ackedOf Scope
+	// joined is when the peer last made us its hub.
+	joined time.Time
+	// vouched is when a hub last named the peer as alive, ready whether callers may be sent
+	// to it as far as is known.
+	vouched time.Time
+	ready   bool
+	// entries are the routers that the peer, a hub, last named, under digest.
+	entries []Entry
+	digest  uint64
+	// theirDigest is that of the list which the peer has from us.
+	theirDigest uint64
 }
 
-// alive reports whether the peer was heard of lately.
-func (p *peer) alive(now time.Time) bool {
+// heardLately reports whether the peer itself was heard of lately.
+func (p *peer) heardLately(now time.Time) bool {
 	return !p.heard.IsZero() && now.Sub(p.heard) < aliveFor
 }
 
+// alive reports whether the peer was heard of lately, by us or by a hub.
+func (p *peer) alive(now time.Time) bool {
+	return p.heardLately(now) || !p.vouched.IsZero() && now.Sub(p.vouched) < groupLife
+}
+
+// counts reports whether the peer's newest report tells of work that no other report
+// tells of.
+//
+// Guard: a router that reports to another hub now, or whose hub died and is replaced, would
+// be counted twice for as long as the old report lives, and engines would seem full. The
+// reports through hubs come so often that they need to live half as long as others.
+func (p *peer) counts(now time.Time) bool {
+	switch {
+	case p.report.Scope == ScopeGroup:
+		return p.failed == 0 && now.Sub(p.heard) < groupLife
+	case p.report.Scope == ScopeAll:
+		return false
+	case !p.joined.IsZero():
+		return p.inGroup(now)
+	}
+	return p.heardLately(now)
+}
+
+// inGroup reports whether the peer counts on us to tell others of its work.
+func (p *peer) inGroup(now time.Time) bool {
+	return !p.joined.IsZero() && now.Sub(p.joined) < groupLife
+}
+
 // outdated reports whether r comes from an earlier life than the peer's newest report.
 //
 // Guard: a late report of the earlier life would bring back work that ended with it. Lives
 // are told apart by the host's time of day, which may jump back: once the later life has
 // been silent, the one that speaks is the newer, whatever its clock says.
 func (p *peer) outdated(r *Report, now time.Time) bool {
-	return p.alive(now) && r.From.Started < p.report.From.Started
+	return p.heardLately(now) && r.From.Started < p.report.From.Started
 }
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -29,6 +29,37 @@
 	// Suspects are contents that ran on upstreams which broke off; named together with
 	// Others.
 	Suspects []wire.Suspicion `cbor:"12,keyasint,omitempty"`
+	// Scope is whose work Loads and Uses are. AskAll makes the receiver the sender's hub:
+	// it counts the sender to its group and answers for everybody.
+	Scope  Scope `cbor:"14,keyasint,omitempty"`
+	AskAll bool  `cbor:"15,keyasint,omitempty"`
+	// ReadOf is whose prompts Read names; HaveReadOf is that of Have.
+	ReadOf     Scope `cbor:"16,keyasint,omitempty"`
+	HaveReadOf Scope `cbor:"17,keyasint,omitempty"`
+	// Entries are the routers of the scope, left out when the receiver has them already by
+	// their Digest. HaveDigest is that of the list which the sender has from the receiver.
+	Entries    []Entry `cbor:"18,keyasint,omitempty"`
+	Digest     uint64  `cbor:"19,keyasint,omitempty"`
+	HaveDigest uint64  `cbor:"20,keyasint,omitempty"`
+}
+
+// Scope says whose work a report tells of.
+type Scope uint8
+
+// Scopes of reports.
+const (
+	// ScopeOwn is the sender's own work.
+	ScopeOwn Scope = iota
+	// ScopeGroup is that of the sender and of those whose hub it is.
+	ScopeGroup
+	// ScopeAll is that of all routers but the receiver.
+	ScopeAll
+)
+
+// Entry is a router as its hub knows it.
+type Entry struct {
+	Member Member `cbor:"1,keyasint"`
+	Ready  bool   `cbor:"2,keyasint,omitempty"`
 }
 
 // InstanceLoad is work in progress on one instance.
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -37,7 +37,7 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	f.answer(w, f.outgoing(p, report.AskOthers))
+	f.answer(w, f.reply(p, report))
 }
 
 // hand gives the secret to a router that starts again while the store is away.
--- /dev/null
+++ b/pkg/fleet/total.go
@@ -0,0 +1,91 @@
+package fleet
+
+import "time"
+
+// sum is work in progress and traffic of several routers.
+type sum struct {
+	loads map[string]InstanceLoad
+	uses  map[string]Use
+}
+
+func newSum() sum {
+	return sum{loads: make(map[string]InstanceLoad), uses: make(map[string]Use)}
+}
+
+// add counts r's work sign times: 1 adds it, -1 takes it out again.
+func (s sum) add(r *Report, sign int) {
+	for _, l := range r.Loads {
+		total := s.loads[l.Instance]
+		total.Instance = l.Instance
+		total.Running += sign * l.Running
+		total.Unread += sign * l.Unread
+		total.Memory += sign * l.Memory
+		s.loads[l.Instance] = total
+	}
+	for _, u := range r.Uses {
+		total := s.uses[u.Organisation]
+		total.Organisation = u.Organisation
+		total.Asked += float64(sign) * u.Asked
+		total.Got += float64(sign) * u.Got
+		s.uses[u.Organisation] = total
+	}
+}
+
+// fill puts the sum into a report.
+func (s sum) fill(r *Report) {
+	r.Loads, r.Uses = nil, nil
+	for _, l := range s.loads {
+		if l.Running > 0 {
+			r.Loads = append(r.Loads, l)
+		}
+	}
+	for _, u := range s.uses {
+		if u.Asked > 0 || u.Got > 0 {
+			r.Uses = append(r.Uses, u)
+		}
+	}
+}
+
+// others adds up what the other routers have in progress.
+func (f *Fleet) others(now time.Time) sum {
+	if f.fromHub != nil && now.Sub(f.fromHubAt) < aliveFor && f.last.own != "" {
+		total := newSum()
+		total.add(f.fromHub, 1)
+		return total
+	}
+	return f.heard(now)
+}
+
+// heard adds up what this router has heard of itself. Never what a hub told: two routers
+// that took each other for hubs would each count what the other counted, without end.
+func (f *Fleet) heard(now time.Time) sum {
+	total := newSum()
+	for _, p := range f.peers {
+		if p.counts(now) {
+			total.add(&p.report, 1)
+		}
+	}
+	return total
+}
+
+// group adds up the work of those whose hub this router is.
+func (f *Fleet) group(now time.Time) sum {
+	total := newSum()
+	for _, p := range f.peers {
+		if p.inGroup(now) {
+			total.add(&p.report, 1)
+		}
+	}
+	return total
+}
+
+// entriesOf gives the routers of a scope with a digest of the list.
+func (f *Fleet) entriesOf(scope Scope, self Entry, now time.Time) ([]Entry, uint64) {
+	list := []Entry{self}
+	for _, p := range f.peers {
+		if scope == ScopeGroup && p.inGroup(now) || scope == ScopeAll && p.alive(now) {
+			list = append(list, Entry{Member: p.member, Ready: p.ready})
+		}
+	}
+	return list, digest(list)
+}
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -155,7 +155,7 @@
 
 func member(s Settings) fleet.Member {
 	return fleet.Member{Name: s.Router.Name, Peers: s.peers(), Callers: s.callers(),
-		Zone: s.Router.Zone, Started: time.Now().UnixNano()}
+		Zone: s.Router.Zone, Started: time.Now().UnixNano(), Power: s.Limits.Cores}
 }
 
 // Run serves until ctx ends, then leaves in order.
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -69,7 +69,7 @@
 func (p *Process) Reload(s Settings) {
 	old := p.settings.Load()
 	needs := needRestart(*old, s)
-	s.Router, s.Listen, s.Advertise, s.Limits.MemoryMiB, s.Log = old.Router, old.Listen, old.Advertise, old.Limits.MemoryMiB, old.Log
+	s.Router, s.Listen, s.Advertise, s.Limits.MemoryMiB, s.Limits.Cores, s.Log = old.Router, old.Listen, old.Advertise, old.Limits.MemoryMiB, old.Limits.Cores, old.Log
 	p.settings.Store(&s)
 	p.gateway.Tune(gatewaySettings(s))
 	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
@@ -91,6 +91,7 @@
 		{"listen", old.Listen != s.Listen},
 		{"advertise", old.Advertise != s.Advertise},
 		{"limits.memoryMiB", old.Limits.MemoryMiB != s.Limits.MemoryMiB},
+		{"limits.cores", old.Limits.Cores != s.Limits.Cores},
 		{"log", old.Log != s.Log},
 	} {
 		if one.differs {
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -55,6 +55,9 @@
 // LimitSettings bound what the process uses.
 type LimitSettings struct {
 	MemoryMiB int `yaml:"memoryMiB"`
+	// Cores is how much processor the host gives the router, in cores; 0 when it is not
+	// known. Routers with more of it carry more of the fleet's own exchange.
+	Cores float64 `yaml:"cores"`
 	// KeptConnections is the number of callers' connections from which on answers close
 	// theirs.
 	KeptConnections int `yaml:"keptConnections"`
