Status of a gateway for operators: page, JSON and command

Purpose: an operator sees at one address what a gateway knows: versions in force and their ages, upstreams with the work of all routers, organisations with their standing, other routers and the way reports take. Tests: page and JSON (names of others can't become markup), command with an unready and a dead gateway, duties, a router that is told by others and by nobody any more.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -29,6 +29,8 @@
 	// follower makes the router leave the reading to others; asked counts its questions.
 	follower bool
 	asked    int
+	// askedConfig counts questions for newer configurations.
+	askedConfig int
 	// mute leaves calls that come without an answer for good, as a connection that died in
 	// silence does.
 	mute bool
@@ -45,12 +47,15 @@
 	return ctx.Err()
 }
 
-func (s *fakeStore) follows() bool {
+// ReadsInstances makes the store double as the router's duties.
+func (s *fakeStore) ReadsInstances() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower
+	return !s.follower
 }
 
+func (s *fakeStore) ReadsConfig() bool { return s.ReadsInstances() }
+
 func (s *fakeStore) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +86,7 @@
 	if err := s.refusal(ctx, after); err != nil {
 		return nil, 0, err
 	}
+	s.askedConfig++
 	if after < s.rev {
 		return s.config, s.rev, nil
 	}
@@ -152,7 +158,7 @@
 func start(t *testing.T, s *fakeStore) (*Catalog, *recorder) {
 	l, h := quiet()
 	c := New(l)
-	w := NewWatcher(c, s, func() bool { return !s.follows() }, l)
+	w := NewWatcher(c, s, s, l)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go w.WatchConfig(ctx)
@@ -246,10 +252,12 @@
 		}
 		s.mu.Lock()
 		require.LessOrEqual(t, s.asked, 1)
-		s.rev, s.changes = 100, []upstream.Change{{Instance: upstream.Instance{ID: "a"}, Gone: true}}
+		require.LessOrEqual(t, s.askedConfig, 1)
+		s.config, s.rev, s.changes = &routing.Config{Version: 2}, 100, []upstream.Change{{Instance: upstream.Instance{ID: "a"}, Gone: true}}
 		s.mu.Unlock()
 		time.Sleep(followerAge + 500*time.Millisecond)
 		require.Nil(t, c.Instances().Get("a"))
+		require.EqualValues(t, 2, c.Version(), "nobody tells of it any more")
 		require.False(t, c.Same(25), "the list has become another since")
 	})
 }
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -39,17 +39,23 @@
 type Watcher struct {
 	catalog *Catalog
 	store   Store
-	// reads reports whether this router is one of those that read the list for all.
-	reads func() bool
-	log   log.Interface
+	duties  Duties
+	log     log.Interface
 	// askAnew ends the open question for a newer configuration.
 	askAnew atomic.Pointer[context.CancelFunc]
 }
 
-// NewWatcher returns a watcher that fills catalog. reads reports whether this router is
-// one of the few that read the list of instances for all.
-func NewWatcher(c *Catalog, s Store, reads func() bool, l log.Interface) *Watcher {
-	return &Watcher{catalog: c, store: s, reads: reads, log: l}
+// Duties say what a router reads from the store for all; the rest is told by other routers.
+type Duties interface {
+	// ReadsInstances reports whether the router reads the list of instances, ReadsConfig
+	// whether it waits for newer configurations.
+	ReadsInstances() bool
+	ReadsConfig() bool
+}
+
+// NewWatcher returns a watcher that fills catalog.
+func NewWatcher(c *Catalog, s Store, d Duties, l log.Interface) *Watcher {
+	return &Watcher{catalog: c, store: s, duties: d, log: l}
 }
 
 // WatchConfig runs until ctx ends.
@@ -57,6 +63,11 @@
 	dep := newDependency("store config", w.log)
 	var rev Revision
 	for ctx.Err() == nil {
+		if w.toldConfig() {
+			rev = 0 // asked again, the store is asked for the whole configuration
+			waiting.For(ctx, followPause)
+			continue
+		}
 		next, err := w.nextConfig(ctx, rev)
 		dep.observe(err)
 		if err == nil {
@@ -142,10 +153,19 @@
 // followPause is the pause between two looks whether peers still keep the list current.
 const followPause = 100 * time.Millisecond
 
+// toldConfig reports whether peers tell of newer configurations. They do as long as they
+// keep the list of instances current: each report names both versions.
+func (w *Watcher) toldConfig() bool {
+	return !w.duties.ReadsConfig() && w.catalog.Version() > 0 && w.current()
+}
+
 // followed reports whether the store need not be asked: peers that read it keep the list
 // current. Each router's own questions would cost calls that grow with the fleet.
-func (w *Watcher) followed() bool {
-	return !w.reads() && w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < followerAge
+func (w *Watcher) followed() bool { return !w.duties.ReadsInstances() && w.current() }
+
+// current reports whether the list of instances is known to be current.
+func (w *Watcher) current() bool {
+	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < followerAge
 }
 
 func (w *Watcher) nextInstances(ctx context.Context, after Revision) (Revision, error) {
--- a/pkg/ctl/app.go
+++ b/pkg/ctl/app.go
@@ -68,7 +68,7 @@
 func (a *app) commands() []*command {
 	return []*command{
 		a.applyCommand(), a.diffCommand(), a.getCommand(), a.deleteCommand(), a.watchCommand(),
-		a.statusCommand(), a.entriesCommand(), a.drainCommand(), a.explainCommand(), a.versionCommand(),
+		a.statusCommand(), a.entriesCommand(), a.gatewaysCommand(), a.drainCommand(), a.explainCommand(), a.versionCommand(),
 	}
 }
 
--- /dev/null
+++ b/pkg/ctl/gateways.go
@@ -0,0 +1,91 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/status"
+)
+
+const gatewaysUsage = `gateways IP:PORT...
+  Shows gateways by their metrics addresses: versions in force, ages, work and peers.
+  Exit code 1 when one does not answer or takes no callers.
+
+  flamingowindctl gateways 10.0.0.7:7400 10.0.0.8:7400
+`
+
+// gatewayTimeout bounds the question to one gateway.
+const gatewayTimeout = 2 * time.Second
+
+// errUnready says that a gateway takes no callers or doesn't answer.
+const errUnready = errors.ConstError("not all gateways are ready")
+
+func (a *app) gatewaysCommand() *command {
+	return &command{app: a, name: "gateways", synopsis: "show gateways by their metrics addresses", usage: gatewaysUsage,
+		run: func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return errors.Annotate(errUsage, "gateways takes metrics addresses")
+			}
+			return a.gateways(ctx, args)
+		}}
+}
+
+func (a *app) gateways(ctx context.Context, addrs []string) error {
+	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "GATEWAY\tREADY\tACTIVE\tCONFIG\tLIST AGE\tPEERS\tEXCHANGE\tUPSTREAMS\tLEFT ALONE")
+	ready := true
+	for _, addr := range addrs {
+		s, err := gatewayStatus(ctx, addr)
+		if err != nil {
+			fmt.Fprintf(table, "%s\t%v\n", addr, err)
+			ready = false
+			continue
+		}
+		ready = ready && s.Ready
+		printGateway(table, s)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if !ready {
+		return errUnready
+	}
+	return nil
+}
+
+func printGateway(table io.Writer, s *status.Status) {
+	alone := 0
+	for _, u := range s.Upstreams {
+		if !u.Usable {
+			alone++
+		}
+	}
+	fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d ms\t%d\t%s\t%d\t%d\n",
+		s.Router, s.Ready, s.Active, s.Config, s.ListAgeMs, len(s.Routers), s.Exchange, len(s.Upstreams), alone)
+}
+
+func gatewayStatus(ctx context.Context, addr string) (*status.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+status.PathJSON, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("it answers %s", resp.Status)
+	}
+	s := new(status.Status)
+	return s, errors.Trace(json.NewDecoder(resp.Body).Decode(s))
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -120,6 +120,34 @@
 	return list
 }
 
+// Alive gives the other routers that are alive.
+func (f *Fleet) Alive() []Entry {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Entry
+	for _, p := range f.peers {
+		if p.alive(now) {
+			list = append(list, Entry{Member: p.member, Ready: p.ready})
+		}
+	}
+	return list
+}
+
+// Place is this router's place in the exchange, for operators: "direct", "hub", or the
+// address of its hub.
+func (f *Fleet) Place() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.last.direct:
+		return "direct"
+	case f.last.hub:
+		return "hub"
+	}
+	return f.last.own
+}
+
 // Rank is this router's place among those alive, 0 for the first: those with more
 // processor come first. All routers that hear of each other agree on the order.
 func (f *Fleet) Rank() int {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -17,6 +17,7 @@
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/quarantine"
+	"github.com/flamingowind/flamingowind/pkg/status"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -75,12 +76,12 @@
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.settings.Store(&s)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, suspects: suspects,
-		ready: func() bool { return p.gateway.Ready() }, behind: make(chan newer, 1)}
+		ready: func() bool { return p.gateway.Ready() }, waits: func() bool { return duties{p.fleet}.ReadsConfig() }, behind: make(chan newer, 1)}
 	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
-	p.watcher = catalog.NewWatcher(p.catalog, d.Store, func() bool { return p.fleet.Rank() < listReaders }, l)
+	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{p.fleet}, l)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
@@ -98,10 +99,6 @@
 	}
 }
 
-// listReaders is how many routers read the list of upstreams from the store for all. One
-// may be cut off from the store and another be gone; the rest ask it when none tells them.
-const listReaders = 3
-
 // memoryShare is the part of the memory limit at which the runtime collects at all costs;
 // the rest is for the kernel's buffers, which count as well.
 const memoryShare = 0.7
@@ -134,7 +131,7 @@
 		{facingCallers, s.Listen.Callers, p.gateway},
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{"peers", s.Listen.Peers, p.fleet.Handler()},
-		{"metrics", s.Listen.Metrics, p.metrics},
+		{"metrics", s.Listen.Metrics, status.Handler(p.status, p.metrics, p.log)},
 		{"entries", s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
 	} {
 		if one.addr == "" {
--- /dev/null
+++ b/pkg/gatewayd/status.go
@@ -0,0 +1,51 @@
+package gatewayd
+
+import (
+	"sort"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/status"
+)
+
+// status describes what the router knows now.
+func (p *Process) status() status.Status {
+	now := time.Now()
+	s := p.settings.Load()
+	set, rev := p.catalog.List()
+	one := status.Status{
+		Router: s.Router.Name, Zone: s.Router.Zone, Ready: p.gateway.Ready(), Active: p.gateway.Active(),
+		Config: p.catalog.Version(), ListRevision: int64(rev), Exchange: p.fleet.Place(),
+		Routers: make([]status.Router, 0), Upstreams: make([]status.Upstream, 0), Organisations: p.organisations(now),
+	}
+	if rev > 0 {
+		one.ListAgeMs = p.catalog.InstancesAge(now).Milliseconds()
+	}
+	if p.dropped.count != nil {
+		one.LinesDropped = p.dropped.count()
+	}
+	for _, e := range p.fleet.Alive() {
+		one.Routers = append(one.Routers, status.Router{Name: e.Member.Name, Zone: e.Member.Zone, Callers: e.Member.Callers, Ready: e.Ready})
+	}
+	for _, in := range set.List() {
+		handicap, usable := p.health.Usable(in.ID, now)
+		load := p.telling.ledger.Of(in.ID)
+		one.Upstreams = append(one.Upstreams, status.Upstream{ID: string(in.ID), Service: in.Service, Addr: in.Addr, Zone: in.Zone,
+			State: string(in.State), Usable: usable, HandicapMs: handicap.Milliseconds(), Running: load.Running, Slots: in.Slots, Unread: load.Unread})
+	}
+	sort.Slice(one.Upstreams, func(i, j int) bool { return one.Upstreams[i].ID < one.Upstreams[j].ID })
+	sort.Slice(one.Routers, func(i, j int) bool { return one.Routers[i].Name < one.Routers[j].Name })
+	return one
+}
+
+func (p *Process) organisations(now time.Time) []status.Organisation {
+	capacity := 0.0
+	if table := p.catalog.Table(); table != nil {
+		capacity = table.Config.Limits.TokensPerSecond
+	}
+	list := make([]status.Organisation, 0)
+	for org, use := range p.telling.shares.All(now) {
+		list = append(list, status.Organisation{Name: org, Asked: use.Asked, Got: use.Got, Standing: p.telling.shares.Standing(org, capacity, now).Share})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -23,6 +23,8 @@
 	shares   *placement.Shares
 	suspects *quarantine.List
 	ready    func() bool
+	// waits reports whether the store tells this router of newer configurations itself.
+	waits func() bool
 	// behind takes peers that know more than this router.
 	behind chan newer
 }
@@ -146,7 +148,7 @@
 		case <-ctx.Done():
 			return
 		case n := <-t.behind:
-			if n.config > t.catalog.Version() {
+			if n.config > t.catalog.Version() && t.waits() {
 				waiting.For(ctx, storeFirst)
 			}
 			if t.lacks(n.config, n.instances) {
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -117,6 +117,13 @@
 	return standing
 }
 
+// All gives the traffic of all organisations over all routers.
+func (s *Shares) All(now time.Time) map[string]Use {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total(now)
+}
+
 func (s *Shares) total(now time.Time) map[string]Use {
 	uses := make(map[string]Use, len(s.own)+len(s.others))
 	for org, use := range s.others {
--- /dev/null
+++ b/pkg/status/status.go
@@ -0,0 +1,59 @@
+// Package status describes what a gateway knows at one moment, for operators.
+package status
+
+// Status of a gateway.
+type Status struct {
+	Router string `json:"router"`
+	Zone   string `json:"zone"`
+	// Ready is whether callers are sent here, Active the number of requests being served.
+	Ready  bool  `json:"ready"`
+	Active int64 `json:"active"`
+	// Config is the version of the configuration in force, 0 before the first.
+	Config int64 `json:"config"`
+	// ListAgeMs is how long ago the list of upstreams was last known to be current, in
+	// milliseconds, ListRevision its revision in the store.
+	ListAgeMs    int64 `json:"listAgeMs"`
+	ListRevision int64 `json:"listRevision"`
+	// Exchange is how the router tells others of its work: "direct", "hub", or the hub's
+	// address for peers.
+	Exchange      string         `json:"exchange"`
+	Routers       []Router       `json:"routers"`
+	Upstreams     []Upstream     `json:"upstreams"`
+	Organisations []Organisation `json:"organisations"`
+	// LinesDropped counts log lines that nobody read in time.
+	LinesDropped int64 `json:"linesDropped"`
+}
+
+// Router is another router that is alive.
+type Router struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Callers string `json:"callers"`
+	Ready   bool   `json:"ready"`
+}
+
+// Upstream is an instance with the work that all routers gave it.
+type Upstream struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Addr    string `json:"addr"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+	// Usable is false while this router leaves the instance alone.
+	Usable bool `json:"usable"`
+	// HandicapMs is what it counts as slower for its failures, in milliseconds.
+	HandicapMs int64 `json:"handicapMs"`
+	Running    int   `json:"running"`
+	Slots      int   `json:"slots"`
+	// Unread is the number of prompt tokens that wait to be read.
+	Unread int `json:"unread"`
+}
+
+// Organisation is an organisation's traffic over all routers, in tokens a second.
+type Organisation struct {
+	Name  string  `json:"name"`
+	Asked float64 `json:"asked"`
+	Got   float64 `json:"got"`
+	// Standing is what it gets over what it is due; over 1 it has more than its share.
+	Standing float64 `json:"standing"`
+}
