Organisations far over their share get less the further over they are

Both were far over their share (standing 2.4 to 6 and 13 to 29), both were held to a quarter of an engine's slots, and the one that asked fifteen times as often found each free slot first. Change: the quarter holds up to eight times the share and falls on beyond; an idle engine still takes anything. At the store: before the first configuration the change feed is waited on instead of asking five times a second; in large fleets the first ten ask first when nobody tells them.

--- a/pkg/catalog/store.go
+++ b/pkg/catalog/store.go
@@ -14,15 +14,12 @@
 // has to read the whole table.
 const ErrHistoryGone = errors.ConstError("history is gone")
 
-// ErrNotFound says that nothing has been declared yet.
-const ErrNotFound = errors.ConstError("not found")
-
 // Revision numbers the states of the store; it grows with each transaction.
 type Revision int64
 
 // Store is the operators' store, as far as a gateway reads it. All calls end with ctx.
 type Store interface {
-	// Config reads the newest configuration; ErrNotFound before the first.
+	// Config reads the newest configuration, nil before the first.
 	Config(ctx context.Context) (*routing.Config, Revision, error)
 	// ConfigAfter waits up to wait for one newer than after; nil when there is none.
 	ConfigAfter(ctx context.Context, after Revision, wait time.Duration) (*routing.Config, Revision, error)
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -26,6 +26,9 @@
 	// followerAge is the age at which a router that leaves the reading to others asks the
 	// store after all: they tell it several times in that time.
 	followerAge = 1400 * time.Millisecond
+	// laterAge is that age for routers that don't ask first in a large fleet: those that do
+	// tell them meanwhile, and the store is not asked by all at once.
+	laterAge = 1700 * time.Millisecond
 	// readTimeout bounds a call that doesn't wait.
 	readTimeout = 1500 * time.Millisecond
 	// outage is how long the store must have been silent for entries to have lapsed: they
@@ -51,6 +54,8 @@
 	// whether it waits for newer configurations.
 	ReadsInstances() bool
 	ReadsConfig() bool
+	// AsksFirst reports whether the router is among the first to ask when none tells it.
+	AsksFirst() bool
 }
 
 // NewWatcher returns a watcher that fills catalog.
@@ -70,15 +75,14 @@
 		}
 		next, err := w.nextConfig(ctx, rev)
 		dep.observe(err)
-		if err == nil {
+		if err == nil && next > 0 {
 			rev = next
 			continue
 		}
+		rev = 0
 		if errors.Is(err, ErrHistoryGone) {
-			rev = 0
 			continue
 		}
-		rev = 0
 		waiting.For(ctx, retryPause)
 	}
 }
@@ -91,7 +95,9 @@
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
-		w.catalog.Adopt(cfg, "store")
+		if cfg != nil {
+			w.catalog.Adopt(cfg, "store")
+		}
 		return rev, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, configWait+readTimeout)
@@ -165,7 +171,11 @@
 
 // current reports whether the list of instances is known to be current.
 func (w *Watcher) current() bool {
-	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < followerAge
+	most := laterAge
+	if w.duties.AsksFirst() {
+		most = followerAge
+	}
+	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < most
 }
 
 func (w *Watcher) nextInstances(ctx context.Context, after Revision) (Revision, error) {
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -84,7 +84,7 @@
 			req.Reserve = farOverReserve
 		}
 		if r.standing.Full {
-			req.Occupancy = max(leastOccupancy, 1/over)
+			req.Occupancy = occupancy(over)
 		}
 	}
 	if r.standing.Share < short {
@@ -104,14 +104,26 @@
 	// may move: locked to a busy engine they would get less than one far over its share.
 	farOverReserve = 10
 	farOver        = 2
-	// leastOccupancy is the part of an engine's slots that an organisation may take however
-	// far it is over its share: what others leave idle.
+	// leastOccupancy is the part of an engine's slots that an organisation may take up to
+	// floorEnd times its share: what others leave idle.
 	leastOccupancy = 0.25
+	floorEnd       = 8
 	// ownQueue is how much longer than the shortest queue an organisation over its share
 	// may find the one that it waits in.
 	ownQueue = 3
 )
 
+// occupancy is the part of an engine's slots that an organisation may take whose standing
+// is over.
+//
+// Guard: with the same part for all that are far over their share, the one that asks most
+// gets most, as it finds each free slot first, and another gets less than half of it. Past
+// the floor's end the part falls on; an idle engine still takes anything.
+func occupancy(over float64) float64 {
+	floor := leastOccupancy * min(1, floorEnd/over)
+	return max(floor, 1/over)
+}
+
 // yielding is the power of the standing by which the queue limit falls.
 const yielding = 2.0
 
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -7,6 +7,8 @@
 	// smallFleet is the largest fleet in which each router waits for configurations itself:
 	// there that costs few calls, and a change is in force as soon as the store tells it.
 	smallFleet = 16
+	// first is how many routers of a large fleet ask the store first when none tells them.
+	first = 10
 )
 
 // ranks is what duties follow from.
@@ -22,5 +24,8 @@
 // ReadsInstances reports whether this router reads the list of upstreams.
 func (d duties) ReadsInstances() bool { return d.ranks.Rank() < readers }
 
+// AsksFirst reports whether this router asks the store without waiting for others.
+func (d duties) AsksFirst() bool { return d.ranks.Count() <= smallFleet || d.ranks.Rank() < first }
+
 // ReadsConfig reports whether this router waits for configurations.
 func (d duties) ReadsConfig() bool { return d.ranks.Count() <= smallFleet || d.ReadsInstances() }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -38,7 +38,7 @@
 	QueueLimit time.Duration
 	// OwnQueueLimit is the longest queue of the candidate that is chosen.
 	OwnQueueLimit time.Duration
-	// Occupancy is the part of an engine's slots that may be taken; 0 for any.
+	// Occupancy is the part of an engine's slots that may be taken, one at least; 0 for any.
 	Occupancy float64
 	// Reserve is how often the time for reading again what another candidate keeps must
 	// fit within the limit beside the wait: an engine that is nearly full does better to
@@ -105,7 +105,7 @@
 	if req.Occupancy <= 0 || req.Service.Engine == nil {
 		return false
 	}
-	return float64(c.Load.Running+1) > req.Occupancy*float64(req.Service.Engine.Slots)
+	return float64(c.Load.Running+1) > max(1, req.Occupancy*float64(req.Service.Engine.Slots))
 }
 
 // bestKept is the most that any candidate keeps of the prompt. What nobody keeps has to
--- a/pkg/placement/choose_test.go
+++ b/pkg/placement/choose_test.go
@@ -76,6 +76,9 @@
 	require.True(t, Choose(req, []Candidate{half}, pace).OK)
 	req.Occupancy = 0.5
 	require.False(t, Choose(req, []Candidate{half}, pace).OK)
+	req.Occupancy = 0.01
+	require.True(t, Choose(req, []Candidate{candidate("idle", Load{}, 0)}, pace).OK, "an idle engine takes anything")
+	require.False(t, Choose(req, []Candidate{candidate("one", Load{Running: 1}, 0)}, pace).OK)
 }
 
 func TestChooseRefusesBehindLongQueues(t *testing.T) {
