Routers that read for many confirm the list of upstreams often

Cause: entries change only when more than their heartbeat does, so in calm a reader's question stayed open for 2 s, and with the pause of 0.7 s its confirmation was up to 2.7 s old. Ruled out: a longer patience of the others (an upstream that leaves must be left alone within 2 s, also when the readers are cut off). Change: readers of a large fleet ask for 400 ms with pauses of 400 ms; small fleets as before. Test: a router that reads for many, with nothing changing, is never a second old.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -28,7 +28,11 @@
 	rev       Revision
 	// follower makes the router leave the reading to others; asked counts its questions.
 	follower bool
-	asked    int
+	// patient makes questions without news wait as long as they may.
+	patient bool
+	// many makes it read for many.
+	many  bool
+	asked int
 	// askedConfig counts questions for newer configurations.
 	askedConfig int
 	// mute leaves calls that come without an answer for good, as a connection that died in
@@ -58,6 +62,12 @@
 
 func (s *fakeStore) AsksFirst() bool { return true }
 
+func (s *fakeStore) TellsMany() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.many
+}
+
 func (s *fakeStore) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,7 +115,12 @@
 	if err := s.answers(ctx); err != nil {
 		return nil, 0, err
 	}
-	waiting.For(ctx, min(wait, 100*time.Millisecond))
+	s.mu.Lock()
+	if !s.patient {
+		wait = min(wait, 100*time.Millisecond)
+	}
+	s.mu.Unlock()
+	waiting.For(ctx, wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refusal(ctx, after); err != nil {
@@ -262,6 +277,20 @@
 }
 
 // An answer of the store is late and overtaken by a peer's word of a newer version.
+// Nothing changes in the list for minutes, and a router that reads for many waits for a
+// change all that time. Those that go by it would take their list for old, and all ask.
+func TestCatalogIsConfirmedOftenForMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}}, rev: 5, many: true, patient: true}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			require.Less(t, c.InstancesAge(time.Now()), followerAge-400*time.Millisecond)
+		}
+	})
+}
+
 func TestCatalogNeverGoesBack(t *testing.T) {
 	l, _ := quiet()
 	c := New(l)
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -23,6 +23,10 @@
 	// time, and asking without pause would cost a call for each. It stays well under the
 	// two seconds in which a leaving upstream must be left alone.
 	instancesPause = 700 * time.Millisecond
+	// tellingWait and tellingPause are these times for routers that read for many: the others
+	// take the list for old when nobody has confirmed it for followerAge, and would all ask.
+	tellingWait  = 400 * time.Millisecond
+	tellingPause = 400 * time.Millisecond
 	// followerAge is the age at which a router that leaves the reading to others asks the
 	// store after all: they tell it several times in that time.
 	followerAge = 1400 * time.Millisecond
@@ -54,6 +58,8 @@
 	// whether it waits for newer configurations.
 	ReadsInstances() bool
 	ReadsConfig() bool
+	// TellsMany reports whether many others go by what this router reads.
+	TellsMany() bool
 	// AsksFirst reports whether the router is among the first to ask when none tells it.
 	AsksFirst() bool
 }
@@ -128,7 +134,7 @@
 		next, err := w.nextInstances(ctx, rev)
 		dep.observe(err)
 		w.catalog.Settle(time.Now())
-		pause := instancesPause
+		_, pause := w.pace()
 		if err != nil {
 			w.doubtConfig()
 			next = 0
@@ -145,6 +151,14 @@
 	}
 }
 
+// pace gives how long a question for changed instances stays open, and the pause after it.
+func (w *Watcher) pace() (wait, pause time.Duration) {
+	if w.duties.TellsMany() {
+		return tellingWait, tellingPause
+	}
+	return instancesWait, instancesPause
+}
+
 // doubtConfig makes the watch of the configuration ask anew.
 //
 // Guard: a store that fell silent may never answer what it was asked then, and the question
@@ -192,9 +206,10 @@
 		w.catalog.Replace(list, rev, "store")
 		return rev, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, instancesWait+readTimeout)
+	wait, _ := w.pace()
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	changes, rev, err := w.store.InstancesAfter(ctx, after, instancesWait)
+	changes, rev, err := w.store.InstancesAfter(ctx, after, wait)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -24,6 +24,9 @@
 // ReadsInstances reports whether this router reads the list of upstreams.
 func (d duties) ReadsInstances() bool { return d.ranks.Rank() < readers }
 
+// TellsMany reports whether many others go by what this router reads.
+func (d duties) TellsMany() bool { return d.ranks.Count() > smallFleet && d.ReadsInstances() }
+
 // AsksFirst reports whether this router asks the store without waiting for others.
 func (d duties) AsksFirst() bool { return d.ranks.Count() <= smallFleet || d.ranks.Rank() < first }
 
