--- /dev/null
+++ b/pkg/gatewayd/settings_test.go
@@ -0,0 +1,56 @@
+package gatewayd
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An operator looks a setting up and doesn't find it.
+func TestPageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/gateway.md")
+	require.NoError(t, err)
+	for _, name := range settingNames(reflect.TypeFor[Settings]()) {
+		require.Regexp(t, "`[a-z.]*"+name+"`", string(page))
+	}
+}
+
+// settingNames gives the keys of all values under a type.
+func settingNames(of reflect.Type) []string {
+	var names []string
+	for i := range of.NumField() {
+		field := of.Field(i)
+		if field.Type.Kind() == reflect.Struct {
+			names = append(names, settingNames(field.Type)...)
+			continue
+		}
+		names = append(names, strings.Split(field.Tag.Get("yaml"), ",")[0])
+	}
+	return names
+}
+
+// A faulty address or amount must be told with its key before the router starts.
+func TestCheckNamesFaults(t *testing.T) {
+	s := DefaultSettings()
+	s.Router.Name, s.Store.Addr = "r", "10.0.0.1:1"
+	s.Listen = ListenSettings{Callers: "10.0.0.2:1", Readiness: "10.0.0.2:2", Peers: "10.0.0.2:3", Entries: "10.0.0.2:4"}
+	require.NoError(t, s.Check())
+	for key, spoil := range map[string]func(*Settings){
+		"router.name":            func(s *Settings) { s.Router.Name = "" },
+		"listen.callers":         func(s *Settings) { s.Listen.Callers = "here" },
+		"advertise.peers":        func(s *Settings) { s.Advertise.Peers = "there" },
+		"limits.cores":           func(s *Settings) { s.Limits.Cores = -1 },
+		"limits.keptConnections": func(s *Settings) { s.Limits.KeptConnections = 0 },
+		"repeats.windowSeconds":  func(s *Settings) { s.Repeats.WindowSeconds = 0 },
+		"leaving.graceSeconds":   func(s *Settings) { s.Leaving.GraceSeconds = 0 },
+		"entries.keepSeconds":    func(s *Settings) { s.Entries.KeepSeconds = 0 },
+		"log.level":              func(s *Settings) { s.Log.Level = "loud" },
+	} {
+		faulty := s
+		spoil(&faulty)
+		require.ErrorContains(t, faulty.Check(), key)
+	}
+}
