flamingowindctl explain and gateways take arguments

Seen when the command was run against a real fleet. Change: both take one or more; usage errors come from one place.

--- a/pkg/ctl/command.go
+++ b/pkg/ctl/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
@@ -24,6 +25,9 @@
 	minArgs, maxArgs int
 }
 
+// anyArgs is the maxArgs of commands that take any number.
+const anyArgs = math.MaxInt
+
 // Name implements subcommands.Command.
 func (c *command) Name() string { return c.name }
 
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -18,11 +18,8 @@
 `
 
 func (a *app) explainCommand() *command {
-	return &command{app: a, name: "explain", synopsis: "tell a request's story from logs", usage: explainUsage,
+	return &command{app: a, name: "explain", synopsis: "tell a request's story from logs", usage: explainUsage, minArgs: 1, maxArgs: anyArgs,
 		run: func(_ context.Context, args []string) error {
-			if len(args) == 0 {
-				return errors.Annotate(errUsage, "explain takes a request's id and log files")
-			}
 			logs, closeAll, err := openLogs(args[1:])
 			if err != nil {
 				return err
--- a/pkg/ctl/gateways.go
+++ b/pkg/ctl/gateways.go
@@ -28,13 +28,7 @@
 const errUnready = errors.ConstError("not all gateways are ready")
 
 func (a *app) gatewaysCommand() *command {
-	return &command{app: a, name: "gateways", synopsis: "show gateways by their metrics addresses", usage: gatewaysUsage,
-		run: func(ctx context.Context, args []string) error {
-			if len(args) == 0 {
-				return errors.Annotate(errUsage, "gateways takes metrics addresses")
-			}
-			return a.gateways(ctx, args)
-		}}
+	return &command{app: a, name: "gateways", synopsis: "show gateways by their metrics addresses", usage: gatewaysUsage, minArgs: 1, maxArgs: anyArgs, run: a.gateways}
 }
 
 func (a *app) gateways(ctx context.Context, addrs []string) error {
