Routers tell each other how old their list of upstreams is

Cause: a router took a peer's word for the list only when its revision was a newer one. Ruled out: the readers' pace (they asked each 0.8 s as they should). Change: reports say when the list was last known to be current; the same list is confirmed with that date, a newer one is taken with it. Answers are dated from their question and questions 200 ms back, so that two routers can't keep a list young that nobody reads. Test: a peer's list is never younger here than it said, and older by the time under way when it came with a question.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -77,12 +77,16 @@
 	return rev > 0 && rev >= c.changed && rev <= c.revision
 }
 
-// Confirm notes that the list known here is still current at rev.
-func (c *Catalog) Confirm(rev Revision) {
+// Confirm notes that the list known here was current at rev, at the time asOf.
+func (c *Catalog) Confirm(rev Revision, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if rev >= c.revision && c.revision > 0 {
-		c.revision, c.heard = rev, time.Now()
+	if rev < c.revision || c.revision == 0 {
+		return
+	}
+	c.revision = rev
+	if asOf.After(c.heard) {
+		c.heard = asOf
 	}
 }
 
@@ -109,15 +113,15 @@
 		"source": source, "routes": len(cfg.Routes), "organisations": len(cfg.Organisations)}).Info("configuration in force")
 }
 
-// Replace takes a whole list of instances as of rev.
-func (c *Catalog) Replace(list []upstream.Instance, rev Revision, source string) {
+// Replace takes a whole list of instances, that was current at rev, at the time asOf.
+func (c *Catalog) Replace(list []upstream.Instance, rev Revision, asOf time.Time, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if rev < c.revision {
 		return
 	}
-	c.revision, c.heard, c.changed = rev, time.Now(), rev
-	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, c.heard)...)))
+	c.revision, c.heard, c.changed = rev, asOf, rev
+	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, time.Now())...)))
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -262,7 +262,7 @@
 			time.Sleep(500 * time.Millisecond)
 			rev := c.InstancesRevision() + 1
 			require.True(t, c.Same(rev-1))
-			c.Confirm(rev)
+			c.Confirm(rev, time.Now())
 		}
 		s.mu.Lock()
 		require.LessOrEqual(t, s.asked, 1)
@@ -297,8 +297,8 @@
 	c.Adopt(&routing.Config{Version: 7}, "peer")
 	c.Adopt(&routing.Config{Version: 6}, "store")
 	require.EqualValues(t, 7, c.Version())
-	c.Replace([]upstream.Instance{{ID: "new"}}, 9, "peer")
-	c.Replace([]upstream.Instance{{ID: "old"}}, 8, "store")
+	c.Replace([]upstream.Instance{{ID: "new"}}, 9, time.Now(), "peer")
+	c.Replace([]upstream.Instance{{ID: "old"}}, 8, time.Now(), "store")
 	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 3, 7, "store")
 	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 11, 12, "store")
 	require.NotNil(t, c.Instances().Get("new"))
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -203,7 +203,7 @@
 		if now := time.Now(); w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(now) > outage {
 			w.catalog.Returned(now)
 		}
-		w.catalog.Replace(list, rev, "store")
+		w.catalog.Replace(list, rev, time.Now(), "store")
 		return rev, nil
 	}
 	wait, _ := w.pace()
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -120,6 +120,7 @@
 	addr := p.member.Peers
 	f.mu.Unlock()
 	answer := new(Report)
+	asked := time.Now()
 	err := d.post(ctx, addr, Path, f.question(p, others), answer, maxMessage)
 	f.mu.Lock()
 	p.asking = false
@@ -128,7 +129,7 @@
 		f.miss(p, err)
 		return
 	}
-	f.incoming(answer)
+	f.incoming(answer, asked)
 }
 
 // miss notes a failed exchange.
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// incoming takes a report.
-func (f *Fleet) incoming(r *Report) {
+// incoming takes a report that was made at made or later.
+func (f *Fleet) incoming(r *Report, made time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	p := f.meet(r.From)
@@ -136,7 +136,7 @@
 		f.local.Suspect(r.Suspects)
 	}
 	f.local.Loads(total.loads, total.uses)
-	f.local.Behind(r.From, r.Config, r.Instances)
+	f.local.Behind(r.From, r.Config, r.Instances, made.Add(-time.Duration(r.ListAgeMs)*time.Millisecond))
 }
 
 // keep keeps what r says of work, without what is taken over at once.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 	others   map[string]InstanceLoad
 	uses     map[string]Use
 	behind   int64
+	asOf     time.Time
 	suspects []wire.Suspicion
 	heard    chan struct{}
 
@@ -36,7 +37,7 @@
 func (r *router) Describe(rep *Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep.Ready, rep.Loads, rep.Config = true, r.loads, 7
+	rep.Ready, rep.Loads, rep.Config, rep.ListAgeMs = true, r.loads, 7, listAge.Milliseconds()
 	rep.Uses = []Use{{Organisation: "org", Asked: 10, Got: 5}}
 }
 
@@ -60,9 +61,9 @@
 	r.others, r.uses = loads, uses
 }
 
-func (r *router) Behind(_ Member, config, _ int64) {
+func (r *router) Behind(_ Member, config, _ int64, asOf time.Time) {
 	r.mu.Lock()
-	r.behind = config
+	r.behind, r.asOf = config, asOf
 	r.mu.Unlock()
 	select {
 	case r.heard <- struct{}{}:
@@ -102,6 +103,9 @@
 	t.Cleanup(func() { cancel(); <-done })
 }
 
+// listAge is how old routers say that their lists are.
+const listAge = 300 * time.Millisecond
+
 var secret = []byte("secret")
 
 func TestRoutersTellEachOther(t *testing.T) {
@@ -184,13 +188,13 @@
 func TestARestartedRouterIsHeardFromTheStart(t *testing.T) {
 	a := newRouter(t, "a", secret)
 	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1}
-	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 1}, {Key: 2}}, Last: 2})
+	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 1}, {Key: 2}}, Last: 2}, time.Now())
 	m.Started = 2
-	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 3}}, Last: 1})
+	a.fleet.incoming(&Report{From: m, Read: []PromptRead{{Key: 3}}, Last: 1}, time.Now())
 	require.EqualValues(t, 1, a.fleet.peers[m.Peers].have)
 	require.Len(t, a.learnt, 3)
 	m.Started = 1
-	a.fleet.incoming(&Report{From: m, Last: 9})
+	a.fleet.incoming(&Report{From: m, Last: 9}, time.Now())
 	require.EqualValues(t, 1, a.fleet.peers[m.Peers].have, "a late report of the earlier life is passed over")
 }
 
@@ -201,12 +205,12 @@
 func TestARouterIsHeardAfterItsClockWentBack(t *testing.T) {
 	a := newRouter(t, "a", secret)
 	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1000}
-	a.fleet.incoming(&Report{From: m, Ready: true, Last: 9})
+	a.fleet.incoming(&Report{From: m, Ready: true, Last: 9}, time.Now())
 	a.fleet.peers[m.Peers].heard = time.Now().Add(-aliveFor)
 	old := m
 	m.Started = 10
 	for range 2 {
-		a.fleet.incoming(&Report{From: m, Ready: true, Last: 1})
+		a.fleet.incoming(&Report{From: m, Ready: true, Last: 1}, time.Now())
 		require.Len(t, a.fleet.Ready(), 1)
 		require.EqualValues(t, 1, a.fleet.peers[m.Peers].have)
 		a.fleet.Meet([]Member{old})
@@ -214,12 +218,24 @@
 	require.EqualValues(t, 10, a.fleet.peers[m.Peers].member.Started)
 }
 
+// Two routers tell each other in turn that their lists of upstreams are current, and nobody
+// reads the store any more. Each must find the list older than the other says, by at least
+// the time under way, or upstreams that have left would be used for ever.
+func TestListsAgeOnTheirWay(t *testing.T) {
+	a, b := newRouter(t, "a", secret), newRouter(t, "b", secret)
+	a.fleet.Meet([]Member{b.fleet.self})
+	a.duty.exchange(context.Background(), a.fleet.peers[b.fleet.self.Peers])
+	require.False(t, a.asOf.IsZero())
+	require.GreaterOrEqual(t, time.Since(a.asOf), listAge)
+	require.GreaterOrEqual(t, time.Since(b.asOf), listAge+mostUnderWay, "a question may have waited")
+}
+
 // A router freezes. What it had in progress must not keep engines out of use for long,
 // and callers must not be sent to it.
 func TestSilentRoutersAreLeftOut(t *testing.T) {
 	a := newRouter(t, "a", secret)
 	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1}
-	a.fleet.incoming(&Report{From: m, Ready: true, Loads: []InstanceLoad{{Instance: "i", Running: 5}}})
+	a.fleet.incoming(&Report{From: m, Ready: true, Loads: []InstanceLoad{{Instance: "i", Running: 5}}}, time.Now())
 	require.Len(t, a.fleet.Ready(), 1)
 	later := time.Now().Add(aliveFor)
 	a.fleet.mu.Lock()
--- a/pkg/fleet/hub_test.go
+++ b/pkg/fleet/hub_test.go
@@ -65,9 +65,9 @@
 	f := c.routers[to].fleet
 	p.rounds++
 	q := r.fleet.question(p, p.rounds%othersEvery == 1)
-	f.incoming(&q)
+	f.incoming(&q, time.Now())
 	a := f.reply(f.peers[r.fleet.self.Peers], &q)
-	r.fleet.incoming(&a)
+	r.fleet.incoming(&a, time.Now())
 }
 
 func (c *crowd) alive() []*router {
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/flamingowind/flamingowind/pkg/wire"
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
 
 // Local is what this router tells and learns; the parts that decide implement it.
 type Local interface {
@@ -16,8 +20,9 @@
 	Suspect(list []wire.Suspicion)
 	// Loads takes the work in progress and the use by all other routers.
 	Loads(loads map[string]InstanceLoad, uses map[string]Use)
-	// Behind is told which configuration and list a peer has.
-	Behind(peer Member, config, instances int64)
+	// Behind is told which configuration and list a peer has, and that its list was current
+	// at asOf.
+	Behind(peer Member, config, instances int64, asOf time.Time)
 	// Catalog gives what is newer than the ask.
 	Catalog(ask CatalogAsk) CatalogGiven
 }
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -26,6 +26,8 @@
 	// list of upstreams.
 	Config    int64 `cbor:"10,keyasint,omitempty"`
 	Instances int64 `cbor:"11,keyasint,omitempty"`
+	// ListAgeMs is how long ago that list was last known to be current, in milliseconds.
+	ListAgeMs int64 `cbor:"21,keyasint,omitempty"`
 	// Suspects are contents that ran on upstreams which broke off; named together with
 	// Others.
 	Suspects []wire.Suspicion `cbor:"12,keyasint,omitempty"`
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -4,10 +4,15 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 )
 
+// mostUnderWay is how long a question usually is under way at most: links take a few
+// milliseconds, and a busy router some tens.
+const mostUnderWay = 200 * time.Millisecond
+
 // Handler takes other routers' reports.
 func (f *Fleet) Handler() *mux.Router {
 	r := mux.NewRouter()
@@ -29,7 +34,10 @@
 	if !f.open(w, in, report) {
 		return
 	}
-	f.incoming(report)
+	// Guard: what a peer asked with may have waited here or on its way, so its list is older
+	// than it says. Taken as it came, two routers that tell each other in turn would keep a
+	// list young that nobody reads any more; answers are dated from their question.
+	f.incoming(report, time.Now().Add(-mostUnderWay))
 	f.mu.Lock()
 	p := f.peers[report.From.Peers]
 	f.mu.Unlock()
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -133,7 +133,7 @@
 			w.gateway.health.Observe(list[i].ID, upstream.Failed, time.Now())
 		}
 	}
-	w.catalog.Replace(list, 1, "test")
+	w.catalog.Replace(list, 1, time.Now(), "test")
 }
 
 func (w *world) request(path string, header ...string) *http.Request {
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -33,12 +33,15 @@
 type newer struct {
 	peer              fleet.Member
 	config, instances int64
+	// asOf is when the peer's list was current.
+	asOf time.Time
 }
 
 // Describe fills in what a report says of this router's work.
 func (t *telling) Describe(r *fleet.Report) {
 	r.Ready = t.ready()
 	r.Config, r.Instances = t.catalog.Version(), int64(t.catalog.InstancesRevision())
+	r.ListAgeMs = t.catalog.InstancesAge(time.Now()).Milliseconds()
 	for id, l := range t.ledger.Own() {
 		r.Loads = append(r.Loads, fleet.InstanceLoad{Instance: string(id), Running: l.Running, Unread: l.Unread, Memory: l.Memory})
 	}
@@ -94,19 +97,24 @@
 
 // Behind notes a peer that knows more. The channel holds one: while a peer is asked,
 // further ones are not needed, and reports come again.
-func (t *telling) Behind(peer fleet.Member, config, instances int64) {
+//
+// A peer with the same list says how old it is. Without that a list that doesn't change
+// would seem old everywhere but at the routers that read it, and all would ask the store.
+func (t *telling) Behind(peer fleet.Member, config, instances int64, asOf time.Time) {
+	if instances == int64(t.catalog.InstancesRevision()) {
+		t.catalog.Confirm(catalog.Revision(instances), asOf)
+	}
 	if !t.lacks(config, instances) {
 		return
 	}
 	select {
-	case t.behind <- newer{peer: peer, config: config, instances: instances}:
+	case t.behind <- newer{peer: peer, config: config, instances: instances, asOf: asOf}:
 	default:
 	}
 }
 
 // lacks reports whether a peer with these versions knows more. The revision of the list
-// of upstreams grows with each of their heartbeats, so a peer is asked only once the own
-// copy is old.
+// grows with every write to the store, so a peer is asked only once the own copy is old.
 func (t *telling) lacks(config, instances int64) bool {
 	if config > t.catalog.Version() {
 		return true
@@ -116,7 +124,7 @@
 
 const (
 	// listOld is the age at which a peer is asked for a newer list.
-	listOld = 600 * time.Millisecond
+	listOld = 250 * time.Millisecond
 	// storeFirst is how long the store's own answer is waited for before a peer is asked:
 	// usually it is on its way.
 	storeFirst = 200 * time.Millisecond
@@ -171,8 +179,8 @@
 		t.catalog.Adopt(given.Config, "peer "+n.peer.Name)
 	}
 	if given.Same {
-		t.catalog.Confirm(catalog.Revision(given.Revision))
+		t.catalog.Confirm(catalog.Revision(given.Revision), n.asOf)
 	} else if given.Revision > 0 {
-		t.catalog.Replace(given.Instances, catalog.Revision(given.Revision), "peer "+n.peer.Name)
+		t.catalog.Replace(given.Instances, catalog.Revision(given.Revision), n.asOf, "peer "+n.peer.Name)
 	}
 }
