Small hosts send callers away before they fall behind

Change: a router that is late sends callers elsewhere and refuses when it is very late or full; a large fleet names its stronger half as entries; a request that has waited 50 ms looks once more whether its caller is there.

--- a/pkg/fleet/entries.go
+++ b/pkg/fleet/entries.go
@@ -7,14 +7,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// digest stands for a list of routers in any order, their lives and whether they are ready.
+// digest stands for a list of routers in any order, their lives and states.
 func digest(list []Entry) uint64 {
 	var all uint64
 	for _, e := range list {
 		var life [9]byte
 		binary.LittleEndian.PutUint64(life[:], uint64(e.Member.Started))
 		if e.Ready {
-			life[8] = 1
+			life[8] |= 1
+		}
+		if e.Pressed {
+			life[8] |= 2
 		}
 		h := xxhash.New()
 		_, _ = h.WriteString(e.Member.Peers) // never fails
@@ -48,7 +51,7 @@
 		}
 		named.vouched = now
 		if !named.heardLately(now) {
-			named.ready = e.Ready
+			named.ready, named.pressed = e.Ready, e.Pressed
 		}
 	}
 }
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -90,7 +90,7 @@
 	}
 	total.add(r, 1)
 	total.fill(r)
-	list, sum := f.entriesOf(scope, Entry{Member: f.self, Ready: r.Ready}, now)
+	list, sum := f.entriesOf(scope, Entry{Member: f.self, Ready: r.Ready, Pressed: r.Pressed}, now)
 	r.Digest = sum
 	if sum != p.theirDigest {
 		r.Entries = list
@@ -112,7 +112,8 @@
 	if r.From.Started != p.report.From.Started {
 		p.have, p.acked = 0, 0
 	}
-	p.member, p.heard, p.failed, p.ready = r.From, now, 0, r.Ready
+	p.member, p.heard, p.failed = r.From, now, 0
+	p.ready, p.pressed = r.Ready, r.Pressed
 	p.theirDigest = r.HaveDigest
 	f.keep(p, r, now)
 	if r.HaveOf == f.self.Started {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -106,20 +106,6 @@
 	return n
 }
 
-// Ready gives the routers that callers may be sent to, without this one.
-func (f *Fleet) Ready() []Member {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []Member
-	for _, p := range f.peers {
-		if p.alive(now) && p.ready {
-			list = append(list, p.member)
-		}
-	}
-	return list
-}
-
 // Alive gives the other routers that are alive.
 func (f *Fleet) Alive() []Entry {
 	now := time.Now()
@@ -128,12 +114,15 @@
 	var list []Entry
 	for _, p := range f.peers {
 		if p.alive(now) {
-			list = append(list, Entry{Member: p.member, Ready: p.ready})
+			list = append(list, p.entry())
 		}
 	}
 	return list
 }
 
+// Self is this router as it describes itself.
+func (f *Fleet) Self() Member { return f.self }
+
 // Place is this router's place in the exchange, for operators: "direct", "hub", or the
 // address of its hub.
 func (f *Fleet) Place() string {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"sync"
 	"testing"
@@ -41,6 +42,11 @@
 	rep.Uses = []Use{{Organisation: "org", Asked: 10, Got: 5}}
 }
 
+// readyPeers are the other routers that callers may be sent to.
+func (r *router) readyPeers() []Entry {
+	return slices.DeleteFunc(r.fleet.Alive(), func(e Entry) bool { return !e.Ready })
+}
+
 func (r *router) Reads() []PromptRead {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,7 +124,7 @@
 	<-a.heard
 	<-b.heard
 	require.Equal(t, 2, a.fleet.Count())
-	require.Equal(t, "a:1", b.fleet.Ready()[0].Callers)
+	require.Equal(t, "a:1", b.readyPeers()[0].Member.Callers)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	require.Equal(t, 3, b.others["i"].Running)
@@ -211,7 +217,7 @@
 	m.Started = 10
 	for range 2 {
 		a.fleet.incoming(&Report{From: m, Ready: true, Last: 1}, time.Now())
-		require.Len(t, a.fleet.Ready(), 1)
+		require.Len(t, a.readyPeers(), 1)
 		require.EqualValues(t, 1, a.fleet.peers[m.Peers].have)
 		a.fleet.Meet([]Member{old})
 	}
@@ -236,7 +242,7 @@
 	a := newRouter(t, "a", secret)
 	m := Member{Name: "b", Peers: "127.0.0.1:1", Started: 1}
 	a.fleet.incoming(&Report{From: m, Ready: true, Loads: []InstanceLoad{{Instance: "i", Running: 5}}}, time.Now())
-	require.Len(t, a.fleet.Ready(), 1)
+	require.Len(t, a.readyPeers(), 1)
 	later := time.Now().Add(aliveFor)
 	a.fleet.mu.Lock()
 	loads := a.fleet.others(later).loads
--- a/pkg/fleet/hub_test.go
+++ b/pkg/fleet/hub_test.go
@@ -99,7 +99,7 @@
 			require.Equal(t, (n-1)*10, r.others["common"].Unread)
 			require.InDelta(t, 5*(n-1), r.uses["org"].Got, 1e-6)
 			require.Equal(t, n, r.fleet.Count())
-			require.Len(t, r.fleet.Ready(), n-1)
+			require.Len(t, r.readyPeers(), n-1)
 		}
 	})
 }
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -26,9 +26,10 @@
 	// joined is when the peer last made us its hub.
 	joined time.Time
 	// vouched is when a hub last named the peer as alive, ready whether callers may be sent
-	// to it as far as is known.
+	// to it as far as is known, pressed whether it gets too little processor.
 	vouched time.Time
 	ready   bool
+	pressed bool
 	// entries are the routers that the peer, a hub, last named, under digest.
 	entries []Entry
 	digest  uint64
@@ -77,3 +78,6 @@
 func (p *peer) outdated(r *Report, now time.Time) bool {
 	return p.heardLately(now) && r.From.Started < p.report.From.Started
 }
+
+// entry is the peer as it is named to others.
+func (p *peer) entry() Entry { return Entry{Member: p.member, Ready: p.ready, Pressed: p.pressed} }
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -31,6 +31,8 @@
 	// Suspects are contents that ran on upstreams which broke off; named together with
 	// Others.
 	Suspects []wire.Suspicion `cbor:"12,keyasint,omitempty"`
+	// Pressed is whether the router gets too little processor for what it is asked.
+	Pressed bool `cbor:"22,keyasint,omitempty"`
 	// Scope is whose work Loads and Uses are. AskAll makes the receiver the sender's hub:
 	// it counts the sender to its group and answers for everybody.
 	Scope  Scope `cbor:"14,keyasint,omitempty"`
@@ -62,6 +64,8 @@
 type Entry struct {
 	Member Member `cbor:"1,keyasint"`
 	Ready  bool   `cbor:"2,keyasint,omitempty"`
+	// Pressed is whether it gets too little processor for what it is asked.
+	Pressed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // InstanceLoad is work in progress on one instance.
--- a/pkg/fleet/total.go
+++ b/pkg/fleet/total.go
@@ -84,7 +84,7 @@
 	list := []Entry{self}
 	for _, p := range f.peers {
 		if scope == ScopeGroup && p.inGroup(now) || scope == ScopeAll && p.alive(now) {
-			list = append(list, Entry{Member: p.member, Ready: p.ready})
+			list = append(list, p.entry())
 		}
 	}
 	return list, digest(list)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -69,6 +69,9 @@
 	front   *httptest.Server
 	client  *http.Client
 
+	// overrun makes the gateway refuse for lack of processor.
+	overrun bool
+
 	mu   sync.Mutex
 	seen []*http.Request // as upstreams saw them
 }
@@ -81,7 +84,7 @@
 		Catalog: w.catalog, Dialect: plainDialect{}, Pools: forward.NewPools("X-Id"), Health: upstream.NewHealth(),
 		Ledger: placement.NewLedger(), Holdings: placement.NewHoldings(), Shares: placement.NewShares(),
 		Suspects: quarantine.New(quarantine.Config{Limit: CrashLimit, FadeAfter: SuspectFor}),
-		Peers:    onePeer{}, Crowded: func() bool { return false }, Log: quiet,
+		Peers:    onePeer{}, Crowded: func() bool { return false }, Overrun: func() bool { return w.overrun }, Log: quiet,
 	})
 	w.front = httptest.NewUnstartedServer(w.gateway)
 	w.front.Config.ConnContext = WithConn
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -28,6 +28,7 @@
 	suspects *quarantine.List
 	peers    Peers
 	crowded  func() bool
+	overrun  func() bool
 	log      log.Interface
 	lines    lineBudget
 	meter    *meter
@@ -62,6 +63,9 @@
 	Peers    Peers
 	// Crowded reports whether connections of callers should not be kept.
 	Crowded func() bool
+	// Overrun reports whether the router gets so little processor that requests are late in
+	// any case.
+	Overrun func() bool
 	Log     log.Interface
 	// Metrics takes counters and histograms.
 	Metrics tally.Scope
@@ -71,7 +75,7 @@
 func New(s Settings, p Parts) *Gateway {
 	g := &Gateway{
 		catalog: p.Catalog, dialect: p.Dialect, pools: p.Pools, health: p.Health,
-		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, suspects: p.Suspects, peers: p.Peers, crowded: p.Crowded, log: p.Log,
+		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, suspects: p.Suspects, peers: p.Peers, crowded: p.Crowded, overrun: p.Overrun, log: p.Log,
 		meter:  newMeter(p.Metrics),
 		budget: new(placement.Budget),
 	}
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -54,6 +54,9 @@
 	if err := readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
+	if g.overrun() {
+		return errOverrun()
+	}
 	r.content = content(r)
 	if g.suspects.Check(r.content) != nil {
 		return errSuspect()
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -168,6 +168,18 @@
 	require.Equal(t, 200, status)
 }
 
+// A small host is so far behind that any request would be late. It must say at once that
+// the request has not run, and let the caller go to another router.
+func TestOverrunRoutersRefuse(t *testing.T) {
+	w := newWorld(t)
+	w.overrun = true
+	w.upstreams(says("hello"))
+	status, _, header := w.get("/safe/")
+	require.Equal(t, 503, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Zero(t, w.runs())
+}
+
 func TestRepeatsDrawOnABudget(t *testing.T) {
 	w := newWorld(t)
 	w.gateway.budget.Set(0, 0, 10*time.Second)
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -13,7 +13,7 @@
 	// briefly is for what passes by itself: a router without configuration, an upstream
 	// that was just lost.
 	briefly = 250 * time.Millisecond
-	// leaving is for callers of a router that ends: other routers are ready now.
+	// leaving is for callers of a router that ends or is overrun: others are ready now.
 	leaving = 50 * time.Millisecond
 )
 
@@ -43,6 +43,10 @@
 	return notRun(http.StatusServiceUnavailable, verdict.CodeDraining, "this router is leaving", leaving)
 }
 
+func errOverrun() *verdict.Error {
+	return notRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "this router has no processor to spare", leaving)
+}
+
 func errNoUpstream() *verdict.Error {
 	return notRun(http.StatusServiceUnavailable, verdict.CodeNoUpstream, "no upstream of the service can be used", briefly)
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -35,6 +35,12 @@
 			g.giveUp(r, last, err)
 			return
 		}
+		// Guard: between its arrival and this moment a request may have waited for the
+		// processor until its caller left. Sent on, an upstream would work for nobody.
+		if now.Sub(r.start) > lookAgain && callerLeft(r.in.Context()) {
+			r.trail.outcome = outcomeCallerOff
+			return
+		}
 		if attempt > 1 && !last.unsent && !g.budget.Repeat(r.service.Name, g.peers.Count(), now) {
 			g.giveUp(r, last, nil)
 			return
@@ -50,6 +56,9 @@
 	}
 }
 
+// lookAgain is the time after which the caller's connection is looked at once more.
+const lookAgain = 50 * time.Millisecond
+
 // maxUnsent bounds the upstreams that are tried without a byte having left.
 const maxUnsent = 4
 
--- a/pkg/gatewayd/entries_test.go
+++ b/pkg/gatewayd/entries_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingowind/flamingowind/pkg/fleet"
 )
 
 // Eighty routers are ready. A caller takes 64 addresses; named the same ones each time,
@@ -29,6 +32,41 @@
 	require.Equal(t, []string{"a", "b"}, sample([]string{"a", "b"}))
 }
 
+// One router gets too little processor. Callers must not be sent there while others do
+// well; when most are short of it, all must bear their part.
+func TestPressedRoutersAreNoEntries(t *testing.T) {
+	list := []fleet.Entry{entryOf("a", 1), entryOf("b", 1), entryOf("c", 1)}
+	list[1].Pressed = true
+	require.Equal(t, []string{"a", "c"}, addresses(calm(list)))
+	list[0].Pressed = true
+	require.Equal(t, []string{"a", "b", "c"}, addresses(calm(list)))
+	list[2].Ready = false
+	require.Equal(t, []string{"a", "b"}, addresses(ready(list)))
+}
+
+// Hosts of a large fleet are unequal, and one caller sends as much as fifty others. Sent to
+// a small host it would overrun it.
+func TestCallersOfALargeFleetAreSentToItsStrongerHalf(t *testing.T) {
+	var list []fleet.Entry
+	for i := range 40 {
+		list = append(list, entryOf(fmt.Sprint(i), 0.2+float64(i%4)/10))
+	}
+	given := strongest(slices.Clone(list))
+	require.Len(t, given, 20)
+	for _, e := range given {
+		require.GreaterOrEqual(t, e.Member.Power, 0.4)
+	}
+	require.Len(t, strongest(slices.Clone(list[:smallFleet])), smallFleet, "a small fleet needs all")
+	for i := range list {
+		list[i].Member.Power = 0
+	}
+	require.Len(t, strongest(list), 40, "nothing is known of them")
+}
+
+func entryOf(name string, power float64) fleet.Entry {
+	return fleet.Entry{Member: fleet.Member{Callers: name, Power: power}, Ready: true}
+}
+
 // Nobody reads the log for a while. The engineer who reads it later must see the gap.
 func TestDroppedLinesAreTold(t *testing.T) {
 	lines, h := int64(0), memory.New()
--- /dev/null
+++ b/pkg/gatewayd/pressure.go
@@ -0,0 +1,91 @@
+package gatewayd
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Figures of pressure.
+const (
+	// pressureLook is the pause between two looks; how late it ends shows how long work waits
+	// for the processor.
+	pressureLook = 20 * time.Millisecond
+	// pressureKept is the part of the last lateness that is kept from look to look: after a
+	// second without lateness nothing is left of it.
+	pressureKept = 0.9
+	// pressedLate is the lateness from which on callers should go elsewhere. A host whose
+	// share is a quota of each tenth of a second stands still for up to 90 ms once the
+	// quota is used up.
+	pressedLate = 60 * time.Millisecond
+	// overrunLate is the lateness from which on requests are refused: with several such waits
+	// on its way a request misses its objective in any case.
+	overrunLate = 250 * time.Millisecond
+)
+
+// pressure tells whether the process gets too little processor for what it is asked.
+//
+// Guard: hosts are unequal, and one caller that sends much keeps its connections to the
+// router that it once chose. A small host then falls behind without end: requests wait for
+// seconds inside, run at upstreams after their callers have left, and fill the memory.
+type pressure struct {
+	late atomic.Int64
+	// told is whether the log says that the router is pressed.
+	told bool
+}
+
+// run looks until ctx ends.
+func (p *pressure) run(ctx context.Context, l log.Interface) {
+	tick := time.NewTimer(pressureLook)
+	defer tick.Stop()
+	for began := time.Now(); ; began = time.Now() {
+		tick.Reset(pressureLook)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.observe(time.Since(began) - pressureLook)
+			p.tell(l)
+		}
+	}
+}
+
+// observe notes how late a look came.
+func (p *pressure) observe(late time.Duration) {
+	kept := time.Duration(float64(p.late.Load()) * pressureKept)
+	p.late.Store(int64(max(late, kept)))
+}
+
+// tell logs when the router becomes pressed and when it is no longer.
+func (p *pressure) tell(l log.Interface) {
+	now := p.pressed()
+	if now == p.told {
+		return
+	}
+	p.told = now
+	fields := log.Fields{"event": "relieved", "late_ms": time.Duration(p.late.Load()).Milliseconds()}
+	if now {
+		fields["event"] = "pressed"
+	}
+	l.WithFields(fields).Info("processor for what is asked")
+}
+
+// activePerMiB is how many requests are served at once for each MiB that the process may
+// use. One costs up to 60 KB with its connections, and a third of the memory is for the
+// rest.
+const activePerMiB = 8
+
+// overrun reports whether requests should be refused as there are too many for the
+// processor or the memory.
+func (p *Process) overrun() bool {
+	most := int64(p.settings.Load().Limits.MemoryMiB) * activePerMiB
+	return p.pressure.overrun() || most > 0 && p.gateway.Active() > most
+}
+
+// pressed reports whether callers should go elsewhere.
+func (p *pressure) pressed() bool { return time.Duration(p.late.Load()) > pressedLate }
+
+// overrun reports whether requests should be refused.
+func (p *pressure) overrun() bool { return time.Duration(p.late.Load()) > overrunLate }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -59,8 +59,9 @@
 	joiner    *fleet.Joiner
 	faces     []*face
 	dropped   drops
-	// crowd counts callers' connections.
-	crowd crowd
+	// crowd counts callers' connections, pressure watches over the processor.
+	crowd    crowd
+	pressure pressure
 
 	duties sync.WaitGroup
 }
@@ -76,7 +77,7 @@
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.settings.Store(&s)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, suspects: suspects,
-		ready: func() bool { return p.gateway.Ready() }, waits: func() bool { return duties{p.fleet}.ReadsConfig() }, behind: make(chan newer, 1)}
+		ready: func() bool { return p.gateway.Ready() }, pressed: p.pressure.pressed, waits: func() bool { return duties{p.fleet}.ReadsConfig() }, behind: make(chan newer, 1)}
 	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
@@ -86,7 +87,7 @@
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Suspects: suspects, Peers: p.fleet, Log: l,
-		Crowded: p.crowd.full, Metrics: p.metrics.Scope,
+		Crowded: func() bool { return p.crowd.full() || p.pressure.pressed() }, Overrun: p.overrun, Metrics: p.metrics.Scope,
 	})
 	p.meet(s.Entries.Known)
 	return p, errors.Trace(p.bind(d.Faces))
@@ -165,6 +166,7 @@
 	p.duty(func() { p.watcher.WatchInstances(life) })
 	p.duty(func() { p.pools.Run(life, p.catalog.Instances) })
 	p.duty(func() { p.housekeeping(life) })
+	p.duty(func() { p.pressure.run(life, p.log) })
 	p.duty(func() { p.joiner.Run(life) })
 	p.duty(func() { p.exchange.Run(life) })
 	p.duty(func() { p.telling.catchUp(life, p.exchange, p.log) })
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -23,6 +23,7 @@
 	shares   *placement.Shares
 	suspects *quarantine.List
 	ready    func() bool
+	pressed  func() bool
 	// waits reports whether the store tells this router of newer configurations itself.
 	waits func() bool
 	// behind takes peers that know more than this router.
@@ -39,7 +40,7 @@
 
 // Describe fills in what a report says of this router's work.
 func (t *telling) Describe(r *fleet.Report) {
-	r.Ready = t.ready()
+	r.Ready, r.Pressed = t.ready(), t.pressed()
 	r.Config, r.Instances = t.catalog.Version(), int64(t.catalog.InstancesRevision())
 	r.ListAgeMs = t.catalog.InstancesAge(time.Now()).Milliseconds()
 	for id, l := range t.ledger.Own() {
