Callers of a large fleet are told of its strong routers, and choose again now and then

Cause: the median kept all (71 of 81 hosts have 0.192 cores, ten 0.8), and a caller that sends a thousand requests a second stayed with the router that it had chosen: closed connections came too late, when that router was behind. Change: strong means half of the strongest's processor; eight of them at least must not be late, else all are named; a caller's connection is closed after 32 requests. Tests: strong routers of an unequal fleet; a caller that dials again after each 32 requests.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -10,9 +11,29 @@
 
 type connKey struct{}
 
+// callerConn is a caller's connection with the number of requests that came on it.
+type callerConn struct {
+	net.Conn
+	requests atomic.Int64
+}
+
 // WithConn is a server's hook that lets requests look at their connection.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, &callerConn{Conn: c})
+}
+
+// mostRequests is the number of requests after which a caller's connection is closed. A
+// usual caller sends so many in ten seconds.
+const mostRequests = 32
+
+// wornOut counts a request on its connection, and reports whether it should be the last.
+//
+// Guard: callers choose a router for each new connection and keep it. One that sends as
+// much as fifty others on kept connections sends it all to the one router that it chose by
+// chance; made to choose again now and then, it spreads over all.
+func wornOut(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.requests.Add(1) >= mostRequests
 }
 
 // callerLeft reports whether the caller has closed its connection.
@@ -24,7 +45,11 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	kept, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return false
+	}
+	c, ok := kept.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -21,7 +21,7 @@
 	defer g.active.Add(-1)
 	r := &request{in: in, w: w, start: time.Now(), ask: g.dialect.Ask(in.Header)}
 	defer g.record(r)
-	if g.state.Load() != serving || g.crowded() {
+	if wornOut(in.Context()) || g.state.Load() != serving || g.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := g.prepare(r); err != nil {
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -168,6 +170,23 @@
 	require.Equal(t, 200, status)
 }
 
+// One caller sends as much as fifty others over the connections that it once made. Kept for
+// ever, they would send it all to one router.
+func TestBusyConnectionsAreClosedNowAndThen(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	dials := 0
+	w.client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials++
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+	for i := range 3 * mostRequests {
+		status, _, _ := w.get("/safe/")
+		require.Equal(t, 200, status)
+		require.Equal(t, 1+i/mostRequests, dials)
+	}
+}
+
 // A small host is so far behind that any request would be late. It must say at once that
 // the request has not run, and let the caller go to another router.
 func TestOverrunRoutersRefuse(t *testing.T) {
--- a/pkg/gatewayd/entries.go
+++ b/pkg/gatewayd/entries.go
@@ -14,7 +14,7 @@
 func (p *Process) entries(string) []string {
 	candidates := p.fleet.Alive()
 	candidates = append(candidates, fleet.Entry{Member: p.fleet.Self(), Ready: p.gateway.Ready(), Pressed: p.pressure.pressed()})
-	return sample(addresses(strongest(calm(ready(candidates)))))
+	return sample(addresses(calm(strongest(ready(candidates)))))
 }
 
 func ready(list []fleet.Entry) []fleet.Entry {
@@ -30,22 +30,43 @@
 	return rest
 }
 
-// strongest gives the stronger half of a large fleet.
+// Figures of strongest.
+const (
+	// strong is the part of the strongest router's processor from which on a router counts
+	// as strong.
+	strong = 0.5
+	// leastStrong is how many must be named: callers need others when one fails.
+	leastStrong = 8
+)
+
+// strongest gives the strong routers of a large fleet.
 //
 // Guard: callers choose among the addresses by chance, and hosts of a large fleet are
-// unequal. A caller that sends much would overrun a small one, while the larger half has
-// most of the fleet's processor and bears all callers easily.
+// unequal. The smallest would get as much as those with four times their processor, and
+// fall behind. The strong ones bear all callers; when most of them are pressed, all do.
 func strongest(list []fleet.Entry) []fleet.Entry {
 	if len(list) <= smallFleet {
 		return list
 	}
-	powers := make([]float64, 0, len(list))
+	most := 0.0
+	for _, e := range list {
+		most = max(most, e.Member.Power)
+	}
+	var named []fleet.Entry
+	rested := 0
 	for _, e := range list {
-		powers = append(powers, e.Member.Power)
+		if e.Member.Power < strong*most {
+			continue
+		}
+		named = append(named, e)
+		if !e.Pressed {
+			rested++
+		}
+	}
+	if rested < leastStrong || 2*rested < len(named) {
+		return list
 	}
-	slices.Sort(powers)
-	median := powers[len(powers)/2]
-	return slices.DeleteFunc(list, func(e fleet.Entry) bool { return e.Member.Power < median })
+	return named
 }
 
 func addresses(list []fleet.Entry) []string {
--- a/pkg/gatewayd/entries_test.go
+++ b/pkg/gatewayd/entries_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 
 	"github.com/apex/log"
@@ -44,19 +43,26 @@
 	require.Equal(t, []string{"a", "b"}, addresses(ready(list)))
 }
 
-// Hosts of a large fleet are unequal, and one caller sends as much as fifty others. Sent to
-// a small host it would overrun it.
-func TestCallersOfALargeFleetAreSentToItsStrongerHalf(t *testing.T) {
+// Hosts of a large fleet are unequal. Small ones must not get as much as those with four
+// times their processor; when the strong ones have none to spare, all must bear their part.
+func TestCallersOfALargeFleetAreSentToStrongRouters(t *testing.T) {
 	var list []fleet.Entry
 	for i := range 40 {
-		list = append(list, entryOf(fmt.Sprint(i), 0.2+float64(i%4)/10))
+		power := 0.2
+		if i < 10 {
+			power = 0.8
+		}
+		list = append(list, entryOf(fmt.Sprint(i), power))
 	}
-	given := strongest(slices.Clone(list))
-	require.Len(t, given, 20)
-	for _, e := range given {
-		require.GreaterOrEqual(t, e.Member.Power, 0.4)
+	given := strongest(list)
+	require.Len(t, given, 10)
+	require.Equal(t, 0.8, given[9].Member.Power)
+	require.Len(t, strongest(list[:smallFleet]), smallFleet, "a small fleet needs all")
+	require.Len(t, strongest(list[5:]), 35, "five are too few")
+	for i := range 3 {
+		list[i].Pressed = true
 	}
-	require.Len(t, strongest(slices.Clone(list[:smallFleet])), smallFleet, "a small fleet needs all")
+	require.Len(t, strongest(list), 40, "seven are too few")
 	for i := range list {
 		list[i].Member.Power = 0
 	}
