--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 # Seeded faults on gateways for SOAK, with fresh seeds; fails when a promise was not kept.
 soak: build
-	$(BIN)/soak -bin $(BIN) -for $(SOAK)
+	$(BIN)/soak -bin $(BIN) -seeds test/soak/seeds.txt -for $(SOAK)
 
 # Kills, pauses and cuts of flamingowindd under load for SOAK; fails when anything was lost,
 # doubled or cut.
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/flamingowind/flamingowind/internal/soak"
@@ -20,42 +21,69 @@
 	runs := flag.Int("runs", 0, "number of runs with following seeds; 0 goes by -for")
 	length := flag.Duration("for", time.Minute, "begin no run after that time")
 	routers := flag.Int("routers", 0, "routers of a run; 0 takes the usual size")
+	known := flag.String("seeds", "", "file of seeds that are played first, each line: SEED ROUTERS CAUSE")
 	flag.Parse()
+	sound := *known == "" || playKnown(*bin, *out, *known)
 	if *seed == 0 {
 		*seed = uint64(rand.Uint32())
 	}
-	if !play(*bin, *out, *seed, *runs, *length, *routers) {
+	if !play(*bin, *out, *seed, *runs, *length, *routers) || !sound {
 		os.Exit(1)
 	}
 }
 
+// playKnown plays the seeds of a file and reports whether all promises were kept.
+func playKnown(bin, out, file string) bool {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		fmt.Println("seeds:", err)
+		return false
+	}
+	sound := true
+	for _, line := range strings.Split(string(data), "\n") {
+		var seed uint64
+		var routers int
+		if _, err := fmt.Sscan(line, &seed, &routers); err != nil {
+			continue // a comment
+		}
+		sound = one(bin, out, seed, routers) && sound
+	}
+	return sound
+}
+
 // play plays seeds in a row and reports whether all promises were kept.
 func play(bin, out string, first uint64, runs int, length time.Duration, routers int) bool {
 	sound := true
 	began := time.Now()
 	for i := 0; runs > 0 && i < runs || runs == 0 && time.Since(began) < length; i++ {
-		o := soak.Small(bin, filepath.Join(out, fmt.Sprint(first+uint64(i))), first+uint64(i))
-		if routers > 0 {
-			o = o.Grown(routers)
-		}
-		v, err := soak.Run(context.Background(), o)
-		if err != nil {
-			fmt.Printf("seed %d: not played: %v\n", o.Seed, err)
-			sound = false
-			continue
-		}
-		fmt.Printf("seed %d: %d routers, %d faults, %d requests, %d served, %d refused, %d stalls, %d findings\n",
-			o.Seed, o.Routers, len(v.Faults), v.Requests, v.Served, v.Refused, v.Stalls, len(v.Findings))
-		if len(v.Findings) == 0 {
-			os.RemoveAll(o.Dir)
-			continue
-		}
-		sound = false
-		show(v)
+		sound = one(bin, out, first+uint64(i), routers) && sound
 	}
 	return sound
 }
 
+// one plays a seed and reports whether all promises were kept.
+func one(bin, out string, seed uint64, routers int) bool {
+	o := soak.Small(bin, filepath.Join(out, fmt.Sprint(seed)), seed)
+	if routers > 0 {
+		o = o.Grown(routers)
+	}
+	v, err := soak.Run(context.Background(), o)
+	if err != nil {
+		fmt.Printf("seed %d: not played: %v\n", o.Seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d routers, %d faults, %d requests, %d served, %d refused, %d stalls, %d findings\n",
+		o.Seed, o.Routers, len(v.Faults), v.Requests, v.Served, v.Refused, v.Stalls, len(v.Findings))
+	if len(v.Findings) > 0 {
+		show(v)
+		return false
+	}
+	if err := os.RemoveAll(o.Dir); err != nil {
+		fmt.Println("logs stay:", err)
+	}
+	return true
+}
+
 // mostShown bounds the findings that are printed of a run.
 const mostShown = 20
 
