Log each change of a router's place in the exchange

Purpose: what a router believes of the fleet's hubs decides whose work it counts; the line names the new and the old place and how many hubs there are.

--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -56,7 +56,7 @@
 	if f.secret == nil {
 		return nil
 	}
-	f.last = f.role(now)
+	f.takeRole(now)
 	var list []*peer
 	for addr, p := range f.peers {
 		if f.isForgotten(p, now) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -128,13 +128,7 @@
 func (f *Fleet) Place() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case f.last.direct:
-		return "direct"
-	case f.last.hub:
-		return "hub"
-	}
-	return f.last.own
+	return f.last.name()
 }
 
 // Rank is this router's place among those alive, 0 for the first: those with more
--- a/pkg/fleet/hub.go
+++ b/pkg/fleet/hub.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -49,6 +50,27 @@
 // isHub reports whether the router at addr is a hub.
 func (r role) isHub(addr string) bool { return slices.Contains(r.hubs, addr) }
 
+// name is the role for logs and operators: "direct", "hub", or the hub's address.
+func (r role) name() string {
+	switch {
+	case r.direct:
+		return "direct"
+	case r.hub:
+		return "hub"
+	}
+	return r.own
+}
+
+// takeRole works the role out anew, and logs when it is another.
+func (f *Fleet) takeRole(now time.Time) {
+	before := f.last.name()
+	f.last = f.role(now)
+	if f.last.name() == before {
+		return
+	}
+	f.log.WithFields(log.Fields{"event": "exchange_role", "role": f.last.name(), "before": before, "hubs": len(f.last.hubs)}).Info("other place in the exchange")
+}
+
 // role works out this router's place.
 func (f *Fleet) role(now time.Time) role {
 	alive := []Member{f.self}
