A router that hears of nobody still tells callers of the others

What a hub names lives for 600 ms; a host that got no processor for that long heard of nobody, named itself alone, and all callers that asked it came to it. Ruled out: missing strength of the members (a unit test covers it); the limit of pressure alone (it sheds too late, as callers come back). Change: callers are told of routers that a hub named in the last 2.5 s; a router of a large fleet that knows of nobody answers none, and callers ask another. Test: a router of thirty that hears nobody for two seconds names the others.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -120,6 +120,26 @@
 	return list
 }
 
+// namedFor is how long after a hub last named a router callers are told of it.
+const namedFor = 2500 * time.Millisecond
+
+// Named gives the other routers that callers may be told of, and how many are known at all.
+//
+// Guard: a router in a large fleet that gets no processor for half a second hears of nobody
+// for that time. Told of it alone, all callers that ask it would come to it, and it would
+// never catch up. What its hub named some seconds ago is better for them.
+func (f *Fleet) Named() (named []Entry, known int) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if p.heardLately(now) || !p.vouched.IsZero() && now.Sub(p.vouched) < namedFor {
+			named = append(named, p.entry())
+		}
+	}
+	return named, len(f.peers)
+}
+
 // Self is this router as it describes itself.
 func (f *Fleet) Self() Member { return f.self }
 
--- a/pkg/fleet/hub_test.go
+++ b/pkg/fleet/hub_test.go
@@ -160,6 +160,24 @@
 	})
 }
 
+// A router of a large fleet is out of breath for two seconds and hears of nobody. Callers
+// that ask it must be told of the others all the same, or all of them come to it.
+func TestOthersAreNamedWhileNothingIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(30)
+		c.play(4 * time.Second)
+		time.Sleep(2 * time.Second)
+		f := c.routers["10.0.0.4:1"].fleet
+		require.Equal(t, 1, f.Count())
+		named, known := f.Named()
+		require.GreaterOrEqual(t, len(named), 28)
+		require.Equal(t, 29, known)
+		time.Sleep(namedFor)
+		named, _ = f.Named()
+		require.Empty(t, named)
+	})
+}
+
 // A prompt that one router had read must be known to all, wherever they report.
 func TestPromptsReadAreToldThroughHubs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gatewayd/entries.go
+++ b/pkg/gatewayd/entries.go
@@ -12,7 +12,10 @@
 
 // entries gives the addresses that callers may use.
 func (p *Process) entries(string) []string {
-	candidates := p.fleet.Alive()
+	candidates, known := p.fleet.Named()
+	if len(candidates) == 0 && known > smallFleet {
+		return nil // cut off from a large fleet: others can tell callers more
+	}
 	candidates = append(candidates, fleet.Entry{Member: p.fleet.Self(), Ready: p.gateway.Ready(), Pressed: p.pressure.pressed()})
 	return sample(addresses(calm(strongest(ready(candidates)))))
 }
