Catalog tests in three files

Cause: catalog_test.go had grown to 358 lines, with its fake store, the tests of the watches and those of instances kept after an outage in one. A comment says that time.Sleep there takes the virtual time of testing/synctest.

--- /dev/null
+++ b/pkg/catalog/fake_test.go
@@ -0,0 +1,182 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// All tests here run in bubbles of testing/synctest: time.Sleep takes virtual time, which
+// passes only when every goroutine waits, and the verdict hangs on no machine's speed.
+
+// fakeStore answers as it is told; all calls take no time but the waits.
+type fakeStore struct {
+	mu   sync.Mutex
+	down bool
+	// forgotten is the revision up to which changes can't be told.
+	forgotten Revision
+	config    *routing.Config
+	instances []upstream.Instance
+	changes   []upstream.Change
+	rev       Revision
+	// follower makes the router leave the reading to others; asked counts its questions.
+	follower bool
+	// patient makes questions without news wait as long as they may.
+	patient bool
+	// many makes it read for many.
+	many  bool
+	asked int
+	// askedConfig counts questions for newer configurations.
+	askedConfig int
+	// mute leaves calls that come without an answer for good, as a connection that died in
+	// silence does.
+	mute bool
+}
+
+func (s *fakeStore) answers(ctx context.Context) error {
+	s.mu.Lock()
+	mute := s.mute
+	s.mu.Unlock()
+	if !mute {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// ReadsInstances makes the store double as the router's duties.
+func (s *fakeStore) ReadsInstances() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.follower
+}
+
+func (s *fakeStore) ReadsConfig() bool { return s.ReadsInstances() }
+
+func (s *fakeStore) AsksFirst() bool { return true }
+
+func (s *fakeStore) TellsMany() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.many
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) Config(context.Context) (*routing.Config, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.config, s.rev, nil
+}
+
+func (s *fakeStore) ConfigAfter(ctx context.Context, after Revision, wait time.Duration) (*routing.Config, Revision, error) {
+	if err := s.answers(ctx); err != nil {
+		return nil, 0, err
+	}
+	waiting.For(ctx, min(wait, 100*time.Millisecond))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refusal(ctx, after); err != nil {
+		return nil, 0, err
+	}
+	s.askedConfig++
+	if after < s.rev {
+		return s.config, s.rev, nil
+	}
+	return nil, s.rev, nil
+}
+
+func (s *fakeStore) Instances(context.Context) ([]upstream.Instance, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.instances, s.rev, nil
+}
+
+func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Revision, error) {
+	if err := s.answers(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	if !s.patient {
+		wait = min(wait, 100*time.Millisecond)
+	}
+	s.mu.Unlock()
+	waiting.For(ctx, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refusal(ctx, after); err != nil {
+		return nil, 0, err
+	}
+	s.asked++
+	if after < s.rev {
+		return s.changes, s.rev, nil
+	}
+	return nil, s.rev, nil
+}
+
+func (s *fakeStore) refusal(ctx context.Context, after Revision) error {
+	if s.down {
+		return errDown
+	}
+	if after < s.forgotten {
+		return ErrHistoryGone
+	}
+	return ctx.Err()
+}
+
+// recorder counts log lines by their event.
+type recorder struct {
+	mu     sync.Mutex
+	events map[string]int
+}
+
+// HandleLog counts e.
+func (r *recorder) HandleLog(e *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name, _ := e.Fields["event"].(string)
+	r.events[name]++
+	return nil
+}
+
+func (r *recorder) count(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[name]
+}
+
+func quiet() (*log.Logger, *recorder) {
+	h := &recorder{events: make(map[string]int)}
+	return &log.Logger{Handler: h, Level: log.InfoLevel}, h
+}
+
+func start(t *testing.T, s *fakeStore) (*Catalog, *recorder) {
+	l, h := quiet()
+	c := New(l)
+	w := NewWatcher(c, s, s, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.WatchConfig(ctx)
+	go w.WatchInstances(ctx)
+	return c, h
+}
--- /dev/null
+++ b/pkg/catalog/lapsed_test.go
@@ -0,0 +1,83 @@
+package catalog
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// The store is away so long that the entries of all upstreams lapse; they are alive, and
+// write themselves in again within two seconds. Taken for gone, they would leave every
+// request without an upstream until then. One that stays away is gone.
+func TestCatalogKeepsInstancesThatLapsedWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: []upstream.Instance{{ID: "a"}, {ID: "b"}}, rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.down, s.forgotten, s.instances, s.rev = false, 20, nil, 20 })
+		time.Sleep(time.Second)
+		require.NotNil(t, c.Instances().Get("a"))
+		s.set(func() { s.changes, s.rev = []upstream.Change{{Instance: upstream.Instance{ID: "b"}}}, 21 })
+		time.Sleep(2 * time.Second)
+		require.Nil(t, c.Instances().Get("a"))
+		require.NotNil(t, c.Instances().Get("b"))
+	})
+}
+
+// A router comes back after an outage and keeps, for the grace, instances that are missing
+// from the store's list; one of them has left for good. Told to another router as the
+// list at that revision, it would stay there for ever: no later change takes it away.
+func TestListsForOthersHoldNoLapsedInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		a, b := New(l), New(l)
+		both := []upstream.Instance{{ID: "gone"}, {ID: "stays"}}
+		a.Replace(both, 1, time.Now(), "store")
+		b.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		b.Confirm(1, time.Now())
+		a.Replace(both[1:], 5, time.Now(), "store")
+		require.NotNil(t, a.Instances().Get("gone"), "it may have lapsed with the store")
+
+		list, rev := a.List()
+		b.Replace(list.List(), rev, time.Now(), "peer")
+		require.Nil(t, b.Instances().Get("gone"), "b has known that the store was there")
+		time.Sleep(lapseGrace + time.Second)
+		a.Settle(time.Now())
+		b.Settle(time.Now())
+		require.Nil(t, a.Instances().Get("gone"))
+		require.Nil(t, b.Instances().Get("gone"))
+
+		c := New(l)
+		c.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		c.Replace(both[1:], 5, time.Now(), "peer")
+		require.NotNil(t, c.Instances().Get("gone"), "whoever tells c: it was without the store itself")
+	})
+}
+
+// The same, with the removal told by the feed within the grace: a router that asks what is
+// new since before must not be told that nothing is.
+func TestHeldBackRemovalsAreNewsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		a := New(l)
+		both := []upstream.Instance{{ID: "gone"}, {ID: "stays"}}
+		a.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		a.Replace(both, 5, time.Now(), "store")
+		a.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "gone"}, Gone: true}}, 5, 6, "store")
+		require.NotNil(t, a.Instances().Get("gone"))
+		require.False(t, a.Same(5))
+		list, rev := a.List()
+		require.EqualValues(t, 6, rev)
+		require.Nil(t, list.Get("gone"))
+	})
+}
