--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/flamingowind/flamingowind/internal/waiting"
 	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
@@ -86,7 +87,7 @@
 		l := of(w.routers[f.index])
 		defer w.journal.begin(p, f.index)()
 		harm(l)
-		sleep(ctx, f.lasts)
+		waiting.For(ctx, f.lasts)
 		l.SetDelay(0)
 		l.Heal()
 	}
@@ -97,7 +98,7 @@
 	defer w.journal.begin(partProcess, f.index)()
 	r.ending.Store(true)
 	_ = r.process.Kill() // it may have ended by an earlier fault
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	r.restart()
 }
 
@@ -105,7 +106,7 @@
 	r := w.routers[f.index]
 	defer w.journal.begin(partProcess, f.index)()
 	_ = r.process.Pause() // as above
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	_ = r.process.Resume()
 }
 
@@ -123,7 +124,7 @@
 	endLeaving()
 	defer w.journal.begin(partProcess, f.index)()
 	_ = r.process.Kill() // one that is paused doesn't end by itself
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	r.restart()
 }
 
@@ -133,14 +134,14 @@
 	defer w.journal.begin(partStore, everywhere)()
 	w.store.Refuse(http.StatusServiceUnavailable)
 	w.store.CloseClientConnections()
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	w.store.Refuse(0)
 }
 
 func storeLoses(ctx context.Context, w *world, f fault) {
 	defer w.journal.begin(partStore, everywhere)()
 	w.store.LoseAnswers(true)
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	w.store.LoseAnswers(false)
 }
 
@@ -150,7 +151,7 @@
 
 func giveKey(ctx context.Context, w *world, f fault) {
 	w.history.declare(func(d *platformtest.Declaration) { d.Keys[passingKey] = organisation(0) })
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	w.history.declare(func(d *platformtest.Declaration) { delete(d.Keys, passingKey) })
 }
 
@@ -163,7 +164,7 @@
 func declareMany(ctx context.Context, w *world, _ fault) {
 	for range declarations {
 		w.history.declare(move)
-		sleep(ctx, declarationPause)
+		waiting.For(ctx, declarationPause)
 	}
 }
 
@@ -180,7 +181,7 @@
 		u := w.upstream(f.index)
 		defer w.journal.begin(partUpstream, f.index)()
 		u.engine.Behave(b)
-		sleep(ctx, f.lasts)
+		waiting.For(ctx, f.lasts)
 		u.engine.Behave(sound)
 	}
 }
@@ -189,7 +190,7 @@
 	u := w.upstream(f.index)
 	defer w.journal.begin(partUpstream, f.index)()
 	u.relay.Cut()
-	sleep(ctx, f.lasts)
+	waiting.For(ctx, f.lasts)
 	u.relay.Heal()
 }
 
@@ -207,7 +208,7 @@
 	}
 	w.store.List(old.engine, old.service, old.relay.Addr(), true)
 	w.history.leaving(old.engine.ID)
-	sleep(ctx, drainTime+f.lasts)
+	waiting.For(ctx, drainTime+f.lasts)
 	w.store.Unlist(old.engine)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
 )
 
 // Verdict is what a run showed.
@@ -48,9 +50,9 @@
 	duties.Go(func() { ends.watch(busy, w) })
 	v.Faults = w.bring(ctx, plan(o))
 	w.heal()
-	sleep(ctx, recovery)
+	waiting.For(ctx, recovery)
 	well := time.Now()
-	sleep(ctx, quiet)
+	waiting.For(ctx, quiet)
 	stop()
 	duties.Wait()
 	c := &checker{world: w, began: began, runs: w.runs()}
@@ -81,7 +83,7 @@
 	var names []string
 	start := time.Now()
 	for _, f := range list {
-		sleep(ctx, time.Until(start.Add(f.at)))
+		waiting.For(ctx, time.Until(start.Add(f.at)))
 		names = append(names, f.String())
 		all.Go(func() { f.act(ctx, w) })
 	}
@@ -100,7 +102,7 @@
 func (w *world) watchStalls(ctx context.Context) int {
 	stalls := 0
 	for last := time.Now(); ctx.Err() == nil; {
-		sleep(ctx, stallLook)
+		waiting.For(ctx, stallLook)
 		now := time.Now()
 		if now.Sub(last) > stallOver {
 			stalls++
@@ -122,7 +124,7 @@
 func (e *endings) watch(ctx context.Context, w *world) {
 	e.list = make(map[*router]time.Time)
 	for ctx.Err() == nil {
-		sleep(ctx, stallLook)
+		waiting.For(ctx, stallLook)
 		for _, r := range w.routers {
 			if !r.ending.Load() && !r.running() && !r.ending.Load() {
 				e.note(r)
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingowind/flamingowind/internal/waiting"
 	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
@@ -69,7 +70,7 @@
 		if len(entries) > 0 {
 			t.call(c, entries[random.IntN(len(entries))], fmt.Sprintf("%d-%d", index, n), random)
 		}
-		sleep(ctx, time.Duration(random.Int64N(int64(think))))
+		waiting.For(ctx, time.Duration(random.Int64N(int64(think))))
 	}
 }
 
@@ -118,12 +119,3 @@
 	}
 	return a
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
