A peer's view shows a leaving router before the peer answers it

Cause: a membership duty sent its answer to a ping from inside the step that took it and published its view only after the step. A router that leaves is told that its peers know as soon as they have answered, and closes its addresses; a peer could give it work in between. Ruled out: the machine's load (the test runs on virtual time; the order of two goroutines decides). Change: the view is published before the answer goes out.

--- a/pkg/member/duty.go
+++ b/pkg/member/duty.go
@@ -158,6 +158,9 @@
 	now := time.Now()
 	for _, p := range e.pings {
 		pong := d.roster.Ping(now, d.local(now), e.from, p)
+		// Guard: a router that leaves closes its addresses once its peers have answered. One
+		// whose view did not show it yet would give it work all the same.
+		d.publish()
 		d.sender.Send(e.from, func(f *wire.Frame) { f.Pongs = append(f.Pongs, pong) })
 		d.peerVersion(e.from, p.Version)
 	}
--- a/pkg/member/duty_test.go
+++ b/pkg/member/duty_test.go
@@ -19,6 +19,14 @@
 type network struct {
 	mu     sync.Mutex
 	duties map[wire.RouterID]*Duty
+	// early counts answers that were sent before the sender's view showed what they answer.
+	early atomic.Int64
+}
+
+func (n *network) duty(id wire.RouterID) *Duty {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.duties[id]
 }
 
 // port is one router's Sender.
@@ -28,14 +36,16 @@
 }
 
 func (p port) Send(to wire.RouterID, m peer.Message) {
-	p.net.mu.Lock()
-	target := p.net.duties[to]
-	p.net.mu.Unlock()
+	target := p.net.duty(to)
 	if target == nil {
 		return
 	}
 	f := new(wire.Frame)
 	m(f)
+	// A duty sends from its own goroutine, which owns the roster.
+	if len(f.Pongs) > 0 && p.net.duty(p.self).roster.changed {
+		p.net.early.Add(1)
+	}
 	target.HandleFrame(p.self, f)
 }
 
@@ -142,6 +152,27 @@
 	}
 }
 
+// A router is told that its peers know that it leaves, and closes its addresses. A peer
+// that answered before its view changed still gives it work in that moment.
+func TestAnswersComeAfterTheViewHasChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		net := &network{duties: map[wire.RouterID]*Duty{}}
+		var duties []*Duty
+		for i := range 3 {
+			duties = append(duties, net.start(ctx, &wg, routerName(i), &versions{confirms: make(chan confirmation, 1)}, new(hostReads)))
+		}
+		for _, d := range duties {
+			awaitAlive(t, d, 3, time.After(time.Minute))
+		}
+		require.NoError(t, duties[2].Leave(ctx))
+		require.Zero(t, net.early.Load())
+	})
+}
+
 func TestDutiesFindEachOtherAndLeave(t *testing.T) {
 	inFleet(t, 5, func(t *testing.T, duties []*Duty, _ []*versions, _ *hostReads) {
 		require.NoError(t, duties[4].Leave(t.Context()))
