End the work for callers that left without waiting in the run queue

One epoll descriptor hears of the closes of all callers whose requests run; whatever handler has the processor asks it and shuts the upstream's connection itself. The caller's socket is looked at by POLLRDHUP, also just before the first byte to the upstream, and a caller that left is no longer sent an empty 200.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -27,6 +27,7 @@
 	pool    *pool
 	conn    *conn
 	stop    func() bool
+	abort   *Abort
 	body    io.ReadCloser
 	keep    time.Duration
 	ended   bool
@@ -65,10 +66,13 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && !a.abort.happened() {
 		a.ended = true
 		return n, io.EOF
 	}
+	if a.abort.happened() {
+		err = ErrAborted // the end of a connection that we shut isn't that of an answer
+	}
 	return n, &Error{Sent: true, Stage: "body", cause: err}
 }
 
@@ -80,8 +84,13 @@
 		return
 	}
 	if !a.stop() {
+		a.abort.release()
 		return // ctx has ended: the connection is closed already
 	}
+	if !a.abort.release() {
+		a.conn.Close()
+		return
+	}
 	a.conn.until = time.Now().Add(a.keep)
 	a.pool.put(a.conn)
 }
@@ -106,5 +115,6 @@
 // Discard closes the connection.
 func (a *Answer) Discard() {
 	a.stop()
+	a.abort.release()
 	a.conn.Close()
 }
--- a/pkg/forward/call.go
+++ b/pkg/forward/call.go
@@ -17,4 +17,9 @@
 	Body   []byte
 	// RequestID is what the answer must carry under the pools' id header.
 	RequestID string
+	// Wanted is asked just before the first byte is sent; when it says no, none is. Nil for
+	// always.
+	Wanted func() bool
+	// Abort ends the call at once; nil for none.
+	Abort *Abort
 }
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -87,3 +87,13 @@
 	})
 	return err == nil && quiet
 }
+
+// shut closes both ways of the connection at once; the descriptor stays until Close. The
+// system call doesn't wait, so it is made without giving the processor away: the runtime
+// would put the goroutine at the end of its queue.
+func (c *conn) shut() {
+	// One that is closed already needs no more.
+	_ = c.raw.Control(func(fd uintptr) {
+		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0)
+	})
+}
--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -33,7 +33,11 @@
 		return nil, &Error{Stage: "connect", cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	a := &Answer{pool: p, conn: cn, stop: stop}
+	a := &Answer{pool: p, conn: cn, stop: stop, abort: c.Abort}
+	if !c.Abort.hold(cn) {
+		a.Discard()
+		return nil, &Error{Stage: "connect", cause: ErrAborted}
+	}
 	if err := a.send(c); err != nil {
 		a.Discard()
 		return nil, err
@@ -57,6 +61,11 @@
 	if inline {
 		buf.Write(c.Body)
 	}
+	// Guard: connecting takes seconds on a host whose processor is used up, and the caller
+	// may have left meanwhile. Asked any sooner, the upstream would work for nobody.
+	if c.Wanted != nil && !c.Wanted() {
+		return &Error{Stage: "send", cause: ErrUnwanted}
+	}
 	n, err := a.conn.Write(buf.Bytes())
 	if err != nil {
 		return &Error{Sent: n > 0, Stage: "send", cause: err}
--- a/pkg/forward/error.go
+++ b/pkg/forward/error.go
@@ -1,6 +1,18 @@
 package forward
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+)
+
+// Causes of an Error that lie with the call itself.
+var (
+	// ErrUnwanted is for a call whose answer nobody waits for any more.
+	ErrUnwanted = errors.New("no longer wanted")
+	// ErrAborted is for a call that its Abort has ended.
+	ErrAborted = errors.New("aborted")
+)
 
 // Error ends an attempt without a usable answer.
 type Error struct {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -5,21 +5,28 @@
 	"net"
 	"sync/atomic"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 type connKey struct{}
 
 // callerConn is a caller's connection with the number of requests that came on it.
 type callerConn struct {
-	net.Conn
+	// raw is nil for a connection without a socket.
+	raw      syscall.RawConn
 	requests atomic.Int64
+	// enrolled is whether departures hears of the connection's close. Requests of one
+	// connection come one after the other, so it needs no lock.
+	enrolled bool
 }
 
 // WithConn is a server's hook that lets requests look at their connection.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &callerConn{Conn: c})
+	kept := new(callerConn)
+	if socket, ok := c.(syscall.Conn); ok {
+		// A connection that is closed already gives no raw one; its context ends soon.
+		kept.raw, _ = socket.SyscallConn()
+	}
+	return context.WithValue(ctx, connKey{}, kept)
 }
 
 // mostRequests is the number of requests after which a caller's connection is closed. A
@@ -40,29 +47,18 @@
 //
 // Guard: a request may wait in the kernel's queues until its caller has given up. The
 // server finds that out only beside the handler, which by then would have sent the
-// request on, and an engine would work for nobody. A look at the socket shows it first.
+// request on, and an engine would work for nobody. A look at the socket shows it first,
+// also where bytes of the caller lie unread before its close.
 func callerLeft(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return true
 	}
-	kept, ok := ctx.Value(connKey{}).(*callerConn)
-	if !ok {
-		return false
-	}
-	c, ok := kept.Conn.(syscall.Conn)
-	if !ok {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok || c.raw == nil {
 		return false
 	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true // closed
-	}
 	left := false
 	// RawConn.Control doesn't wait for the server's own reading of the connection.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = n == 0 && err == nil || err == unix.ECONNRESET
-	})
+	err := c.raw.Control(func(fd uintptr) { left = hungUp(int32(fd)) })
 	return left || err != nil
 }
--- a/pkg/gateway/caller_test.go
+++ b/pkg/gateway/caller_test.go
@@ -238,3 +238,19 @@
 		}
 	}, leaveTime, leaveTime/100)
 }
+
+// A caller has closed only its own way of the connection and still reads. An answer without
+// a body, made up because nobody seemed to wait, would look like a success.
+func TestCallersThatLeftGetNoEmptyAnswer(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(says("hello"))
+	w.front.Config.Handler = http.HandlerFunc(func(rw http.ResponseWriter, in *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		w.gateway.ServeHTTP(rw, in)
+	})
+	caller := w.call(asked)
+	require.NoError(t, caller.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(caller)
+	require.NoError(t, err)
+	require.Empty(t, string(answer))
+}
--- /dev/null
+++ b/pkg/gateway/departures.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unsafe"
+
+	"github.com/apex/log"
+	"golang.org/x/sys/unix"
+
+	"github.com/flamingowind/flamingowind/pkg/forward"
+)
+
+const (
+	// departuresLook is the least pause between two looks. A run has half a second to end
+	// after its caller's close; one look is one system call of about a microsecond.
+	departuresLook = 20 * time.Millisecond
+	// departuresAtOnce is the number of closes that one system call tells of.
+	departuresAtOnce = 64
+)
+
+// caller is whoever waits for a request's answer.
+type caller struct {
+	left   atomic.Bool
+	abort  forward.Abort
+	cancel context.CancelFunc
+}
+
+// leave ends the request's work.
+func (c *caller) leave() {
+	c.left.Store(true)
+	c.cancel()
+	c.abort.Now()
+}
+
+// departures ends the work for callers that close their connections.
+//
+// Guard: the server reads each caller's connection beside its handler and ends the
+// request's context at the close. On a host whose processor is used up, that reader and
+// what ends the upstream's connection wait in the runtime's queue one after the other,
+// behind up to 4,000 goroutines, and upstreams work on for nobody for seconds. So whatever
+// handler has the processor looks now and then for all of them, and ends the work itself.
+type departures struct {
+	// epoll is the descriptor that closes are heard by, negative for none. It lives as long
+	// as the process.
+	epoll int
+
+	mu      sync.Mutex
+	waiting map[int32]*caller // by the descriptor of the caller's connection
+
+	// looked is when the last look was, in nanoseconds since start.
+	looked atomic.Int64
+	start  time.Time
+}
+
+func newDepartures(l log.Interface) *departures {
+	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		l.WithError(err).WithField("event", "departures_unheard").Warn("callers that leave are noticed by the server alone")
+		fd = -1
+	}
+	return &departures{epoll: fd, waiting: make(map[int32]*caller), start: time.Now()}
+}
+
+// watch has r end when its caller leaves, until the function that it returns is called.
+func (d *departures) watch(r *request) func() {
+	c, ok := r.in.Context().Value(connKey{}).(*callerConn)
+	if !ok || c.raw == nil || d.epoll < 0 {
+		return func() {}
+	}
+	id := int32(-1)
+	// One that is closed already ends the request's context.
+	_ = c.raw.Control(func(fd uintptr) {
+		id = int32(fd)
+		d.put(id, &r.caller)
+		if !c.enrolled {
+			c.enrolled = d.enrol(id)
+		}
+	})
+	return func() { d.remove(id, &r.caller) }
+}
+
+func (d *departures) put(id int32, c *caller) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting[id] = c
+}
+
+// remove forgets c, unless its descriptor is another connection's by now.
+func (d *departures) remove(id int32, c *caller) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.waiting[id] == c {
+		delete(d.waiting, id)
+	}
+}
+
+// enrol has the kernel tell of the socket's close, once. It forgets a socket that we close.
+func (d *departures) enrol(id int32) bool {
+	want := unix.EpollEvent{Events: unix.EPOLLRDHUP | unix.EPOLLET, Fd: id}
+	return unix.EpollCtl(d.epoll, unix.EPOLL_CTL_ADD, int(id), &want) == nil
+}
+
+// look ends the work for callers that have left, unless somebody looked just before.
+func (d *departures) look(now time.Time) {
+	since, last := int64(now.Sub(d.start)), d.looked.Load()
+	if since-last < int64(departuresLook) || d.epoll < 0 || !d.looked.CompareAndSwap(last, since) {
+		return
+	}
+	for d.round() == departuresAtOnce {
+	}
+}
+
+// round ends the work for up to departuresAtOnce callers, and gives how many closes it heard of.
+func (d *departures) round() int {
+	var closes [departuresAtOnce]unix.EpollEvent
+	n := waitNone(d.epoll, closes[:])
+	for _, event := range closes[:n] {
+		if c := d.of(event.Fd); c != nil {
+			c.leave()
+		}
+	}
+	return n
+}
+
+func (d *departures) of(id int32) *caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting[id]
+}
+
+// waitNone gives the events that are there. Like hungUp it doesn't tell the runtime.
+func waitNone(epoll int, events []unix.EpollEvent) int {
+	n, _, failed := unix.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), 0, 0, 0)
+	if failed != 0 {
+		return 0
+	}
+	return int(n)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -32,6 +32,8 @@
 	log      log.Interface
 	lines    lineBudget
 	meter    *meter
+	// departures hears of callers that close their connections.
+	departures *departures
 
 	// state is where the router stands between start and end.
 	state atomic.Int32
@@ -78,6 +80,8 @@
 		ledger: p.Ledger, holdings: p.Holdings, shares: p.Shares, suspects: p.Suspects, peers: p.Peers, crowded: p.Crowded, overrun: p.Overrun, log: p.Log,
 		meter:  newMeter(p.Metrics),
 		budget: new(placement.Budget),
+
+		departures: newDepartures(p.Log),
 	}
 	g.Tune(s)
 	return g
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -21,6 +21,10 @@
 	defer g.active.Add(-1)
 	r := &request{in: in, w: w, start: time.Now(), ask: g.dialect.Ask(in.Header)}
 	defer g.record(r)
+	g.departures.look(r.start)
+	if callerLeft(in.Context()) {
+		g.hangUp(r)
+	}
 	if wornOut(in.Context()) || g.state.Load() != serving || g.crowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -28,13 +32,10 @@
 		g.refuse(r, err)
 		return
 	}
-	if callerLeft(in.Context()) {
-		r.trail.outcome = outcomeCallerOff
-		return
-	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.end)
 	defer cancel()
-	r.ctx = ctx
+	r.ctx, r.caller.cancel = ctx, cancel
+	defer g.departures.watch(r)()
 	g.run(r)
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -96,12 +96,19 @@
 // cut breaks the answer to the caller off, so that it can't look complete.
 func (g *Gateway) cut(r *request) {
 	r.trail.outcome = outcomeCutShort
-	if r.in.Context().Err() != nil {
+	if r.callerGone() {
 		r.trail.outcome = outcomeCallerOff
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// hangUp ends a request whose caller has left, without an answer. One that closed only its
+// own way of the connection must not take an empty answer for a complete one.
+func (g *Gateway) hangUp(r *request) {
+	r.trail.outcome = outcomeCallerOff
+	panic(http.ErrAbortHandler)
+}
+
 // hopHeaders of an answer end at the gateway.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"syscall"
 	"time"
 
@@ -38,8 +37,7 @@
 		// Guard: between its arrival and this moment a request may have waited for the
 		// processor until its caller left. Sent on, an upstream would work for nobody.
 		if now.Sub(r.start) > lookAgain && callerLeft(r.in.Context()) {
-			r.trail.outcome = outcomeCallerOff
-			return
+			g.hangUp(r)
 		}
 		if attempt > 1 && !last.unsent && !g.budget.Repeat(r.service.Name, g.peers.Count(), now) {
 			g.giveUp(r, last, nil)
@@ -89,7 +87,7 @@
 
 // mayRepeat reports whether another attempt is allowed after res.
 func (r *request) mayRepeat(res result, attempt int) bool {
-	if r.ctx.Err() != nil || r.sent() >= r.route.MaxAttempts {
+	if r.over() || r.sent() >= r.route.MaxAttempts {
 		return false
 	}
 	if res.unsent {
@@ -106,8 +104,8 @@
 		g.cut(r)
 	case res.answer != nil:
 		g.writeWhole(r, res.answer)
-	case r.ctx.Err() != nil:
-		g.refuse(r, g.ended(r))
+	case r.over():
+		g.timedOut(r)
 	case !r.neverRan():
 		g.refuse(r, errUpstream())
 	case refusal != nil:
@@ -119,7 +117,7 @@
 
 // ended is the answer for a request whose time is over.
 func (g *Gateway) ended(r *request) *verdict.Error {
-	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) && r.neverRan() {
+	if r.neverRan() {
 		return errOverloaded(briefly)
 	}
 	return errTimeout()
@@ -176,6 +174,7 @@
 	return &forward.Call{
 		Instance: in, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host,
 		Header: g.dialect.Outgoing(r.in.Header, errand), Body: r.body, RequestID: r.ask.RequestID,
+		Wanted: r.wanted, Abort: &r.caller.abort,
 	}
 }
 
@@ -196,7 +195,7 @@
 	if !sent {
 		st.Outcome = outcomeUnsent
 	}
-	if r.ctx.Err() != nil {
+	if r.over() || r.callerGone() {
 		g.timedOut(r)
 		return result{done: true}
 	}
@@ -211,9 +210,8 @@
 
 // timedOut ends a request whose caller left or whose time is over.
 func (g *Gateway) timedOut(r *request) {
-	if r.in.Context().Err() != nil {
-		r.trail.outcome = outcomeCallerOff
-		return
+	if r.callerGone() {
+		g.hangUp(r)
 	}
 	g.refuse(r, g.ended(r))
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -20,6 +20,7 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	for {
+		g.departures.look(time.Now())
 		n, err := a.Read(*buf)
 		ready, count, ok := events.Push((*buf)[:n])
 		if !ok {
@@ -92,7 +93,7 @@
 func (g *Gateway) streamBroken(r *request, st *step, in *upstream.Instance, err error) result {
 	st.Outcome, st.Error = outcomeBroken, err.Error()
 	r.events().Break()
-	if r.ctx.Err() != nil {
+	if r.over() || r.callerGone() {
 		if r.begun {
 			st.Outcome = outcomeTimeout
 			g.cut(r)
