--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -19,7 +19,9 @@
 	enrolled bool
 }
 
-// WithConn is a server's hook that lets requests look at their connection.
+// WithConn is a server's hook that lets requests look at their connection. A listener that
+// wraps its connections has to pass SyscallConn on: without it, callers that leave are
+// noticed by the server alone, late on an overrun host.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	kept := new(callerConn)
 	if socket, ok := c.(syscall.Conn); ok {
--- a/pkg/gateway/departures.go
+++ b/pkg/gateway/departures.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,8 +8,6 @@
 
 	"github.com/apex/log"
 	"golang.org/x/sys/unix"
-
-	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
 const (
@@ -21,20 +18,6 @@
 	departuresAtOnce = 64
 )
 
-// caller is whoever waits for a request's answer.
-type caller struct {
-	left   atomic.Bool
-	abort  forward.Abort
-	cancel context.CancelFunc
-}
-
-// leave ends the request's work.
-func (c *caller) leave() {
-	c.left.Store(true)
-	c.cancel()
-	c.abort.Now()
-}
-
 // departures ends the work for callers that close their connections.
 //
 // Guard: the server reads each caller's connection beside its handler and ends the
@@ -48,7 +31,7 @@
 	epoll int
 
 	mu      sync.Mutex
-	waiting map[int32]*caller // by the descriptor of the caller's connection
+	waiting map[int32]*waiter // by the descriptor of the caller's connection
 
 	// looked is when the last look was, in nanoseconds since start.
 	looked atomic.Int64
@@ -61,7 +44,7 @@
 		l.WithError(err).WithField("event", "departures_unheard").Warn("callers that leave are noticed by the server alone")
 		fd = -1
 	}
-	return &departures{epoll: fd, waiting: make(map[int32]*caller), start: time.Now()}
+	return &departures{epoll: fd, waiting: make(map[int32]*waiter), start: time.Now()}
 }
 
 // watch has r end when its caller leaves, until the function that it returns is called.
@@ -74,25 +57,25 @@
 	// One that is closed already ends the request's context.
 	_ = c.raw.Control(func(fd uintptr) {
 		id = int32(fd)
-		d.put(id, &r.caller)
+		d.put(id, &r.waiter)
 		if !c.enrolled {
 			c.enrolled = d.enrol(id)
 		}
 	})
-	return func() { d.remove(id, &r.caller) }
+	return func() { d.remove(id, &r.waiter) }
 }
 
-func (d *departures) put(id int32, c *caller) {
+func (d *departures) put(id int32, wt *waiter) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waiting[id] = c
+	d.waiting[id] = wt
 }
 
-// remove forgets c, unless its descriptor is another connection's by now.
-func (d *departures) remove(id int32, c *caller) {
+// remove forgets wt, unless its descriptor is another connection's by now.
+func (d *departures) remove(id int32, wt *waiter) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.waiting[id] == c {
+	if d.waiting[id] == wt {
 		delete(d.waiting, id)
 	}
 }
@@ -118,14 +101,14 @@
 	var closes [departuresAtOnce]unix.EpollEvent
 	n := waitNone(d.epoll, closes[:])
 	for _, event := range closes[:n] {
-		if c := d.of(event.Fd); c != nil {
-			c.leave()
+		if wt := d.of(event.Fd); wt != nil {
+			wt.leave()
 		}
 	}
 	return n
 }
 
-func (d *departures) of(id int32) *caller {
+func (d *departures) of(id int32) *waiter {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.waiting[id]
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -34,7 +34,7 @@
 	}
 	ctx, cancel := context.WithDeadline(in.Context(), r.end)
 	defer cancel()
-	r.ctx, r.caller.cancel = ctx, cancel
+	r.ctx, r.waiter.cancel = ctx, cancel
 	defer g.departures.watch(r)()
 	g.run(r)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,8 +35,7 @@
 	// standing is how the organisation stands.
 	standing placement.Standing
 	trail    trail
-	// caller tells whether somebody still waits for the answer.
-	caller caller
+	waiter   waiter
 }
 
 // left is how long an upstream may still work.
@@ -47,12 +46,12 @@
 func (r *request) over() bool { return r.ctx.Err() != nil || !time.Now().Before(r.end) }
 
 // callerGone reports whether the caller is known to have left.
-func (r *request) callerGone() bool { return r.in.Context().Err() != nil || r.caller.left.Load() }
+func (r *request) callerGone() bool { return r.in.Context().Err() != nil || r.waiter.left.Load() }
 
 // wanted looks at the caller's connection and reports whether an answer is still of use.
 func (r *request) wanted() bool {
 	if callerLeft(r.in.Context()) {
-		r.caller.left.Store(true)
+		r.waiter.left.Store(true)
 	}
 	return !r.callerGone() && !r.over()
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -174,7 +174,7 @@
 	return &forward.Call{
 		Instance: in, Method: r.in.Method, URI: r.in.RequestURI, Host: r.in.Host,
 		Header: g.dialect.Outgoing(r.in.Header, errand), Body: r.body, RequestID: r.ask.RequestID,
-		Wanted: r.wanted, Abort: &r.caller.abort,
+		Wanted: r.wanted, Abort: &r.waiter.abort,
 	}
 }
 
