A late router blames no upstream for its own timers

Cause: without processor for a tenth of a second or more a router's timers run out before it comes to see the answers, and it suspended every upstream at once. Seen in the crowd's test: instance_suspended for all 24 upstreams in one tenth of a second and no request served for seconds. Change: while the router is pressed, an attempt that ran out of time counts as a failure, which makes the upstream a worse choice, and not as silence.

--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -210,7 +211,18 @@
 }
 
 // blame is the outcome that an attempt which ended with err counts as.
-func (g *Gateway) blame(error) upstream.Outcome { return upstream.Silent }
+//
+// Guard: a router that gets too little processor sees its own timers run out, and would
+// leave one upstream after the other alone though all are well. It shows as timeouts at all
+// upstreams in the same tenth of a second, and as refusals of everything after that. A
+// failure still makes the upstream a worse choice.
+func (g *Gateway) blame(err error) upstream.Outcome {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && g.late() {
+		return upstream.Failed
+	}
+	return upstream.Silent
+}
 
 // timedOut ends a request whose caller left or whose time is over.
 func (g *Gateway) timedOut(r *request) {
