--- /dev/null
+++ b/pkg/gatewayd/crowd_bench_test.go
@@ -0,0 +1,137 @@
+package gatewayd
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// crowdVariable makes the test's program play the callers and the engine of benchmarks.
+const crowdVariable = "GATEWAYD_BENCH_CROWD"
+
+const (
+	// modeNew makes each request on a connection of its own, modeKept on kept ones.
+	modeNew  = "new"
+	modeKept = "kept"
+	// crowdCallers is how many requests there are at a time.
+	crowdCallers = 8
+	// crowdBody is the size of a request's body, in bytes.
+	crowdBody = 8 << 10
+	// crowdEvents and crowdPause are the events of an answer and the pause between two.
+	crowdEvents = 4
+	crowdPause  = 2 * time.Millisecond
+	// crowdTimeout ends a benchmark whose router doesn't answer.
+	crowdTimeout = 20 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(crowdVariable) != "" {
+		playCrowd()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// playCrowd tells the engine's address, then does one order a line: ADDRESS MODE REQUESTS.
+func playCrowd() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	engine := &http.Server{Handler: http.HandlerFunc(playEngine)}
+	go engine.Serve(l)
+	fmt.Println(l.Addr())
+	orders := bufio.NewScanner(os.Stdin)
+	for orders.Scan() {
+		words := strings.Fields(orders.Text())
+		n, err := strconv.Atoi(words[2])
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(playCallers(words[0], words[1], n))
+	}
+}
+
+func playEngine(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a router that breaks off is no fault here
+	h := w.Header()
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
+	h.Set("Keep-Alive", "timeout=3")
+	for i := range crowdEvents {
+		fmt.Fprintf(w, "id: %d\ndata: tokens tokens tokens tokens tokens\n\n", i+1)
+		http.NewResponseController(w).Flush()
+		time.Sleep(crowdPause)
+	}
+}
+
+// playCallers makes n requests and gives the number of those that were answered.
+func playCallers(addr, mode string, n int) int64 {
+	var left, answered atomic.Int64
+	left.Store(int64(n))
+	var all sync.WaitGroup
+	for range crowdCallers {
+		all.Go(func() {
+			c := caller{addr: addr, keep: mode == modeKept}
+			for left.Add(-1) >= 0 {
+				if err := c.ask(); err != nil {
+					fmt.Fprintln(os.Stderr, err)
+					continue
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return answered.Load()
+}
+
+type caller struct {
+	addr string
+	keep bool
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// crowdRequest is what every caller sends.
+var crowdRequest = []byte("POST /route-3/2f HTTP/1.1\r\nHost: service.example\r\nRequest-Id: 9c41d07be2a35f68\r\nModel: m\r\n" +
+	"Token-Counts: 1460,80\r\nLength-Hint: 60\r\nPrefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nDeadline-Ms: 12000\r\n" +
+	"Authorization: Bearer key-0\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(crowdBody) + "\r\n\r\n" +
+	string(bytes.Repeat([]byte("x"), crowdBody)))
+
+func (c *caller) ask() error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.addr, crowdTimeout)
+		if err != nil {
+			return err
+		}
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(crowdTimeout))
+	if _, err := c.conn.Write(crowdRequest); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return err
+	}
+	if !c.keep || answer.Close {
+		c.conn.Close()
+		c.conn = nil
+	}
+	return nil
+}
