Work out an organisation's standing without a map of all

Cause: each request for a stream built a map of all organisations' use and a new list to sort. Ruled out: one standing for some milliseconds. It would save 0.7 us more, and of several requests in that time each would be judged without those before it. Change: one pass over the accounts, one list that is kept. BenchmarkStanding before and after: 2,646 and 720 ns/op, 1,432 and 0 B/op, 5 and 0 allocs/op.

--- /dev/null
+++ b/pkg/placement/cost_bench_test.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/prompt"
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// Sizes of a large fleet of the first deployments.
+const (
+	benchOrganisations = 24
+	benchEngines       = 64
+	benchSlots         = 16
+)
+
+// One organisation asks at this router, all ask elsewhere.
+func BenchmarkStanding(b *testing.B) {
+	s := NewShares()
+	others := make(map[string]Use)
+	for i := range benchOrganisations {
+		others[fmt.Sprint("org-", i)] = Use{Asked: float64(3000 + 100*i), Got: float64(3000 + 100*i)}
+	}
+	s.SetOthers(others)
+	now := time.Now()
+	s.Ask("org-0", 1000, now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		s.Standing("org-0", 1e5, now)
+	}
+}
+
+// All engines' queues are too long.
+func BenchmarkChooseNone(b *testing.B) {
+	service := &routing.Service{Engine: &routing.Engine{Slots: benchSlots, KVCapacity: 1 << 40}}
+	p := &prompt.Prompt{Input: 1460, MaxOutput: 80, Parts: []prompt.Part{{ID: "5c1e07a2", Tokens: 800}, {ID: "91bd3f06", Tokens: 410}, {ID: "e4402b7d", Tokens: 250}}}
+	var candidates []Candidate
+	for i := range benchEngines {
+		candidates = append(candidates, Candidate{Instance: &upstream.Instance{ID: upstream.ID(fmt.Sprintf("i-%08x", i)), Slots: benchSlots},
+			Load: Load{Running: benchSlots + i%3, Unread: 20_000}})
+	}
+	req := Request{Work: Work{Organisation: "org-0", Prompt: p}, Chain: Chain(p), Service: service, Zone: "zone-a",
+		Limit: 640 * time.Millisecond, QueueLimit: 100 * time.Millisecond, OwnQueueLimit: 300 * time.Millisecond, Reserve: 3, Occupancy: 0.25}
+	pace := Pace{TokensPerMs: 60, First: 45 * time.Millisecond, Slot: 120 * time.Millisecond}
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(req, candidates, pace)
+	}
+}
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	own    map[string]*account
 	others map[string]Use
+	// asked is reused by each question for a standing.
+	asked []float64
 }
 
 // account holds sums that decay.
@@ -104,59 +106,68 @@
 }
 
 // Standing gives how an organisation stands at a capacity in tokens a second.
+//
+// It is asked for each request, so it makes no map of all organisations: with 24 of them a map
+// and a new list took 2.6 µs and 1.4 KB in place of 0.7 µs and none (BenchmarkStanding).
 func (s *Shares) Standing(org string, capacity float64, now time.Time) Standing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	uses := s.total(now)
-	got := allGot(uses)
+	var mine Use
+	got := 0.0
+	s.asked = s.asked[:0]
+	s.each(now, func(name string, use Use) {
+		got += use.Got
+		s.asked = append(s.asked, use.Asked)
+		if name == org {
+			mine = use
+		}
+	})
 	standing := Standing{Full: got >= capacity}
-	done := min(capacity, max(got, leastDone*capacity))
-	if due := waterLevel(uses, done); due > 0 {
-		standing.Share = uses[org].Got / due
+	if due := waterLevel(s.asked, shared(got, capacity)); due > 0 {
+		standing.Share = mine.Got / due
 	}
 	return standing
 }
 
-// All gives the traffic of all organisations over all routers.
-func (s *Shares) All(now time.Time) map[string]Use {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.total(now)
+// shared is the capacity that is shared when all organisations get got together.
+//
+// Guard: engines that crash or read prompts again do less than they are said to. Shares
+// of the nominal capacity would then be more than anybody gets, nobody would be over its
+// share, and whoever asks most would get most.
+func shared(got, capacity float64) float64 {
+	return min(capacity, max(got, leastDone*capacity))
 }
 
-func (s *Shares) total(now time.Time) map[string]Use {
-	uses := make(map[string]Use, len(s.own)+len(s.others))
+// each gives the traffic of each organisation over all routers.
+func (s *Shares) each(now time.Time, take func(org string, use Use)) {
 	for org, use := range s.others {
-		uses[org] = use
+		if _, here := s.own[org]; here {
+			own := s.ownUse(org, now)
+			use.Asked += own.Asked
+			use.Got += own.Got
+		}
+		take(org, use)
 	}
 	for org := range s.own {
-		own, sum := s.ownUse(org, now), uses[org]
-		uses[org] = Use{Asked: own.Asked + sum.Asked, Got: own.Got + sum.Got}
+		if _, told := s.others[org]; !told {
+			take(org, s.ownUse(org, now))
+		}
 	}
-	return uses
 }
 
-// allGot is what all organisations get together.
-//
-// Guard: engines that crash or read prompts again do less than they are said to. Shares
-// of the nominal capacity would then be more than anybody gets, nobody would be over its
-// share, and whoever asks most would get most.
-func allGot(uses map[string]Use) float64 {
-	sum := 0.0
-	for _, u := range uses {
-		sum += u.Got
-	}
-	return sum
+// All gives the traffic of all organisations over all routers.
+func (s *Shares) All(now time.Time) map[string]Use {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	uses := make(map[string]Use, len(s.own)+len(s.others))
+	s.each(now, func(org string, use Use) { uses[org] = use })
+	return uses
 }
 
 // waterLevel is the share at which the capacity is used up when nobody gets more than it
-// asks for; infinite when all can have what they ask.
-func waterLevel(uses map[string]Use, capacity float64) float64 {
-	asked := make([]float64, 0, len(uses))
-	for _, u := range uses {
-		asked = append(asked, u.Asked)
-	}
-	sort.Float64s(asked)
+// asks for; infinite when all can have what they ask. It sorts asked.
+func waterLevel(asked []float64, capacity float64) float64 {
+	slices.Sort(asked)
 	left := capacity
 	for i, a := range asked {
 		level := left / float64(len(asked)-i)
--- a/pkg/placement/shares_test.go
+++ b/pkg/placement/shares_test.go
@@ -9,10 +9,19 @@
 	"pgregory.net/rapid"
 )
 
+// levelOf is the water level of uses.
+func levelOf(uses map[string]Use, capacity float64) float64 {
+	var asked []float64
+	for _, u := range uses {
+		asked = append(asked, u.Asked)
+	}
+	return waterLevel(asked, capacity)
+}
+
 func TestWaterLevelSharesWhatIsLeft(t *testing.T) {
 	uses := map[string]Use{"small": {Asked: 10}, "large": {Asked: 100}, "huge": {Asked: 1000}}
-	require.InDelta(t, 55, waterLevel(uses, 120), 1e-9)
-	require.True(t, math.IsInf(waterLevel(uses, 2000), 1))
+	require.InDelta(t, 55, levelOf(uses, 120), 1e-9)
+	require.True(t, math.IsInf(levelOf(uses, 2000), 1))
 }
 
 func TestWaterLevelUsesUpTheCapacity(t *testing.T) {
@@ -24,7 +33,7 @@
 			total += a
 		}
 		capacity := rapid.Float64Range(1, 2e6).Draw(t, "capacity")
-		level := waterLevel(uses, capacity)
+		level := levelOf(uses, capacity)
 		given := 0.0
 		for _, u := range uses {
 			given += min(u.Asked, level)
