Look up a request's engines under one lock each of loads and health

Cause: for each attempt each engine's health and load were asked for singly, each with a lock, into a new list; the routers were counted twice. Change: all engines' health and loads as of one moment, in a list that is used again, and one count of the routers; no map of who keeps the prompt when nobody does. BenchmarkCandidates (64 engines) before and after: 4,331 and 2,101 ns/op, 3,248 and 0 B/op, 2 and 0 allocs/op.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -15,8 +16,12 @@
 	if r.tried == nil {
 		r.tried = make(map[upstream.ID]bool, 1)
 	}
-	candidates := g.candidates(r, now)
-	r.trail.decided = decided{Candidates: len(candidates), Routers: g.peers.Count(), ListAgeMs: g.catalog.InstancesAge(now).Milliseconds()}
+	routers := g.peers.Count()
+	list := candidateLists.Get().(*[]placement.Candidate)
+	defer candidateLists.Put(list)
+	*list = g.candidates((*list)[:0], r, routers, now)
+	candidates := *list
+	r.trail.decided = decided{Candidates: len(candidates), Routers: routers, ListAgeMs: g.catalog.InstancesAge(now).Milliseconds()}
 	if len(candidates) == 0 {
 		return placement.Choice{}, errNoUpstream()
 	}
@@ -30,22 +35,22 @@
 	return found.Choice, nil
 }
 
-// candidates gives the instances that may be given the request.
-func (g *Gateway) candidates(r *request, now time.Time) []placement.Candidate {
+// candidateLists holds lists for reuse. Looked at engine by engine in a new list, 64 engines
+// took 4.3 µs and 3.2 KB in place of 2.1 µs and none (BenchmarkCandidates).
+var candidateLists = sync.Pool{New: func() any { return new([]placement.Candidate) }}
+
+// candidates appends the instances that may be given the request to list.
+func (g *Gateway) candidates(list []placement.Candidate, r *request, routers int, now time.Time) []placement.Candidate {
 	members := g.catalog.Instances().Of(r.service.Name)
 	kept := g.holdings.Kept(r.chain, now)
-	list := make([]placement.Candidate, 0, len(members))
-	spread := g.spread()
-	for _, in := range members {
+	many := routers >= manyRouters
+	g.health.EachUsable(members, now, func(in *upstream.Instance, handicap time.Duration) {
 		if in.State != upstream.Ready || r.tried[in.ID] {
-			continue
-		}
-		handicap, ok := g.health.Usable(in.ID, now)
-		if !ok {
-			continue
+			return
 		}
-		list = append(list, placement.Candidate{Instance: in, Load: g.ledger.Of(in.ID), Kept: kept[in.ID], Handicap: handicap + spread()})
-	}
+		list = append(list, placement.Candidate{Instance: in, Kept: kept[in.ID], Handicap: handicap + spread(many)})
+	})
+	g.ledger.Fill(list)
 	return list
 }
 
@@ -57,16 +62,16 @@
 	spreadOver = 40 * time.Millisecond
 )
 
-// spread gives a cost by chance for each candidate; none in a small fleet.
+// spread is a cost by chance for a candidate; none unless there are many routers.
 //
 // Guard: many routers that go by the same reports, some hundred milliseconds old, all choose
 // the engine that was the least busy then. It is full in no time and turns requests away,
 // while others have slots free.
-func (g *Gateway) spread() func() time.Duration {
-	if g.peers.Count() < manyRouters {
-		return func() time.Duration { return 0 }
+func spread(many bool) time.Duration {
+	if !many {
+		return 0
 	}
-	return func() time.Duration { return rand.N(spreadOver) }
+	return rand.N(spreadOver)
 }
 
 func (g *Gateway) work(r *request, unread int) placement.Work {
--- /dev/null
+++ b/pkg/gateway/place_bench_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// benchEngines is the number of engines of a large fleet of the first deployments.
+const benchEngines = 64
+
+// A request's engines are looked up at one of many routers; nobody keeps its prompt.
+func BenchmarkCandidates(b *testing.B) {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	g := New(Settings{}, Parts{Catalog: catalog.New(quiet), Health: upstream.NewHealth(), Ledger: placement.NewLedger(), Holdings: placement.NewHoldings(),
+		Peers: onePeer{}, Log: quiet})
+	var list []upstream.Instance
+	loads := make(map[upstream.ID]placement.Load)
+	for i := range benchEngines {
+		id := upstream.ID(fmt.Sprintf("i-%08x", i))
+		list = append(list, upstream.Instance{ID: id, Service: "app", State: upstream.Ready})
+		loads[id] = placement.Load{Running: 16}
+	}
+	g.catalog.Replace(list, 1, time.Now(), "bench")
+	g.ledger.SetOthers(loads)
+	r := &request{service: &routing.Service{Name: "app"}, chain: []placement.Link{{Key: 1, Tokens: 800}, {Key: 2, Tokens: 1210}}}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		benchCandidates(g, r, now)
+	}
+}
+
+func benchCandidates(g *Gateway, r *request, now time.Time) {
+	list := candidateLists.Get().(*[]placement.Candidate)
+	*list = g.candidates((*list)[:0], r, manyRouters, now)
+	candidateLists.Put(list)
+}
--- a/pkg/placement/holdings.go
+++ b/pkg/placement/holdings.go
@@ -91,17 +91,21 @@
 	return list
 }
 
-// Kept gives, for each engine that holds a beginning of chain, the tokens it holds.
+// Kept gives, for each engine that holds a beginning of chain, the tokens it holds; nil when
+// none does.
 func (h *Holdings) Kept(chain []Link, now time.Time) map[upstream.ID]int {
 	if len(chain) == 0 {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	kept := make(map[upstream.ID]int)
+	var kept map[upstream.ID]int
 	for _, link := range chain {
 		for id, entry := range h.links[link.Key] {
 			if now.Sub(entry.used) < holdingLife {
+				if kept == nil {
+					kept = make(map[upstream.ID]int)
+				}
 				kept[id] = link.Tokens
 			}
 		}
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -45,6 +45,19 @@
 	return total
 }
 
+// Fill sets the loads of candidates to those over all routers, all as of one moment.
+func (l *Ledger) Fill(candidates []Candidate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range candidates {
+		c := &candidates[i]
+		c.Load = l.others[c.Instance.ID]
+		if own := l.own[c.Instance.ID]; own != nil {
+			c.Load = c.Load.plus(*own)
+		}
+	}
+}
+
 // Own gives this router's work, by instance.
 func (l *Ledger) Own() map[upstream.ID]Load {
 	l.mu.Lock()
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -81,7 +81,22 @@
 func (h *Health) Usable(id ID, now time.Time) (handicap time.Duration, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.records[id]
+	return h.records[id].usable(now)
+}
+
+// EachUsable gives the instances of list that may be given work, with their handicaps, all
+// as of one moment. take must not call Health.
+func (h *Health) EachUsable(list []*Instance, now time.Time, take func(in *Instance, handicap time.Duration)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, in := range list {
+		if handicap, ok := h.records[in.ID].usable(now); ok {
+			take(in, handicap)
+		}
+	}
+}
+
+func (r *record) usable(now time.Time) (handicap time.Duration, ok bool) {
 	if r == nil {
 		return 0, true
 	}
