flamingowindd reads its settings again on SIGHUP; the signal no longer ends it

Change: flamingowindd takes SIGHUP and reads its settings again, as the gateway does. The watcher of the file and the list of sections that need a restart are one copy for both, in pkg/reload. In force at once: the limits that are read for each request; edge.Tune sets them. The listener's and the queues' own bounds, timing, log and all addresses wait for a restart and are named.

--- a/cmd/flamingowindd/run.go
+++ b/cmd/flamingowindd/run.go
@@ -24,6 +24,7 @@
 func (*runCommand) Usage() string {
 	return "flamingowindd run -settings FILE\n" +
 		"Runs a router until SIGTERM or SIGINT, then drains; a second signal ends it at once.\n" +
+		"Reads the settings again on SIGHUP and when the file changes.\n" +
 		"Exit codes: 0 drained, 1 failed, 2 faulty settings.\n"
 }
 
@@ -32,6 +33,8 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, status := load(c.file)
 	if status != subcommands.ExitSuccess {
 		return status
@@ -42,6 +45,7 @@
 	context.AfterFunc(ctx, stop)
 	d, err := daemon.New(s, os.Stderr)
 	if err == nil {
+		go d.WatchSettings(ctx, c.file, reload)
 		err = d.Run(ctx)
 	}
 	if err != nil {
--- a/internal/devfleet/routers.go
+++ b/internal/devfleet/routers.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+
+	"github.com/flamingowind/flamingowind/pkg/settings"
 )
 
 // prepareRouters chooses the addresses of all routers before any starts, so that
@@ -74,6 +76,14 @@
 	return nil
 }
 
+// Rewrite replaces the settings file of router i; its process isn't told.
+func (f *Fleet) Rewrite(i int, change func(*settings.Settings)) error {
+	s := f.Routers[i].Settings
+	change(&s)
+	_, err := writeSettings(f.Plan.Dir, s)
+	return err
+}
+
 func (f *Fleet) startRouter(r *Router) error {
 	id := r.Settings.Router.ID
 	files, err := f.authority.Issue(id)
--- a/internal/failtest/members.go
+++ b/internal/failtest/members.go
@@ -80,6 +80,15 @@
 	return keeps
 }
 
+// AwaitLine waits until the log of router i holds text.
+func (w *World) AwaitLine(i int, text string) {
+	w.t.Helper()
+	w.Eventually("a line of the router: "+text, func() bool {
+		data, err := os.ReadFile(w.Routers[i].LogFile)
+		return err == nil && strings.Contains(string(data), text)
+	})
+}
+
 // Drain asks router i over the operator API to leave.
 func (w *World) Drain(i int) {
 	w.t.Helper()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -13,23 +13,26 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/flamingowind/flamingowind/pkg/edge"
 	"github.com/flamingowind/flamingowind/pkg/settings"
 )
 
 // Daemon is one router.
 type Daemon struct {
-	app *fx.App
-	log log.Interface
+	app     *fx.App
+	log     log.Interface
+	edge    *edge.Edge
+	started settings.Settings
 }
 
 // New puts a router together; logs go to w.
 func New(s settings.Settings, w io.Writer) (*Daemon, error) {
-	d := &Daemon{}
+	d := &Daemon{started: s}
 	d.app = fx.New(
 		fx.Supply(s),
 		fx.Provide(func() io.Writer { return w }),
 		Module,
-		fx.Populate(&d.log),
+		fx.Populate(&d.log, &d.edge),
 		fx.Invoke(start),
 		fx.StopTimeout(s.Timing.DrainLimit.Std()+stopMargin),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/pkg/edge/body.go
+++ b/pkg/edge/body.go
@@ -15,21 +15,21 @@
 // readBody reads a body within its bounds of size and time, and gives the function
 // that frees its share of memory.
 func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, org string) ([]byte, func(), *verdict.Error) {
-	size := r.ContentLength
+	size, limits := r.ContentLength, e.limits.Load()
 	if size == 0 {
 		return nil, func() {}, nil
 	}
-	if size > e.Limits.MaxBody {
-		return nil, nil, tooLarge(e.Limits.MaxBody)
+	if size > limits.MaxBody {
+		return nil, nil, tooLarge(limits.MaxBody)
 	}
 	if size < 0 {
-		size = e.Limits.MaxBody
+		size = limits.MaxBody
 	}
 	free, err := e.bodies.take(org, size)
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := e.readTimed(w, r)
+	body, err := limits.readTimed(w, r)
 	if err != nil {
 		free()
 		return nil, nil, err
@@ -41,15 +41,15 @@
 // readTimed guards against a sender that holds a place by sending a byte now and then:
 // the whole body must come within BodyTimeout. The deadline is taken back afterwards,
 // since the same connection is watched for the caller's going away.
-func (e *Edge) readTimed(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+func (l *Limits) readTimed(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(e.Limits.BodyTimeout))
-	body, err := readSized(r, e.Limits.MaxBody)
+	_ = control.SetReadDeadline(time.Now().Add(l.BodyTimeout))
+	body, err := readSized(r, l.MaxBody)
 	if err != nil {
 		return nil, bodyError(err)
 	}
-	if int64(len(body)) > e.Limits.MaxBody {
-		return nil, tooLarge(e.Limits.MaxBody)
+	if int64(len(body)) > l.MaxBody {
+		return nil, tooLarge(l.MaxBody)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
--- a/pkg/edge/body_budget.go
+++ b/pkg/edge/body_budget.go
@@ -24,6 +24,13 @@
 	return &bodyBudget{max: max, orgs: make(map[string]int64)}
 }
 
+// tune sets the bound from now on; what is held stays.
+func (b *bodyBudget) tune(max int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.max = max
+}
+
 // take reserves n bytes and gives the function that frees them, to be called once.
 func (b *bodyBudget) take(org string, n int64) (func(), *verdict.Error) {
 	b.mu.Lock()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/gorilla/mux"
@@ -27,6 +28,8 @@
 // Edge serves callers.
 type Edge struct {
 	Config
+	// limits are those in force; Config has the ones at the start.
+	limits atomic.Pointer[Limits]
 	queue  *admission
 	bodies *bodyBudget
 	budget *retryBudget
@@ -49,6 +52,7 @@
 		budget: newRetryBudget(c.Limits.RetryShare),
 		flight: new(flight),
 	}
+	e.limits.Store(&c.Limits)
 	e.router = e.routes()
 	return e
 }
--- a/pkg/edge/request.go
+++ b/pkg/edge/request.go
@@ -36,7 +36,7 @@
 	if q.place, err = q.edge.queue.enter(q.org, q.received); err != nil {
 		return err
 	}
-	if q.options, err = readOptions(q.r.Header, q.edge.Limits); err != nil {
+	if q.options, err = readOptions(q.r.Header, *q.edge.limits.Load()); err != nil {
 		return err
 	}
 	q.body, q.free, err = q.edge.readBody(q.w, q.r, q.org.Name)
--- a/pkg/edge/retry_budget.go
+++ b/pkg/edge/retry_budget.go
@@ -23,6 +23,16 @@
 	return b
 }
 
+// tune sets the share from now on; without one there are no retries.
+func (b *retryBudget) tune(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = share
+	if share <= 0 {
+		b.tokens = 0
+	}
+}
+
 // request pays a request's share in.
 func (b *retryBudget) request() {
 	b.mu.Lock()
--- a/pkg/edge/sink.go
+++ b/pkg/edge/sink.go
@@ -24,14 +24,14 @@
 	maps.Copy(s.w.Header(), header)
 	s.w.Header().Set(verdict.Header, verdict.Ran.String())
 	s.edge.closeWhenDraining(s.w.Header())
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.edge.Limits.WriteTimeout))
+	_ = s.control.SetWriteDeadline(time.Now().Add(s.edge.limits.Load().WriteTimeout))
 	s.w.WriteHeader(status)
 	s.began()
 }
 
 // Write sends p at once.
 func (s *streamSink) Write(p []byte) error {
-	if err := s.control.SetWriteDeadline(time.Now().Add(s.edge.Limits.WriteTimeout)); err != nil {
+	if err := s.control.SetWriteDeadline(time.Now().Add(s.edge.limits.Load().WriteTimeout)); err != nil {
 		return err
 	}
 	if _, err := s.w.Write(p); err != nil {
--- /dev/null
+++ b/pkg/edge/tune_test.go
@@ -0,0 +1,24 @@
+package edge
+
+import (
+	"testing"
+	"time"
+)
+
+// The operators lower the bounds of bodies and deadlines while the router serves. What
+// the listener was made with can't follow, and must not seem to.
+func TestTunedLimitsHoldForTheNextRequest(t *testing.T) {
+	f := newFixture(t, noUpstream(t), nil)
+	made := f.edge.Limits
+	l := DefaultLimits()
+	l.MaxBody, l.MaxBodies, l.MaxDeadline, l.MaxHeader, l.RetryShare = 8, 9, time.Second, 1, 0
+	f.edge.Tune(l)
+	same(t, "status of a large body", send(t, f.request(t, "POST", "/v1/completions", modelBody)).StatusCode, 413)
+	resp := send(t, f.request(t, "POST", "/v1/completions", "{}", HeaderDeadline, "2s"))
+	same(t, "status of a long deadline", resp.StatusCode, 400)
+	same(t, "header bound", f.edge.limits.Load().MaxHeader, made.MaxHeader)
+	same(t, "retry", f.edge.budget.retry(), false)
+	if _, err := f.edge.bodies.take("a", 10); err == nil {
+		t.Error("a body over the bound of all was taken")
+	}
+}
--- a/pkg/edge/write.go
+++ b/pkg/edge/write.go
@@ -30,11 +30,11 @@
 	}
 	e.closeWhenDraining(h)
 	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Now().Add(e.Limits.WriteTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(e.limits.Load().WriteTimeout))
 	w.WriteHeader(status)
 	for len(body) > 0 {
 		n := min(len(body), writePiece)
-		_ = control.SetWriteDeadline(time.Now().Add(e.Limits.WriteTimeout))
+		_ = control.SetWriteDeadline(time.Now().Add(e.limits.Load().WriteTimeout))
 		if _, err := w.Write(body[:n]); err != nil {
 			return
 		}
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -1,54 +1,20 @@
 package gatewayd
 
 import (
-	"bytes"
 	"context"
 	"os"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
-)
 
-// reloadEvery is the pause between two looks whether the settings file is another one: it
-// may change without a signal. A look costs one read of a small file.
-const reloadEvery = 2 * time.Second
+	"github.com/flamingowind/flamingowind/pkg/reload"
+)
 
 // WatchSettings puts file's settings in force whenever now is sent to, and when its
 // content has changed, until ctx ends.
-//
-// Guard: by default the signal that announces other settings ends the process, and with
-// it all that it serves. Whoever sends the signal must be listened to.
 func (p *Process) WatchSettings(ctx context.Context, file string, now <-chan os.Signal) {
-	tick := time.NewTicker(reloadEvery)
-	defer tick.Stop()
-	last, err := os.ReadFile(file)
-	if err != nil {
-		p.reloadFailed(errors.Trace(err))
-	}
-	for {
-		asked := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-now:
-			asked = true
-		case <-tick.C:
-		}
-		data, err := os.ReadFile(file)
-		if err == nil && bytes.Equal(data, last) && !asked {
-			continue
-		}
-		if err == nil {
-			last = data
-			err = p.reload(file, data)
-		} else if !asked {
-			continue // it is being replaced; the next look finds it
-		}
-		if err != nil {
-			p.reloadFailed(err)
-		}
-	}
+	apply := func(content []byte) error { return p.reload(file, content) }
+	(&reload.Watcher{File: file, Apply: apply, Log: p.log}).Run(ctx, now)
 }
 
 func (p *Process) reload(file string, data []byte) error {
@@ -60,11 +26,6 @@
 	return nil
 }
 
-// reloadFailed tells that the settings in force stay.
-func (p *Process) reloadFailed(err error) {
-	p.log.WithError(err).WithField("event", "reload_failed").Error("other settings can't be read, those in force stay")
-}
-
 // Reload puts s in force as far as a running process can; what needs a restart is told.
 func (p *Process) Reload(s Settings) {
 	old := p.settings.Load()
@@ -82,21 +43,12 @@
 
 // needRestart names the sections that differ and can't be changed while the process runs.
 func needRestart(old, s Settings) []string {
-	sections := make([]string, 0)
-	for _, one := range []struct {
-		name    string
-		differs bool
-	}{
-		{"router", old.Router != s.Router},
-		{"listen", old.Listen != s.Listen},
-		{"advertise", old.Advertise != s.Advertise},
-		{"limits.memoryMiB", old.Limits.MemoryMiB != s.Limits.MemoryMiB},
-		{"limits.cores", old.Limits.Cores != s.Limits.Cores},
-		{"log", old.Log != s.Log},
-	} {
-		if one.differs {
-			sections = append(sections, one.name)
-		}
-	}
-	return sections
+	return reload.NeedRestart(
+		reload.Section{Name: "router", Differs: old.Router != s.Router},
+		reload.Section{Name: "listen", Differs: old.Listen != s.Listen},
+		reload.Section{Name: "advertise", Differs: old.Advertise != s.Advertise},
+		reload.Section{Name: "limits.memoryMiB", Differs: old.Limits.MemoryMiB != s.Limits.MemoryMiB},
+		reload.Section{Name: "limits.cores", Differs: old.Limits.Cores != s.Limits.Cores},
+		reload.Section{Name: "log", Differs: old.Log != s.Log},
+	)
 }
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -17,6 +17,7 @@
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
+	"github.com/flamingowind/flamingowind/pkg/reload"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
@@ -60,7 +61,7 @@
 		go r.WatchSettings(ctx, r.file, r.hup)
 		synctest.Wait()
 		r.write(t, "127.0.0.1:9", "3")
-		time.Sleep(reloadEvery)
+		time.Sleep(reload.Every)
 		synctest.Wait()
 		require.Equal(t, "127.0.0.1:9", r.store.Load())
 		require.Equal(t, 3.0, r.settings.Load().Entries.KeepSeconds)
--- /dev/null
+++ b/pkg/reload/watcher_test.go
@@ -0,0 +1,95 @@
+package reload_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/reload"
+)
+
+// watched is a settings file under a watcher that takes any content but "faulty".
+type watched struct {
+	file    string
+	applied []string
+	lines   *memory.Handler
+	hup     chan os.Signal
+}
+
+func (w *watched) apply(content []byte) error {
+	if string(content) == "faulty" {
+		return errors.New("faulty")
+	}
+	w.applied = append(w.applied, string(content))
+	return nil
+}
+
+func (w *watched) write(t *testing.T, content string) {
+	require.NoError(t, os.WriteFile(w.file, []byte(content), 0o600))
+}
+
+// watch runs the test with a watcher of a file that holds "first".
+func watch(t *testing.T, test func(t *testing.T, w *watched)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &watched{file: filepath.Join(t.TempDir(), "settings.yaml"), lines: memory.New(), hup: make(chan os.Signal)}
+		w.write(t, "first")
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		watcher := &reload.Watcher{File: w.file, Apply: w.apply, Log: &log.Logger{Handler: w.lines}}
+		go watcher.Run(ctx, w.hup)
+		synctest.Wait()
+		test(t, w)
+	})
+}
+
+// The operators replace the file. Half-way through it is gone for a moment, which is no
+// fault; the whole file comes into force once, and not again while it stays as it is.
+func TestAChangedFileIsAppliedOnce(t *testing.T) {
+	watch(t, func(t *testing.T, w *watched) {
+		require.NoError(t, os.Remove(w.file))
+		time.Sleep(reload.Every)
+		w.write(t, "second")
+		time.Sleep(3 * reload.Every)
+		synctest.Wait()
+		require.Equal(t, []string{"second"}, w.applied)
+		require.Empty(t, w.lines.Entries)
+	})
+}
+
+// Whoever announces settings expects them to be read at once, also when they are the
+// same ones, or when the file can't be read.
+func TestTheSignalIsAnsweredAtOnce(t *testing.T) {
+	watch(t, func(t *testing.T, w *watched) {
+		w.hup <- syscall.SIGHUP
+		synctest.Wait()
+		require.Equal(t, []string{"first"}, w.applied)
+		require.NoError(t, os.Remove(w.file))
+		w.hup <- syscall.SIGHUP
+		synctest.Wait()
+		require.Len(t, w.lines.Entries, 1)
+		require.Equal(t, "reload_failed", w.lines.Entries[0].Fields.Get("event"))
+	})
+}
+
+// A faulty file is told once and not every two seconds, and the next sound one counts.
+func TestAFaultyFileIsToldOnce(t *testing.T) {
+	watch(t, func(t *testing.T, w *watched) {
+		w.write(t, "faulty")
+		time.Sleep(5 * reload.Every)
+		synctest.Wait()
+		require.Len(t, w.lines.Entries, 1)
+		w.write(t, "third")
+		time.Sleep(reload.Every)
+		synctest.Wait()
+		require.Equal(t, []string{"third"}, w.applied)
+	})
+}
