Routers take SIGHUP before nearly all packages are initialised

Cause: the signal was taken in the run command. Change: internal/hangup takes the signal in its init and imports only os/signal, so that the runtime initialises it next after that: 23rd of 131 packages of the gateway, 27th of 156 of flamingowindd. Ruled out: SIG_IGN by a raw system call in an earlier package (0.08 ms earlier by inittrace, and the runtime wouldn't know of it). Tests: the order of inits failed before ("unicode" came next); a process that reads its settings from a pipe; starts with the signal ignored.

--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/flamingowind/flamingowind/internal/hangup"
 	"github.com/flamingowind/flamingowind/pkg/gatewayd"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 	"github.com/flamingowind/flamingowind/platform"
@@ -30,8 +31,6 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	file := settingsFile(c.file)
 	s, status := load(file)
 	if status != subcommands.ExitSuccess {
@@ -59,7 +58,7 @@
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
-		go p.WatchSettings(ctx, file, reload)
+		go p.WatchSettings(ctx, file, hangup.Announced())
 		err = p.Run(ctx)
 	}
 	if err != nil {
--- a/cmd/flamingowindd/run.go
+++ b/cmd/flamingowindd/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/flamingowind/flamingowind/internal/hangup"
 	"github.com/flamingowind/flamingowind/pkg/daemon"
 	"github.com/flamingowind/flamingowind/pkg/settings"
 )
@@ -33,8 +34,6 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	s, status := load(c.file)
 	if status != subcommands.ExitSuccess {
 		return status
@@ -45,7 +44,7 @@
 	context.AfterFunc(ctx, stop)
 	d, err := daemon.New(s, os.Stderr)
 	if err == nil {
-		go d.WatchSettings(ctx, c.file, reload)
+		go d.WatchSettings(ctx, c.file, hangup.Announced())
 		err = d.Run(ctx)
 	}
 	if err != nil {
--- a/internal/failtest/bin.go
+++ b/internal/failtest/bin.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/juju/errors"
@@ -12,15 +13,19 @@
 // binEnv names the directory that holds the programs; without it Main builds them.
 const binEnv = "FLAMINGOWIND_BIN"
 
-// programs are the import paths of what a fleet consists of.
+// programs are the import paths of what fleets consist of.
 var programs = []string{
 	"github.com/flamingowind/flamingowind/cmd/flamingowindd",
+	"github.com/flamingowind/flamingowind/cmd/flamingowind-gateway",
 	"github.com/flamingowind/flamingowind/cmd/flamingowind-standin",
 }
 
 // binDir is where Start finds the programs; Main sets it.
 var binDir string
 
+// Program is the file of the program with that name.
+func Program(name string) string { return filepath.Join(binDir, name) }
+
 // Main runs the tests of a package with the programs at hand and returns its exit
 // status; TestMain passes it on.
 func Main(m *testing.M) int {
