flamingowindd outlives the reader of its log

Cause: it wrote its lines itself to standard error. When the reader is gone the runtime ends a process that writes there (SIGPIPE); when the reader has stopped, whatever writes the next line stands still. The gateway has had the queue and ignores the signal. Seen: with the reader gone the router ended at its next line; with a full pipe it heard of no further settings (both: "didn't come about: the bound holds" after 45 s).

--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -36,11 +36,9 @@
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	out := telemetry.NewAsyncWriter(os.Stdout)
-	writing, stopWriting := context.WithCancel(context.Background())
-	written := make(chan struct{})
-	go func() { defer close(written); out.Run(writing) }()
-	defer func() { stopWriting(); <-written }()
+	signal.Ignore(syscall.SIGPIPE) // see telemetry.AsyncWriter
+	out, stopWriting := telemetry.StartAsync(os.Stdout)
+	defer stopWriting()
 	logger, err := telemetry.NewLog(out, s.Log.Level, "json")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "flamingowind-gateway:", err)
@@ -48,7 +46,6 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
 	l := logger.WithField("router", s.Router.Name)
 	store := platform.NewStore(s.Store.Addr, l)
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
--- a/cmd/flamingowindd/run.go
+++ b/cmd/flamingowindd/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/flamingowind/flamingowind/internal/hangup"
 	"github.com/flamingowind/flamingowind/pkg/daemon"
 	"github.com/flamingowind/flamingowind/pkg/settings"
+	"github.com/flamingowind/flamingowind/pkg/telemetry"
 )
 
 // exitSettings is the exit code for faulty settings.
@@ -42,13 +44,17 @@
 	defer stop()
 	// After the first signal the default handling is back: a second one ends the process.
 	context.AfterFunc(ctx, stop)
-	d, err := daemon.New(s, os.Stderr)
+	signal.Ignore(syscall.SIGPIPE) // see telemetry.AsyncWriter
+	out, stopWriting := telemetry.StartAsync(os.Stderr)
+	defer stopWriting()
+	stdlog.SetOutput(out) // net/http's own lines
+	d, err := daemon.New(s, out)
 	if err == nil {
 		go d.WatchSettings(ctx, c.file, hangup.Announced())
 		err = d.Run(ctx)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "flamingowindd:", err)
+		fmt.Fprintln(out, "flamingowindd:", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/pkg/telemetry/asyncwriter.go
+++ b/pkg/telemetry/asyncwriter.go
@@ -19,6 +19,9 @@
 // Guard: whoever reads a daemon's standard output may stop reading. Written to directly,
 // every request would stand still at its next log line. Lines wait in a bounded queue;
 // when it is full they are dropped and counted.
+// A reader may also be gone. The runtime ends a process that writes to a broken pipe on
+// standard output or error, so that one whose log goes there ignores SIGPIPE as well; the
+// write then fails like any other.
 type AsyncWriter struct {
 	to      io.Writer
 	lines   chan []byte
--- a/pkg/telemetry/log.go
+++ b/pkg/telemetry/log.go
@@ -5,7 +5,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 	"github.com/juju/errors"
 )
 
@@ -17,7 +16,7 @@
 	}
 	var h log.Handler = json.New(w)
 	if form == "text" {
-		h = text.New(w)
+		h = newWholeLines(w)
 	}
 	return &log.Logger{Handler: h, Level: l}, nil
 }
