A settings file replaced during a start is noticed

Cause: the watcher took what the file held when it began to watch for what the process had loaded. Seen on virtual time: a file replaced between the two was never applied. Change: the file is read once; the process starts with the content from which the watcher goes on (reload.Open). gatewayd.LoadSettings becomes ParseSettings, as nobody else needs the file's reading. Measured: the new test failed before (applied: nothing) and passes.

--- a/cmd/flamingowind-gateway/check.go
+++ b/cmd/flamingowind-gateway/check.go
@@ -24,7 +24,7 @@
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	_, status := load(settingsFile(c.file))
+	_, _, status := load(settingsFile(c.file))
 	if status == subcommands.ExitSuccess {
 		fmt.Println("settings are sound")
 	}
--- a/cmd/flamingowind-gateway/load.go
+++ b/cmd/flamingowind-gateway/load.go
@@ -7,6 +7,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/flamingowind/flamingowind/pkg/gatewayd"
+	"github.com/flamingowind/flamingowind/pkg/reload"
 	"github.com/flamingowind/flamingowind/platform"
 )
 
@@ -21,12 +22,16 @@
 	return file
 }
 
-// load reads file.
-func load(file string) (gatewayd.Settings, subcommands.ExitStatus) {
-	s, err := gatewayd.LoadSettings(file)
+// load reads file, which the watcher then goes on from.
+func load(file string) (*reload.Watcher, gatewayd.Settings, subcommands.ExitStatus) {
+	var s gatewayd.Settings
+	w, err := reload.Open(file)
+	if err == nil {
+		s, err = gatewayd.ParseSettings(file, w.Content())
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return s, exitSettings
+		return w, s, exitSettings
 	}
-	return s, subcommands.ExitSuccess
+	return w, s, subcommands.ExitSuccess
 }
--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -31,8 +31,7 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	file := settingsFile(c.file)
-	s, status := load(file)
+	watcher, s, status := load(settingsFile(c.file))
 	if status != subcommands.ExitSuccess {
 		return status
 	}
@@ -55,7 +54,7 @@
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
-		go p.WatchSettings(ctx, file, hangup.Announced())
+		go p.WatchSettings(ctx, watcher, hangup.Announced())
 		err = p.Run(ctx)
 	}
 	if err != nil {
--- a/cmd/flamingowindd/check.go
+++ b/cmd/flamingowindd/check.go
@@ -22,7 +22,7 @@
 }
 
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	_, status := load(c.file)
+	_, _, status := load(c.file)
 	if status == subcommands.ExitSuccess {
 		fmt.Println(c.file + ": sound")
 	}
--- a/cmd/flamingowindd/run.go
+++ b/cmd/flamingowindd/run.go
@@ -13,13 +13,9 @@
 
 	"github.com/flamingowind/flamingowind/internal/hangup"
 	"github.com/flamingowind/flamingowind/pkg/daemon"
-	"github.com/flamingowind/flamingowind/pkg/settings"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 )
 
-// exitSettings is the exit code for faulty settings.
-const exitSettings subcommands.ExitStatus = 2
-
 type runCommand struct{ file string }
 
 func (*runCommand) Name() string     { return "run" }
@@ -36,7 +32,7 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s, status := load(c.file)
+	watcher, s, status := load(c.file)
 	if status != subcommands.ExitSuccess {
 		return status
 	}
@@ -50,7 +46,7 @@
 	stdlog.SetOutput(out) // net/http's own lines
 	d, err := daemon.New(s, out)
 	if err == nil {
-		go d.WatchSettings(ctx, c.file, hangup.Announced())
+		go d.WatchSettings(ctx, watcher, hangup.Announced())
 		err = d.Run(ctx)
 	}
 	if err != nil {
@@ -59,12 +55,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-func load(file string) (settings.Settings, subcommands.ExitStatus) {
-	s, err := settings.Load(file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return s, exitSettings
-	}
-	return s, subcommands.ExitSuccess
-}
--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -12,18 +12,18 @@
 	"github.com/flamingowind/flamingowind/pkg/settings"
 )
 
-// WatchSettings puts file's settings in force whenever now is sent to, and when its
-// content has changed, until ctx ends. It may run once, beside Run.
-func (d *Daemon) WatchSettings(ctx context.Context, file string, now <-chan os.Signal) {
+// WatchSettings puts the settings of w's file in force whenever now is sent to, and when
+// its content has changed, until ctx ends. It may run once, beside Run.
+func (d *Daemon) WatchSettings(ctx context.Context, w *reload.Watcher, now <-chan os.Signal) {
 	apply := func(content []byte) error {
-		s, err := settings.Parse(file, content)
+		s, err := settings.Parse(w.File(), content)
 		if err != nil {
 			return errors.Trace(err)
 		}
 		d.reload(s)
 		return nil
 	}
-	(&reload.Watcher{File: file, Apply: apply, Log: d.log}).Run(ctx, now)
+	w.Run(ctx, now, apply, d.log)
 }
 
 // reload puts s in force as far as a running process can; what needs a restart is told.
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -10,20 +10,18 @@
 	"github.com/flamingowind/flamingowind/pkg/reload"
 )
 
-// WatchSettings puts file's settings in force whenever now is sent to, and when its
-// content has changed, until ctx ends.
-func (p *Process) WatchSettings(ctx context.Context, file string, now <-chan os.Signal) {
-	apply := func(content []byte) error { return p.reload(file, content) }
-	(&reload.Watcher{File: file, Apply: apply, Log: p.log}).Run(ctx, now)
-}
-
-func (p *Process) reload(file string, data []byte) error {
-	s, err := decodeSettings(file, data)
-	if err != nil {
-		return errors.Trace(err)
+// WatchSettings puts the settings of w's file in force whenever now is sent to, and when
+// its content has changed, until ctx ends.
+func (p *Process) WatchSettings(ctx context.Context, w *reload.Watcher, now <-chan os.Signal) {
+	apply := func(content []byte) error {
+		s, err := ParseSettings(w.File(), content)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		p.Reload(s)
+		return nil
 	}
-	p.Reload(s)
-	return nil
+	w.Run(ctx, now, apply, p.log)
 }
 
 // Reload puts s in force as far as a running process can; what needs a restart is told.
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -24,10 +24,12 @@
 // reloading is a process without its addresses, with its settings in a file.
 type reloading struct {
 	*Process
-	file  string
-	lines *memory.Handler
-	store atomic.Value
-	hup   chan os.Signal
+	file string
+	// watcher has read the file as newReloading wrote it.
+	watcher *reload.Watcher
+	lines   *memory.Handler
+	store   atomic.Value
+	hup     chan os.Signal
 }
 
 func newReloading(t *testing.T) *reloading {
@@ -42,6 +44,9 @@
 	r.fleet = fleet.New(member(s), nil, l)
 	r.gateway = gateway.New(gatewaySettings(s), gateway.Parts{Catalog: r.catalog, Health: r.health, Log: l})
 	r.write(t, "127.0.0.1:1", "1")
+	var err error
+	r.watcher, err = reload.Open(r.file)
+	require.NoError(t, err)
 	return r
 }
 
@@ -58,7 +63,7 @@
 		r := newReloading(t)
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
-		go r.WatchSettings(ctx, r.file, r.hup)
+		go r.WatchSettings(ctx, r.watcher, r.hup)
 		synctest.Wait()
 		r.write(t, "127.0.0.1:9", "3")
 		time.Sleep(reload.Every)
@@ -79,7 +84,7 @@
 		r := newReloading(t)
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
-		go r.WatchSettings(ctx, r.file, r.hup)
+		go r.WatchSettings(ctx, r.watcher, r.hup)
 		synctest.Wait()
 		r.write(t, "nowhere", "3")
 		r.hup <- syscall.SIGHUP
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"os"
 
 	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
@@ -118,19 +117,10 @@
 	}
 }
 
-// LoadSettings reads and checks a YAML file; unknown keys are faults.
-func LoadSettings(file string) (Settings, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, errors.Annotate(err, "read settings")
-	}
-	return decodeSettings(file, data)
-}
-
-// decodeSettings reads and checks the content of file.
-func decodeSettings(file string, data []byte) (Settings, error) {
+// ParseSettings reads and checks the content of a YAML file; unknown keys are faults.
+func ParseSettings(file string, content []byte) (Settings, error) {
 	s := DefaultSettings()
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.DisallowUnknownField()).Decode(&s); err != nil {
+	if err := yaml.NewDecoder(bytes.NewReader(content), yaml.DisallowUnknownField()).Decode(&s); err != nil {
 		return Settings{}, errors.Annotatef(err, "%s", file)
 	}
 	return s, errors.Annotatef(s.Check(), "%s", file)
--- a/pkg/reload/watcher.go
+++ b/pkg/reload/watcher.go
@@ -16,56 +16,63 @@
 
 // Watcher watches one settings file.
 type Watcher struct {
-	File string
-	// Apply puts the file's content in force; when it fails nothing may have changed.
-	Apply func(content []byte) error
-	Log   log.Interface
+	file    string
+	content []byte
+}
 
-	last []byte
+// Open reads file for the first time. A process starts with that content.
+//
+// Guard: a file that is replaced after a process has read it and before it watches it
+// would look unchanged for ever, and the process would go by the settings before.
+// Compared with what the process started with, it differs at the first look.
+func Open(file string) (*Watcher, error) {
+	content, err := os.ReadFile(file)
+	return &Watcher{file: file, content: content}, errors.Annotate(err, "read settings")
 }
 
+// Content is what the file held when it was read last.
+func (w *Watcher) Content() []byte { return w.content }
+
+// File is the file's name.
+func (w *Watcher) File() string { return w.file }
+
+// Apply puts a file's content in force; when it fails nothing may have changed.
+type Apply func(content []byte) error
+
 // Run applies the file whenever now is sent to, and when its content has changed, until
 // ctx ends.
 //
 // Guard: by default the signal that announces other settings ends the process, and with
 // it all that it serves. Whoever sends the signal must be listened to.
-func (w *Watcher) Run(ctx context.Context, now <-chan os.Signal) {
+func (w *Watcher) Run(ctx context.Context, now <-chan os.Signal, apply Apply, l log.Interface) {
 	tick := time.NewTicker(Every)
 	defer tick.Stop()
-	var err error
-	if w.last, err = os.ReadFile(w.File); err != nil {
-		w.failed(errors.Trace(err))
-	}
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-now:
-			w.look(true)
+			asked = true
 		case <-tick.C:
-			w.look(false)
+		}
+		if err := w.look(asked, apply); err != nil {
+			l.WithError(err).WithField("event", "reload_failed").Error("other settings can't be read, those in force stay")
 		}
 	}
 }
 
 // look reads the file and applies it when it has changed or asked is set.
-func (w *Watcher) look(asked bool) {
-	content, err := os.ReadFile(w.File)
+func (w *Watcher) look(asked bool, apply Apply) error {
+	content, err := os.ReadFile(w.file)
 	switch {
 	case err != nil && !asked: // it is being replaced; the next look finds it
-		return
-	case err == nil && !asked && bytes.Equal(content, w.last):
-		return
-	case err == nil:
-		w.last = content
-		err = w.Apply(content)
-	}
-	if err != nil {
-		w.failed(errors.Trace(err))
+		return nil
+	case err != nil:
+		return errors.Trace(err)
+	case !asked && bytes.Equal(content, w.content):
+		return nil
 	}
-}
-
-// failed tells that the settings in force stay.
-func (w *Watcher) failed(err error) {
-	w.Log.WithError(err).WithField("event", "reload_failed").Error("other settings can't be read, those in force stay")
+	w.content = content
+	return errors.Trace(apply(content))
 }
--- a/pkg/reload/watcher_test.go
+++ b/pkg/reload/watcher_test.go
@@ -44,8 +44,9 @@
 		w.write(t, "first")
 		ctx, end := context.WithCancel(t.Context())
 		defer end()
-		watcher := &reload.Watcher{File: w.file, Apply: w.apply, Log: &log.Logger{Handler: w.lines}}
-		go watcher.Run(ctx, w.hup)
+		watcher, err := reload.Open(w.file)
+		require.NoError(t, err)
+		go watcher.Run(ctx, w.hup, w.apply, &log.Logger{Handler: w.lines})
 		synctest.Wait()
 		test(t, w)
 	})
@@ -80,6 +81,25 @@
 	})
 }
 
+// The operators replace the file without a word while a router starts, after it has read
+// its settings and before it watches the file. It would go by the settings before, such
+// as the address of a store that is gone, until the next change.
+func TestAChangeDuringTheStartIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &watched{file: filepath.Join(t.TempDir(), "settings.yaml"), lines: memory.New()}
+		w.write(t, "first")
+		ctx, end := context.WithCancel(t.Context())
+		defer end()
+		watcher, err := reload.Open(w.file)
+		require.NoError(t, err)
+		w.write(t, "second")
+		go watcher.Run(ctx, w.hup, w.apply, &log.Logger{Handler: w.lines})
+		time.Sleep(2 * reload.Every)
+		synctest.Wait()
+		require.Equal(t, []string{"second"}, w.applied)
+	})
+}
+
 // A faulty file is told once and not every two seconds, and the next sound one counts.
 func TestAFaultyFileIsToldOnce(t *testing.T) {
 	watch(t, func(t *testing.T, w *watched) {
