A second signal ends a draining flamingowindd at once

Cause: the daemon waited for the framework's shutdown (fx.App.Wait), which subscribes to SIGTERM and SIGINT until the router has drained; so that our giving back of the default action had no effect. docs/operators/draining.md promises the end at once. Seen: three streams of 3000 tokens, SIGTERM, further SIGTERMs: all three streams ended whole 15 s later and the process with them. Change: the operators' wish to drain is a channel of our own.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,6 +22,7 @@
 	app     *fx.App
 	log     log.Interface
 	edge    *edge.Edge
+	drain   *drain
 	started settings.Settings
 }
 
@@ -32,7 +33,7 @@
 		fx.Supply(s),
 		fx.Provide(func() io.Writer { return w }),
 		Module,
-		fx.Populate(&d.log, &d.edge),
+		fx.Populate(&d.log, &d.edge, &d.drain),
 		fx.Invoke(start),
 		fx.StopTimeout(s.Timing.DrainLimit.Std()+stopMargin),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -50,7 +51,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-d.app.Wait():
+	case <-d.drain.asked:
 	}
 	d.log.Info("draining")
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), d.app.StopTimeout())
--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/juju/errors"
-	"go.uber.org/fx"
 )
 
 const (
@@ -23,20 +23,23 @@
 )
 
 // drain holds the callers' server and the wish of an operator to end the router.
+//
+// Guard: the framework's own shutdown would serve, but whoever waits for it takes SIGTERM
+// and SIGINT as well, until the router has drained. A second signal, which ends a router
+// that drains for too long, would then come to nothing.
 type drain struct {
-	shutdown fx.Shutdowner
-	log      log.Interface
-	server   *http.Server
+	log    log.Interface
+	server *http.Server
+
+	// asked is closed by the first request.
+	asked chan struct{}
+	once  sync.Once
 }
 
-func newDrain(s fx.Shutdowner, l log.Interface) *drain { return &drain{shutdown: s, log: l} }
+func newDrain(l log.Interface) *drain { return &drain{log: l, asked: make(chan struct{})} }
 
 // request ends the router in good order; it returns at once.
-func (d *drain) request() {
-	if err := d.shutdown.Shutdown(); err != nil {
-		d.log.WithError(err).Error("can't drain")
-	}
-}
+func (d *drain) request() { d.once.Do(func() { close(d.asked) }) }
 
 func (d *drain) serve(server *http.Server, l net.Listener) {
 	d.server = server
