--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/flamingowind/flamingowind/internal/hangup"
 	"github.com/flamingowind/flamingowind/pkg/gatewayd"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 	"github.com/flamingowind/flamingowind/platform"
@@ -30,18 +31,13 @@
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	file := settingsFile(c.file)
-	s, status := load(file)
+	watcher, s, status := load(settingsFile(c.file))
 	if status != subcommands.ExitSuccess {
 		return status
 	}
-	out := telemetry.NewAsyncWriter(os.Stdout)
-	writing, stopWriting := context.WithCancel(context.Background())
-	written := make(chan struct{})
-	go func() { defer close(written); out.Run(writing) }()
-	defer func() { stopWriting(); <-written }()
+	signal.Ignore(syscall.SIGPIPE) // see telemetry.AsyncWriter
+	out, stopWriting := telemetry.StartAsync(os.Stdout)
+	defer stopWriting()
 	logger, err := telemetry.NewLog(out, s.Log.Level, "json")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "flamingowind-gateway:", err)
@@ -49,7 +45,6 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
 	l := logger.WithField("router", s.Router.Name)
 	store := platform.NewStore(s.Store.Addr, l)
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
@@ -59,7 +54,7 @@
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
-		go p.WatchSettings(ctx, file, reload)
+		go p.WatchSettings(ctx, watcher, hangup.Announced())
 		err = p.Run(ctx)
 	}
 	if err != nil {
--- /dev/null
+++ b/pkg/reload/watcher.go
@@ -0,0 +1,78 @@
+package reload
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+)
+
+// Every is the pause between two looks whether the settings file is another one: it
+// may change without a signal. A look costs one read of a small file.
+const Every = 2 * time.Second
+
+// Watcher watches one settings file.
+type Watcher struct {
+	file    string
+	content []byte
+}
+
+// Open reads file for the first time. A process starts with that content.
+//
+// Guard: a file that is replaced after a process has read it and before it watches it
+// would look unchanged for ever, and the process would go by the settings before.
+// Compared with what the process started with, it differs at the first look.
+func Open(file string) (*Watcher, error) {
+	content, err := os.ReadFile(file)
+	return &Watcher{file: file, content: content}, errors.Annotate(err, "read settings")
+}
+
+// Content is what the file held when it was read last.
+func (w *Watcher) Content() []byte { return w.content }
+
+// File is the file's name.
+func (w *Watcher) File() string { return w.file }
+
+// Apply puts a file's content in force; when it fails nothing may have changed.
+type Apply func(content []byte) error
+
+// Run applies the file whenever now is sent to, and when its content has changed, until
+// ctx ends.
+//
+// Guard: by default the signal that announces other settings ends the process, and with
+// it all that it serves. Whoever sends the signal must be listened to.
+func (w *Watcher) Run(ctx context.Context, now <-chan os.Signal, apply Apply, l log.Interface) {
+	tick := time.NewTicker(Every)
+	defer tick.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-now:
+			asked = true
+		case <-tick.C:
+		}
+		if err := w.look(asked, apply); err != nil {
+			l.WithError(err).WithField("event", "reload_failed").Error("other settings can't be read, those in force stay")
+		}
+	}
+}
+
+// look reads the file and applies it when it has changed or asked is set.
+func (w *Watcher) look(asked bool, apply Apply) error {
+	content, err := os.ReadFile(w.file)
+	switch {
+	case err != nil && !asked: // it is being replaced; the next look finds it
+		return nil
+	case err != nil:
+		return errors.Trace(err)
+	case !asked && bytes.Equal(content, w.content):
+		return nil
+	}
+	w.content = content
+	return errors.Trace(apply(content))
+}
--- a/pkg/telemetry/log.go
+++ b/pkg/telemetry/log.go
@@ -4,7 +4,6 @@
 	"io"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
 	"github.com/juju/errors"
 )
 
@@ -16,7 +15,7 @@
 	}
 	var h log.Handler = newJSONHandler(w)
 	if form == "text" {
-		h = text.New(w)
+		h = newWholeLines(w)
 	}
 	return &log.Logger{Handler: h, Level: l}, nil
 }
