--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -33,6 +33,7 @@
 	tcp     *net.TCPListener
 	raw     rawListener
 	queue   *queue
+	load    load
 	refuser refuser
 }
 
@@ -41,9 +42,9 @@
 	Control(func(fd uintptr)) error
 }
 
-// New returns a listener for the connections that come to tcp. refusal is the whole answer
-// to those that are turned away.
-func New(tcp *net.TCPListener, refusal []byte) (*Listener, error) {
+// New returns a listener for the connections that come to tcp. refusal gives the whole answer
+// to those that are turned away, with the time after which they should come back.
+func New(tcp *net.TCPListener, refusal func(after time.Duration) []byte) (*Listener, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -51,7 +52,9 @@
 	if err := shorten(raw); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Listener{tcp: tcp, raw: raw, queue: newQueue(turnsPerThread * runtime.GOMAXPROCS(0)), refuser: refuser{refusal: refusal}}, nil
+	l := &Listener{tcp: tcp, raw: raw, queue: newQueue(turnsPerThread * runtime.GOMAXPROCS(0))}
+	l.refuser.refusal = func(now time.Time) []byte { return refusal(l.load.pause(now)) }
+	return l, nil
 }
 
 // shorten bounds the connections that wait to be accepted.
@@ -76,6 +79,7 @@
 		}
 		now := time.Now()
 		if l.queue.wait(now) <= mostWait {
+			l.load.note(false, now)
 			return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}, nil
 		}
 		l.turnAway(c, now)
@@ -90,7 +94,12 @@
 		return // closed
 	}
 	// Control fails on a closed connection only.
-	_ = raw.Control(func(fd uintptr) { l.refuser.add(refused{fd: int(fd), conn: c, since: now}) })
+	_ = raw.Control(func(fd uintptr) { l.refuse(refused{fd: int(fd), conn: c, since: now}) })
+}
+
+func (l *Listener) refuse(r refused) {
+	l.load.note(true, r.since)
+	l.refuser.add(r)
 }
 
 // turnAwayWaiting turns away what waits to be accepted.
@@ -102,7 +111,7 @@
 			if err != nil {
 				return // none waits, or Accept meets the error again
 			}
-			l.refuser.add(refused{fd: s, since: time.Now()})
+			l.refuse(refused{fd: s, since: time.Now()})
 		}
 	})
 }
--- a/pkg/admission/listener_test.go
+++ b/pkg/admission/listener_test.go
@@ -18,7 +18,7 @@
 func serve(t *testing.T, h http.HandlerFunc) (*Listener, string) {
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l, err := New(tcp.(*net.TCPListener), []byte(refusal))
+	l, err := New(tcp.(*net.TCPListener), func(time.Duration) []byte { return []byte(refusal) })
 	require.NoError(t, err)
 	s := &http.Server{Handler: h, ConnState: func(c net.Conn, state http.ConnState) {
 		if state == http.StateActive {
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -18,7 +18,8 @@
 
 // refuser answers connections that are turned away.
 type refuser struct {
-	refusal []byte
+	// refusal is what those that are turned away now are answered.
+	refusal func(now time.Time) []byte
 	count   atomic.Int64
 
 	mu   sync.Mutex
@@ -67,6 +68,7 @@
 		r.skip = make([]byte, skipBytes)
 	}
 	now := time.Now()
+	refusal := r.refusal(now)
 	rest := make([]refused, 0, len(r.list))
 	left := mostALook
 	for _, one := range r.list {
@@ -75,7 +77,7 @@
 			rest = append(rest, one)
 			continue
 		}
-		if one.next(r.refusal, r.skip, now) {
+		if one.next(refusal, r.skip, now) {
 			one.close()
 			continue
 		}
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -70,14 +70,10 @@
 	return verdict.New(verdict.MayHaveRun, http.StatusBadGateway, verdict.CodeUpstreamFailed, "the upstream broke off or answered garbage")
 }
 
-// turnedAwayFor is the pause for callers whose connection was turned away unread: with less
-// they would come back into the same crowd, and an objective is little longer.
-const turnedAwayFor = 400 * time.Millisecond
-
 // TurnedAway is the whole answer, head and body, to a connection that is turned away
-// before its request is read.
-func TurnedAway() []byte {
-	e := errOverrun().After(turnedAwayFor)
+// before its request is read, and that should come back after a time.
+func TurnedAway(after time.Duration) []byte {
+	e := errOverrun().After(after)
 	body := e.Message + "\n"
 	answer := http.Response{StatusCode: e.Status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true,
 		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
