--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -5,7 +5,6 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -78,20 +77,11 @@
 }
 
 // running reports whether the process runs.
-func (r *router) running() bool {
-	select {
-	case <-r.process.Gone():
-		return false
-	default:
-		return true
-	}
-}
+func (r *router) running() bool { return !r.process.Ended() }
 
 // hangup sends the signal that announces other settings.
 func (r *router) hangup() {
-	if r.running() {
-		_ = syscall.Kill(r.process.PID(), syscall.SIGHUP) // it may have ended just now
-	}
+	_ = r.process.Hangup() // it may have ended
 }
 
 // heal opens all links.
