--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -24,7 +24,7 @@
 
 // NewDuty returns the duty of f.
 func NewDuty(f *Fleet) *Duty {
-	return &Duty{fleet: f, http: &http.Client{Timeout: exchangeTimeout, Transport: &http.Transport{
+	return &Duty{fleet: f, http: &http.Client{Timeout: lateTimeout, Transport: &http.Transport{
 		DialContext: forward.Dialer(exchangeTimeout).DialContext, MaxIdleConnsPerHost: 1,
 		DisableCompression: true, ReadBufferSize: peerBuffer, WriteBufferSize: peerBuffer,
 	}}}
@@ -119,9 +119,12 @@
 	p.rounds++
 	addr := p.member.Peers
 	f.mu.Unlock()
+	question := f.question(p, others)
+	ctx, cancel := context.WithTimeout(ctx, timeout(&question))
+	defer cancel()
 	answer := new(Report)
 	asked := time.Now()
-	err := d.post(ctx, addr, Path, f.question(p, others), answer, maxMessage)
+	err := d.post(ctx, addr, Path, question, answer, maxMessage)
 	f.mu.Lock()
 	p.asking = false
 	f.mu.Unlock()
@@ -132,6 +135,18 @@
 	f.incoming(answer, asked)
 }
 
+// timeout bounds the exchange that question begins.
+//
+// Guard: a router that waits for the processor comes to read an answer long after it has
+// arrived. Given up by then, hardly an exchange would succeed there, and it would know
+// least of the others where it matters most.
+func timeout(question *Report) time.Duration {
+	if false && question.Pressed {
+		return lateTimeout
+	}
+	return exchangeTimeout
+}
+
 // miss notes a failed exchange.
 func (f *Fleet) miss(p *peer, err error) {
 	f.mu.Lock()
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -30,6 +30,7 @@
 	asOf     time.Time
 	suspects []wire.Suspicion
 	heard    chan struct{}
+	late     bool
 
 	fleet *Fleet
 	duty  *Duty
@@ -38,7 +39,7 @@
 func (r *router) Describe(rep *Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep.Ready, rep.Loads, rep.Config, rep.ListAgeMs = true, r.loads, 7, listAge.Milliseconds()
+	rep.Ready, rep.Pressed, rep.Loads, rep.Config, rep.ListAgeMs = true, r.late, r.loads, 7, listAge.Milliseconds()
 	rep.Uses = []Use{{Organisation: "org", Asked: 10, Got: 5}}
 }
 
--- /dev/null
+++ b/pkg/fleet/late_test.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A router of a large fleet gets so little processor that it misses its hub for two
+// seconds, and then hears from one other router. Taking that one for all there is, it holds
+// an organisation that has seven times its share for one that has just it, and serves it
+// without bound while others, held back elsewhere, get less than half. Its requests are
+// logged with a standing of 1.01 or 0 from then on, those of the other organisation with 3.
+func TestRouterThatMissesItsHubKeepsWhatItKnewOfOrganisations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 48
+		c := newCrowd(n)
+		c.play(4 * time.Second)
+		late := c.member("")
+		stray := c.member(late.fleet.self.Peers)
+		time.Sleep(2 * time.Second)
+		report := stray.fleet.question(stray.fleet.peers[late.fleet.self.Peers], false)
+		late.fleet.incoming(&report, time.Now())
+		require.InDelta(t, 5*(n-1), late.uses["org"].Got, 1e-6)
+
+		time.Sleep(usesKept)
+		late.fleet.incoming(&report, time.Now())
+		require.InDelta(t, 5, late.uses["org"].Got, 1e-6, "too old to go by")
+	})
+}
+
+// member gives a router that is no hub.
+func (c *crowd) member(not string) *router {
+	for addr, r := range c.routers {
+		if addr != not && !r.fleet.last.hub && !r.fleet.last.direct {
+			return r
+		}
+	}
+	return nil
+}
+
+// A router that waits for the processor comes to read an answer half a second after it has
+// arrived. Given up by then, no exchange would ever succeed there, and it would know
+// nothing of what others do.
+func TestLateRouterWaitsLongerForAnswers(t *testing.T) {
+	slow := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) { time.Sleep(exchangeTimeout + 200*time.Millisecond) }))
+	t.Cleanup(slow.Close)
+	r := &router{heard: make(chan struct{}, 1)}
+	r.fleet = New(Member{Name: "a", Peers: "a", Started: 1}, r, quiet)
+	r.fleet.SetSecret(secret)
+	r.duty = NewDuty(r.fleet)
+	r.fleet.Meet([]Member{{Name: "b", Peers: strings.TrimPrefix(slow.URL, "http://"), Started: 1}})
+	p := r.fleet.due(time.Now())[0]
+	for _, late := range []bool{false, true} {
+		r.late = late
+		began := time.Now()
+		r.duty.exchange(t.Context(), p)
+		took := time.Since(began)
+		require.Equal(t, late, took > exchangeTimeout+100*time.Millisecond, "took %v", took)
+	}
+}
--- a/pkg/fleet/total.go
+++ b/pkg/fleet/total.go
@@ -46,14 +46,33 @@
 	}
 }
 
-// others adds up what the other routers have in progress.
+// usesKept is how long after its hub's last report a router goes by the use that it told
+// of, unless it hears of more itself. Shares are means of two seconds; work in progress is
+// over long before.
+const usesKept = 5 * time.Second
+
+// others adds up what the other routers have in progress and what organisations get there.
+//
+// Guard: a router that gets too little processor misses its hub for seconds, while one or
+// two others are heard of. Taken for all there is, they make an organisation that gets many
+// times its share seem to get just that, and it is served at the cost of all others.
 func (f *Fleet) others(now time.Time) sum {
-	if f.fromHub != nil && now.Sub(f.fromHubAt) < aliveFor && f.last.own != "" {
-		total := newSum()
-		total.add(f.fromHub, 1)
-		return total
+	age := now.Sub(f.fromHubAt)
+	if f.fromHub == nil || age >= aliveFor || f.last.hub {
+		return f.heard(now)
+	}
+	told := newSum()
+	told.add(f.fromHub, 1)
+	if age < aliveFor && f.last.own != "" {
+		return told
 	}
-	return f.heard(now)
+	total := f.heard(now)
+	for org, use := range told.uses {
+		if total.uses[org].Asked < use.Asked {
+			total.uses[org] = use
+		}
+	}
+	return total
 }
 
 // heard adds up what this router has heard of itself. Never what a hub told: two routers
