A late router keeps sight of what organisations get elsewhere

Ruled out: the engines' slots (queues were empty for both), the split by standing (the same figures at both routers until 12 s).

--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -141,7 +141,7 @@
 // arrived. Given up by then, hardly an exchange would succeed there, and it would know
 // least of the others where it matters most.
 func timeout(question *Report) time.Duration {
-	if false && question.Pressed {
+	if question.Pressed {
 		return lateTimeout
 	}
 	return exchangeTimeout
--- a/pkg/fleet/total.go
+++ b/pkg/fleet/total.go
@@ -58,7 +58,7 @@
 // times its share seem to get just that, and it is served at the cost of all others.
 func (f *Fleet) others(now time.Time) sum {
 	age := now.Sub(f.fromHubAt)
-	if f.fromHub == nil || age >= aliveFor || f.last.hub {
+	if f.fromHub == nil || age >= usesKept || f.last.hub {
 		return f.heard(now)
 	}
 	told := newSum()
