--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -11,6 +11,8 @@
 
 // callerConn is a caller's connection with the number of requests that came on it.
 type callerConn struct {
+	// number tells the connection from all others of the process.
+	number int32
 	// raw is nil for a connection without a socket.
 	raw      syscall.RawConn
 	requests atomic.Int64
@@ -19,11 +21,15 @@
 	enrolled bool
 }
 
+// connections numbers callers' connections. After 2^32 of them a number comes again, when
+// the first one is long closed.
+var connections atomic.Int32
+
 // WithConn is a server's hook that lets requests look at their connection. A listener that
 // wraps its connections has to pass SyscallConn on: without it, callers that leave are
 // noticed by the server alone, late on an overrun host.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	kept := new(callerConn)
+	kept := &callerConn{number: connections.Add(1)}
 	if socket, ok := c.(syscall.Conn); ok {
 		// A connection that is closed already gives no raw one; its context ends soon.
 		kept.raw, _ = socket.SyscallConn()
--- a/pkg/gateway/departures.go
+++ b/pkg/gateway/departures.go
@@ -31,7 +31,7 @@
 	epoll int
 
 	mu      sync.Mutex
-	waiting map[int32]*waiter // by the descriptor of the caller's connection
+	waiting map[int32]*waiter // by the number of the caller's connection
 
 	// looked is when the last look was, in nanoseconds since start.
 	looked atomic.Int64
@@ -53,37 +53,32 @@
 	if !ok || c.raw == nil || d.epoll < 0 {
 		return func() {}
 	}
-	id := int32(-1)
-	// One that is closed already ends the request's context.
-	_ = c.raw.Control(func(fd uintptr) {
-		id = int32(fd)
-		d.put(id, &r.waiter)
-		if !c.enrolled {
-			c.enrolled = d.enrol(id)
-		}
-	})
-	return func() { d.remove(id, &r.waiter) }
+	d.put(c.number, &r.waiter)
+	if !c.enrolled {
+		// One that is closed already ends the request's context.
+		_ = c.raw.Control(func(fd uintptr) { c.enrolled = d.enrol(fd, c.number) })
+	}
+	return func() { d.remove(c.number) }
 }
 
-func (d *departures) put(id int32, wt *waiter) {
+func (d *departures) put(number int32, wt *waiter) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.waiting[id] = wt
+	d.waiting[number] = wt
 }
 
-// remove forgets wt, unless its descriptor is another connection's by now.
-func (d *departures) remove(id int32, wt *waiter) {
+func (d *departures) remove(number int32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.waiting[id] == wt {
-		delete(d.waiting, id)
-	}
+	delete(d.waiting, number)
 }
 
-// enrol has the kernel tell of the socket's close, once. It forgets a socket that we close.
-func (d *departures) enrol(id int32) bool {
-	want := unix.EpollEvent{Events: unix.EPOLLRDHUP | unix.EPOLLET, Fd: id}
-	return unix.EpollCtl(d.epoll, unix.EPOLL_CTL_ADD, int(id), &want) == nil
+// enrol has the kernel tell of the socket's close, once, under the connection's number: its
+// descriptor may be another connection's by the time that the close is looked at. The kernel
+// forgets a socket that we close.
+func (d *departures) enrol(fd uintptr, number int32) bool {
+	want := unix.EpollEvent{Events: unix.EPOLLRDHUP | unix.EPOLLET, Fd: number}
+	return unix.EpollCtl(d.epoll, unix.EPOLL_CTL_ADD, int(fd), &want) == nil
 }
 
 // look ends the work for callers that have left, unless somebody looked just before.
@@ -108,10 +103,10 @@
 	return n
 }
 
-func (d *departures) of(id int32) *waiter {
+func (d *departures) of(number int32) *waiter {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.waiting[id]
+	return d.waiting[number]
 }
 
 // waitNone gives the events that are there. Like hungUp it doesn't tell the runtime.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 
 // request is one caller's request on its way through the gateway.
 type request struct {
+	// ctx ends with the caller's connection, from the first attempt on also at end.
 	ctx     context.Context
 	in      *http.Request
 	w       http.ResponseWriter
@@ -24,6 +25,8 @@
 	org     string
 	service *routing.Service
 	body    []byte
+	// memory holds the body when it is used again after the request.
+	memory *[]byte
 	// content stands for what would run.
 	content uint64
 	chain   []placement.Link
@@ -36,6 +39,8 @@
 	standing placement.Standing
 	trail    trail
 	waiter   waiter
+	// unwatch ends the looking for the caller's leaving, once begin was called.
+	unwatch func()
 }
 
 // left is how long an upstream may still work.
@@ -55,3 +60,21 @@
 	}
 	return !r.callerGone() && !r.over()
 }
+
+// begin makes the request end in time, and with its caller. A request that is refused before
+// its first attempt does without: that saves 0.6 KB and 7 allocations of its 5.5 KB and 79.
+func (r *request) begin(d *departures) {
+	if r.waiter.cancel == nil {
+		r.ctx, r.waiter.cancel = context.WithDeadline(r.ctx, r.end)
+		r.unwatch = d.watch(r)
+	}
+}
+
+// release ends the use of what the request holds.
+func (r *request) release() {
+	if r.waiter.cancel != nil {
+		r.unwatch()
+		r.waiter.cancel()
+	}
+	r.giveBack()
+}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -45,6 +45,7 @@
 			g.giveUp(r, last, nil)
 			return
 		}
+		r.begin(g.departures)
 		last = g.attempt(r, choice, now)
 		if last.done {
 			return
