Connections are let in by rounds, refusals are bounded by the host's cores, the rest is closed

Cause: thousands of accepted connections waited for the scheduler before any of them showed how long that is (waiting 1,974, entered 0, 15,857 turned away after they were let in), and refusals took over a third of the processor; on the grown quota desk a router that 2,500 callers a second come to served next to nobody. Ruled out, each by a trial: waits measured at the first read alone (what is turned away late makes the mean shrink), a short kernel queue (old connections, callers that left), and yielding alone (the kernel's queue gets old unseen). Change: package admission lets some in, gives the others the processor, and goes by how long they have it; refusals 6,000 a second and core; what is beyond is closed unread. A request that was let in isn't refused for lateness any more; its test is in admission now.

--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,12 +20,11 @@
 	// turnsPerThread is how many connections have their turn at once for each thread: enough
 	// that one which waits for bytes doesn't leave the processor idle.
 	turnsPerThread = 4
-	// backlog is how many connections may wait to be accepted. The kernel drops the opening
-	// packets of further ones, which costs this process nothing: more than can be accepted
-	// in a quarter of a second would be old before their turn.
-	backlog = 256
-	// fullPause is the pause while no more connections can be turned away.
-	fullPause = 20 * time.Millisecond
+	// idleAccept is the time from which on accepting has waited for a connection.
+	idleAccept = 2 * time.Millisecond
+	// mostAtOnce bounds the connections that are turned away in one go, so that those let in
+	// get the processor.
+	mostAtOnce = 1024
 )
 
 // Listener accepts connections for a server, and turns away those that would wait too long
@@ -33,8 +33,11 @@
 	tcp     *net.TCPListener
 	raw     rawListener
 	queue   *queue
+	rounds  rounds
 	load    load
 	refuser refuser
+	// closed counts connections that were closed without a refusal.
+	closed atomic.Int64
 }
 
 // rawListener gives the listening socket.
@@ -42,43 +45,36 @@
 	Control(func(fd uintptr)) error
 }
 
-// New returns a listener for the connections that come to tcp. refusal gives the whole answer
-// to those that are turned away, with the time after which they should come back.
-func New(tcp *net.TCPListener, refusal func(after time.Duration) []byte) (*Listener, error) {
+// New returns a listener for the connections that come to tcp, on a host that gives the
+// process that many cores; 0 when that isn't known. refusal gives the whole answer to those
+// that are turned away, with the time after which they should come back.
+func New(tcp *net.TCPListener, cores float64, refusal func(after time.Duration) []byte) (*Listener, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := shorten(raw); err != nil {
-		return nil, errors.Trace(err)
-	}
 	l := &Listener{tcp: tcp, raw: raw, queue: newQueue(turnsPerThread * runtime.GOMAXPROCS(0))}
+	l.rounds.most = firstRound
+	l.refuser.pace = pace(cores)
 	l.refuser.refusal = func(now time.Time) []byte { return refusal(l.load.pause(now)) }
 	return l, nil
 }
 
-// shorten bounds the connections that wait to be accepted.
-func shorten(raw rawListener) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) })
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(failed)
-}
-
 // Accept gives the next connection that is let in.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		for l.refuser.full() {
-			time.Sleep(fullPause)
-		}
+		l.round()
+		before := time.Now()
 		c, err := l.tcp.AcceptTCP()
 		if err != nil {
 			return nil, err // as the server expects it
 		}
 		now := time.Now()
+		if now.Sub(before) > idleAccept {
+			l.rounds.calm()
+		}
 		if l.queue.wait(now) <= mostWait {
+			l.rounds.let()
 			l.load.note(false, now)
 			return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}, nil
 		}
@@ -87,6 +83,23 @@
 	}
 }
 
+// round ends a round once enough connections were let in: the others have the processor then.
+//
+// Guard: this loop takes all that waits in the kernel's queue in one go. Thousands of
+// goroutines would then wait for the scheduler, each for longer than its caller does, before
+// the first of them shows how long that is.
+func (l *Listener) round() {
+	if !l.rounds.full() {
+		return
+	}
+	if l.rounds.slow() {
+		l.turnAwayWaiting()
+	}
+	began := time.Now()
+	runtime.Gosched()
+	l.rounds.next(time.Since(began))
+}
+
 // turnAway turns away a connection that was accepted.
 func (l *Listener) turnAway(c *net.TCPConn, now time.Time) {
 	raw, err := c.SyscallConn()
@@ -102,16 +115,27 @@
 	l.refuser.add(r)
 }
 
-// turnAwayWaiting turns away what waits to be accepted.
+// turnAwayWaiting turns away what waits to be accepted: refused as long as the processor bears
+// it, beyond that closed at once.
+//
+// Guard: left in the kernel's queue, connections are old before they are accepted, and their
+// callers wait for seconds to learn nothing. A close at once tells them that nothing was read.
 func (l *Listener) turnAwayWaiting() {
 	// Control fails on a closed listener only, which Accept tells.
 	_ = l.raw.Control(func(fd uintptr) {
-		for !l.refuser.full() {
+		for range mostAtOnce {
 			s, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if err != nil {
 				return // none waits, or Accept meets the error again
 			}
-			l.refuse(refused{fd: s, since: time.Now()})
+			now := time.Now()
+			if l.refuser.may(now) {
+				l.refuse(refused{fd: s, since: now})
+				continue
+			}
+			_ = unix.Close(s) // nothing was read or is to be sent
+			l.load.note(true, now)
+			l.closed.Add(1)
 		}
 	})
 }
@@ -119,8 +143,11 @@
 // Wait is how long a connection would wait for the processor now.
 func (l *Listener) Wait() time.Duration { return l.queue.wait(time.Now()) }
 
-// TurnedAway counts the connections that were turned away so far.
-func (l *Listener) TurnedAway() int64 { return l.refuser.count.Load() }
+// TurnedAway counts the connections that were refused and those that were closed without a
+// word so far.
+func (l *Listener) TurnedAway() (refused, closed int64) {
+	return l.refuser.count.Load(), l.closed.Load()
+}
 
 // Close stops listening.
 func (l *Listener) Close() error {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -54,7 +54,7 @@
 func (q *queue) enter(t *ticket, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if t.place != nil {
+	if t.place != nil && !t.entered {
 		t.entered = true
 		q.call(now)
 	}
@@ -65,7 +65,9 @@
 	for e := q.waiting.Front(); e != nil && q.held < q.turns; {
 		t, next := e.Value.(*ticket), e.Next()
 		if t.entered {
-			q.remove(t, now)
+			q.measure(t, now)
+			q.waiting.Remove(e)
+			t.place = nil
 			t.holds = true
 			q.held++
 			close(t.called)
@@ -74,12 +76,13 @@
 	}
 }
 
-// remove takes t from those that wait.
-func (q *queue) remove(t *ticket, now time.Time) {
-	q.waiting.Remove(t.place)
-	t.place = nil
-	took := min(now.Sub(q.last), longestTurn)
-	q.turn += time.Duration(turnWeight * float64(took-q.turn))
+// measure takes the time since the last call into the mean. Those that are turned away as
+// they get their turn cost next to nothing and say nothing of the others.
+func (q *queue) measure(t *ticket, now time.Time) {
+	if now.Sub(t.since) <= tooLate {
+		took := min(now.Sub(q.last), longestTurn)
+		q.turn += time.Duration(turnWeight * float64(took-q.turn))
+	}
 	q.last = now
 }
 
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -4,14 +4,22 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
 	// lookEvery is the pause between two looks at connections that are turned away.
-	lookEvery = 30 * time.Millisecond
+	lookEvery = 20 * time.Millisecond
 	// mostALook bounds the refusals of one look. A process that gets little processor looks
 	// less often, so that serving stays the larger part of what it does.
 	mostALook = 160
+	// refusalsPerCore bounds the connections that are turned away in a second: at 26 µs of
+	// processor each, seven system calls, they take about a sixth of it. Without a bound they
+	// took over a third, and hardly anything was served.
+	refusalsPerCore = 6000
+	// refusalsAtOnce may be turned away after a pause.
+	refusalsAtOnce = 128
 	// mostRefused bounds the connections that are being turned away, in descriptors.
 	mostRefused = 768
 )
@@ -21,6 +29,7 @@
 	// refusal is what those that are turned away now are answered.
 	refusal func(now time.Time) []byte
 	count   atomic.Int64
+	pace    *rate.Limiter
 
 	mu   sync.Mutex
 	list []refused // the oldest first
@@ -34,6 +43,7 @@
 // add turns a connection away.
 func (r *refuser) add(one refused) {
 	r.count.Add(1)
+	r.pace.AllowN(one.since, 1) // one that was let in may come on top
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
@@ -44,11 +54,19 @@
 	r.schedule()
 }
 
-// full reports whether no more connections can be turned away now.
-func (r *refuser) full() bool {
+// may reports whether a connection can be turned away now.
+func (r *refuser) may(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.list) >= mostRefused
+	return len(r.list) < mostRefused && r.pace.TokensAt(now) >= 1
+}
+
+// pace bounds refusals to what a host with that many cores can bear.
+func pace(cores float64) *rate.Limiter {
+	if cores <= 0 {
+		return rate.NewLimiter(rate.Inf, refusalsAtOnce)
+	}
+	return rate.NewLimiter(rate.Limit(refusalsPerCore*cores), refusalsAtOnce)
 }
 
 // schedule has the connections looked at after a while.
--- /dev/null
+++ b/pkg/admission/rounds.go
@@ -0,0 +1,47 @@
+package admission
+
+import "time"
+
+const (
+	// firstRound, leastRound and mostRound are how many connections are let in before the
+	// others get the processor: at first, at least, at most.
+	firstRound = 32
+	leastRound = 4
+	mostRound  = 256
+	// longRound is the time for which the others have the processor from which on fewer are
+	// let in, and what still waits is turned away: it would wait for a further round. With
+	// quickRound or less more are let in.
+	longRound  = 80 * time.Millisecond
+	quickRound = 40 * time.Millisecond
+)
+
+// rounds decides how many connections are let in at once.
+type rounds struct {
+	// most are let in in this round, n have been.
+	most, n int
+	// took is how long the others had the processor after the last round.
+	took time.Duration
+}
+
+// let counts a connection that was let in.
+func (r *rounds) let() { r.n++ }
+
+// full reports whether the round should end.
+func (r *rounds) full() bool { return r.n >= r.most }
+
+// slow reports whether those let in before took long.
+func (r *rounds) slow() bool { return r.took > longRound }
+
+// calm notes that nobody waited to be accepted.
+func (r *rounds) calm() { r.n = 0 }
+
+// next begins a round after the others have had the processor for took.
+func (r *rounds) next(took time.Duration) {
+	r.n, r.took = 0, took
+	switch {
+	case took > longRound:
+		r.most = max(leastRound, r.most/2)
+	case took < quickRound:
+		r.most = min(mostRound, 2*r.most)
+	}
+}
--- /dev/null
+++ b/pkg/admission/rounds_test.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// While the others need long for what was let in, less is let in, and what waits beyond it is
+// turned away; as they get quick again, more.
+func TestRoundsFollowTheProcessor(t *testing.T) {
+	r := rounds{most: firstRound}
+	fill := func() {
+		for !r.full() {
+			r.let()
+		}
+	}
+	fill()
+	r.next(longRound + time.Millisecond)
+	require.Equal(t, firstRound/2, r.most)
+	require.True(t, r.slow())
+	require.False(t, r.full())
+	for range 20 {
+		r.next(time.Second)
+	}
+	require.Equal(t, leastRound, r.most)
+	r.next(quickRound - time.Millisecond)
+	require.Equal(t, 2*leastRound, r.most)
+	require.False(t, r.slow())
+	for range 20 {
+		r.next(0)
+	}
+	require.Equal(t, mostRound, r.most)
+	r.let()
+	r.calm()
+	require.Zero(t, r.n)
+}
--- a/pkg/gatewayd/pressure.go
+++ b/pkg/gatewayd/pressure.go
@@ -20,10 +20,6 @@
 	// share is a quota of each tenth of a second stands still for up to 90 ms once the
 	// quota is used up.
 	pressedLate = 60 * time.Millisecond
-	// overrunWait is the wait for the processor from which on requests that were let in are
-	// refused: with several such waits on its way a request misses its objective in any case.
-	// New connections are turned away long before; this bounds what comes on kept ones.
-	overrunWait = 400 * time.Millisecond
 )
 
 // pressure tells whether the process gets too little processor for what it is asked.
@@ -89,17 +85,12 @@
 // rest.
 const activePerMiB = 8
 
-// overrun reports whether requests should be refused as there are too many for the
-// processor or the memory.
+// overrun reports whether requests should be refused as there are too many for the memory.
+// What is too much for the processor is turned away before it is read, by package admission.
 func (p *Process) overrun() bool {
 	most := int64(p.settings.Load().Limits.MemoryMiB) * activePerMiB
-	return p.pressure.overrun() || most > 0 && p.gateway.Active() > most
+	return most > 0 && p.gateway.Active() > most
 }
 
 // pressed reports whether callers should go elsewhere.
 func (p *pressure) pressed() bool { return time.Duration(p.late.Load()) > pressedLate }
-
-// overrun reports whether requests should be refused. It goes by the wait at this moment: by
-// a lateness that fades, a router that catches up in a tenth of a second would refuse all that
-// comes for a second.
-func (p *pressure) overrun() bool { return p.waited() > overrunWait }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for %s", facingCallers)
 	}
-	l, err := admission.New(tcp, gateway.TurnedAway)
+	l, err := admission.New(tcp, p.settings.Load().Limits.Cores, gateway.TurnedAway)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/gatewayd/turnedaway.go
+++ b/pkg/gatewayd/turnedaway.go
@@ -8,18 +8,19 @@
 // turnedAway tells how many connections of callers were turned away unread. Their requests
 // have no line of their own, as nobody read them.
 type turnedAway struct {
-	count   func() int64
-	told    int64
-	log     log.Interface
-	counter tally.Counter
+	count           func() (refused, closed int64)
+	refused, closed int64
+	log             log.Interface
+	counter         tally.Counter
 }
 
 func (t *turnedAway) tell() {
-	now := t.count()
-	if now == t.told {
+	refused, closed := t.count()
+	fresh, silent := refused-t.refused, closed-t.closed
+	if fresh+silent == 0 {
 		return
 	}
-	t.counter.Inc(now - t.told)
-	t.log.WithFields(log.Fields{"event": "connections_turned_away", "connections": now - t.told}).Warn("connections were turned away for want of processor")
-	t.told = now
+	t.refused, t.closed = refused, closed
+	t.counter.Inc(fresh + silent)
+	t.log.WithFields(log.Fields{"event": "connections_turned_away", "refused": fresh, "closed": silent}).Warn("connections were turned away for want of processor")
 }
