A late router keeps its place in the exchange

Change: a router that was short of processor in the last 5 s goes by all routers that it remembers. The test fails without that.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -52,7 +52,11 @@
 	for i := range f.logs {
 		f.logs[i].add(fresh)
 	}
-	return r, time.Now()
+	now := time.Now()
+	if r.Pressed {
+		f.lateAt = now
+	}
+	return r, now
 }
 
 // complete widens r, which tells of this router alone, to a scope.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,6 +44,8 @@
 	logs [ScopeAll + 1]readLog
 	// last is this router's newest role.
 	last role
+	// lateAt is when this router last told that it gets too little processor.
+	lateAt time.Time
 	// fromHub is the work of all others as the hub last told it.
 	fromHub   *Report
 	fromHubAt time.Time
--- a/pkg/fleet/hub.go
+++ b/pkg/fleet/hub.go
@@ -73,18 +73,13 @@
 
 // role works out this router's place.
 func (f *Fleet) role(now time.Time) role {
-	alive := []Member{f.self}
-	for _, p := range f.peers {
-		if p.alive(now) {
-			alive = append(alive, p.member)
-		}
-	}
-	if len(alive) <= directLimit {
+	routers := f.counted(now)
+	if len(routers) <= directLimit {
 		return role{direct: true}
 	}
-	slices.SortFunc(alive, byStrength)
+	slices.SortFunc(routers, byStrength)
 	r := role{}
-	for _, m := range alive[:hubCount(len(alive))] {
+	for _, m := range routers[:hubCount(len(routers))] {
 		r.hubs = append(r.hubs, m.Peers)
 	}
 	r.hub = r.isHub(f.self.Peers)
@@ -94,6 +89,26 @@
 	return r
 }
 
+// lateFor is how long after it was last short of processor a router counts as late.
+const lateFor = 5 * time.Second
+
+// counted gives the routers that this one's place follows from, itself included.
+//
+// Guard: a router that gets too little processor hears of few others for a while. Taking
+// itself for one of a small fleet, it would ask every router that it knows for that one's own
+// work, a hundred a second, and its hub no longer for everybody's: it would fall behind for
+// good and go by what a handful of routers do. A late router goes by all that it remembers.
+func (f *Fleet) counted(now time.Time) []Member {
+	late := now.Sub(f.lateAt) < lateFor
+	list := []Member{f.self}
+	for _, p := range f.peers {
+		if p.alive(now) || late && p.everAlive() {
+			list = append(list, p.member)
+		}
+	}
+	return list
+}
+
 func hubCount(routers int) int {
 	return max(leastHubs, int(math.Ceil(float64(routers)/groupSize)))
 }
--- a/pkg/fleet/late_test.go
+++ b/pkg/fleet/late_test.go
@@ -34,6 +34,23 @@
 	})
 }
 
+// A router of a large fleet that gets too little processor hears of nobody for two seconds.
+// Its log shows "other place in the exchange, role direct", and from then on it asks each
+// router that it knows, has still less processor, and counts the work of a few.
+func TestLateRouterStaysInItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(48)
+		c.play(4 * time.Second)
+		late := c.member("")
+		late.late = true
+		late.fleet.question(late.fleet.peers[late.fleet.last.own], false)
+		time.Sleep(2 * time.Second)
+		late.fleet.due(time.Now())
+		require.False(t, late.fleet.last.direct)
+		require.NotEmpty(t, late.fleet.last.own)
+	})
+}
+
 // member gives a router that is no hub.
 func (c *crowd) member(not string) *router {
 	for addr, r := range c.routers {
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -47,6 +47,9 @@
 	return p.heardLately(now) || !p.vouched.IsZero() && now.Sub(p.vouched) < groupLife
 }
 
+// everAlive reports whether the peer was ever heard of, by us or by a hub.
+func (p *peer) everAlive() bool { return !p.heard.IsZero() || !p.vouched.IsZero() }
+
 // counts reports whether the peer's newest report tells of work that no other report
 // tells of.
 //
