--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -56,6 +56,7 @@
 		Store: store, Registry: store, Dialect: platform.Dialect{},
 		Faces:        gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
 		Readdress:    store.Readdress,
+		RowFaults:    store.RowFaults,
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -26,15 +26,30 @@
 	heard time.Time
 	// lapsed are instances that are missing from the list since the store came back.
 	lapsed lapsed
+	// follow takes each new list, see Follow.
+	follow func(set *upstream.Set, known time.Time)
+	// faults counts entries that can't be used.
+	faults int64
 }
 
 // New returns an empty catalog.
 func New(l log.Interface) *Catalog {
-	c := &Catalog{log: l}
+	c := &Catalog{log: l, follow: func(*upstream.Set, time.Time) {}}
 	c.set.Store(upstream.NewSet(nil))
 	return c
 }
 
+// Follow makes f take each new list of instances at once, and when the one before it was last
+// known to be current. It must be called before the first list comes; f must not call the
+// catalog.
+func (c *Catalog) Follow(f func(set *upstream.Set, known time.Time)) { c.follow = f }
+
+// put puts a list in force.
+func (c *Catalog) put(set *upstream.Set, known time.Time) {
+	c.set.Store(set)
+	c.follow(set, known)
+}
+
 // Table is the configuration in force; nil before the first.
 func (c *Catalog) Table() *routing.Table { return c.table.Load() }
 
@@ -129,8 +144,11 @@
 	if c.revision > 0 && now.Sub(c.heard) > outage {
 		c.lapsed.open(now)
 	}
+	known, old := c.heard, c.set.Load()
 	c.revision, c.heard, c.changed = rev, asOf, rev
-	c.set.Store(upstream.NewSet(append(list, c.lapsed.missing(c.set.Load(), list, now)...)))
+	c.put(upstream.NewSet(append(list, c.lapsed.missing(old, list, now)...)), known)
+	c.logChanges(newLives(old, list), rev, source)
+	c.logUnusable(newFaults(old, list), rev, source)
 	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
 }
 
@@ -144,7 +162,7 @@
 	}
 	next, _ := c.set.Load().Apply(gone)
 	c.changed = c.revision
-	c.set.Store(next)
+	c.put(next, c.heard)
 	c.logChanges(gone, c.revision, "grace after an outage")
 }
 
@@ -155,6 +173,7 @@
 	if after > c.revision || rev < c.revision {
 		return
 	}
+	known := c.heard
 	c.revision, c.heard = rev, time.Now()
 	in := c.lapsed.filter(c.set.Load(), changes, c.heard)
 	next, differs := c.set.Load().Apply(in)
@@ -164,16 +183,7 @@
 	if !differs {
 		return
 	}
-	c.set.Store(next)
-	c.logChanges(changes, rev, source)
-}
-
-func (c *Catalog) logChanges(changes []upstream.Change, rev Revision, source string) {
-	for _, ch := range changes {
-		fields := log.Fields{"event": "instance_changed", "instance": ch.Instance.ID, "revision": rev, "source": source, "gone": ch.Gone}
-		if !ch.Gone {
-			fields["service"], fields["addr"], fields["state"] = ch.Instance.Service, ch.Instance.Addr, ch.Instance.State
-		}
-		c.log.WithFields(fields).Info("instance changed")
-	}
+	changed := news(c.set.Load(), in)
+	c.put(next, known)
+	c.logChanges(changed, rev, source)
 }
--- /dev/null
+++ b/pkg/catalog/entrylog_test.go
@@ -0,0 +1,83 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+func unusable(id, fault string) upstream.Instance {
+	return upstream.Instance{ID: upstream.ID(id), State: upstream.Unusable, Fault: fault}
+}
+
+// Another writer replaces an upstream's entry with one that can't be used while the entries of
+// others lapse with the store. Held back like a lapsed one, the replaced entry would stay in
+// use for the grace.
+func TestUnusableEntriesAreNotHeldBackAsLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		c := New(l)
+		c.Replace([]upstream.Instance{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "c", Service: "s"}}, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		c.Replace([]upstream.Instance{unusable("a", "no service"), {ID: "c", Service: "s"}}, 5, time.Now(), "store")
+		require.Equal(t, upstream.Unusable, c.Instances().Get("a").State)
+		require.NotNil(t, c.Instances().Get("b"), "it lapsed")
+		c.Apply([]upstream.Change{{Instance: unusable("c", "no address")}}, 5, 6, "store")
+		require.Equal(t, upstream.Unusable, c.Instances().Get("c").State)
+		require.Len(t, c.Instances().Of("s"), 1)
+		time.Sleep(lapseGrace + time.Second)
+		c.Settle(time.Now())
+		require.Nil(t, c.Instances().Get("b"))
+		require.NotNil(t, c.Instances().Get("c"))
+	})
+}
+
+// Somebody writes a hundred entries that can't be used, and writes them again and again. The
+// log says what is wrong once for each change, and never fills with it.
+func TestUnusableEntriesAreToldOnceAndInBounds(t *testing.T) {
+	l, h := quiet()
+	c := New(l)
+	c.Replace([]upstream.Instance{{ID: "a"}, unusable("b", "x")}, 1, time.Now(), "store")
+	require.Equal(t, 1, h.count("instance_unusable"))
+	rev := Revision(1)
+	for range 5 {
+		c.Apply([]upstream.Change{{Instance: unusable("a", "y")}}, rev, rev+1, "store")
+		c.Replace([]upstream.Instance{unusable("a", "y"), unusable("b", "x")}, rev+1, time.Now(), "peer")
+		rev++
+	}
+	require.Equal(t, 2, h.count("instance_unusable"))
+	require.EqualValues(t, 2, c.Faults())
+	var many []upstream.Change
+	for i := range 100 {
+		many = append(many, upstream.Change{Instance: unusable(fmt.Sprint(i), "z")})
+	}
+	c.Apply(many, rev, rev+1, "store")
+	require.Equal(t, 2+maxFaultLines+1, h.count("instance_unusable"))
+	require.EqualValues(t, 102, c.Faults())
+}
+
+// Whoever breaks off an old life's attempts must know until when the old one was surely
+// listed: what was begun later may be at the new one.
+func TestFollowersLearnUntilWhenTheOldListHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		c := New(l)
+		var set *upstream.Set
+		var known time.Time
+		c.Follow(func(s *upstream.Set, at time.Time) { set, known = s, at })
+		c.Replace([]upstream.Instance{{ID: "a", Born: 2}}, 1, time.Now(), "store")
+		require.True(t, known.IsZero())
+		time.Sleep(time.Second)
+		c.Confirm(2, time.Now())
+		confirmed := time.Now()
+		time.Sleep(time.Second)
+		c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "a", Born: 1}}}, 2, 3, "store")
+		require.Equal(t, confirmed, known)
+		require.EqualValues(t, 1, set.Get("a").Born)
+	})
+}
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -46,7 +46,8 @@
 	return kept
 }
 
-// filter leaves out removals of instances that were there at the outage.
+// filter leaves out removals of instances that were there at the outage. An entry that can't be
+// used is no removal: somebody wrote it, so it didn't lapse.
 func (l *lapsed) filter(old *upstream.Set, changes []upstream.Change, now time.Time) []upstream.Change {
 	if !now.Before(l.until) {
 		return changes
--- a/pkg/ctl/gateways.go
+++ b/pkg/ctl/gateways.go
@@ -15,7 +15,8 @@
 )
 
 const gatewaysUsage = `gateways IP:PORT...
-  Shows gateways by their metrics addresses: versions in force, ages, work and peers.
+  Shows gateways by their metrics addresses: versions in force, ages, work, peers, and entries of
+  upstreams that can't be used (NOT USED now, FAULTS so far in all rows of the store).
   Exit code 1 when one does not answer or takes no callers.
 
   flamingowindctl gateways 10.0.0.7:7400 10.0.0.8:7400
@@ -33,7 +34,7 @@
 
 func (a *app) gateways(ctx context.Context, addrs []string) error {
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "GATEWAY\tREADY\tACTIVE\tCONFIG\tLIST AGE\tPEERS\tEXCHANGE\tUPSTREAMS\tLEFT ALONE")
+	fmt.Fprintln(table, "GATEWAY\tREADY\tACTIVE\tCONFIG\tLIST AGE\tPEERS\tEXCHANGE\tUPSTREAMS\tLEFT ALONE\tNOT USED\tFAULTS")
 	ready := true
 	for _, addr := range addrs {
 		s, err := gatewayStatus(ctx, addr)
@@ -55,14 +56,17 @@
 }
 
 func printGateway(table io.Writer, s *status.Status) {
-	alone := 0
+	alone, faulty := 0, 0
 	for _, u := range s.Upstreams {
-		if !u.Usable {
+		switch {
+		case u.Fault != "":
+			faulty++
+		case !u.Usable:
 			alone++
 		}
 	}
-	fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d ms\t%d\t%s\t%d\t%d\n",
-		s.Router, s.Ready, s.Active, s.Config, s.ListAgeMs, len(s.Routers), s.Exchange, len(s.Upstreams), alone)
+	fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d ms\t%d\t%s\t%d\t%d\t%d\t%d\n",
+		s.Router, s.Ready, s.Active, s.Config, s.ListAgeMs, len(s.Routers), s.Exchange, len(s.Upstreams), alone, faulty, s.Faults)
 }
 
 func gatewayStatus(ctx context.Context, addr string) (*status.Status, error) {
--- a/pkg/ctl/gateways_test.go
+++ b/pkg/ctl/gateways_test.go
@@ -23,7 +23,8 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
-	well := serve(status.Status{Router: "r-1", Ready: true, Config: 3, Exchange: "direct", Upstreams: []status.Upstream{{Usable: true}, {}}})
+	well := serve(status.Status{Router: "r-1", Ready: true, Config: 3, Exchange: "direct", Faults: 5,
+		Upstreams: []status.Upstream{{Usable: true}, {}, {Usable: true, Fault: "Addr is missing"}}})
 	unready := serve(status.Status{Router: "r-2"})
 
 	run := func(args ...string) (int, string) {
@@ -33,7 +34,7 @@
 	}
 	code, out := run(well)
 	require.Zero(t, code)
-	require.Regexp(t, `r-1 +true +0 +3 +0 ms +0 +direct +2 +1`, out)
+	require.Regexp(t, `r-1 +true +0 +3 +0 ms +0 +direct +3 +1 +1 +5`, out)
 	code, out = run(well, unready)
 	require.Equal(t, 1, code)
 	require.Regexp(t, `r-2 +false`, out)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -24,7 +24,7 @@
 	loads    []InstanceLoad
 	reads    []PromptRead
 	learnt   []PromptRead
-	others   map[string]InstanceLoad
+	others   map[LifeKey]InstanceLoad
 	uses     map[string]Use
 	behind   int64
 	asOf     time.Time
@@ -61,7 +61,7 @@
 	r.learnt = append(r.learnt, list...)
 }
 
-func (r *router) Loads(loads map[string]InstanceLoad, uses map[string]Use) {
+func (r *router) Loads(loads map[LifeKey]InstanceLoad, uses map[string]Use) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.others, r.uses = loads, uses
@@ -127,7 +127,7 @@
 	require.Equal(t, "a:1", b.readyPeers()[0].Member.Callers)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	require.Equal(t, 3, b.others["i"].Running)
+	require.Equal(t, 3, b.others[LifeKey{Instance: "i"}].Running)
 	require.Equal(t, 5.0, b.uses["org"].Got)
 	require.Equal(t, []PromptRead{{Key: 1, Instance: "i"}}, b.learnt)
 	require.EqualValues(t, 7, b.behind)
--- a/pkg/fleet/hub_test.go
+++ b/pkg/fleet/hub_test.go
@@ -95,8 +95,8 @@
 		c := newCrowd(n)
 		c.play(4 * time.Second)
 		for _, r := range c.alive() {
-			require.Equal(t, n-1, r.others["common"].Running, r.fleet.self.Peers)
-			require.Equal(t, (n-1)*10, r.others["common"].Unread)
+			require.Equal(t, n-1, r.others[LifeKey{Instance: "common"}].Running, r.fleet.self.Peers)
+			require.Equal(t, (n-1)*10, r.others[LifeKey{Instance: "common"}].Unread)
 			require.InDelta(t, 5*(n-1), r.uses["org"].Got, 1e-6)
 			require.Equal(t, n, r.fleet.Count())
 			require.Len(t, r.readyPeers(), n-1)
@@ -154,7 +154,7 @@
 		require.Equal(t, 2, lost)
 		c.play(5 * time.Second)
 		for _, r := range c.alive() {
-			require.Equal(t, 27, r.others["common"].Running, r.fleet.self.Peers)
+			require.Equal(t, 27, r.others[LifeKey{Instance: "common"}].Running, r.fleet.self.Peers)
 			require.Equal(t, 28, r.fleet.Count())
 		}
 	})
@@ -205,7 +205,29 @@
 		c.play(5 * time.Second)
 		for _, r := range c.alive() {
 			require.True(t, r.fleet.last.direct)
-			require.Equal(t, 4, r.others["common"].Running)
+			require.Equal(t, 4, r.others[LifeKey{Instance: "common"}].Running)
+		}
+	})
+}
+
+// An upstream starts again, and for a moment half of the routers still report work at its old
+// life. Hubs that add both up would make the new life seem full everywhere.
+func TestHubsAddUpLivesApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(30)
+		i := 0
+		for _, r := range c.routers {
+			r.loads = []InstanceLoad{{Instance: "common", Life: uint32(1 + i%2), Running: 1}}
+			i++
+		}
+		c.play(4 * time.Second)
+		for _, r := range c.alive() {
+			total := 0
+			for life := uint32(1); life <= 2; life++ {
+				total += r.others[LifeKey{Instance: "common", Life: life}].Running
+			}
+			require.Equal(t, 29, total)
+			require.InDelta(t, 15, r.others[LifeKey{Instance: "common", Life: 1}].Running, 1)
 		}
 	})
 }
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -19,7 +19,7 @@
 	Suspects() []wire.Suspicion
 	Suspect(list []wire.Suspicion)
 	// Loads takes the work in progress and the use by all other routers.
-	Loads(loads map[string]InstanceLoad, uses map[string]Use)
+	Loads(loads map[LifeKey]InstanceLoad, uses map[string]Use)
 	// Behind is told which configuration and list a peer has, and that its list was current
 	// at asOf.
 	Behind(peer Member, config, instances int64, asOf time.Time)
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -68,12 +68,15 @@
 	Pressed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// InstanceLoad is work in progress on one instance.
+// InstanceLoad is work in progress on one instance in one of its lives.
 type InstanceLoad struct {
 	Instance string `cbor:"1,keyasint"`
 	Running  int    `cbor:"2,keyasint"`
 	Unread   int    `cbor:"3,keyasint,omitempty"`
 	Memory   int    `cbor:"4,keyasint,omitempty"`
+	// Life tells lives of the instance apart, as upstream.Life does: work in an earlier one is
+	// no load of the present one.
+	Life uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Use is an organisation's traffic at one router, in tokens a second.
@@ -87,4 +90,6 @@
 type PromptRead struct {
 	Key      uint64 `cbor:"1,keyasint"`
 	Instance string `cbor:"2,keyasint"`
+	// Life is that of the instance in which it read it, see InstanceLoad.
+	Life uint32 `cbor:"3,keyasint,omitempty"`
 }
--- a/pkg/fleet/total.go
+++ b/pkg/fleet/total.go
@@ -2,25 +2,32 @@
 
 import "time"
 
+// LifeKey is an instance in one of its lives, as reports name it.
+type LifeKey struct {
+	Instance string
+	Life     uint32
+}
+
 // sum is work in progress and traffic of several routers.
 type sum struct {
-	loads map[string]InstanceLoad
+	loads map[LifeKey]InstanceLoad
 	uses  map[string]Use
 }
 
 func newSum() sum {
-	return sum{loads: make(map[string]InstanceLoad), uses: make(map[string]Use)}
+	return sum{loads: make(map[LifeKey]InstanceLoad), uses: make(map[string]Use)}
 }
 
 // add counts r's work sign times: 1 adds it, -1 takes it out again.
 func (s sum) add(r *Report, sign int) {
 	for _, l := range r.Loads {
-		total := s.loads[l.Instance]
-		total.Instance = l.Instance
+		key := LifeKey{Instance: l.Instance, Life: l.Life}
+		total := s.loads[key]
+		total.Instance, total.Life = l.Instance, l.Life
 		total.Running += sign * l.Running
 		total.Unread += sign * l.Unread
 		total.Memory += sign * l.Memory
-		s.loads[l.Instance] = total
+		s.loads[key] = total
 	}
 	for _, u := range r.Uses {
 		total := s.uses[u.Organisation]
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -80,7 +80,8 @@
 		return
 	}
 	if !a.stop() {
-		return // ctx has ended: the connection is closed already
+		a.pool.done(a.conn) // ctx has ended: the connection is closed already
+		return
 	}
 	a.conn.until = time.Now().Add(a.keep)
 	a.pool.put(a.conn)
@@ -106,5 +107,5 @@
 // Discard closes the connection.
 func (a *Answer) Discard() {
 	a.stop()
-	a.conn.Close()
+	a.pool.done(a.conn)
 }
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -52,6 +52,8 @@
 	reader *bufio.Reader
 	// fresh until the first answer has been read.
 	fresh bool
+	// opened is when the connection was begun.
+	opened time.Time
 	// until is when an idle connection must not be used any more.
 	until time.Time
 }
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -6,29 +6,50 @@
 	"time"
 )
 
-// pool keeps the idle connections to one instance, the most recently used first.
+// pool keeps the connections to one life of an instance, the idle ones with the most recently
+// used first.
 type pool struct {
 	addr string
 
-	mu     sync.Mutex
-	idle   []*conn
+	mu   sync.Mutex
+	idle []*conn
+	// busy are the connections that attempts use.
+	busy   map[*conn]struct{}
 	closed bool
 }
 
-// take gives a kept connection, or a new one.
+func newPool(addr string) *pool { return &pool{addr: addr, busy: make(map[*conn]struct{})} }
+
+// take gives a kept connection, or a new one, which is busy until put or done.
 func (p *pool) take(ctx context.Context, now time.Time) (*conn, error) {
 	for {
 		c := p.pop()
 		if c == nil {
-			return dial(ctx, p.addr)
+			return p.dial(ctx)
 		}
 		if now.Before(c.until) && c.quiet() {
 			return c, nil
 		}
-		c.Close()
+		p.done(c)
 	}
 }
 
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context) (*conn, error) {
+	// Guard: taken after the dial, the time could lie after the start of a new life that
+	// hasn't taken the connection yet; end would spare one that the old life holds.
+	opened := time.Now()
+	c, err := dial(ctx, p.addr)
+	if err != nil {
+		return nil, err
+	}
+	c.opened = opened
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[c] = struct{}{}
+	return c, nil
+}
+
 func (p *pool) pop() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -39,6 +60,7 @@
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
+	p.busy[c] = struct{}{}
 	return c
 }
 
@@ -46,6 +68,7 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.busy, c)
 	if p.closed {
 		c.Close()
 		return
@@ -53,6 +76,14 @@
 	p.idle = append(p.idle, c)
 }
 
+// done closes a busy connection.
+func (p *pool) done(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, c)
+}
+
 // sweep closes the connections that are past their time.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
@@ -71,6 +102,7 @@
 	p.idle = kept
 }
 
+// close closes the idle connections, now and as attempts give theirs back.
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -80,3 +112,28 @@
 	}
 	p.idle = nil
 }
+
+// open makes the pool keep connections again, for a life that is back on the list.
+func (p *pool) open() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = false
+}
+
+// end breaks off the attempts on connections that were opened before the given time.
+func (p *pool) end(before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.busy {
+		if c.opened.Before(before) {
+			c.Close()
+		}
+	}
+}
+
+// unused reports whether nothing is left of the pool.
+func (p *pool) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) == 0 && len(p.busy) == 0
+}
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -11,66 +11,123 @@
 // sweepEvery is the pause between two looks for idle connections past their time.
 const sweepEvery = time.Second
 
+// poolKey is whom a pool's connections lead to. The address alone passes to another upstream,
+// and the ID alone to a new life of it; their connections are others. An entry's address may
+// be corrected without a new life.
+type poolKey struct {
+	life upstream.Life
+	addr string
+}
+
+func keyOf(in *upstream.Instance) poolKey { return poolKey{life: in.Life(), addr: in.Addr} }
+
+// lists reports whether set has the upstream to which a pool's connections lead.
+func lists(set *upstream.Set, key poolKey) bool {
+	return set.Lives(key.life) && set.Get(key.life.ID).Addr == key.addr
+}
+
 // Pools keeps the connections to all instances.
 type Pools struct {
 	// idHeader is the header in which an answer names its request.
 	idHeader string
 
 	mu    sync.Mutex
-	pools map[upstream.ID]*pool
+	pools map[poolKey]*pool
+	// list is the newest one that Follow took, nil before the first.
+	list *upstream.Set
+	// unlisted holds, for each life that is no longer listed, until when it surely was.
+	unlisted map[poolKey]time.Time
 }
 
 // NewPools returns pools for upstreams that name a request in idHeader.
 func NewPools(idHeader string) *Pools {
-	return &Pools{idHeader: idHeader, pools: make(map[upstream.ID]*pool)}
+	return &Pools{idHeader: idHeader, pools: make(map[poolKey]*pool), unlisted: make(map[poolKey]time.Time)}
 }
 
-// of finds or makes the pool of an instance. Its id is the key and not its address:
-// an address passes to another upstream, whose connections are others.
+// of finds or makes the pool of an instance.
 func (ps *Pools) of(in *upstream.Instance) *pool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	p := ps.pools[in.ID]
+	key := keyOf(in)
+	p := ps.pools[key]
 	if p == nil {
-		p = &pool{addr: in.Addr}
-		ps.pools[in.ID] = p
+		p = newPool(in.Addr)
+		ps.pools[key] = p
+		if ps.list != nil && !lists(ps.list, key) {
+			// A request that was placed by the list before: it is connected after that one
+			// was current, so Follow must spare it.
+			ps.unlisted[key] = time.Time{}
+		}
 	}
 	return p
 }
 
-// Run closes idle connections past their time and those of instances that current no
-// longer has, until ctx ends; then all.
+// Follow takes a new list of instances; known is when the list before it was last known to be
+// current.
+//
+// Guard: a life that ended without a word (its host was cut off, then started again) leaves
+// attempts on connections that nobody answers any more; they would hang until the kernel or
+// the caller gives up. They are broken off as soon as the list tells of a new life under the
+// ID. The list is late: what was connected after it last showed the old life may have reached
+// the new one already, and is left alone.
+func (ps *Pools) Follow(set *upstream.Set, known time.Time) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.list = set
+	for key, p := range ps.pools {
+		if lists(set, key) {
+			delete(ps.unlisted, key)
+			p.open()
+			continue
+		}
+		if _, ok := ps.unlisted[key]; !ok {
+			ps.unlisted[key] = known
+		}
+		p.close()
+		present := set.Get(key.life.ID)
+		if present != nil && present.State != upstream.Unusable && present.Life() != key.life {
+			p.end(ps.unlisted[key])
+		}
+	}
+}
+
+// Run closes idle connections past their time and drops pools that nobody uses, until ctx
+// ends; then all.
 func (ps *Pools) Run(ctx context.Context, current func() *upstream.Set) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			ps.drop(func(upstream.ID) bool { return true })
+			ps.closeAll()
 			return
 		case now := <-tick.C:
-			set := current()
-			ps.drop(func(id upstream.ID) bool { return set.Get(id) == nil })
-			ps.sweep(now)
+			ps.sweep(current(), now)
 		}
 	}
 }
 
-func (ps *Pools) drop(gone func(upstream.ID) bool) {
+func (ps *Pools) closeAll() {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	for id, p := range ps.pools {
-		if gone(id) {
-			p.close()
-			delete(ps.pools, id)
-		}
+	for key, p := range ps.pools {
+		p.close()
+		delete(ps.pools, key)
 	}
 }
 
-func (ps *Pools) sweep(now time.Time) {
+func (ps *Pools) sweep(set *upstream.Set, now time.Time) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	for _, p := range ps.pools {
+	for key, p := range ps.pools {
 		p.sweep(now)
+		if lists(set, key) {
+			continue
+		}
+		p.close()
+		if p.unused() {
+			delete(ps.pools, key)
+			delete(ps.unlisted, key)
+		}
 	}
 }
--- a/pkg/gateway/blame_test.go
+++ b/pkg/gateway/blame_test.go
@@ -21,8 +21,9 @@
 func TestLateRouterBlamesNoUpstreamForItsOwnTimers(t *testing.T) {
 	w := newWorld(t)
 	usable := func(id upstream.ID, err error) bool {
-		w.gateway.observe(id, w.gateway.blame(err), err)
-		_, ok := w.gateway.health.Usable(id, time.Now())
+		in := &upstream.Instance{ID: id}
+		w.gateway.observe(in, w.gateway.blame(err), err)
+		_, ok := w.gateway.health.Usable(in.Life(), time.Now())
 		return ok
 	}
 	w.late = true
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -134,7 +134,7 @@
 			Zone: zone, Slots: 100, State: upstream.Ready})
 		if i > 0 {
 			// A handicap makes the order of choice certain.
-			w.gateway.health.Observe(list[i].ID, upstream.Failed, time.Now())
+			w.gateway.health.Observe(list[i].Life(), upstream.Failed, time.Now())
 		}
 	}
 	w.catalog.Replace(list, 1, time.Now(), "test")
@@ -196,6 +196,6 @@
 func engineOf(slots int) *routing.Engine { return &routing.Engine{Slots: slots, KVCapacity: 10_000} }
 
 // fullLoad has the first instance read for ten seconds, for other routers.
-func fullLoad() map[upstream.ID]placement.Load {
-	return map[upstream.ID]placement.Load{"i0": {Running: 1, Unread: 500_000}}
+func fullLoad() map[upstream.Life]placement.Load {
+	return map[upstream.Life]placement.Load{{ID: "i0"}: {Running: 1, Unread: 500_000}}
 }
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -40,11 +40,11 @@
 		if in.State != upstream.Ready || r.tried[in.ID] {
 			continue
 		}
-		handicap, ok := g.health.Usable(in.ID, now)
+		handicap, ok := g.health.Usable(in.Life(), now)
 		if !ok {
 			continue
 		}
-		list = append(list, placement.Candidate{Instance: in, Load: g.ledger.Of(in.ID), Kept: kept[in.ID], Handicap: handicap + spread()})
+		list = append(list, placement.Candidate{Instance: in, Load: g.ledger.Of(in.Life()), Kept: kept[in.Life()], Handicap: handicap + spread()})
 	}
 	return list
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -58,14 +58,14 @@
 	}
 	if a.Status >= http.StatusInternalServerError {
 		st.Outcome = outcomeFailure
-		g.observe(in.ID, upstream.Failed, nil)
+		g.observe(in, upstream.Failed, nil)
 		return result{answer: answer}
 	}
 	if st.Outcome == "" {
 		st.Outcome = outcomeServed
 	}
 	g.clear(r)
-	g.observe(in.ID, upstream.Served, nil)
+	g.observe(in, upstream.Served, nil)
 	g.writeWhole(r, answer)
 	return result{done: true}
 }
@@ -90,7 +90,7 @@
 		g.cut(r)
 	}
 	st.Outcome = outcomeServed
-	g.observe(in.ID, upstream.Served, nil)
+	g.observe(in, upstream.Served, nil)
 }
 
 // cut breaks the answer to the caller off, so that it can't look complete.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -146,9 +146,9 @@
 		Shared: sharedTokens(r), started: now,
 	})
 	st := &r.trail.steps[len(r.trail.steps)-1]
-	entry := g.ledger.Begin(in.ID, g.work(r, choice.Unread))
+	entry := g.ledger.Begin(in.Life(), g.work(r, choice.Unread))
 	defer entry.End()
-	g.holdings.Use(in.ID, r.chain, now)
+	g.holdings.Use(in.Life(), r.chain, now)
 	if r.ask.Prompt != nil {
 		g.shares.Get(r.org, r.ask.Prompt.Size(), now)
 	}
@@ -205,7 +205,7 @@
 		g.suspect(r)
 	}
 	if !errors.Is(err, syscall.EMFILE) {
-		g.observe(in.ID, g.blame(err), err) // a lack of descriptors is our own fault
+		g.observe(in, g.blame(err), err) // a lack of descriptors is our own fault
 	}
 	return result{unsent: !sent}
 }
@@ -240,16 +240,16 @@
 		return g.relayWhole(r, st, in, answer)
 	}
 	drain(answer)
-	g.observe(in.ID, upstream.Failed, nil)
+	g.observe(in, upstream.Failed, nil)
 	return result{notRun: true}
 }
 
-func (g *Gateway) observe(id upstream.ID, o upstream.Outcome, cause error) {
-	suspended := g.health.Observe(id, o, time.Now())
+func (g *Gateway) observe(in *upstream.Instance, o upstream.Outcome, cause error) {
+	suspended := g.health.Observe(in.Life(), o, time.Now())
 	if suspended == 0 {
 		return
 	}
-	entry := g.log.WithField("event", "instance_suspended").WithField("instance", id).WithField("for_ms", suspended.Milliseconds())
+	entry := g.log.WithField("event", "instance_suspended").WithField("instance", in.ID).WithField("for_ms", suspended.Milliseconds())
 	if cause != nil {
 		entry = entry.WithError(cause)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -83,7 +83,7 @@
 	}
 	st.Outcome, r.trail.outcome = outcomeServed, outcomeServed
 	g.clear(r)
-	g.observe(in.ID, upstream.Served, nil)
+	g.observe(in, upstream.Served, nil)
 	return result{done: true}
 }
 
@@ -101,7 +101,7 @@
 		return result{done: true}
 	}
 	g.suspect(r)
-	g.observe(in.ID, upstream.Silent, err)
+	g.observe(in, upstream.Silent, err)
 	if !r.route.Resumable {
 		if r.begun {
 			g.cut(r)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -37,6 +37,9 @@
 	Faces    Faces
 	// Readdress makes Store and Registry use another address of the operators' store.
 	Readdress func(addr string)
+	// RowFaults counts changes of the store's rows, beside the list of upstreams, to ones
+	// that can't be used; nil for none.
+	RowFaults func() int64
 	// LinesDropped counts log lines that a slow reader cost so far; nil for none.
 	LinesDropped func() int64
 }
@@ -60,6 +63,7 @@
 	joiner    *fleet.Joiner
 	faces     []*face
 	dropped   drops
+	faults    *entryFaults
 	// turnedAway tells of callers' connections that were not let in.
 	turnedAway turnedAway
 	// crowd counts callers' connections, pressure watches over the processor.
@@ -85,6 +89,8 @@
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
+	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
+	p.catalog.Follow(p.pools.Follow)
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{p.fleet}, l)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
@@ -225,6 +231,7 @@
 			p.holdings.Prune(now)
 			p.health.Prune(p.catalog.Instances())
 			p.dropped.tell()
+			p.faults.tell()
 			p.turnedAway.tell()
 		}
 	}
--- a/pkg/gatewayd/status.go
+++ b/pkg/gatewayd/status.go
@@ -20,6 +20,7 @@
 	if rev > 0 {
 		one.ListAgeMs = p.catalog.InstancesAge(now).Milliseconds()
 	}
+	one.Faults = p.faults.total()
 	if p.dropped.count != nil {
 		one.LinesDropped = p.dropped.count()
 	}
@@ -27,9 +28,10 @@
 		one.Routers = append(one.Routers, status.Router{Name: e.Member.Name, Zone: e.Member.Zone, Callers: e.Member.Callers, Ready: e.Ready})
 	}
 	for _, in := range set.List() {
-		handicap, usable := p.health.Usable(in.ID, now)
-		load := p.telling.ledger.Of(in.ID)
-		one.Upstreams = append(one.Upstreams, status.Upstream{ID: string(in.ID), Service: in.Service, Addr: in.Addr, Zone: in.Zone,
+		handicap, usable := p.health.Usable(in.Life(), now)
+		load := p.telling.ledger.Of(in.Life())
+		one.Upstreams = append(one.Upstreams, status.Upstream{Born: in.Born, Fault: p.faults.of(&in),
+			ID: string(in.ID), Service: in.Service, Addr: in.Addr, Zone: in.Zone,
 			State: string(in.State), Usable: usable, HandicapMs: handicap.Milliseconds(), Running: load.Running, Slots: in.Slots, Unread: load.Unread})
 	}
 	sort.Slice(one.Upstreams, func(i, j int) bool { return one.Upstreams[i].ID < one.Upstreams[j].ID })
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -43,8 +43,8 @@
 	r.Ready, r.Pressed = t.ready(), t.pressed()
 	r.Config, r.Instances = t.catalog.Version(), int64(t.catalog.InstancesRevision())
 	r.ListAgeMs = t.catalog.InstancesAge(time.Now()).Milliseconds()
-	for id, l := range t.ledger.Own() {
-		r.Loads = append(r.Loads, fleet.InstanceLoad{Instance: string(id), Running: l.Running, Unread: l.Unread, Memory: l.Memory})
+	for life, l := range t.ledger.Own() {
+		r.Loads = append(r.Loads, fleet.InstanceLoad{Instance: string(life.ID), Life: life.Start, Running: l.Running, Unread: l.Unread, Memory: l.Memory})
 	}
 	for org, u := range t.shares.Own(time.Now()) {
 		r.Uses = append(r.Uses, fleet.Use{Organisation: org, Asked: u.Asked, Got: u.Got})
@@ -56,7 +56,7 @@
 	untold := t.holdings.Untold()
 	list := make([]fleet.PromptRead, 0, len(untold))
 	for _, h := range untold {
-		list = append(list, fleet.PromptRead{Key: h.Key, Instance: string(h.Instance)})
+		list = append(list, fleet.PromptRead{Key: h.Key, Instance: string(h.Life.ID), Life: h.Life.Start})
 	}
 	return list
 }
@@ -65,7 +65,7 @@
 func (t *telling) Learn(list []fleet.PromptRead) {
 	holdings := make([]placement.Holding, 0, len(list))
 	for _, r := range list {
-		holdings = append(holdings, placement.Holding{Key: r.Key, Instance: upstream.ID(r.Instance)})
+		holdings = append(holdings, placement.Holding{Key: r.Key, Life: upstream.Life{ID: upstream.ID(r.Instance), Start: r.Life}})
 	}
 	t.holdings.Learn(holdings, time.Now())
 }
@@ -83,10 +83,10 @@
 func (t *telling) Suspect(list []wire.Suspicion) { t.suspects.Merge(list) }
 
 // Loads takes the work and the use by all other routers.
-func (t *telling) Loads(loads map[string]fleet.InstanceLoad, uses map[string]fleet.Use) {
-	others := make(map[upstream.ID]placement.Load, len(loads))
-	for id, l := range loads {
-		others[upstream.ID(id)] = placement.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory}
+func (t *telling) Loads(loads map[fleet.LifeKey]fleet.InstanceLoad, uses map[string]fleet.Use) {
+	others := make(map[upstream.Life]placement.Load, len(loads))
+	for of, l := range loads {
+		others[upstream.Life{ID: upstream.ID(of.Instance), Start: of.Life}] = placement.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory}
 	}
 	t.ledger.SetOthers(others)
 	shares := make(map[string]placement.Use, len(uses))
--- a/pkg/placement/entry.go
+++ b/pkg/placement/entry.go
@@ -5,7 +5,7 @@
 // Entry is one piece of work in a Ledger, until End.
 type Entry struct {
 	ledger *Ledger
-	id     upstream.ID
+	life   upstream.Life
 	unread int
 	memory int
 	ended  bool
@@ -19,7 +19,7 @@
 }
 
 func (e *Entry) read() {
-	if load := e.ledger.own[e.id]; load != nil {
+	if load := e.ledger.own[e.life]; load != nil {
 		load.Unread -= e.unread
 	}
 	e.unread = 0
@@ -34,10 +34,10 @@
 	}
 	e.ended = true
 	e.read()
-	load := e.ledger.own[e.id]
+	load := e.ledger.own[e.life]
 	load.Running--
 	load.Memory -= e.memory
 	if load.Running == 0 {
-		delete(e.ledger.own, e.id)
+		delete(e.ledger.own, e.life)
 	}
 }
--- a/pkg/placement/holdings.go
+++ b/pkg/placement/holdings.go
@@ -19,10 +19,10 @@
 	maxLinks = 50_000
 )
 
-// Holding says that an engine has read a link.
+// Holding says that an engine has read a link in one of its lives.
 type Holding struct {
-	Key      uint64
-	Instance upstream.ID
+	Key  uint64
+	Life upstream.Life
 }
 
 type held struct {
@@ -30,28 +30,29 @@
 	told time.Time
 }
 
-// Holdings remembers which engines have read which beginnings of prompts.
+// Holdings remembers which engines have read which beginnings of prompts. What an engine read
+// in an earlier life, or is said to have read then, is kept apart from its present one.
 type Holdings struct {
 	mu     sync.Mutex
-	links  map[uint64]map[upstream.ID]*held
+	links  map[uint64]map[upstream.Life]*held
 	untold []Holding
 }
 
 // NewHoldings returns an empty memory.
-func NewHoldings() *Holdings { return &Holdings{links: make(map[uint64]map[upstream.ID]*held)} }
+func NewHoldings() *Holdings { return &Holdings{links: make(map[uint64]map[upstream.Life]*held)} }
 
 // Use notes that an engine reads all of chain.
-func (h *Holdings) Use(id upstream.ID, chain []Link, now time.Time) {
+func (h *Holdings) Use(life upstream.Life, chain []Link, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, link := range chain {
-		entry := h.entry(link.Key, id)
+		entry := h.entry(link.Key, life)
 		entry.used = now
 		if now.Sub(entry.told) < retellAfter {
 			continue
 		}
 		entry.told = now
-		h.untold = append(h.untold, Holding{Key: link.Key, Instance: id})
+		h.untold = append(h.untold, Holding{Key: link.Key, Life: life})
 	}
 }
 
@@ -60,24 +61,24 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, one := range list {
-		entry := h.entry(one.Key, one.Instance)
+		entry := h.entry(one.Key, one.Life)
 		entry.used, entry.told = now, now
 	}
 }
 
-func (h *Holdings) entry(key uint64, id upstream.ID) *held {
-	byID := h.links[key]
-	if byID == nil {
+func (h *Holdings) entry(key uint64, life upstream.Life) *held {
+	byLife := h.links[key]
+	if byLife == nil {
 		if len(h.links) >= maxLinks {
 			clear(h.links) // memory is bounded; what is in use comes back with its next use
 		}
-		byID = make(map[upstream.ID]*held, 2)
-		h.links[key] = byID
+		byLife = make(map[upstream.Life]*held, 2)
+		h.links[key] = byLife
 	}
-	entry := byID[id]
+	entry := byLife[life]
 	if entry == nil {
 		entry = new(held)
-		byID[id] = entry
+		byLife[life] = entry
 	}
 	return entry
 }
@@ -92,17 +93,17 @@
 }
 
 // Kept gives, for each engine that holds a beginning of chain, the tokens it holds.
-func (h *Holdings) Kept(chain []Link, now time.Time) map[upstream.ID]int {
+func (h *Holdings) Kept(chain []Link, now time.Time) map[upstream.Life]int {
 	if len(chain) == 0 {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	kept := make(map[upstream.ID]int)
+	kept := make(map[upstream.Life]int)
 	for _, link := range chain {
-		for id, entry := range h.links[link.Key] {
+		for life, entry := range h.links[link.Key] {
 			if now.Sub(entry.used) < holdingLife {
-				kept[id] = link.Tokens
+				kept[life] = link.Tokens
 			}
 		}
 	}
@@ -113,13 +114,13 @@
 func (h *Holdings) Prune(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for key, byID := range h.links {
-		for id, entry := range byID {
+	for key, byLife := range h.links {
+		for life, entry := range byLife {
 			if now.Sub(entry.used) >= holdingLife {
-				delete(byID, id)
+				delete(byLife, life)
 			}
 		}
-		if len(byID) == 0 {
+		if len(byLife) == 0 {
 			delete(h.links, key)
 		}
 	}
--- a/pkg/placement/holdings_test.go
+++ b/pkg/placement/holdings_test.go
@@ -10,6 +10,8 @@
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
+var a, b = upstream.Life{ID: "a", Start: 1}, upstream.Life{ID: "b", Start: 1}
+
 func TestChainLeavesOutTheRequestsOwnPart(t *testing.T) {
 	links := Chain(journal())
 	require.Len(t, links, 2)
@@ -22,31 +24,31 @@
 func TestHoldingsTellTheLongestBeginning(t *testing.T) {
 	h, now := NewHoldings(), time.Unix(0, 0)
 	chain := Chain(journal())
-	h.Use("a", chain, now)
-	h.Use("b", chain[:1], now)
-	require.Equal(t, map[upstream.ID]int{"a": 5000, "b": 500}, h.Kept(chain, now))
+	h.Use(a, chain, now)
+	h.Use(b, chain[:1], now)
+	require.Equal(t, map[upstream.Life]int{a: 5000, b: 500}, h.Kept(chain, now))
 	require.Empty(t, h.Kept(chain, now.Add(holdingLife)))
 }
 
 func TestHoldingsTellEachUseOnce(t *testing.T) {
 	h, now := NewHoldings(), time.Unix(0, 0)
 	chain := Chain(journal())
-	h.Use("a", chain, now)
+	h.Use(a, chain, now)
 	require.Len(t, h.Untold(), 2)
-	h.Use("a", chain, now.Add(time.Second))
+	h.Use(a, chain, now.Add(time.Second))
 	require.Empty(t, h.Untold())
-	h.Use("a", chain, now.Add(retellAfter))
+	h.Use(a, chain, now.Add(retellAfter))
 	require.Len(t, h.Untold(), 2, "told again before others forget it")
 
 	other := NewHoldings()
-	other.Learn([]Holding{{Key: chain[1].Key, Instance: "a"}}, now)
-	require.Equal(t, 5000, other.Kept(chain, now)["a"])
+	other.Learn([]Holding{{Key: chain[1].Key, Life: a}}, now)
+	require.Equal(t, 5000, other.Kept(chain, now)[a])
 	require.Empty(t, other.Untold(), "what was learnt is not told on")
 }
 
 func TestHoldingsPrune(t *testing.T) {
 	h, now := NewHoldings(), time.Unix(0, 0)
-	h.Use("a", Chain(journal()), now)
+	h.Use(a, Chain(journal()), now)
 	h.Prune(now.Add(holdingLife))
 	require.Empty(t, h.links)
 }
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -6,58 +6,60 @@
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
-// Ledger counts the work in progress of this router, and keeps what others told.
+// Ledger counts the work in progress of this router, and keeps what others told, each by the
+// life of the instance that does it.
 type Ledger struct {
 	mu     sync.Mutex
-	own    map[upstream.ID]*Load
-	others map[upstream.ID]Load
+	own    map[upstream.Life]*Load
+	others map[upstream.Life]Load
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{own: make(map[upstream.ID]*Load), others: make(map[upstream.ID]Load)}
+	return &Ledger{own: make(map[upstream.Life]*Load), others: make(map[upstream.Life]Load)}
 }
 
-// Begin counts work that is about to be sent to an instance.
-func (l *Ledger) Begin(id upstream.ID, w Work) *Entry {
+// Begin counts work that is about to be sent to an instance in its present life.
+func (l *Ledger) Begin(life upstream.Life, w Work) *Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := l.own[id]
+	load := l.own[life]
 	if load == nil {
 		load = new(Load)
-		l.own[id] = load
+		l.own[life] = load
 	}
-	e := &Entry{ledger: l, id: id, unread: w.Unread, memory: w.Memory()}
+	e := &Entry{ledger: l, life: life, unread: w.Unread, memory: w.Memory()}
 	load.Running++
 	load.Unread += e.unread
 	load.Memory += e.memory
 	return e
 }
 
-// Of gives the load of an instance over all routers.
-func (l *Ledger) Of(id upstream.ID) Load {
+// Of gives the load of an instance's life over all routers. Work that was sent to an earlier
+// life, by whichever router and however late it is told, is none of its load.
+func (l *Ledger) Of(life upstream.Life) Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	total := l.others[id]
-	if own := l.own[id]; own != nil {
+	total := l.others[life]
+	if own := l.own[life]; own != nil {
 		total = total.plus(*own)
 	}
 	return total
 }
 
-// Own gives this router's work, by instance.
-func (l *Ledger) Own() map[upstream.ID]Load {
+// Own gives this router's work, by life.
+func (l *Ledger) Own() map[upstream.Life]Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	own := make(map[upstream.ID]Load, len(l.own))
-	for id, load := range l.own {
-		own[id] = *load
+	own := make(map[upstream.Life]Load, len(l.own))
+	for life, load := range l.own {
+		own[life] = *load
 	}
 	return own
 }
 
 // SetOthers replaces what the other routers have in progress.
-func (l *Ledger) SetOthers(others map[upstream.ID]Load) {
+func (l *Ledger) SetOthers(others map[upstream.Life]Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others = others
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -20,6 +20,8 @@
 	Routers       []Router       `json:"routers"`
 	Upstreams     []Upstream     `json:"upstreams"`
 	Organisations []Organisation `json:"organisations"`
+	// Faults counts the changes of the store's rows to ones that can't be used.
+	Faults int64 `json:"faults"`
 	// LinesDropped counts log lines that nobody read in time.
 	LinesDropped int64 `json:"linesDropped"`
 }
@@ -39,6 +41,10 @@
 	Addr    string `json:"addr"`
 	Zone    string `json:"zone"`
 	State   string `json:"state"`
+	// Born is when its process started, in Unix milliseconds by its host's time of day.
+	Born int64 `json:"born,omitempty"`
+	// Fault is why its entry names no instance to use; empty when it does.
+	Fault string `json:"fault,omitempty"`
 	// Usable is false while this router leaves the instance alone.
 	Usable bool `json:"usable"`
 	// HandicapMs is what it counts as slower for its failures, in milliseconds.
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -34,10 +34,11 @@
 	Silent
 )
 
-// Health keeps how instances have done lately, from this router's own attempts.
+// Health keeps how lives of instances have done lately, from this router's own attempts. A
+// new life has a record of its own: what its predecessor failed at says nothing of it.
 type Health struct {
 	mu      sync.Mutex
-	records map[ID]*record
+	records map[Life]*record
 }
 
 type record struct {
@@ -47,16 +48,16 @@
 }
 
 // NewHealth returns an empty Health.
-func NewHealth() *Health { return &Health{records: make(map[ID]*record)} }
+func NewHealth() *Health { return &Health{records: make(map[Life]*record)} }
 
 // Observe notes an outcome; suspended is set when it starts a suspension.
-func (h *Health) Observe(id ID, o Outcome, now time.Time) (suspended time.Duration) {
+func (h *Health) Observe(life Life, o Outcome, now time.Time) (suspended time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.records[id]
+	r := h.records[life]
 	if r == nil {
 		r = new(record)
-		h.records[id] = r
+		h.records[life] = r
 	}
 	if o == Served {
 		r.silent = 0
@@ -77,11 +78,11 @@
 	return suspended
 }
 
-// Usable reports whether an instance may be given work, and its handicap.
-func (h *Health) Usable(id ID, now time.Time) (handicap time.Duration, ok bool) {
+// Usable reports whether a life of an instance may be given work, and its handicap.
+func (h *Health) Usable(life Life, now time.Time) (handicap time.Duration, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.records[id]
+	r := h.records[life]
 	if r == nil {
 		return 0, true
 	}
@@ -92,13 +93,13 @@
 	return handicap + time.Duration(r.silent)*doubtHandicap, true
 }
 
-// Prune drops what is known of instances that set doesn't have.
+// Prune drops what is known of lives that set doesn't have.
 func (h *Health) Prune(set *Set) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id := range h.records {
-		if set.Get(id) == nil {
-			delete(h.records, id)
+	for life := range h.records {
+		if !set.Lives(life) {
+			delete(h.records, life)
 		}
 	}
 }
--- a/pkg/upstream/health_test.go
+++ b/pkg/upstream/health_test.go
@@ -7,33 +7,35 @@
 	"github.com/stretchr/testify/require"
 )
 
+var a = Life{ID: "a", Start: 1}
+
 // An engine crashes with twenty requests on it. All twenty break off together; counted
 // as twenty failures in a row they would keep the engine out long after it is back.
 func TestHealthCountsOneCrashOnce(t *testing.T) {
 	h, now := NewHealth(), time.Unix(0, 0)
-	require.Equal(t, firstSuspension, h.Observe("a", Silent, now))
+	require.Equal(t, firstSuspension, h.Observe(a, Silent, now))
 	for range 20 {
-		require.Zero(t, h.Observe("a", Silent, now))
+		require.Zero(t, h.Observe(a, Silent, now))
 	}
-	_, ok := h.Usable("a", now)
+	_, ok := h.Usable(a, now)
 	require.False(t, ok)
-	handicap, ok := h.Usable("a", now.Add(firstSuspension))
+	handicap, ok := h.Usable(a, now.Add(firstSuspension))
 	require.True(t, ok)
 	require.Positive(t, handicap)
-	require.Equal(t, 2*firstSuspension, h.Observe("a", Silent, now.Add(firstSuspension)))
+	require.Equal(t, 2*firstSuspension, h.Observe(a, Silent, now.Add(firstSuspension)))
 }
 
 func TestHealthHandicapsFailuresAndForgives(t *testing.T) {
 	h, now := NewHealth(), time.Unix(0, 0)
 	for range 10 {
-		h.Observe("a", Failed, now)
+		h.Observe(a, Failed, now)
 	}
-	bad, _ := h.Usable("a", now)
+	bad, _ := h.Usable(a, now)
 	require.Greater(t, bad, failureHandicap/2)
 	for range 20 {
-		h.Observe("a", Served, now)
+		h.Observe(a, Served, now)
 	}
-	good, _ := h.Usable("a", now)
+	good, _ := h.Usable(a, now)
 	require.Less(t, good, failureHandicap/10)
 	h.Prune(NewSet(nil))
 	require.Empty(t, h.records)
--- a/pkg/upstream/instance.go
+++ b/pkg/upstream/instance.go
@@ -9,9 +9,12 @@
 	Ready State = "ready"
 	// Draining instances finish what they run and leave.
 	Draining State = "draining"
+	// Unusable stands for an entry of the list that names no instance to use. It keeps its
+	// place under its ID, so that whatever was known there before isn't used any more.
+	Unusable State = "unusable"
 )
 
-// ID names one run of an upstream's process; a restart has another.
+// ID names an upstream. Its process may start again under the same ID, see Life.
 type ID string
 
 // Instance is one running upstream.
@@ -25,4 +28,8 @@
 	// Slots is how many requests it runs at once.
 	Slots int
 	State State
+	// Born is when the process started, in Unix milliseconds by its host's time of day.
+	Born int64 `cbor:",omitempty"`
+	// Fault is what is wrong with an Unusable entry, a short text.
+	Fault string `cbor:",omitempty"`
 }
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -54,6 +54,12 @@
 // Get finds an instance.
 func (s *Set) Get(id ID) *Instance { return s.byID[id] }
 
+// Lives reports whether life is the present one of its instance.
+func (s *Set) Lives(life Life) bool {
+	in := s.byID[life.ID]
+	return in != nil && in.State != Unusable && in.Life() == life
+}
+
 // Of gives the instances of a service, in order of ID. Callers must not change it.
 func (s *Set) Of(service string) []*Instance { return s.byService[service] }
 
