--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -154,6 +154,9 @@
 		if a.Path == platformtest.PathMoved && !services[run.upstream.service] {
 			c.find("a moved route goes to its new service", a, "it ran on %s", run.upstream.service)
 		}
+		if c.world.history.unnamed(run.upstream.engine.ID, a.from) {
+			c.find("an entry that names no upstream draws nothing", a, "it ran on %s", run.upstream.engine.ID)
+		}
 		left := c.world.history.leftAt(run.upstream.engine.ID)
 		if !left.IsZero() && a.from.After(left.Add(drainTime+late)) {
 			c.find("upstreams that leave get nothing new", a, "%v after it was told", a.from.Sub(left))
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -65,6 +65,9 @@
 		"upstream_silent": behave(platformtest.Behaviour{Silent: true}),
 		"upstream_slow":   behave(platformtest.Behaviour{Delay: 300 * time.Millisecond, Pause: 20 * time.Millisecond}),
 		"upstream_leaves": retire,
+		"upstream_reborn": reborn,
+		"reborn_unseen":   rebornUnseen,
+		"foreign_row":     foreignRow,
 	}
 )
 
@@ -206,6 +209,7 @@
 	if err != nil {
 		return // no ports are left; the run goes on with the old one
 	}
+	w.history.named(old.engine.ID)
 	w.store.List(old.engine, old.service, old.relay.Addr(), true)
 	w.history.leaving(old.engine.ID)
 	waiting.For(ctx, drainTime+f.lasts)
--- a/internal/soak/journal_test.go
+++ b/internal/soak/journal_test.go
@@ -93,3 +93,21 @@
 	require.NotEqual(t, plan(o), plan(other))
 	require.Len(t, plan(o.Grown(12)), 3*o.Faults)
 }
+
+// An entry is overwritten, its own again, and overwritten once more. Only what is sent while
+// it names nobody, and after a change had its time, is judged.
+func TestEntriesOfOtherWritersAreJudgedAfterTheirTime(t *testing.T) {
+	h := newHistory(nil)
+	now := time.Now()
+	h.overwritten["i"] = []span{{from: now, to: now.Add(time.Minute)}, {from: now.Add(2 * time.Minute)}}
+	for after, want := range map[time.Duration]bool{
+		time.Second: false, 10 * time.Second: true, 90 * time.Second: false, 121 * time.Second: false, 130 * time.Second: true} {
+		if h.unnamed("i", now.Add(after)) != want {
+			t.Errorf("after %v: %v", after, !want)
+		}
+	}
+	h.named("i")
+	if h.unnamed("i", now.Add(130*time.Second)) {
+		t.Error("it is its own again")
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -127,6 +127,16 @@
 	return old, nil
 }
 
+// relist writes the entry of an upstream anew, unless it has been replaced.
+func (w *world) relist(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.upstreams[u.index] == u {
+		w.history.named(u.engine.ID)
+		w.store.List(u.engine, u.service, u.relay.Addr(), false)
+	}
+}
+
 // heal ends all faults.
 func (w *world) heal() {
 	w.store.Refuse(0)
@@ -200,8 +210,13 @@
 	list []declared
 	// leave is when upstreams were told to be leaving.
 	leave map[string]time.Time
+	// overwritten are the times in which entries of upstreams were another writer's.
+	overwritten map[string][]span
 }
 
+// span is a time; to is zero while it lasts.
+type span struct{ from, to time.Time }
+
 // declared is a configuration from the moment at which it was acknowledged.
 type declared struct {
 	platformtest.Declaration
@@ -209,7 +224,7 @@
 }
 
 func newHistory(s *platformtest.Store) *history {
-	return &history{store: s, leave: make(map[string]time.Time)}
+	return &history{store: s, leave: make(map[string]time.Time), overwritten: make(map[string][]span)}
 }
 
 // organisations of a run; each has a key that is never taken away.
@@ -256,6 +271,34 @@
 	return list
 }
 
+// overwrite notes that an upstream's entry is another writer's from now on.
+func (h *history) overwrite(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.overwritten[id] = append(h.overwritten[id], span{from: time.Now()})
+}
+
+// named notes that an upstream's entry is about to be its own.
+func (h *history) named(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.overwritten[id] {
+		if s := &h.overwritten[id][i]; s.to.IsZero() {
+			s.to = time.Now()
+		}
+	}
+}
+
+// unnamed reports whether no entry named an upstream at a time, nor for as long before as a
+// change needs to be in force.
+func (h *history) unnamed(id string, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.overwritten[id], func(s span) bool {
+		return at.After(s.from.Add(inForce+late)) && (s.to.IsZero() || at.Before(s.to))
+	})
+}
+
 // leaving notes that an upstream was told to be leaving.
 func (h *history) leaving(id string) {
 	h.mu.Lock()
--- a/pkg/status/handler_test.go
+++ b/pkg/status/handler_test.go
@@ -14,8 +14,8 @@
 
 func sample() Status {
 	return Status{Router: "router-01", Zone: "north", Config: 7, ListAgeMs: 12, Exchange: "direct",
-		Routers:       []Router{{Name: "router-02", Callers: "10.0.0.2:1", Ready: true}},
-		Upstreams:     []Upstream{{ID: "i-1", State: "ready", Usable: true}, {ID: "i-<2>", State: "ready"}, {ID: "i-3", State: "unusable", Usable: true, Born: 1, Fault: "Addr <is> missing"}}, Faults: 4,
+		Routers:   []Router{{Name: "router-02", Callers: "10.0.0.2:1", Ready: true}},
+		Upstreams: []Upstream{{ID: "i-1", State: "ready", Usable: true}, {ID: "i-<2>", State: "ready"}, {ID: "i-3", State: "unusable", Usable: true, Born: 1, Fault: "Addr <is> missing"}}, Faults: 4,
 		Organisations: []Organisation{{Name: "org", Asked: 10, Got: 5, Standing: 0.5}}}
 }
 
