--- a/pkg/gatewayd/life_test.go
+++ b/pkg/gatewayd/life_test.go
@@ -46,6 +46,18 @@
 		[]fleet.PromptRead{{Key: 7, Instance: "i", Life: start}}
 }
 
+// changesOf gives what the store tells of the revisions after after up to rev: the first life is
+// listed at 1, the second at restart.
+func changesOf(lives []upstream.Instance, restart, after, rev int64) []upstream.Change {
+	var list []upstream.Change
+	for i, at := range []int64{1, restart} {
+		if after < at && at <= rev {
+			list = append(list, upstream.Change{Instance: lives[i]})
+		}
+	}
+	return list
+}
+
 // An engine starts again, and its host's time of day may have gone back. The news of both
 // lives comes in any order: the store's list, peers' lists of older and newer revisions, peers'
 // work and prompts read at either life, late or more than once, and this router's own work and
@@ -63,11 +75,18 @@
 		now := time.Now()
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			of := lives[rapid.IntRange(0, 1).Draw(t, "life")]
-			switch rapid.SampledFrom([]string{"list", "load", "read", "fail", "use"}).Draw(t, "news") {
+			switch rapid.SampledFrom([]string{"list", "feed", "load", "read", "fail", "use"}).Draw(t, "news") {
 			case "list":
 				rev := rapid.Int64Range(1, 20).Draw(t, "revision")
 				w.catalog.Replace([]upstream.Instance{lives[min(1, rev/restart)]}, catalog.Revision(rev), now, "test")
 				newest = max(newest, rev)
+			case "feed":
+				after := rapid.Int64Range(0, 20).Draw(t, "after")
+				rev := rapid.Int64Range(after, 20).Draw(t, "revision")
+				w.catalog.Apply(changesOf(lives, restart, after, rev), catalog.Revision(after), catalog.Revision(rev), "test")
+				if after <= newest && rev >= newest {
+					newest = rev
+				}
 			case "load":
 				l, _ := told(of)
 				w.telling.Loads(l, nil)
@@ -86,7 +105,7 @@
 		}
 		in := w.present()
 		if newest == 0 {
-			return
+			return // nothing is listed yet
 		}
 		if want := lives[min(1, newest/restart)]; *in != want {
 			t.Fatalf("at revision %d the present life is %+v, not %+v", newest, *in, want)
