--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -65,9 +65,6 @@
 		"upstream_silent": behave(platformtest.Behaviour{Silent: true}),
 		"upstream_slow":   behave(platformtest.Behaviour{Delay: 300 * time.Millisecond, Pause: 20 * time.Millisecond}),
 		"upstream_leaves": retire,
-		"upstream_reborn": reborn,
-		"reborn_unseen":   rebornUnseen,
-		"foreign_row":     foreignRow,
 	}
 )
 
@@ -230,10 +227,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	list := make([]fault, 0, o.Faults)
 	for range o.Faults {
-		f := fault{
-			at:    time.Duration((firstAt + (lastAt-firstAt)*random.Float64()) * float64(o.Length)),
-			lasts: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
-		}
+		f := timed(random, o)
 		if random.Float64() < upstreamP {
 			f.kind, f.index = draw(random, ofUpstreams), random.IntN(o.Upstreams)
 		} else {
@@ -244,15 +238,24 @@
 	return list
 }
 
+// timed gives a fault's time.
+func timed(random *rand.Rand, o Options) fault {
+	return fault{
+		at:    time.Duration((firstAt + (lastAt-firstAt)*random.Float64()) * float64(o.Length)),
+		lasts: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
+	}
+}
+
 func draw(random *rand.Rand, kinds map[string]action) string {
 	names := slices.Sorted(maps.Keys(kinds))
 	return names[random.IntN(len(names))]
 }
 
 func (f fault) act(ctx context.Context, w *world) {
-	if a := ofRouters[f.kind]; a != nil {
-		a(ctx, w, f)
-		return
+	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives} {
+		if a := kinds[f.kind]; a != nil {
+			a(ctx, w, f)
+			return
+		}
 	}
-	ofUpstreams[f.kind](ctx, w, f)
 }
--- a/internal/soak/journal_test.go
+++ b/internal/soak/journal_test.go
@@ -111,3 +111,14 @@
 		t.Error("it is its own again")
 	}
 }
+
+func TestPlansOfLivesFollowFromTheirSeeds(t *testing.T) {
+	o := Small("", "", 7).Grown(12)
+	first := planLives(o)
+	require.Equal(t, first, planLives(o))
+	require.Len(t, first, o.Faults/livesEvery)
+	for _, f := range first {
+		require.Contains(t, ofLives, f.kind)
+		require.Less(t, f.index, o.Upstreams)
+	}
+}
--- a/internal/soak/lives.go
+++ b/internal/soak/lives.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +11,25 @@
 	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
+// ofLives are faults of upstreams' lives and entries.
+var ofLives = map[string]action{"upstream_reborn": reborn, "reborn_unseen": rebornUnseen, "foreign_row": foreignRow}
+
+// livesEvery is the number of other faults for each of ofLives.
+const livesEvery = 6
+
+// planLives gives those faults of a seed, beside plan. They are drawn apart, so that seeds which have shown
+// something bring the same other faults about as then.
+func planLives(o Options) []fault {
+	random := rand.New(rand.NewPCG(o.Seed, 1))
+	var list []fault
+	for range max(1, o.Faults/livesEvery) {
+		f := timed(random, o)
+		f.kind, f.index = draw(random, ofLives), random.IntN(o.Upstreams)
+		list = append(list, f)
+	}
+	return list
+}
+
 // clockStep is how far the time of day of some hosts jumps back between two starts.
 const clockStep = time.Minute
 
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -10,7 +10,7 @@
 	Seed uint64
 	// Routers, Upstreams and Callers are their numbers.
 	Routers, Upstreams, Callers int
-	// Faults is how many faults are brought about in Length.
+	// Faults is how many faults are brought about in Length, beside those of upstreams' lives.
 	Faults int
 	Length time.Duration
 }
