--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -206,6 +206,7 @@
 	if err != nil {
 		return // no ports are left; the run goes on with the old one
 	}
+	w.history.named(old.engine.ID)
 	w.store.List(old.engine, old.service, old.relay.Addr(), true)
 	w.history.leaving(old.engine.ID)
 	waiting.For(ctx, drainTime+f.lasts)
@@ -226,10 +227,7 @@
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	list := make([]fault, 0, o.Faults)
 	for range o.Faults {
-		f := fault{
-			at:    time.Duration((firstAt + (lastAt-firstAt)*random.Float64()) * float64(o.Length)),
-			lasts: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
-		}
+		f := timed(random, o)
 		if random.Float64() < upstreamP {
 			f.kind, f.index = draw(random, ofUpstreams), random.IntN(o.Upstreams)
 		} else {
@@ -240,15 +238,24 @@
 	return list
 }
 
+// timed gives a fault's time.
+func timed(random *rand.Rand, o Options) fault {
+	return fault{
+		at:    time.Duration((firstAt + (lastAt-firstAt)*random.Float64()) * float64(o.Length)),
+		lasts: shortest + time.Duration(random.Int64N(int64(longest-shortest))),
+	}
+}
+
 func draw(random *rand.Rand, kinds map[string]action) string {
 	names := slices.Sorted(maps.Keys(kinds))
 	return names[random.IntN(len(names))]
 }
 
 func (f fault) act(ctx context.Context, w *world) {
-	if a := ofRouters[f.kind]; a != nil {
-		a(ctx, w, f)
-		return
+	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives} {
+		if a := kinds[f.kind]; a != nil {
+			a(ctx, w, f)
+			return
+		}
 	}
-	ofUpstreams[f.kind](ctx, w, f)
 }
--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -85,10 +85,11 @@
 	}
 	if !a.stop() {
 		a.abort.release()
-		return // ctx has ended: the connection is closed already
+		a.pool.done(a.conn) // ctx has ended: the connection is closed already
+		return
 	}
 	if !a.abort.release() {
-		a.conn.Close()
+		a.pool.done(a.conn)
 		return
 	}
 	a.conn.until = time.Now().Add(a.keep)
@@ -116,5 +117,5 @@
 func (a *Answer) Discard() {
 	a.stop()
 	a.abort.release()
-	a.conn.Close()
+	a.pool.done(a.conn)
 }
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -48,7 +48,7 @@
 		if in.State != upstream.Ready || r.tried[in.ID] {
 			return
 		}
-		list = append(list, placement.Candidate{Instance: in, Kept: kept[in.ID], Handicap: handicap + spread(many)})
+		list = append(list, placement.Candidate{Instance: in, Kept: kept[in.Life()], Handicap: handicap + spread(many)})
 	})
 	g.ledger.Fill(list)
 	return list
--- a/pkg/gateway/place_bench_test.go
+++ b/pkg/gateway/place_bench_test.go
@@ -23,11 +23,11 @@
 	g := New(Settings{}, Parts{Catalog: catalog.New(quiet), Health: upstream.NewHealth(), Ledger: placement.NewLedger(), Holdings: placement.NewHoldings(),
 		Peers: onePeer{}, Log: quiet})
 	var list []upstream.Instance
-	loads := make(map[upstream.ID]placement.Load)
+	loads := make(map[upstream.Life]placement.Load)
 	for i := range benchEngines {
 		id := upstream.ID(fmt.Sprintf("i-%08x", i))
 		list = append(list, upstream.Instance{ID: id, Service: "app", State: upstream.Ready})
-		loads[id] = placement.Load{Running: 16}
+		loads[upstream.Life{ID: id}] = placement.Load{Running: 16}
 	}
 	g.catalog.Replace(list, 1, time.Now(), "bench")
 	g.ledger.SetOthers(loads)
--- a/pkg/gatewayd/cost_bench_test.go
+++ b/pkg/gatewayd/cost_bench_test.go
@@ -145,13 +145,13 @@
 	return list
 }
 
-func benchLoads(full bool) (map[string]fleet.InstanceLoad, map[string]fleet.Use) {
-	loads := make(map[string]fleet.InstanceLoad)
+func benchLoads(full bool) (map[fleet.LifeKey]fleet.InstanceLoad, map[string]fleet.Use) {
+	loads := make(map[fleet.LifeKey]fleet.InstanceLoad)
 	uses := make(map[string]fleet.Use)
 	if full {
 		for i := range benchEngines {
 			id := fmt.Sprintf("i-%08x", i)
-			loads[id] = fleet.InstanceLoad{Instance: id, Running: benchSlots + i%3, Unread: 20_000, Memory: 50_000}
+			loads[fleet.LifeKey{Instance: id}] = fleet.InstanceLoad{Instance: id, Running: benchSlots + i%3, Unread: 20_000, Memory: 50_000}
 		}
 	}
 	for i := range benchOrganisations {
