--- a/pkg/fleet/readlog_test.go
+++ b/pkg/fleet/readlog_test.go
@@ -52,7 +52,8 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	data, _ := encode(Report{From: Member{Name: "a"}, Read: []PromptRead{{Key: 1}}}, secret)
+	data, _ := encode(Report{From: Member{Name: "a"}, Read: []PromptRead{{Key: 1, Instance: "i", Life: 7}},
+		Loads: []InstanceLoad{{Instance: "i", Life: 8, Running: 1}}}, secret)
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var r Report
