--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -84,13 +84,21 @@
 			ps.unlisted[key] = known
 		}
 		p.close()
-		present := set.Get(key.life.ID)
-		if present != nil && present.State != upstream.Unusable && present.Life() != key.life {
+		if follows(set.Get(key.life.ID), key.life) {
 			p.end(ps.unlisted[key])
 		}
 	}
 }
 
+// follows reports whether present is surely another run of the process than life. An entry
+// that doesn't tell its start may describe the same one.
+func follows(present *upstream.Instance, life upstream.Life) bool {
+	if present == nil || present.State == upstream.Unusable || present.Born == 0 {
+		return false
+	}
+	return present.Life() != life
+}
+
 // Run closes idle connections past their time and drops pools that nobody uses, until ctx
 // ends; then all.
 func (ps *Pools) Run(ctx context.Context, current func() *upstream.Set) {
