--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,7 +18,7 @@
 	ticket   *ticket
 	entry    sync.Once
 	// gone is whether the connection was turned away and belongs to the refuser.
-	gone bool
+	gone atomic.Bool
 }
 
 // Read reads from the connection; the first time it waits for its turn.
@@ -27,7 +28,7 @@
 		first = true
 		c.enter()
 	})
-	if c.gone {
+	if c.gone.Load() {
 		// Guard: after any other error the server answers that the request is faulty.
 		return 0, io.EOF
 	}
@@ -48,7 +49,7 @@
 	<-c.ticket.called
 	if now := time.Now(); now.Sub(c.ticket.since) > tooLate {
 		c.Leave()
-		c.gone = true
+		c.gone.Store(true)
 		c.listener.turnAway(c.TCPConn, now)
 	}
 }
@@ -76,7 +77,7 @@
 // Close closes the connection, unless it is left to the refuser.
 func (c *Conn) Close() error {
 	c.Leave()
-	if c.gone {
+	if c.gone.Load() {
 		return nil
 	}
 	return c.TCPConn.Close()
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -92,19 +92,20 @@
 	if !l.rounds.full() {
 		return
 	}
-	if l.rounds.slow() {
+	began := time.Now()
+	if l.rounds.slow(began) {
 		l.turnAwayWaiting()
 	}
-	began := time.Now()
 	runtime.Gosched()
-	l.rounds.next(time.Since(began))
+	now := time.Now()
+	l.rounds.next(now.Sub(began), now)
 }
 
 // turnAway turns away a connection that was accepted.
 func (l *Listener) turnAway(c *net.TCPConn, now time.Time) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return // closed
+		return // it is closed
 	}
 	// Control fails on a closed connection only.
 	_ = raw.Control(func(fd uintptr) { l.refuse(refused{fd: int(fd), conn: c, since: now}) })
--- a/pkg/admission/listener_test.go
+++ b/pkg/admission/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,3 +106,62 @@
 	}()
 	require.Equal(t, http.StatusServiceUnavailable, get(t, addr).StatusCode)
 }
+
+// A router ends while connections wait for their turn. Their goroutines must end with it.
+func TestClosedConnectionsWaitForNoTurn(t *testing.T) {
+	l, addr := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	l.queue.mu.Lock()
+	l.queue.held = l.queue.turns
+	l.queue.mu.Unlock()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	let, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer let.Close()
+	waits := func() *ticket {
+		l.queue.mu.Lock()
+		defer l.queue.mu.Unlock()
+		for e := l.queue.waiting.Front(); e != nil; e = e.Next() {
+			if one := e.Value.(*ticket); one.entered {
+				return one
+			}
+		}
+		return nil
+	}
+	require.Eventually(t, func() bool { return waits() != nil }, time.Second, time.Millisecond)
+	one := waits()
+	l.queue.leave(one, time.Now())
+	<-one.called
+}
+
+// A calm host with all its processor gets a thousand connections at once. It must let them in.
+func TestBurstAtACalmListenerIsLetIn(t *testing.T) {
+	l, addr := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	var all sync.WaitGroup
+	for range 1000 {
+		all.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			if _, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")); err != nil {
+				t.Error(err)
+				return
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if resp.StatusCode != http.StatusNoContent {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+		})
+	}
+	all.Wait()
+	refused, closed := l.TurnedAway()
+	require.Zero(t, refused+closed)
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -10,6 +10,9 @@
 	// firstTurn is the time that a connection is taken to need of the process before any was
 	// seen: that of a request on a host with a fifth of a core.
 	firstTurn = time.Millisecond
+	// youngQueue is the time for which a queue may be long without being slow: a burst that
+	// comes to a host with processor to spare is read within it.
+	youngQueue = 20 * time.Millisecond
 	// turnWeight is the part of a new measurement in the mean.
 	turnWeight = 1.0 / 16
 	// longestTurn bounds one measurement: a process that stood still for seconds isn't slow
@@ -93,6 +96,7 @@
 	if t.place != nil {
 		q.waiting.Remove(t.place)
 		t.place = nil
+		close(t.called) // whoever waits for the turn of a connection that is closed goes on
 		return
 	}
 	if t.holds {
@@ -103,7 +107,7 @@
 }
 
 // wait is how long a connection that is accepted now will wait: at least as long as the
-// oldest has waited, and a turn for each that waits.
+// oldest has waited, and a turn for each that waits unless all have just come.
 func (q *queue) wait(now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -111,5 +115,9 @@
 	if oldest == nil {
 		return 0
 	}
-	return max(now.Sub(oldest.Value.(*ticket).since), time.Duration(q.waiting.Len())*q.turn)
+	waited := now.Sub(oldest.Value.(*ticket).since)
+	if waited < youngQueue {
+		return waited
+	}
+	return max(waited, time.Duration(q.waiting.Len())*q.turn)
 }
--- a/pkg/admission/rounds.go
+++ b/pkg/admission/rounds.go
@@ -13,14 +13,17 @@
 	// quickRound or less more are let in.
 	longRound  = 80 * time.Millisecond
 	quickRound = 40 * time.Millisecond
+	// remembered is how long a round says something of the next one.
+	remembered = 500 * time.Millisecond
 )
 
 // rounds decides how many connections are let in at once.
 type rounds struct {
 	// most are let in in this round, n have been.
 	most, n int
-	// took is how long the others had the processor after the last round.
+	// took is how long the others had the processor after the last round, which ended at.
 	took time.Duration
+	at   time.Time
 }
 
 // let counts a connection that was let in.
@@ -29,15 +32,15 @@
 // full reports whether the round should end.
 func (r *rounds) full() bool { return r.n >= r.most }
 
-// slow reports whether those let in before took long.
-func (r *rounds) slow() bool { return r.took > longRound }
+// slow reports whether those let in just before took long.
+func (r *rounds) slow(now time.Time) bool { return r.took > longRound && now.Sub(r.at) < remembered }
 
 // calm notes that nobody waited to be accepted.
 func (r *rounds) calm() { r.n = 0 }
 
 // next begins a round after the others have had the processor for took.
-func (r *rounds) next(took time.Duration) {
-	r.n, r.took = 0, took
+func (r *rounds) next(took time.Duration, now time.Time) {
+	r.n, r.took, r.at = 0, took, now
 	switch {
 	case took > longRound:
 		r.most = max(leastRound, r.most/2)
