--- a/pkg/admission/close_test.go
+++ b/pkg/admission/close_test.go
@@ -117,7 +117,7 @@
 // counts as slow until the next one ends.
 func TestBurstOnAHostThatIsCalmAgain(t *testing.T) {
 	l := unserved(t, 0)
-	l.rounds.next(longRound + time.Millisecond)
+	l.rounds.next(longRound+time.Millisecond, time.Now())
 	s := &http.Server{Handler: http.NotFoundHandler()}
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -17,10 +17,18 @@
 	listener *Listener
 	ticket   *ticket
 	entry    sync.Once
-	// gone is whether the connection was turned away and belongs to the refuser.
-	gone atomic.Bool
+	// owner is who may use the socket and closes it. It passes once: a descriptor that both
+	// sides closed would be another caller's when one of them uses it again.
+	owner atomic.Int32
 }
 
+// Owners of a connection's socket.
+const (
+	ofServer int32 = iota
+	ofRefuser
+	ofNobody // closed
+)
+
 // Read reads from the connection; the first time it waits for its turn.
 func (c *Conn) Read(b []byte) (int, error) {
 	first := false
@@ -28,7 +36,7 @@
 		first = true
 		c.enter()
 	})
-	if c.gone.Load() {
+	if c.owner.Load() == ofRefuser {
 		// Guard: after any other error the server answers that the request is faulty.
 		return 0, io.EOF
 	}
@@ -47,9 +55,12 @@
 func (c *Conn) enter() {
 	c.listener.queue.enter(c.ticket, time.Now())
 	<-c.ticket.called
-	if now := time.Now(); now.Sub(c.ticket.since) > tooLate {
-		c.Leave()
-		c.gone.Store(true)
+	now := time.Now()
+	if now.Sub(c.ticket.since) <= tooLate {
+		return
+	}
+	c.Leave()
+	if c.owner.CompareAndSwap(ofServer, ofRefuser) {
 		c.listener.turnAway(c.TCPConn, now)
 	}
 }
@@ -77,7 +88,7 @@
 // Close closes the connection, unless it is left to the refuser.
 func (c *Conn) Close() error {
 	c.Leave()
-	if c.gone.Load() {
+	if !c.owner.CompareAndSwap(ofServer, ofNobody) && c.owner.Load() == ofRefuser {
 		return nil
 	}
 	return c.TCPConn.Close()
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -71,7 +71,7 @@
 		}
 		now := time.Now()
 		if now.Sub(before) > idleAccept {
-			l.rounds.calm()
+			l.calm()
 		}
 		if l.queue.wait(now) <= mostWait {
 			l.rounds.let()
@@ -101,14 +101,38 @@
 	l.rounds.next(now.Sub(began), now)
 }
 
-// turnAway turns away a connection that was accepted.
+// calm notes that nobody waited to be accepted. Once nobody waits to be read either, what was
+// learnt under load is forgotten: it would cost the next burst, at a host that is idle by then.
+func (l *Listener) calm() {
+	l.rounds.calm()
+	if l.queue.caughtUp() {
+		l.rounds = rounds{most: firstRound}
+	}
+}
+
+// turnAway turns away a connection that was accepted: refused as long as the processor bears
+// it, beyond that closed.
 func (l *Listener) turnAway(c *net.TCPConn, now time.Time) {
+	fd := descriptor(c)
+	if fd < 0 || !l.refuser.may(now) {
+		_ = c.Close() // nothing was read or is to be sent
+		l.load.note(true, now)
+		l.closed.Add(1)
+		return
+	}
+	l.refuse(refused{fd: fd, conn: c, since: now})
+}
+
+// descriptor is that of c, negative when c is closed. It is used outside Control: a close
+// within Control waits for that Control to end.
+func descriptor(c *net.TCPConn) int {
+	fd := -1
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return // it is closed
+		return fd
 	}
-	// Control fails on a closed connection only.
-	_ = raw.Control(func(fd uintptr) { l.refuse(refused{fd: int(fd), conn: c, since: now}) })
+	_ = raw.Control(func(of uintptr) { fd = int(of) }) // fails for a closed one, fd tells it
+	return fd
 }
 
 func (l *Listener) refuse(r refused) {
@@ -126,6 +150,9 @@
 	_ = l.raw.Control(func(fd uintptr) {
 		for range mostAtOnce {
 			s, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err == unix.ECONNABORTED || err == unix.EINTR {
+				continue // its caller is gone, or a signal came
+			}
 			if err != nil {
 				return // none waits, or Accept meets the error again
 			}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -15,9 +15,11 @@
 	youngQueue = 20 * time.Millisecond
 	// turnWeight is the part of a new measurement in the mean.
 	turnWeight = 1.0 / 16
-	// longestTurn bounds one measurement: a process that stood still for seconds isn't slow
-	// afterwards.
-	longestTurn = 100 * time.Millisecond
+	// longestTurn bounds one measurement, in turns: a process that stood still for a while,
+	// as a quota makes it, isn't slow afterwards.
+	longestTurn = 10
+	// leastTurn is a turn's time at least, as measured on a host with all its processor.
+	leastTurn = 20 * time.Microsecond
 )
 
 // queue gives accepted connections their turns to be read, the oldest first.
@@ -83,8 +85,8 @@
 // they get their turn cost next to nothing and say nothing of the others.
 func (q *queue) measure(t *ticket, now time.Time) {
 	if now.Sub(t.since) <= tooLate {
-		took := min(now.Sub(q.last), longestTurn)
-		q.turn += time.Duration(turnWeight * float64(took-q.turn))
+		took := min(now.Sub(q.last), longestTurn*q.turn)
+		q.turn = max(leastTurn, q.turn+time.Duration(turnWeight*float64(took-q.turn)))
 	}
 	q.last = now
 }
@@ -121,3 +123,14 @@
 	}
 	return max(waited, time.Duration(q.waiting.Len())*q.turn)
 }
+
+// caughtUp reports whether nobody waits, and forgets how long turns took if so.
+func (q *queue) caughtUp() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting.Len() > 0 || q.held > 0 {
+		return false
+	}
+	q.turn = min(q.turn, firstTurn)
+	return true
+}
--- a/pkg/admission/refused.go
+++ b/pkg/admission/refused.go
@@ -11,7 +11,7 @@
 	// readWithin is how long the request of a connection that is turned away is waited for: a
 	// caller that connects sends at once, and a lost packet is sent again within this time.
 	readWithin = 500 * time.Millisecond
-	// lingerFor bounds the time in which the rest of a refused request is read.
+	// lingerFor is how long the rest of a refused request is read, unless its caller closes.
 	lingerFor = 200 * time.Millisecond
 	// skipBytes is how much of a request is read at once; more than most have.
 	skipBytes = 16 << 10
@@ -37,7 +37,7 @@
 	n, err := unix.Read(r.fd, skip)
 	waits := err == unix.EAGAIN || err == unix.EINTR
 	if !r.answered.IsZero() {
-		return waits || err != nil || n == 0 || now.Sub(r.answered) >= lingerFor
+		return !waits && (err != nil || n == 0) || now.Sub(r.answered) >= lingerFor
 	}
 	if waits {
 		return now.Sub(r.since) >= readWithin
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -56,6 +56,7 @@
 	if f.secret == nil {
 		return nil
 	}
+	f.noticeStall(now)
 	f.takeRole(now)
 	var list []*peer
 	for addr, p := range f.peers {
@@ -71,6 +72,18 @@
 	return list
 }
 
+// stalledTicks is the number of looks after which one that came late shows a stall.
+const stalledTicks = 10
+
+// noticeStall notes that this router stood still when its last look is long past: that it
+// heard of nobody since says nothing of the others.
+func (f *Fleet) noticeStall(now time.Time) {
+	if !f.lastDue.IsZero() && now.Sub(f.lastDue) > stalledTicks*exchangeEvery/4 {
+		f.lateAt = now
+	}
+	f.lastDue = now
+}
+
 // isForgotten reports whether a peer is long gone.
 func (f *Fleet) isForgotten(p *peer, now time.Time) bool {
 	if p.alive(now) || now.Sub(p.met) < forgetAfter || now.Sub(p.heard) < forgetAfter {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,8 +44,9 @@
 	logs [ScopeAll + 1]readLog
 	// last is this router's newest role.
 	last role
-	// lateAt is when this router last told that it gets too little processor.
-	lateAt time.Time
+	// lateAt is when this router was last seen to get too little processor, lastDue when it
+	// last looked whom to ask.
+	lateAt, lastDue time.Time
 	// fromHub is the work of all others as the hub last told it.
 	fromHub   *Report
 	fromHubAt time.Time
@@ -101,13 +102,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 1
-	for _, p := range f.peers {
-		if p.alive(now) {
-			n++
-		}
-	}
-	return n
+	return len(f.counted(now))
 }
 
 // Alive gives the other routers that are alive.
@@ -162,8 +157,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rank := 0
-	for _, p := range f.peers {
-		if p.alive(now) && byStrength(p.member, f.self) < 0 {
+	for _, m := range f.counted(now) {
+		if byStrength(m, f.self) < 0 {
 			rank++
 		}
 	}
--- a/pkg/gateway/blame_test.go
+++ b/pkg/gateway/blame_test.go
@@ -29,6 +29,7 @@
 	w.late = true
 	require.True(t, usable("late", os.ErrDeadlineExceeded))
 	require.False(t, usable("reset", syscall.ECONNRESET), "that is no matter of time")
+	require.False(t, usable("dark", syscall.ETIMEDOUT), "the kernel's timers are never late")
 	w.late = false
 	require.False(t, usable("silent", os.ErrDeadlineExceeded))
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -219,7 +219,8 @@
 // failure still makes the upstream a worse choice.
 func (g *Gateway) blame(err error) upstream.Outcome {
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && g.late() {
+	ours := errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, syscall.ETIMEDOUT) // that is the kernel's
+	if ours && g.late() {
 		return upstream.Failed
 	}
 	return upstream.Silent
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -101,7 +101,7 @@
 		return result{done: true}
 	}
 	g.suspect(r)
-	g.observe(in, upstream.Silent, err)
+	g.observe(in, g.blame(err), err)
 	if !r.route.Resumable {
 		if r.begun {
 			g.cut(r)
