--- a/test/crowd/collapse_test.go
+++ b/test/crowd/collapse_test.go
@@ -24,8 +24,8 @@
 // works as hard as before and serves nobody, while the other routers of the fleet are idle.
 // The organisation then gets far less than others that ask as much elsewhere.
 //
-// Callers of second 0 to 7, as this test first saw them at a tenth of a core and 1,500
-// requests a second (served, refused, left without an answer):
+// Without a bound on what is let in, callers of second 0 to 7 at a tenth of a core and 1,500
+// requests a second are served, refused, left without an answer:
 //
 //	526, 791, 257    60, 1423, 17    0, 1203, 297    36, 228, 1236
 //	0, 81, 1418      0, 108, 1393    0, 205, 1295    32, 1468, 0
@@ -50,10 +50,9 @@
 	}
 	for i := 1; i < len(all.seconds)-1; i++ {
 		o := all.seconds[i]
-		// A refusal costs two fifths of an answer on loopback, so not even half of the callers
-		// can be answered where a quarter of what could be served is.
+		// Refusing costs a part of serving, so what is refused leaves less for the rest.
 		require.GreaterOrEqual(t, o.served, can/4, "second %d", i)
-		require.GreaterOrEqual(t, o.served+o.refused, 2*can/3, "second %d", i)
+		require.GreaterOrEqual(t, o.served+o.refused, o.sent/2, "second %d", i)
 	}
 	require.LessOrEqual(t, s.lateRuns(all.left), 3)
 }
