--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -22,9 +22,9 @@
 	turnsPerThread = 4
 	// idleAccept is the time from which on accepting has waited for a connection.
 	idleAccept = 2 * time.Millisecond
-	// mostAtOnce bounds the connections that are turned away in one go, so that those let in
-	// get the processor.
-	mostAtOnce = 1024
+	// sweep bounds the connections that are turned away in one go, so that those let in get
+	// the processor.
+	sweep = 1024
 )
 
 // Listener accepts connections for a server, and turns away those that would wait too long
@@ -75,7 +75,7 @@
 		}
 		if l.queue.wait(now) <= mostWait {
 			l.rounds.let()
-			l.load.note(false, now)
+			l.load.letIn(now)
 			return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}, nil
 		}
 		l.turnAway(c, now)
@@ -114,9 +114,9 @@
 // it, beyond that closed.
 func (l *Listener) turnAway(c *net.TCPConn, now time.Time) {
 	fd := descriptor(c)
-	if fd < 0 || !l.refuser.may(now) {
+	if fd < 0 || !l.refuser.hasRoom(now) {
 		_ = c.Close() // nothing was read or is to be sent
-		l.load.note(true, now)
+		l.load.turnedAway(now)
 		l.closed.Add(1)
 		return
 	}
@@ -136,7 +136,7 @@
 }
 
 func (l *Listener) refuse(r refused) {
-	l.load.note(true, r.since)
+	l.load.turnedAway(r.since)
 	l.refuser.add(r)
 }
 
@@ -148,7 +148,7 @@
 func (l *Listener) turnAwayWaiting() {
 	// Control fails on a closed listener only, which Accept tells.
 	_ = l.raw.Control(func(fd uintptr) {
-		for range mostAtOnce {
+		for range sweep {
 			s, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if err == unix.ECONNABORTED || err == unix.EINTR {
 				continue // its caller is gone, or a signal came
@@ -157,12 +157,12 @@
 				return // none waits, or Accept meets the error again
 			}
 			now := time.Now()
-			if l.refuser.may(now) {
+			if l.refuser.hasRoom(now) {
 				l.refuse(refused{fd: s, since: now})
 				continue
 			}
 			_ = unix.Close(s) // nothing was read or is to be sent
-			l.load.note(true, now)
+			l.load.turnedAway(now)
 			l.closed.Add(1)
 		}
 	})
--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -22,15 +22,21 @@
 	at        time.Time
 }
 
-// note counts a connection.
-func (l *load) note(away bool, now time.Time) {
+// letIn counts a connection that was let in.
+func (l *load) letIn(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
 	l.all++
-	if away {
-		l.away++
-	}
+}
+
+// turnedAway counts one that was not.
+func (l *load) turnedAway(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fade(now)
+	l.all++
+	l.away++
 }
 
 func (l *load) fade(now time.Time) {
--- a/pkg/admission/refused.go
+++ b/pkg/admission/refused.go
@@ -27,13 +27,13 @@
 	since, answered time.Time
 }
 
-// next reads what has come, and answers it the first time. It reports whether the connection
+// step reads what has come, and answers it the first time. It reports whether the connection
 // is done with.
 //
 // Guard: answered before its request has come, a caller takes the refusal for an answer that
 // nobody asked for, and fails in place of coming back. Closed with bytes unread, a connection
 // is reset, and the refusal is lost on the way.
-func (r *refused) next(refusal, skip []byte, now time.Time) (done bool) {
+func (r *refused) step(refusal, skip []byte, now time.Time) (done bool) {
 	n, err := unix.Read(r.fd, skip)
 	waits := err == unix.EAGAIN || err == unix.EINTR
 	if !r.answered.IsZero() {
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -11,16 +11,16 @@
 const (
 	// lookEvery is the pause between two looks at connections that are turned away.
 	lookEvery = 20 * time.Millisecond
-	// mostALook bounds the refusals of one look. A process that gets little processor looks
-	// less often, so that serving stays the larger part of what it does.
-	mostALook = 160
+	// answersALook bounds the refusals that are written in one look. A process that gets little
+	// processor looks less often, so that serving stays the larger part of what it does.
+	answersALook = 160
 	// refusalsPerCore bounds the connections that are turned away in a second: at 26 µs of
 	// processor each, seven system calls, they take about a sixth of it. Without a bound they
 	// took over a third, and hardly anything was served.
 	refusalsPerCore = 6000
-	// refusalsAtOnce may be turned away after a pause.
-	refusalsAtOnce = 128
-	// mostRefused bounds the connections that are being turned away, in descriptors.
+	// refusalsBurst is how many may be refused at once after a pause.
+	refusalsBurst = 128
+	// mostRefused bounds the connections that are being refused, in descriptors.
 	mostRefused = 768
 )
 
@@ -54,8 +54,8 @@
 	r.schedule()
 }
 
-// may reports whether a connection can be turned away now.
-func (r *refuser) may(now time.Time) bool {
+// hasRoom reports whether one more connection can be refused now.
+func (r *refuser) hasRoom(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.list) < mostRefused && r.pace.TokensAt(now) >= 1
@@ -64,9 +64,9 @@
 // pace bounds refusals to what a host with that many cores can bear.
 func pace(cores float64) *rate.Limiter {
 	if cores <= 0 {
-		return rate.NewLimiter(rate.Inf, refusalsAtOnce)
+		return rate.NewLimiter(rate.Inf, refusalsBurst)
 	}
-	return rate.NewLimiter(rate.Limit(refusalsPerCore*cores), refusalsAtOnce)
+	return rate.NewLimiter(rate.Limit(refusalsPerCore*cores), refusalsBurst)
 }
 
 // schedule has the connections looked at after a while.
@@ -88,14 +88,14 @@
 	now := time.Now()
 	refusal := r.refusal(now)
 	rest := make([]refused, 0, len(r.list))
-	left := mostALook
+	left := answersALook
 	for _, one := range r.list {
 		fresh := one.answered.IsZero()
 		if fresh && left == 0 {
 			rest = append(rest, one)
 			continue
 		}
-		if one.next(refusal, r.skip, now) {
+		if one.step(refusal, r.skip, now) {
 			one.close()
 			continue
 		}
--- a/pkg/admission/rounds.go
+++ b/pkg/admission/rounds.go
@@ -35,7 +35,7 @@
 // slow reports whether those let in just before took long.
 func (r *rounds) slow(now time.Time) bool { return r.took > longRound && now.Sub(r.at) < remembered }
 
-// calm notes that nobody waited to be accepted.
+// calm begins the round anew, as nobody waited to be accepted; what the last one took stays.
 func (r *rounds) calm() { r.n = 0 }
 
 // next begins a round after the others have had the processor for took.
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -13,7 +13,7 @@
 	// waits for us to read an early answer.
 	inlineBody = 4 << 10
 	// JoinedBody is the largest body that is offered to the socket together with its head, in
-	// bytes. Bodies of the first deployments have about 9 KB. One that is not larger isn't
+	// bytes: three times a long prompt's request of 9 KB. One that is not larger isn't
 	// touched any more once Do has returned.
 	JoinedBody = 32 << 10
 )
