--- a/test/crowd/stage_test.go
+++ b/test/crowd/stage_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,6 +114,36 @@
 	}
 }
 
+// clockTick is the unit in which the kernel tells processor time.
+const clockTick = 10 * time.Millisecond
+
+// processor is the processor time that the router has used so far.
+func (s *stage) processor(t *testing.T) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", s.router.PID()))
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 11, 12 // places after the program's name
+	var ticks int64
+	for _, place := range []int{user, system} {
+		n, err := strconv.ParseInt(fields[place], 10, 64)
+		require.NoError(t, err)
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick
+}
+
+// watch gives the processor time that the router used in each second until ctx ends.
+func (s *stage) watch(ctx context.Context, t *testing.T) []time.Duration {
+	var used []time.Duration
+	for last := s.processor(t); waiting.For(ctx, time.Second); {
+		now := s.processor(t)
+		used = append(used, now-last)
+		last = now
+	}
+	return used
+}
+
 // lateRuns counts the runs that began long after their caller had left.
 func (s *stage) lateRuns(left map[string]time.Time) int {
 	late := 0
