--- a/pkg/gatewayd/cost_bench_test.go
+++ b/pkg/gatewayd/cost_bench_test.go
@@ -24,7 +24,7 @@
 	"github.com/flamingowind/flamingowind/platform"
 )
 
-// Sizes of the fleet that the benchmarks stand in: a large one of the first deployments.
+// Sizes of the fleet around the measured router: a large one.
 const (
 	benchEngines       = 64
 	benchRouters       = 86
