Logs tell what organisations over their share get, here and over the fleet

Cause of the change: no line showed what a router takes to be given to an organisation over the whole fleet, nor what of it began at engines, so a router that holds one back by an old picture looks like one that has no processor. No decision changes.

--- a/pkg/gateway/placed.go
+++ b/pkg/gateway/placed.go
@@ -34,6 +34,7 @@
 	if r.ask.Prompt == nil || r.service.Engine == nil {
 		return
 	}
+	g.shares.Begin(r.org, r.ask.Prompt.Size(), now)
 	g.paces.Observe(pace.Sample{Service: r.service.Name, Life: life, Context: r.ask.Prompt.Input,
 		Base: p.choice.Base, Queue: p.choice.Queue, Seen: now.Sub(p.sent)}, now)
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -67,6 +67,8 @@
 	faults    *entryFaults
 	// turnedAway tells of callers' connections that were not let in.
 	turnedAway turnedAway
+	// uses tells of organisations over their share.
+	uses uses
 	// crowd counts callers' connections, pressure watches over the processor.
 	crowd    crowd
 	pressure pressure
@@ -90,6 +92,7 @@
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
+	p.uses = uses{shares: shares, capacity: p.capacity, log: l}
 	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
 	p.catalog.Follow(p.pools.Follow)
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{p.fleet}, l)
@@ -227,6 +230,16 @@
 	}
 }
 
+// capacity is what all engines are declared to do together, in tokens a second; 0 without a
+// configuration.
+func (p *Process) capacity() float64 {
+	table := p.catalog.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Config.Limits.TokensPerSecond
+}
+
 // housekeepingEvery is the pause between two rounds that forget what is past.
 const housekeepingEvery = 2 * time.Second
 
@@ -244,6 +257,7 @@
 			p.dropped.tell()
 			p.faults.tell()
 			p.turnedAway.tell()
+			p.uses.tell(now)
 		}
 	}
 }
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -18,7 +18,9 @@
 // Use is an organisation's traffic, in tokens a second.
 type Use struct {
 	Asked float64
+	// Got is what was given to engines, Begun what began to run there.
 	Got   float64
+	Begun float64
 }
 
 // Shares compares what organisations get with the max-min share of the capacity that
@@ -33,8 +35,8 @@
 
 // account holds sums that decay.
 type account struct {
-	asked, got float64
-	at         time.Time
+	asked, got, begun float64
+	at                time.Time
 }
 
 func (a *account) decay(now time.Time) {
@@ -43,6 +45,7 @@
 		f := math.Exp(-passed / shareWindow)
 		a.asked *= f
 		a.got *= f
+		a.begun *= f
 		a.at = now
 	}
 }
@@ -74,6 +77,13 @@
 	s.account(org, now).got += size
 }
 
+// Begin counts a request whose first event came.
+func (s *Shares) Begin(org string, size float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account(org, now).begun += size
+}
+
 // Own gives this router's part of the traffic.
 func (s *Shares) Own(now time.Time) map[string]Use {
 	s.mu.Lock()
@@ -87,7 +97,7 @@
 
 func (s *Shares) ownUse(org string, now time.Time) Use {
 	a := s.account(org, now)
-	return Use{Asked: a.asked / shareWindow, Got: a.got / shareWindow}
+	return Use{Asked: a.asked / shareWindow, Got: a.got / shareWindow, Begun: a.begun / shareWindow}
 }
 
 // SetOthers replaces the other routers' part.
