An overrun router refuses nearly all that it turns away, at accept

Callers saw: at a router of a fifth of a core that is asked for seven times what it can, 4,480 connections a second closed without a word, so that each request came back at once, three times at the mean, and an organisation that got under half of another. Cause: refusals were bounded to a count by core, at the cost that they had as seven system calls and up to ten looks; what came beyond was closed, and closes bring more callers than they send away. Change: a request that has come whole is read, answered and closed as it is accepted; others are kept for looks as before. The bound is a quarter of the passing time, measured, so it also holds on a host that isn't told its share. While connections would wait too long, what comes is turned away by the batch, unknown to the runtime. Ruled out: late reports of use, and given work that doesn't begin (lines of use).

--- /dev/null
+++ b/pkg/admission/allowance.go
@@ -0,0 +1,63 @@
+package admission
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// refusingPart is the part of its processor that a router may spend on refusals: serving
+	// must stay by far the larger one.
+	refusingPart = 0.25
+	// usualRefusal is the time that a refusal is taken to need of a whole core before any was
+	// measured, leastRefusal what is believed of a measurement at least.
+	usualRefusal = 20 * time.Microsecond
+	leastRefusal = 5 * time.Microsecond
+	// refusalsMeasured is how many refusals the mean follows: enough to hold several of the
+	// pauses in which a quota takes the processor away.
+	refusalsMeasured = 1000
+	// refusalsBurst is how many may be refused at once after a pause: what a kernel's queue holds.
+	refusalsBurst = 512
+)
+
+// allowance bounds refusals to a part of the processor that the process really gets.
+//
+// Guard: without a bound, refusing takes the processor that serving needs, and a router that isn't
+// told its share of a core can't work the bound out. A refusal is measured in passing time: where
+// the process gets a tenth of a core, that is ten times what the work takes, so the same part of
+// the time bounds it on any host.
+type allowance struct {
+	pace *rate.Limiter
+	// each is the mean time that passes in a refusal.
+	each time.Duration
+}
+
+// newAllowance is that of a host with that many cores; 0 when it isn't known.
+func newAllowance(cores float64) allowance {
+	if cores <= 0 {
+		cores = 1
+	}
+	a := allowance{each: time.Duration(float64(usualRefusal) / cores)}
+	a.pace = rate.NewLimiter(a.limit(), refusalsBurst)
+	return a
+}
+
+func (a *allowance) limit() rate.Limit { return rate.Limit(refusingPart / a.each.Seconds()) }
+
+// room is how many connections may be refused now.
+func (a *allowance) room(now time.Time) int { return int(a.pace.TokensAt(now)) }
+
+// spend counts n refusals that were made at now.
+func (a *allowance) spend(n int, now time.Time) { a.pace.AllowN(now, n) }
+
+// measure takes into the mean that n refusals took so long.
+func (a *allowance) measure(n int, took time.Duration, now time.Time) {
+	if n == 0 {
+		return
+	}
+	seen := max(leastRefusal, took/time.Duration(n))
+	weight := float64(n) / float64(n+refusalsMeasured)
+	a.each += time.Duration(weight * float64(seen-a.each))
+	a.pace.SetLimitAt(now, a.limit())
+}
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -25,6 +25,8 @@
 	// sweep bounds the connections that are turned away in one go, so that those let in get
 	// the processor.
 	sweep = 1024
+	// batchEvery is the pause between two such goes while nobody is let in.
+	batchEvery = 10 * time.Millisecond
 )
 
 // Listener accepts connections for a server, and turns away those that would wait too long
@@ -60,7 +62,7 @@
 	}
 	l := &Listener{tcp: tcp, raw: raw, queue: newQueue(turnsPerThread * runtime.GOMAXPROCS(0)), now: time.Now, yield: runtime.Gosched}
 	l.rounds.most = firstRound
-	l.refuser.pace = pace(cores)
+	l.refuser.allowed = newAllowance(cores)
 	l.refuser.refusal = func(now time.Time) []byte { return refusal(l.load.pause(now)) }
 	return l, nil
 }
@@ -69,6 +71,7 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		l.round()
+		l.waitOut()
 		before := l.now()
 		c, err := l.tcp.AcceptTCP()
 		if err != nil {
@@ -85,7 +88,15 @@
 			return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}, nil
 		}
 		l.turnAway(c, now)
-		l.turnAwayWaiting()
+	}
+}
+
+// waitOut lets in nobody while a connection would wait too long: what comes is turned away a
+// batch at a time. Accepted one by one, each would be made known to the runtime first, which
+// costs as much as its refusal, and have no bytes to answer yet.
+func (l *Listener) waitOut() {
+	for l.queue.wait(l.now()) > mostWait && l.turnAwayWaiting() {
+		time.Sleep(batchEvery)
 	}
 }
 
@@ -136,14 +147,12 @@
 // turnAway turns away a connection that was accepted: refused as long as the processor bears
 // it, beyond that closed.
 func (l *Listener) turnAway(c *net.TCPConn, now time.Time) {
-	fd := descriptor(c)
-	if fd < 0 || !l.refuser.hasRoom(now) {
-		_ = c.Close() // nothing was read or is to be sent
-		l.load.turnedAway(now)
-		l.closed.Add(1)
+	l.load.turnedAway(1, now)
+	if fd := descriptor(c); fd >= 0 && l.refuser.refuse(refused{fd: fd, conn: c, since: now}) {
 		return
 	}
-	l.refuse(refused{fd: fd, conn: c, since: now})
+	_ = c.Close() // nothing was read or is to be sent
+	l.closed.Add(1)
 }
 
 // descriptor is that of c, negative when c is closed. It is used outside Control: a close
@@ -158,19 +167,16 @@
 	return fd
 }
 
-func (l *Listener) refuse(r refused) {
-	l.load.turnedAway(r.since)
-	l.refuser.add(r)
-}
-
 // turnAwayWaiting turns away what waits to be accepted: refused as long as the processor bears
-// it, beyond that closed at once.
+// it, beyond that closed at once. It reports whether the listener is open.
 //
 // Guard: left in the kernel's queue, connections are old before they are accepted, and their
-// callers wait for seconds to learn nothing. A close at once tells them that nothing was read.
-func (l *Listener) turnAwayWaiting() {
-	// Control fails on a closed listener only, which Accept tells.
-	_ = l.raw.Control(func(fd uintptr) {
+// callers wait for seconds to learn nothing. A close at once tells them that nothing was read,
+// but not when to come back: they do so at once, so refusals go first.
+func (l *Listener) turnAwayWaiting() (open bool) {
+	began := l.now()
+	answered, closed := 0, 0
+	err := l.raw.Control(func(fd uintptr) {
 		for range sweep {
 			s, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			if err == unix.ECONNABORTED || err == unix.EINTR {
@@ -179,16 +185,19 @@
 			if err != nil {
 				return // none waits, or Accept meets the error again
 			}
-			now := l.now()
-			if l.refuser.hasRoom(now) {
-				l.refuse(refused{fd: s, since: now})
+			if l.refuser.refuse(refused{fd: s, since: began}) {
+				answered++
 				continue
 			}
 			_ = unix.Close(s) // nothing was read or is to be sent
-			l.load.turnedAway(now)
-			l.closed.Add(1)
+			closed++
 		}
 	})
+	now := l.now()
+	l.refuser.measure(answered+closed, now.Sub(began), now)
+	l.load.turnedAway(answered+closed, now)
+	l.closed.Add(int64(closed))
+	return err == nil
 }
 
 // Wait is how long a connection would wait for the processor now.
--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -30,13 +30,13 @@
 	l.all++
 }
 
-// turnedAway counts one that was not.
-func (l *load) turnedAway(now time.Time) {
+// turnedAway counts n that were not.
+func (l *load) turnedAway(n int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fade(now)
-	l.all++
-	l.away++
+	l.all += float64(n)
+	l.away += float64(n)
 }
 
 func (l *load) fade(now time.Time) {
--- a/pkg/admission/load_test.go
+++ b/pkg/admission/load_test.go
@@ -14,11 +14,11 @@
 	}
 	require.Equal(t, leastPause, l.pause(start))
 	for range 300 {
-		l.turnedAway(start)
+		l.turnedAway(1, start)
 	}
 	require.Equal(t, 4*leastPause, l.pause(start))
 	for range 5000 {
-		l.turnedAway(start)
+		l.turnedAway(1, start)
 	}
 	require.Equal(t, mostPause, l.pause(start))
 	later := start.Add(10 * shareWindow)
--- a/pkg/admission/refused.go
+++ b/pkg/admission/refused.go
@@ -14,7 +14,7 @@
 	// lingerFor is how long the rest of a refused request is read, unless its caller closes.
 	lingerFor = 200 * time.Millisecond
 	// skipBytes is how much of a request is read at once; more than most have.
-	skipBytes = 16 << 10
+	skipBytes = 64 << 10
 )
 
 // refused is a connection that is turned away. Most are sockets that the runtime doesn't know
@@ -32,7 +32,8 @@
 //
 // Guard: answered before its request has come, a caller takes the refusal for an answer that
 // nobody asked for, and fails in place of coming back. Closed with bytes unread, a connection
-// is reset, and the refusal is lost on the way.
+// is reset, and the refusal is lost on the way. Where the whole request was read nothing more is to
+// come, and the connection needs no further look.
 func (r *refused) step(refusal, skip []byte, now time.Time) (done bool) {
 	n, err := unix.Read(r.fd, skip)
 	waits := err == unix.EAGAIN || err == unix.EINTR
@@ -49,7 +50,7 @@
 		return true // its caller is gone
 	}
 	r.answered = now
-	return false
+	return isWhole(skip[:n])
 }
 
 // close ends the connection; nothing is left to be sent on it.
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -4,8 +4,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -14,12 +12,6 @@
 	// answersALook bounds the refusals that are written in one look. A process that gets little
 	// processor looks less often, so that serving stays the larger part of what it does.
 	answersALook = 160
-	// refusalsPerCore bounds the connections that are turned away in a second: at 26 µs of
-	// processor each, seven system calls, they take about a sixth of it. Without a bound they
-	// took over a third, and hardly anything was served.
-	refusalsPerCore = 6000
-	// refusalsBurst is how many may be refused at once after a pause.
-	refusalsBurst = 128
 	// mostRefused bounds the connections that are being refused, in descriptors.
 	mostRefused = 768
 )
@@ -29,10 +21,13 @@
 	// refusal is what those that are turned away now are answered.
 	refusal func(now time.Time) []byte
 	count   atomic.Int64
-	pace    *rate.Limiter
 
-	mu   sync.Mutex
-	list []refused // the oldest first
+	mu      sync.Mutex
+	allowed allowance
+	list    []refused // the oldest first
+	// text is the refusal as it was made at madeAt.
+	text   []byte
+	madeAt time.Time
 	// skip takes what is read and not used.
 	skip []byte
 	// looking is whether a look is due.
@@ -40,33 +35,48 @@
 	ended   bool
 }
 
-// add turns a connection away.
-func (r *refuser) add(one refused) {
-	r.count.Add(1)
-	r.pace.AllowN(one.since, 1) // one that was let in may come on top
+// refuse turns a connection away with an answer. It reports false for one that there is no room
+// for, which is left to the caller.
+//
+// Most requests have come by the time at which their connection is accepted. They are answered
+// and closed here; the others wait for the next look.
+func (r *refuser) refuse(one refused) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended {
+	if r.allowed.room(one.since) < 1 || len(r.list) >= mostRefused {
+		return false
+	}
+	r.count.Add(1)
+	r.allowed.spend(1, one.since)
+	if r.ended || one.step(r.textAt(one.since), r.buffer(), one.since) {
 		one.close()
-		return
+		return true
 	}
 	r.list = append(r.list, one)
 	r.schedule()
+	return true
 }
 
-// hasRoom reports whether one more connection can be refused now.
-func (r *refuser) hasRoom(now time.Time) bool {
+// measure notes that turning n connections away took so long.
+func (r *refuser) measure(n int, took time.Duration, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.list) < mostRefused && r.pace.TokensAt(now) >= 1
+	r.allowed.measure(n, took, now)
 }
 
-// pace bounds refusals to what a host with that many cores can bear.
-func pace(cores float64) *rate.Limiter {
-	if cores <= 0 {
-		return rate.NewLimiter(rate.Inf, refusalsBurst)
+// textAt is the refusal at now, made anew after a while.
+func (r *refuser) textAt(now time.Time) []byte {
+	if r.text == nil || now.Sub(r.madeAt) >= lookEvery {
+		r.text, r.madeAt = r.refusal(now), now
 	}
-	return rate.NewLimiter(rate.Limit(refusalsPerCore*cores), refusalsBurst)
+	return r.text
+}
+
+func (r *refuser) buffer() []byte {
+	if r.skip == nil {
+		r.skip = make([]byte, skipBytes)
+	}
+	return r.skip
 }
 
 // schedule has the connections looked at after a while.
@@ -82,11 +92,8 @@
 func (r *refuser) look() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.skip == nil {
-		r.skip = make([]byte, skipBytes)
-	}
 	now := time.Now()
-	refusal := r.refusal(now)
+	refusal := r.textAt(now)
 	rest := make([]refused, 0, len(r.list))
 	left := answersALook
 	for _, one := range r.list {
@@ -95,7 +102,7 @@
 			rest = append(rest, one)
 			continue
 		}
-		if one.step(refusal, r.skip, now) {
+		if one.step(refusal, r.buffer(), now) {
 			one.close()
 			continue
 		}
--- /dev/null
+++ b/pkg/admission/whole_test.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWholeRequests(t *testing.T) {
+	for request, whole := range map[string]bool{
+		"":                                  false,
+		"GET / HTTP/1.1\r\nHost: h\r\n":     false,
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n": true,
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab":                                    false,
+		"POST / HTTP/1.1\r\ncontent-length:3\r\n\r\nabc":                                    true,
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET":                                true,
+		"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\nabc":                                   false,
+		"POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc":                                  false,
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 9\r\n\r\nabc":              false,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n":                 false,
+		"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n":        true,
+		"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n":              false,
+		"POST / HTTP/1.1\r\nX: " + strings.Repeat("y", 1000) + "\r\n\r\n":                   true,
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nab": false,
+	} {
+		require.Equal(t, whole, isWhole([]byte(request)), "%q", request)
+	}
+}
+
+// Whatever comes on a connection, more bytes never make a whole request with a declared length
+// less than whole, and nothing is whole before its head has ended.
+func FuzzWhole(f *testing.F) {
+	f.Add([]byte(asks))
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, request []byte) {
+		if !isWhole(request) {
+			return
+		}
+		require.Contains(t, string(request), "\r\n\r\n")
+		head, _, _ := strings.Cut(string(request), "\r\n\r\n")
+		if _, chunked := framing([]byte(head)); !chunked {
+			require.True(t, isWhole(append(request, "more"...)))
+		}
+	})
+}
