Failing test: who is far ahead gives way by queues only, and idle engines have none

Callers saw: an organisation under half of another one over six calm seconds. The lines of use show that both routers know of each other's organisation within a tenth and the one that is ahead, 2.0 times, is told to give way: its queue limit is a millisecond. It goes on to get 0.95 to 1.0 million tokens a second, as engines are idle.

--- /dev/null
+++ b/pkg/shedding/idle_test.go
@@ -0,0 +1,73 @@
+package shedding
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/placement"
+	"github.com/flamingowind/flamingowind/pkg/prompt"
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// idleEngines are engines before which nothing waits.
+func idleEngines(n int) []placement.Candidate {
+	list := make([]placement.Candidate, n)
+	for i := range list {
+		list[i].Instance = &upstream.Instance{ID: upstream.ID(rune('a' + i)), State: upstream.Ready}
+	}
+	return list
+}
+
+// All callers of "behind" come to a small router, which reads 30 of their requests a second. Those
+// of "ahead" come to a strong one and ask ten times as often. Both get several times their due, and
+// "ahead" is told to give way: its queue limit falls to a millisecond. But most engines have nothing
+// to read, so each of its requests finds one without a queue, and over six seconds "behind" gets
+// under half of what it gets:
+//
+//	organisation_use router=front-hall-a-2 fleet_got=1000805 standing=2.21 ahead=2.02 behind_got=496351
+//	fairness: 47,778,174 tokens asked, 2,381,994 given; another one got 4,969,124
+func TestWhoIsAheadGivesWayWhereEnginesAreIdle(t *testing.T) {
+	const (
+		tick     = 10 * time.Millisecond
+		settles  = 5 * time.Second
+		watched  = 6 * time.Second
+		capacity = 60_000 // tokens a second
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	engine := &routing.Engine{Slots: 24, KVCapacity: 400_000}
+	work := placement.Work{Prompt: &prompt.Prompt{Input: 900, MaxOutput: 50}}
+	size := work.Prompt.Size()
+	shares, now := placement.NewShares(), time.Unix(1000, 0)
+	asked := map[string]float64{"behind": 30, "ahead": 300} // requests a second
+	got := make(map[string]float64)
+	for passed := time.Duration(0); passed < settles+watched; passed += tick {
+		now = now.Add(tick)
+		for _, small := range []string{"a", "b", "c"} {
+			shares.Ask(small, 40, now)
+			shares.Get(small, 40, now)
+		}
+		for org, rate := range asked {
+			for left := rate * tick.Seconds(); left > random.Float64(); left-- {
+				// What is turned away at the small router's door counts as asked for.
+				shares.Ask(org, size*asked["ahead"]/rate, now)
+				standing := shares.Standing(org, capacity, now)
+				req := placement.Request{Work: work, Service: &routing.Service{Engine: engine}, Draw: random.Float64(),
+					Limits: Prompt(Ask{Objective: 600 * time.Millisecond, Reading: 20 * time.Millisecond, Standing: standing})}
+				if !placement.Choose(req, idleEngines(8), placement.Pace{TokensPerMs: 60, First: 5 * time.Millisecond}).OK {
+					continue
+				}
+				shares.Get(org, size, now)
+				if passed >= settles {
+					got[org] += size
+				}
+			}
+		}
+	}
+	t.Logf("%v", got)
+	require.Greater(t, 2*got["behind"], got["ahead"])
+	require.Greater(t, got["ahead"], got["behind"], "who asks more isn't held to less")
+}
