Who is far ahead of another is held back where engines are idle

Callers saw: an organisation under half of another one over six calm seconds. Cause: giving way was a limit by queues, and most engines had none; the one ahead, told to find a queue of a millisecond, took 0.95 to 1.0 million tokens a second all the same. Class: a limit that acts by what waits doesn't act where nothing waits. Change: from 1.5 times ahead on a part of its requests is refused whatever engines do, all of them at twice; refused ones are told to come back the later the more is held back. Nothing is held back below 1.5 times its due. Why it holds: it can't stay at twice another's use, wherever engines stand. Ruled out: a steeper power of the queue limit, as a limit of 1 ms is met before idle engines too.

--- a/pkg/gateway/mechanisms.go
+++ b/pkg/gateway/mechanisms.go
@@ -25,7 +25,7 @@
 // limits lifts the limits of those that are switched off.
 func (m Mechanisms) limits(l *placement.Limits) {
 	if m.Yield {
-		l.Queue, l.OwnQueue, l.Spare = l.Wait, l.Wait, false
+		l.Queue, l.OwnQueue, l.Spare, l.HeldBack = l.Wait, l.Wait, false, 0
 	}
 	if m.Occupancy {
 		l.Occupancy = 0
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -90,8 +90,8 @@
 	// the request itself has to have read.
 	Soonest time.Duration
 	Queue   time.Duration
-	// Part is the part of the requests like this one that the candidates have room for; 0 when
-	// it wasn't asked for.
+	// Part is the part of the requests like this one that the candidates have room for, less what
+	// is held back; 0 when it wasn't asked for.
 	Part float64
 }
 
@@ -124,6 +124,7 @@
 	draw, meanwhile := req.Draw, req.Unseen.Given
 	if req.Limits.Spare {
 		v.Part, meanwhile = req.spare(s, p)
+		v.Part *= 1 - req.Limits.HeldBack
 		if draw >= v.Part {
 			return v
 		}
--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -21,6 +21,9 @@
 	Stay bool
 	// Spare says that the request may only have what others leave.
 	Spare bool
+	// HeldBack is the part of such requests that is refused however idle engines are; 0 for none.
+	// It counts with Spare.
+	HeldBack float64
 	// Harm is the weight of the streams that it may make late at most; 0 for any.
 	Harm float64
 }
--- a/pkg/shedding/ahead_test.go
+++ b/pkg/shedding/ahead_test.go
@@ -20,6 +20,8 @@
 	require.Equal(t, none, little)
 	require.Less(t, 20*far.Queue, none.Queue)
 	require.Less(t, far.Harm, none.Harm/10)
+	require.Zero(t, little.HeldBack)
+	require.Equal(t, 1.0, far.HeldBack, "twice what another one gets is unfair")
 	within := Ask{Objective: time.Second, Standing: placement.Standing{Share: 0.9, Ahead: 6}}
 	require.Equal(t, Prompt(Ask{Objective: time.Second, Standing: placement.Standing{Share: 0.9}}), Prompt(within), "what is due is never held back")
 }
--- a/pkg/shedding/comeback_test.go
+++ b/pkg/shedding/comeback_test.go
@@ -41,3 +41,10 @@
 		require.Less(t, pause, latest*3/2)
 	})
 }
+
+// Nearly all requests of an organisation that is far ahead are held back. Told to come back with
+// the next reports, each of its callers is refused again.
+func TestWhoIsHeldBackComesBackLater(t *testing.T) {
+	limits := placement.Limits{Queue: time.Second, Wait: time.Second, HeldBack: 0.9}
+	require.GreaterOrEqual(t, ComeBack(placement.Verdict{}, limits, 0), 6*soonest)
+}
--- a/pkg/shedding/limits.go
+++ b/pkg/shedding/limits.go
@@ -53,6 +53,8 @@
 	// mostAhead is how far an organisation may be ahead of another that asks for as much: less
 	// than twice, where it would be unfair, by what reports are late.
 	mostAhead = 1.5
+	// unfair is how far ahead an organisation gets nothing more: twice what another one gets.
+	unfair = 2.0
 	// catchingUp is the power of how far it is ahead by which it counts as further over its share:
 	// twice that of the standing, as it must give way within the six seconds in which it shows.
 	catchingUp = 4.0
@@ -93,6 +95,7 @@
 	l.Queue = time.Duration(impatience * float64(a.Objective) / math.Pow(over, yielding))
 	l.OwnQueue = time.Duration(ownQueue * float64(l.Queue))
 	l.Harm = harmAtShare / over
+	l.HeldBack = held(a.Standing)
 	if share > farOver {
 		l.Reserve, l.Stay = farOverReserve, true
 	}
@@ -120,6 +123,20 @@
 	return math.Pow(max(1, s.Ahead/mostAhead), catchingUp)
 }
 
+// held is the part of its requests that an organisation far ahead of another one, which asks for
+// as much, does without.
+//
+// Guard: limits by queues hold nobody back while engines are idle. An organisation at a strong
+// router then took whatever it asked for, twice as much and more than another one whose small
+// router had no processor to ask for it. From mostAhead on it gets ever less, and nothing at twice
+// what the other one has, so it can't stay there.
+func held(s placement.Standing) float64 {
+	if s.Share < wellOver {
+		return 0
+	}
+	return min(1, max(0, (s.Ahead-mostAhead)/(unfair-mostAhead)))
+}
+
 // occupancy is the part of an engine's slots that an organisation may take whose standing
 // is over.
 //
