A router that changes its hub keeps the use that the former one told

Callers saw: an organisation whose callers all come to one small router refused as far over its share while another one got twice as much. Cause: for a while after the change the former hub still counts the router's work, and the new hub passes that on as others'. A late router keeps it for up to five seconds, as it misses the next reports. Class: a sum that holds one's own part comes back as that of others. Why it holds: the former hub drops a silent router's work after 0.6 s. Ruled out: the report's stretch by what is turned away, which is of what is asked only. Loads and inflows are counted twice for 0.6 s as before; they live no longer.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -149,6 +149,7 @@
 	kept := *r
 	kept.Read, kept.Others, kept.Suspects, kept.Entries = nil, nil, nil, nil
 	if r.Scope == ScopeAll {
+		f.keepUses(&kept, now)
 		f.fromHub, f.fromHubAt = &kept, now
 		// Its loads are no report of the hub's own work.
 		p.report.From, p.report.Scope, p.report.Loads, p.report.Uses, p.report.Pauses, p.report.Inflows = r.From, ScopeAll, nil, nil, nil, nil
@@ -161,6 +162,23 @@
 	}
 }
 
+// settles is how long after a change of hub the former one may still count this router's work.
+const settles = aliveFor
+
+// keepUses decides whether the uses that a hub tells are gone by, or those told before.
+//
+// Guard: a router that turns to another hub still counts at the former one for a while, and hears
+// of its own use as that of others. An organisation whose callers all come to it then seems to get
+// twice what it does and is refused, for seconds where the router is late and misses the next
+// reports. What the former hub told had no use of this router's.
+func (f *Fleet) keepUses(told *Report, now time.Time) {
+	if f.fromHub != nil && now.Sub(f.hubSince) < settles && now.Sub(f.usesAt) < usesKept {
+		told.Uses = f.fromHub.Uses
+		return
+	}
+	f.usesAt = now
+}
+
 // passOn puts prompts that others have read into the logs for those who learn of them
 // only from here.
 func (f *Fleet) passOn(r *Report) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -47,9 +47,11 @@
 	// lateAt is when this router was last seen to get too little processor, lastDue when it
 	// last looked whom to ask.
 	lateAt, lastDue time.Time
-	// fromHub is the work of all others as the hub last told it.
-	fromHub   *Report
-	fromHubAt time.Time
+	// fromHub is the work of all others as the hub last told it, its uses as told at usesAt.
+	fromHub           *Report
+	fromHubAt, usesAt time.Time
+	// hubSince is when this router last turned to another hub.
+	hubSince time.Time
 }
 
 // New returns a fleet of one.
--- a/pkg/fleet/hub.go
+++ b/pkg/fleet/hub.go
@@ -74,6 +74,7 @@
 	if f.last.name() == before {
 		return
 	}
+	f.hubSince = now
 	f.log.WithFields(log.Fields{"event": "exchange_role", "role": f.last.name(), "before": before, "hubs": len(f.last.hubs)}).Info("other place in the exchange")
 }
 
