Two fifths of the passing time may go into refusals, and a whole queue is refused

Callers saw: 3,070 connections a second closed without a word at a router of a fifth of a core beside 3,090 refused, at the first bound of a quarter. Cause: a close isn't within the bound and takes half as much, and its caller comes back at once; so a low bound costs more processor than a high one. And a burst held half of what one go takes off the kernel's queue, so the rest of it was closed. Change: the bound is two fifths, so that serving keeps the larger part; a burst is one go. The line connections_turned_away tells how long one takes.

--- a/pkg/admission/allowance.go
+++ b/pkg/admission/allowance.go
@@ -8,8 +8,8 @@
 
 const (
 	// refusingPart is the part of its processor that a router may spend on refusals: serving
-	// must stay by far the larger one.
-	refusingPart = 0.25
+	// must stay the larger one.
+	refusingPart = 0.4
 	// usualRefusal is the time that a refusal is taken to need of a whole core before any was
 	// measured, leastRefusal what is believed of a measurement at least.
 	usualRefusal = 20 * time.Microsecond
@@ -17,8 +17,8 @@
 	// refusalsMeasured is how many refusals the mean follows: enough to hold several of the
 	// pauses in which a quota takes the processor away.
 	refusalsMeasured = 1000
-	// refusalsBurst is how many may be refused at once after a pause: what a kernel's queue holds.
-	refusalsBurst = 512
+	// refusalsBurst is how many may be refused at once after a pause: all that one go takes.
+	refusalsBurst = sweep
 )
 
 // allowance bounds refusals to a part of the processor that the process really gets.
--- a/pkg/admission/comeback_test.go
+++ b/pkg/admission/comeback_test.go
@@ -101,3 +101,11 @@
 		require.NoError(t, l.Close())
 	}
 }
+
+// A router that was busy for half a second finds a full queue of connections. All of them may be
+// refused; half of them were closed, as a burst held half of one go: refused=4096 closed=4096.
+func TestAFullQueueIsRefusedInOneGo(t *testing.T) {
+	l := unserved(t, 0)
+	defer l.Close()
+	require.Equal(t, sweep, l.refuser.allowed.room(time.Now()))
+}
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -209,6 +209,9 @@
 	return l.refuser.count.Load(), l.closed.Load()
 }
 
+// RefusalTime is the mean time that passes while a connection is turned away.
+func (l *Listener) RefusalTime() time.Duration { return l.refuser.meanTime() }
+
 // Accepted counts the connections that were let in so far.
 func (l *Listener) Accepted() int64 { return l.accepted.Load() }
 
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -64,6 +64,13 @@
 	r.allowed.measure(n, took, now)
 }
 
+// meanTime is the mean time that passes in a refusal.
+func (r *refuser) meanTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allowed.each
+}
+
 // textAt is the refusal at now, made anew after a while.
 func (r *refuser) textAt(now time.Time) []byte {
 	if r.text == nil || now.Sub(r.madeAt) >= lookEvery {
--- a/pkg/gatewayd/turnedaway.go
+++ b/pkg/gatewayd/turnedaway.go
@@ -1,6 +1,8 @@
 package gatewayd
 
 import (
+	"time"
+
 	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
 )
@@ -8,7 +10,9 @@
 // turnedAway tells how many connections of callers were turned away unread. Their requests
 // have no line of their own, as nobody read them.
 type turnedAway struct {
-	count           func() (refused, closed int64)
+	count func() (refused, closed int64)
+	// takes is the mean time that passes while one is turned away.
+	takes           func() time.Duration
 	refused, closed int64
 	log             log.Interface
 	counter         tally.Counter
@@ -22,5 +26,5 @@
 	}
 	t.refused, t.closed = refused, closed
 	t.counter.Inc(fresh + silent)
-	t.log.WithFields(log.Fields{"event": "connections_turned_away", "refused": fresh, "closed": silent}).Warn("connections were turned away for want of processor")
+	t.log.WithFields(log.Fields{"event": "connections_turned_away", "refused": fresh, "closed": silent, "each_us": t.takes().Microseconds()}).Warn("connections were turned away for want of processor")
 }
