--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -122,8 +122,8 @@
 //
 // Guard: a process that stands still for a while, as under a quota, seems to have waited for a
 // connection all that time, though many came. Taken for calm, that made a router forget that it
-// was overloaded: 12 of 26 slow rounds in seven seconds turned nobody away, and in one second
-// half of the callers went without an answer.
+// was overloaded: slow rounds turned nobody away, and in some seconds half of the callers went
+// without an answer.
 func (l *Listener) someWait() bool {
 	some := false
 	// Control fails on a closed listener only, which Accept tells.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -117,9 +117,9 @@
 // wait is how long a connection that is accepted now will wait: at least as long as the
 // oldest has waited, and a turn for each that waits unless all have just come.
 //
-// Guard: a process that stood still before it read anybody knows no turn's time, and 150 that
-// wait look like 150 ms by the guess alone: 849 of 1,000 were turned away at a host that reads
-// them all within 50 ms. Until turns were measured, only the time that has passed counts.
+// Guard: a process that stood still before it read anybody knows no turn's time, and a burst
+// looks like a long wait by the guess alone: most of it was turned away at a host that reads it
+// all in a moment. Until turns were measured, only the time that has passed counts.
 func (q *queue) wait(now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/fleet/hub.go
+++ b/pkg/fleet/hub.go
@@ -27,8 +27,7 @@
 	leastHubs = 3
 	// memberEvery is the pause between two exchanges with the own hub, hubEvery the least one
 	// between two of hubs, for routers that are short of processor; memberQuick and hubQuick are
-	// those of all others. What is in progress changes within some hundredths of a second: of
-	// 63 routers before 90 engines the mean worth rose by 0.016 with 60 ms in place of both.
+	// those of all others, as what is in progress changes within some hundredths of a second.
 	memberEvery = 150 * time.Millisecond
 	hubEvery    = 100 * time.Millisecond
 	memberQuick = 60 * time.Millisecond
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -57,7 +57,7 @@
 
 // sendJoined offers data to the socket once, and has the rest written beside the reading.
 // Nearly always there is none, which saves a goroutine and a write of each request with a
-// body over inlineBody: 6 write calls in place of 7 for BenchmarkRequest/served/new.
+// body over inlineBody.
 func (a *Answer) sendJoined(data []byte) error {
 	n, err := a.conn.offer(data)
 	if err != nil {
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -16,8 +16,8 @@
 // bodies holds memory of bodies for reuse.
 //
 // A body of 8 KB is most of what a refused request allocates. On a host with little memory and
-// many connections the collector runs nearly all the time, and such a request took 157 to
-// 186 µs in place of 103 to 115 (BenchmarkRequest/refused/cramped).
+// many connections the collector runs nearly all the time; memory that is used again saves it
+// a third of such a request (BenchmarkRequest/refused/cramped).
 var bodies = sync.Pool{New: func() any { return new([]byte) }}
 
 // readDeclared reads a body of a length that its caller has told.
--- a/pkg/gateway/outcomes.go
+++ b/pkg/gateway/outcomes.go
@@ -10,8 +10,8 @@
 type outcomeKey struct{ kind, outcome string }
 
 // outcomes counts requests by kind of route and outcome. It keeps the counters that it made:
-// with a look in their scopes for each request, counting a refusal took 1.1 µs and 6
-// allocations in place of 75 ns and none (BenchmarkMeter).
+// a look in their scopes for each request allocates and costs many times the count itself
+// (BenchmarkMeter).
 type outcomes struct {
 	scope tally.Scope
 
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// candidateLists holds lists for reuse. Looked at engine by engine in a new list, 64 engines
-// took 4.3 µs and 3.2 KB in place of 2.1 µs and none (BenchmarkCandidates).
+// candidateLists holds lists for reuse: a new one for each request would be most of what a choice
+// allocates (BenchmarkCandidates).
 var candidateLists = sync.Pool{New: func() any { return new([]placement.Candidate) }}
 
 // candidates appends the instances that may be given the request to list.
--- a/pkg/gatewayd/listen.go
+++ b/pkg/gatewayd/listen.go
@@ -20,8 +20,7 @@
 )
 
 // listen opens an address. The options for probes are set on the listener: an accepted
-// connection inherits them. Set on each connection they were 4 of the 15.7 system calls
-// for a request that is refused on a new connection.
+// connection inherits them, which saves the system calls for each.
 func listen(addr string) (*net.TCPListener, error) {
 	config := net.ListenConfig{KeepAlive: -1, Control: probe}
 	l, err := config.Listen(context.Background(), "tcp", addr)
--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -37,10 +37,8 @@
 }
 
 // fetch gives the engine from which c had best fetch what it lacks of a prompt, and how long
-// the transfer takes; nil when reading is as good.
-//
-// Fetching is worth 0.05 of a day's worth where a token is copied in a fifth of the time in
-// which it is read (twelve engines; means of five days with and without).
+// the transfer takes; nil when reading is as good. It spares engines the reading of what others
+// keep.
 func (k holders) fetch(req Request, c Candidate, p Pace) (time.Duration, *Candidate) {
 	if !req.Fetch || req.Service.Engine.LinkBitsPerSecond <= 0 {
 		return 0, nil
--- a/pkg/placement/level.go
+++ b/pkg/placement/level.go
@@ -31,9 +31,8 @@
 // below it, else the cheapest. draw is a number by chance in [0, 1).
 //
 // Guard: routers that go by the same reports, some hundred milliseconds old, all choose the
-// engine that was the least busy then. It had 21 more prompts ahead than it was believed to have
-// wherever a first event came over 700 ms later than expected (63 routers, 90 engines, one
-// prompt in nine), while others stood idle. What the others have given since the reports goes
+// engine that was the least busy then. First events came far later than expected there, behind
+// prompts that others had sent meanwhile, while other engines stood idle. What the others have given since the reports goes
 // to the engines that looked cheap, up to top; who chooses each as likely as it is below top
 // leaves them all equally busy.
 func pick(choices []Choice, top time.Duration, draw float64) int {
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -18,7 +18,7 @@
 // Use is an organisation's traffic, in tokens a second.
 type Use struct {
 	Asked float64
-	// Got is what was given to engines, Begun what began to run there.
+	// Got is what was given to engines, less what ended before it began there; Begun what began.
 	Got   float64
 	Begun float64
 }
@@ -133,8 +133,8 @@
 
 // Standing gives how an organisation stands at a capacity in tokens a second.
 //
-// It is asked for each request, so it makes no map of all organisations: with 24 of them a map
-// and a new list took 2.6 µs and 1.4 KB in place of 0.7 µs and none (BenchmarkStanding).
+// It is asked for each request, so it makes no map of all organisations and no new list
+// (BenchmarkStanding).
 func (s *Shares) Standing(org string, capacity float64, now time.Time) Standing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/placement/spare.go
+++ b/pkg/placement/spare.go
@@ -7,14 +7,13 @@
 // left in s.
 //
 // Guard: few engines are idle enough for work over its share, and all routers see the same ones
-// until the next reports. With 63 routers and 90 engines 25 requests came within 0.13 s to the
-// one that had room for four, and whoever came after them waited for 1.3 s longer than expected.
+// until the next reports. Many times more requests came to one of them than it had room for, and
+// whoever came after them waited for far longer than expected.
 // So each router lets its request have the part of the room that it is of all that come
 // meanwhile. What is left over shows in the next reports.
 //
 // The room is counted in requests like this one. A long prompt finds less of it than a short
-// one and gives way first: counted in work, whatever the prompt, the mean worth of five days was
-// 0.678 in place of 0.699.
+// one and gives way first: counted in work, long prompts push out more than they bring.
 func (r *Request) spare(s *scratch, p Pace) (part float64, meanwhile time.Duration) {
 	room, work := 0.0, time.Duration(0)
 	s.costs = s.costs[:0]
--- a/pkg/shedding/comeback.go
+++ b/pkg/shedding/comeback.go
@@ -24,8 +24,7 @@
 //
 // Load pattern: for seconds callers ask for several times what engines do, and whoever is refused
 // comes back once. Sent away for the same quarter of a second, some find the queue that they
-// were refused for, and others have waited while there was room. The mean worth of five days of
-// twelve engines is 0.707 in place of 0.699 with it, that of a calm day 0.834 in place of 0.821.
+// were refused for, and others have waited while there was room.
 func ComeBack(v placement.Verdict, l placement.Limits, draw float64) time.Duration {
 	over := max(0, v.Queue-l.Queue, v.Soonest-l.Wait, time.Duration(l.HeldBack*float64(latest)))
 	pause := min(latest, soonest+over)
--- a/pkg/shedding/limits.go
+++ b/pkg/shedding/limits.go
@@ -34,14 +34,13 @@
 	// may move: locked to a busy engine they would get less than one far over its share.
 	//
 	// A copy is no way out for those far over their share. Free to run anywhere, they take the
-	// idle engines from those within theirs and push out what is kept there: without the bound
-	// the mean worth of three deployments was 0.003 to 0.026 lower.
+	// idle engines from those within theirs and push out what is kept there.
 	farOverReserve = 10
 	farOver        = 2
 	// harmAtShare is the weight of the streams that a prompt of an organisation which has just
 	// its share may make late: those of a moderately busy engine. One that is further over its
-	// share must find an engine with less to spoil. Without it three in five of the prompts
-	// that made others' streams pause for too long were of organisations over their share.
+	// share must find an engine with less to spoil. Without it most of the prompts that make
+	// others' streams pause for too long are of organisations over their share.
 	harmAtShare = 40
 	// leastOccupancy is the part of an engine's slots that an organisation may take up to
 	// floorEnd times its share: what others leave idle.
@@ -50,13 +49,13 @@
 	// ownQueue is how much longer than the shortest queue an organisation over its share
 	// may find the one that it waits in.
 	ownQueue = 3
-	// mostAhead is how far an organisation may be ahead of another that asks for as much: less
-	// than twice, where it would be unfair, by what reports are late.
+	// mostAhead is how far an organisation may be ahead of another that asks for as much before
+	// it gives way: less than unfair by what reports are late.
 	mostAhead = 1.5
-	// unfair is how far ahead an organisation gets nothing more: twice what another one gets.
+	// unfair is how far ahead an organisation gets nothing more.
 	unfair = 2.0
 	// catchingUp is the power of how far it is ahead by which it counts as further over its share:
-	// twice that of the standing, as it must give way within the six seconds in which it shows.
+	// twice that of the standing, as it must give way within seconds.
 	catchingUp = 4.0
 	// wellOver is the share from which on an organisation has more than what its due may be by
 	// the next report.
@@ -90,12 +89,12 @@
 // yield lowers the limits of an organisation over its share.
 func yield(l *placement.Limits, a Ask) {
 	share := a.Standing.Share
-	over := share * heldBack(a.Standing)
+	over := share * furtherOver(a.Standing)
 	l.Spare = true
 	l.Queue = time.Duration(impatience * float64(a.Objective) / math.Pow(over, yielding))
 	l.OwnQueue = time.Duration(ownQueue * float64(l.Queue))
 	l.Harm = harmAtShare / over
-	l.HeldBack = held(a.Standing)
+	l.HeldBack = heldBack(a.Standing)
 	if share > farOver {
 		l.Reserve, l.Stay = farOverReserve, true
 	}
@@ -104,33 +103,32 @@
 	}
 }
 
-// heldBack is how many times further over its share an organisation counts that is far ahead of
+// furtherOver is how many times further over its share an organisation counts that is far ahead of
 // another one which asks for as much.
 //
 // Guard: all callers of an organisation may come to one small router, which reads only some of
 // what they ask and is refused most of that, as over its share. Another one, whose callers come
-// to a strong router, got 2.2 times as much of what is left by asking more often (5.2 against 2.3
-// million tokens in six seconds, standings of 3.1 and 1.3). Counted as further over its share, it
-// leaves engines idle enough for whatever the small router reads. What is held back is beyond
-// its due.
+// to a strong router, gets over twice as much of what is left by asking more often. Counted as
+// further over its share, it leaves shorter queues to whatever the small router reads. What is held
+// back is beyond its due.
 //
 // One that has little more than its due is never held back: shares are means of two seconds, and
 // on the next look it may have less.
-func heldBack(s placement.Standing) float64 {
+func furtherOver(s placement.Standing) float64 {
 	if s.Share < wellOver {
 		return 1
 	}
 	return math.Pow(max(1, s.Ahead/mostAhead), catchingUp)
 }
 
-// held is the part of its requests that an organisation far ahead of another one, which asks for
+// heldBack is the part of its requests that an organisation far ahead of another one, which asks for
 // as much, does without.
 //
 // Guard: limits by queues hold nobody back while engines are idle. An organisation at a strong
 // router then took whatever it asked for, twice as much and more than another one whose small
 // router had no processor to ask for it. From mostAhead on it gets ever less, and nothing at twice
 // what the other one has, so it can't stay there.
-func held(s placement.Standing) float64 {
+func heldBack(s placement.Standing) float64 {
 	if s.Share < wellOver {
 		return 0
 	}
--- a/pkg/telemetry/asyncwriter.go
+++ b/pkg/telemetry/asyncwriter.go
@@ -13,9 +13,9 @@
 const (
 	// queuedLines bounds the lines that wait for a slow reader. A line is under a kilobyte.
 	queuedLines = 2048
-	// writePause is the shortest time between two writes. Lines that come meanwhile share one:
-	// at 250 lines a second that is 50 writes and wake-ups in place of 250. A process that is
-	// killed loses the lines of that time at most; the queue is far larger than what comes in it.
+	// writePause is the shortest time between two writes. Lines that come meanwhile share one, which
+	// saves a busy log most writes and wake-ups. A process that is killed loses the lines of that
+	// time at most; the queue is far larger than what comes in it.
 	writePause = 20 * time.Millisecond
 	// writeBuffer gathers lines that come together into one write, in bytes.
 	writeBuffer = 16 << 10
--- a/pkg/telemetry/jsonhandler.go
+++ b/pkg/telemetry/jsonhandler.go
@@ -14,8 +14,8 @@
 const lineSize = 1 << 10
 
 // jsonHandler writes entries as apex/log's own JSON handler does, byte for byte. That one
-// goes through reflection for each value; the line of a request took 8.4 µs and 50
-// allocations with it in place of 4.7 µs and 24 (BenchmarkLine in pkg/gateway).
+// goes through reflection for each value, which costs half of a request's line (BenchmarkLine in
+// pkg/gateway).
 type jsonHandler struct {
 	mu   sync.Mutex
 	to   io.Writer
