A caller that comes as the wait ends is let in

Cause: a batch of connections is turned away after a look at the wait; whoever came between the two, when the wait had just ended, was turned away with it. Change: each connection of such a batch is judged after it was accepted; the first one that needn't wait is let in. Why it holds: no connection is judged by a look that is older than itself. Ruled out: the measured pace, which closes and never refuses more.

--- a/pkg/admission/comeback_test.go
+++ b/pkg/admission/comeback_test.go
@@ -63,7 +63,7 @@
 		for range batch {
 			callers = append(callers, asking(t, l, asks))
 		}
-		l.turnAwayWaiting()
+		l.turnAwayWaiting(always)
 		for _, c := range callers {
 			c.Close()
 		}
@@ -78,7 +78,7 @@
 	l := unserved(t, 0)
 	defer l.Close()
 	c := asking(t, l, asks)
-	l.turnAwayWaiting()
+	l.turnAwayWaiting(always)
 	l.refuser.mu.Lock()
 	kept := len(l.refuser.list)
 	l.refuser.mu.Unlock()
@@ -93,7 +93,7 @@
 		"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo"} {
 		l := unserved(t, 0)
 		c := asking(t, l, before)
-		l.turnAwayWaiting()
+		l.turnAwayWaiting(always)
 		time.Sleep(3 * lookEvery)
 		_, err := c.Write([]byte(strings.Repeat("x", 8<<10)))
 		require.NoError(t, err)
@@ -109,3 +109,23 @@
 	defer l.Close()
 	require.Equal(t, sweep, l.refuser.allowed.room(time.Now()))
 }
+
+// The wait is over just after it was looked at, and the next caller comes. It was refused by a
+// router that had nothing else to do.
+func TestACallerThatComesAsTheWaitEndsIsLetIn(t *testing.T) {
+	l := unserved(t, 0)
+	defer l.Close()
+	c := asking(t, l, asks)
+	first, open := l.turnAwayWaiting(func() bool { return false })
+	require.True(t, open)
+	require.GreaterOrEqual(t, first, 0)
+	let := l.letIn(l.known(first), time.Now())
+	body := make([]byte, len(asks))
+	n, err := let.Read(body)
+	require.NoError(t, err)
+	require.Equal(t, asks, string(body[:n]))
+	_, err = let.Write([]byte(refusal))
+	require.NoError(t, err)
+	require.NoError(t, let.Close())
+	require.Equal(t, http.StatusServiceUnavailable, answerOn(c))
+}
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -71,7 +72,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		l.round()
-		l.waitOut()
+		if c := l.waitOut(); c != nil {
+			return l.letIn(c, l.now()), nil
+		}
 		before := l.now()
 		c, err := l.tcp.AcceptTCP()
 		if err != nil {
@@ -82,22 +85,51 @@
 			l.calm()
 		}
 		if l.queue.wait(now) <= mostWait {
-			l.rounds.let()
-			l.accepted.Add(1)
-			l.load.letIn(now)
-			return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}, nil
+			return l.letIn(c, now), nil
 		}
 		l.turnAway(c, now)
 	}
 }
 
+// letIn gives an accepted connection its place among those that wait to be read.
+func (l *Listener) letIn(c *net.TCPConn, now time.Time) *Conn {
+	l.rounds.let()
+	l.accepted.Add(1)
+	l.load.letIn(now)
+	return &Conn{TCPConn: c, listener: l, ticket: l.queue.admit(now)}
+}
+
 // waitOut lets in nobody while a connection would wait too long: what comes is turned away a
 // batch at a time. Accepted one by one, each would be made known to the runtime first, which
-// costs as much as its refusal, and have no bytes to answer yet.
-func (l *Listener) waitOut() {
-	for l.queue.wait(l.now()) > mostWait && l.turnAwayWaiting() {
+// costs as much as its refusal, and have no bytes to answer yet. It gives a connection that came
+// as the wait was over, nil for none.
+func (l *Listener) waitOut() *net.TCPConn {
+	for l.waitsLong() {
+		first, open := l.turnAwayWaiting(l.waitsLong)
+		if first >= 0 {
+			return l.known(first)
+		}
+		if !open {
+			return nil // Accept tells it
+		}
 		time.Sleep(batchEvery)
 	}
+	return nil
+}
+
+// waitsLong reports whether a connection would wait too long for the processor.
+func (l *Listener) waitsLong() bool { return l.queue.wait(l.now()) > mostWait }
+
+// known makes an accepted socket known to the runtime; nil for one that can't be.
+func (l *Listener) known(fd int) *net.TCPConn {
+	file := os.NewFile(uintptr(fd), "")
+	defer file.Close() // the connection has a descriptor of its own
+	c, err := net.FileConn(file)
+	if err != nil {
+		l.closed.Add(1) // its caller is gone, or descriptors are used up
+		return nil
+	}
+	return c.(*net.TCPConn)
 }
 
 // round ends a round once enough connections were let in: the others have the processor then.
@@ -111,7 +143,7 @@
 	}
 	began := l.now()
 	if l.rounds.overloaded(began) {
-		l.turnAwayWaiting()
+		l.turnAwayWaiting(always)
 	}
 	l.yield()
 	now := l.now()
@@ -168,14 +200,16 @@
 }
 
 // turnAwayWaiting turns away what waits to be accepted: refused as long as the processor bears
-// it, beyond that closed at once. It reports whether the listener is open.
+// it, beyond that closed at once. It stops at the first one that comes when still says no, and gives
+// its socket, negative for none, and whether the listener is open.
 //
 // Guard: left in the kernel's queue, connections are old before they are accepted, and their
 // callers wait for seconds to learn nothing. A close at once tells them that nothing was read,
 // but not when to come back: they do so at once, so refusals go first.
-func (l *Listener) turnAwayWaiting() (open bool) {
+func (l *Listener) turnAwayWaiting(still func() bool) (first int, open bool) {
 	began := l.now()
 	answered, closed := 0, 0
+	first = -1
 	err := l.raw.Control(func(fd uintptr) {
 		for range sweep {
 			s, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
@@ -185,6 +219,10 @@
 			if err != nil {
 				return // none waits, or Accept meets the error again
 			}
+			if !still() {
+				first = s
+				return
+			}
 			if l.refuser.refuse(refused{fd: s, since: began}) {
 				answered++
 				continue
@@ -197,9 +235,11 @@
 	l.refuser.measure(answered+closed, now.Sub(began), now)
 	l.load.turnedAway(answered+closed, now)
 	l.closed.Add(int64(closed))
-	return err == nil
+	return first, err == nil
 }
 
+func always() bool { return true }
+
 // Wait is how long a connection would wait for the processor now.
 func (l *Listener) Wait() time.Duration { return l.queue.wait(l.now()) }
 
