--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -52,7 +52,7 @@
 }
 
 // encMode writes a number of units in the fewest bytes that hold it exactly: counts of
-// tokens are whole numbers, and take 3 or 5 bytes in place of 9.
+// tokens are whole numbers, which need a few.
 var encMode = mustEncMode()
 
 func mustEncMode() cbor.EncMode {
