--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -26,6 +26,7 @@
 	learnt   []PromptRead
 	others   map[LifeKey]InstanceLoad
 	uses     map[string]Use
+	traffic  []Use
 	inflows  map[string]Inflow
 	behind   int64
 	asOf     time.Time
@@ -41,7 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep.Ready, rep.Pressed, rep.Loads, rep.Config, rep.ListAgeMs = true, r.late, r.loads, 7, listAge.Milliseconds()
-	rep.Uses = []Use{{Organisation: "org", Asked: 10, Got: 5}}
+	rep.Uses = append([]Use{{Organisation: "org", Asked: 10, Got: 5}}, r.traffic...)
 	rep.Inflows = []Inflow{{Service: "llm", Rate: 2}}
 }
 
--- a/pkg/fleet/hub_test.go
+++ b/pkg/fleet/hub_test.go
@@ -17,6 +17,9 @@
 	down    map[string]bool
 	// exchanges counts those that each router began or answered.
 	exchanges map[string]int
+	// sealed is whether messages are encoded as for the network, bytes counts theirs.
+	sealed bool
+	bytes  int
 }
 
 func newCrowd(n int) *crowd {
@@ -65,9 +68,26 @@
 	f := c.routers[to].fleet
 	p.rounds++
 	q := r.fleet.question(p, p.rounds%othersEvery == 1)
-	f.incoming(&q, time.Now())
+	f.incoming(c.carry(&q), time.Now())
 	a := f.reply(f.peers[r.fleet.self.Peers], &q)
-	r.fleet.incoming(&a, time.Now())
+	r.fleet.incoming(c.carry(&a), time.Now())
+}
+
+// carry gives a report as it comes over the network.
+func (c *crowd) carry(r *Report) *Report {
+	if !c.sealed {
+		return r
+	}
+	data, err := encode(r, secret)
+	if err != nil {
+		panic(err)
+	}
+	c.bytes += len(data)
+	come := new(Report)
+	if err := decode(data, secret, come); err != nil {
+		panic(err)
+	}
+	return come
 }
 
 func (c *crowd) alive() []*router {
