The exchange costs a router less as the fleet grows

Cause: each look (50 a second) sorted all routers anew, each message added up all reports once or twice, each answer named all routers. And every router exchanged as often without work as with it, and with all of the list at its start.

--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -30,20 +32,41 @@
 	}}}
 }
 
+// Times between two looks whom to ask.
+const (
+	lookEvery = exchangeEvery / 4
+	// idleLook is that of a router without work that is no hub.
+	idleLook = 5 * lookEvery
+)
+
 // Run exchanges until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
-	tick := time.NewTicker(exchangeEvery / 4)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			for _, p := range d.fleet.due(now) {
-				go d.exchange(ctx, p)
-			}
+		case <-d.fleet.wake:
+		case <-timer.C:
 		}
+		now := time.Now()
+		for _, p := range d.fleet.due(now) {
+			go d.exchange(ctx, p)
+		}
+		d.fleet.publish(now)
+		timer.Reset(d.fleet.look(now))
+	}
+}
+
+// look is the pause until the next look whom to ask.
+func (f *Fleet) look(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last.direct || f.last.hub || !f.idle(now) {
+		return lookEvery
 	}
+	return idleLook
 }
 
 // due gives the peers that are asked now, and forgets those that are long gone.
@@ -59,11 +82,7 @@
 	f.noticeStall(now)
 	f.takeRole(now)
 	var list []*peer
-	for addr, p := range f.peers {
-		if f.isForgotten(p, now) {
-			delete(f.peers, addr)
-			continue
-		}
+	for _, p := range f.candidates() {
 		if pause := f.pause(p, now); pause > 0 && f.isDue(p, now, pause) {
 			p.tried, p.asking = now, true
 			list = append(list, p)
@@ -72,13 +91,38 @@
 	return list
 }
 
-// stalledTicks is the number of looks after which one that came late shows a stall.
-const stalledTicks = 10
+// candidates gives the peers that this router may have to ask.
+func (f *Fleet) candidates() []*peer {
+	if f.last.direct {
+		return slices.Collect(maps.Values(f.peers))
+	}
+	var list []*peer
+	if !f.last.hub {
+		if p := f.peers[f.last.own]; p != nil {
+			list = append(list, p)
+		}
+		return list
+	}
+	for _, addr := range f.last.hubs {
+		if p := f.peers[addr]; p != nil {
+			list = append(list, p)
+		}
+	}
+	for _, p := range f.census.lost {
+		if !f.last.isHub(p.member.Peers) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// stalledAfter is the pause between two looks that shows a stall.
+const stalledAfter = 10 * lookEvery
 
 // noticeStall notes that this router stood still when its last look is long past: that it
 // heard of nobody since says nothing of the others.
 func (f *Fleet) noticeStall(now time.Time) {
-	if !f.lastDue.IsZero() && now.Sub(f.lastDue) > stalledTicks*exchangeEvery/4 {
+	if !f.lastDue.IsZero() && now.Sub(f.lastDue) > stalledAfter {
 		f.lateAt = now
 	}
 	f.lastDue = now
@@ -96,23 +140,40 @@
 func (f *Fleet) pause(p *peer, now time.Time) time.Duration {
 	place, addr := f.last, p.member.Peers
 	switch {
-	case place.direct:
+	case place.direct && len(f.census.lost) <= directLimit:
 		return max(exchangeEvery, time.Duration(len(f.peers))*perPeer)
-	case place.hub && (place.isHub(addr) || !p.alive(now)):
-		// One that is not alive may be a part of the fleet that is cut off.
+	case place.direct && p.alive(now):
+		return max(exchangeEvery, time.Duration(f.census.count)*perPeer)
+	case place.own == addr:
+		return f.memberPause(p, now)
+	case place.isHub(addr) && place.hub:
 		if f.spares(p, now) {
 			return max(hubQuick, time.Duration(len(place.hubs))*perHub)
 		}
 		return max(hubEvery, time.Duration(len(place.hubs))*perPeer)
-	case place.own == addr:
-		if f.spares(p, now) {
-			return memberQuick
-		}
-		return memberEvery
+	case (place.direct || place.hub) && !p.alive(now):
+		// It may be a part of the fleet that is cut off.
+		return max(hubEvery, time.Duration(len(f.census.lost))*perLost)
 	}
 	return 0
 }
 
+// perLost stretches the pause between two tries to reach routers that are not heard of, so
+// that the tries of a second don't grow with their number.
+const perLost = 50 * time.Millisecond
+
+// memberPause is the pause between two exchanges with p, this router's hub.
+func (f *Fleet) memberPause(p *peer, now time.Time) time.Duration {
+	group := time.Duration(f.census.count/len(f.last.hubs)) * perMember
+	switch {
+	case f.idle(now):
+		return memberIdle
+	case f.spares(p, now):
+		return max(memberQuick, group)
+	}
+	return max(memberEvery, group)
+}
+
 // spares reports whether this router and p have processor to spare for quick exchanges.
 //
 // Guard: a small host that is short of processor would spend more of it on reports, and hubs
@@ -129,7 +190,7 @@
 		return false
 	}
 	if p.failed > 0 {
-		return now.Sub(p.tried) >= min(maxFailedPause, pause<<min(p.failed, 8))
+		return now.Sub(p.tried) >= max(pause, min(maxFailedPause, pause<<min(p.failed, 8)))
 	}
 	if f.self.Peers > p.member.Peers && f.last.own != p.member.Peers && now.Sub(p.heard) < 3*pause {
 		return false
--- a/pkg/fleet/entries.go
+++ b/pkg/fleet/entries.go
@@ -35,6 +35,10 @@
 	if r.Digest != p.digest && len(r.Entries) == 0 {
 		return // the list is missed; it comes again, as ours has another digest
 	}
+	life := groupLife
+	if f.idle(now) {
+		life += memberIdle
+	}
 	fresh := len(r.Entries) > 0
 	if fresh {
 		p.entries, p.digest = r.Entries, r.Digest
@@ -46,10 +50,10 @@
 		}
 		// Guard: a router that reports to p now would be counted by us as well, for as long as
 		// its last report here lives.
-		if fresh && r.Scope == ScopeGroup && now.Sub(named.joined) > memberEvery {
-			named.joined = now.Add(-groupLife)
+		if fresh && r.Scope == ScopeGroup && now.Sub(named.joined) > max(memberEvery, named.pace) {
+			named.joined = now.Add(-groupLife - named.pace)
 		}
-		named.vouched = now
+		named.vouched, named.vouchedFor = now, life
 		if !named.heardLately(now) {
 			named.ready, named.pressed = e.Ready, e.Pressed
 		}
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -56,6 +56,7 @@
 	if r.Pressed {
 		f.lateAt = now
 	}
+	f.observe(&r, now)
 	return r, now
 }
 
@@ -85,12 +86,11 @@
 
 // widen adds the work of others to r, and names the routers of the scope.
 func (f *Fleet) widen(r *Report, p *peer, scope Scope, now time.Time) {
-	total := f.group(now)
+	var total Work
 	if scope == ScopeAll {
-		total = f.heard(now)
-		if p.heardLately(now) && p.report.Scope == ScopeOwn {
-			total.add(&p.report, -1, now.Sub(p.heard))
-		}
+		total = f.sumWithout(p, now)
+	} else {
+		total = f.group(now)
 	}
 	total.add(r, 1, 0)
 	total.fill(r)
@@ -113,7 +113,7 @@
 	if !p.heardLately(now) && f.last.direct {
 		f.log.WithFields(log.Fields{"event": "peer_regained", "peer": r.From.Name, "addr": r.From.Peers, "started": r.From.Started}).Info("router is heard of")
 	}
-	if r.From.Started != p.report.From.Started {
+	if p.report == nil || r.From.Started != p.report.From.Started {
 		p.have, p.acked = 0, 0
 	}
 	p.member, p.heard, p.failed = r.From, now, 0
@@ -132,7 +132,7 @@
 	for _, m := range r.Others {
 		f.meet(m)
 	}
-	total := f.others(now)
+	total, publish := f.published(now)
 	f.mu.Unlock()
 	if len(fresh) > 0 {
 		f.local.Learn(fresh)
@@ -140,7 +140,9 @@
 	if len(r.Suspects) > 0 {
 		f.local.Suspect(r.Suspects)
 	}
-	f.local.Work(total)
+	if publish {
+		f.local.Work(total)
+	}
 	f.local.Behind(r.From, r.Config, r.Instances, made.Add(-time.Duration(r.ListAgeMs)*time.Millisecond))
 }
 
@@ -152,10 +154,11 @@
 		f.keepUses(&kept, now)
 		f.fromHub, f.fromHubAt = &kept, now
 		// Its loads are no report of the hub's own work.
-		p.report.From, p.report.Scope, p.report.Loads, p.report.Uses, p.report.Pauses, p.report.Inflows = r.From, ScopeAll, nil, nil, nil, nil
+		p.report = &Report{From: r.From, Scope: ScopeAll, Config: r.Config, Instances: r.Instances}
 		return
 	}
-	p.report = kept
+	p.report = &kept
+	p.pace = min(time.Duration(max(0, r.PaceMs))*time.Millisecond, memberIdle)
 	p.joined = time.Time{}
 	if r.AskAll {
 		p.joined = now
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,11 +53,30 @@
 	fromHubAt, usesAt time.Time
 	// hubSince is when this router last turned to another hub.
 	hubSince time.Time
+	// strength is this router's place in the order of strength, census the newest one, and
+	// roleAt the census that last follows from.
+	strength ranked
+	census   census
+	roleAt   time.Time
+	// sum is what the other routers have told, as of sumAt.
+	sum   Work
+	sumAt time.Time
+	// named are the routers of each scope as they were last named.
+	named [ScopeAll + 1]naming
+	// unpublished is whether a report came whose work the router has not been told yet.
+	unpublished bool
+	// usedAt is when this router last had work, in nanoseconds since 1970; wake is signalled
+	// when work comes after a while without.
+	usedAt atomic.Int64
+	wake   chan struct{}
 }
 
 // New returns a fleet of one.
 func New(self Member, local Local, l log.Interface) *Fleet {
-	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), last: role{direct: true}}
+	f := &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), last: role{direct: true},
+		strength: rankedOf(self), wake: make(chan struct{}, 1)}
+	f.usedAt.Store(time.Now().UnixNano())
+	return f
 }
 
 // SetSecret gives the secret that seals messages; without one nothing is exchanged.
@@ -104,7 +124,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.counted(now))
+	return f.censusAt(now).count
 }
 
 // Alive gives the other routers that are alive.
@@ -158,11 +178,5 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rank := 0
-	for _, m := range f.counted(now) {
-		if byStrength(m, f.self) < 0 {
-			rank++
-		}
-	}
-	return rank
+	return f.censusAt(now).rank
 }
--- a/pkg/fleet/hub.go
+++ b/pkg/fleet/hub.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -25,6 +24,11 @@
 	// of two leaves one.
 	groupSize = 12
 	leastHubs = 3
+	// mostHubs bounds the hubs, each of which exchanges with each other one. Groups grow
+	// beyond it, and their members exchange less often.
+	mostHubs = 16
+	// strongHub is the part of the strongest router's processor that a hub has at least.
+	strongHub = 0.5
 	// memberEvery is the pause between two exchanges with the own hub, hubEvery the least one
 	// between two of hubs, for routers that are short of processor; memberQuick and hubQuick are
 	// those of all others, as what is in progress changes within some hundredths of a second.
@@ -32,8 +36,13 @@
 	hubEvery    = 100 * time.Millisecond
 	memberQuick = 60 * time.Millisecond
 	hubQuick    = 60 * time.Millisecond
-	// perHub stretches the quick pause of many hubs, as perPeer does the usual one.
-	perHub = perPeer / 2
+	// perHub stretches the quick pause of many hubs, as perPeer does the usual one; perMember
+	// does so for the members of a large group.
+	perHub    = perPeer / 2
+	perMember = 2 * time.Millisecond
+	// memberIdle is the pause of a member that serves nothing: its hub has nothing to learn
+	// from it, and it asks at once when a request comes.
+	memberIdle = 500 * time.Millisecond
 	// groupLife is how long work counts to a group after its last report: a router that
 	// chooses another hub is counted twice no longer.
 	groupLife = 600 * time.Millisecond
@@ -68,25 +77,34 @@
 
 // takeRole works the role out anew, and logs when it is another.
 func (f *Fleet) takeRole(now time.Time) {
+	c := f.censusAt(now)
+	if f.roleAt.Equal(c.at) && !f.missesHub() {
+		return
+	}
+	f.roleAt = c.at
 	before := f.last.name()
-	f.last = f.role(now)
+	f.last = f.role(c, now)
 	if f.last.name() == before {
 		return
 	}
 	f.hubSince = now
-	f.log.WithFields(log.Fields{"event": "exchange_role", "role": f.last.name(), "before": before, "hubs": len(f.last.hubs)}).Info("other place in the exchange")
+	f.log.WithFields(log.Fields{"event": "exchange_role", "role": f.last.name(), "before": before, "hubs": len(f.last.hubs), "routers": c.count}).Info("other place in the exchange")
+}
+
+// missesHub reports whether this router's hub did not answer the last time.
+func (f *Fleet) missesHub() bool {
+	p := f.peers[f.last.own]
+	return f.last.own != "" && (p == nil || p.failed > 0)
 }
 
 // role works out this router's place.
-func (f *Fleet) role(now time.Time) role {
-	routers := f.counted(now)
-	if len(routers) <= directLimit {
+func (f *Fleet) role(c *census, now time.Time) role {
+	if c.count <= directLimit {
 		return role{direct: true}
 	}
-	slices.SortFunc(routers, byStrength)
 	r := role{}
-	for _, m := range routers[:hubCount(len(routers))] {
-		r.hubs = append(r.hubs, m.Peers)
+	for _, s := range c.strongest[:hubCount(c.strongest)] {
+		r.hubs = append(r.hubs, s.addr)
 	}
 	r.hub = r.isHub(f.self.Peers)
 	if !r.hub {
@@ -98,34 +116,15 @@
 // lateFor is how long after it was last short of processor a router counts as late.
 const lateFor = 5 * time.Second
 
-// counted gives the routers that this one's place follows from, itself included.
-//
-// Guard: a router that gets too little processor hears of few others for a while. Taking
-// itself for one of a small fleet, it would ask every router that it knows for that one's own
-// work, a hundred a second, and its hub no longer for everybody's: it would fall behind for
-// good and go by what a handful of routers do. A late router goes by all that it remembers.
-func (f *Fleet) counted(now time.Time) []Member {
-	late := now.Sub(f.lateAt) < lateFor
-	list := []Member{f.self}
-	for _, p := range f.peers {
-		if p.alive(now) || late && p.everAlive() {
-			list = append(list, p.member)
-		}
-	}
-	return list
-}
-
-func hubCount(routers int) int {
-	return max(leastHubs, int(math.Ceil(float64(routers)/groupSize)))
-}
-
-// byStrength puts routers with more processor first, equal ones in an order that all
-// routers agree on.
-func byStrength(a, b Member) int {
-	if a.Power != b.Power {
-		return cmp.Compare(b.Power, a.Power)
+// hubCount is the number of hubs of a fleet, given in the order of strength: one for each
+// group, but no weak ones, and no more than exchange with each other often enough.
+func hubCount(routers []ranked) int {
+	wanted := int(math.Ceil(float64(len(routers)) / groupSize))
+	strong := 0
+	for strong < len(routers) && routers[strong].power >= strongHub*routers[0].power {
+		strong++
 	}
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Peers), xxhash.Sum64String(b.Peers)), cmp.Compare(a.Peers, b.Peers))
+	return max(leastHubs, min(wanted, mostHubs, strong))
 }
 
 // chooseHub gives the hub to report to: one of the own zone, as traffic within a zone is
@@ -134,6 +133,9 @@
 	best, bestScore := "", -1.0
 	for _, addr := range hubs {
 		p := f.peers[addr]
+		if p == nil {
+			continue // forgotten since the census
+		}
 		score := float64(xxhash.Sum64String(f.self.Peers+addr)) / (1 << 64)
 		if p.member.Zone == f.self.Zone {
 			score += sameZone
--- /dev/null
+++ b/pkg/fleet/idle.go
@@ -0,0 +1,35 @@
+package fleet
+
+import "time"
+
+// idleAfter is how long after its last work a router counts as idle.
+const idleAfter = time.Second
+
+// Use notes that a request came. A router that was idle exchanges at once.
+func (f *Fleet) Use(now time.Time) {
+	before := f.usedAt.Swap(now.UnixNano())
+	if now.UnixNano()-before < int64(idleAfter) {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default: // it is awake
+	}
+}
+
+// idle reports whether this router has no work.
+func (f *Fleet) idle(now time.Time) bool { return now.UnixNano()-f.usedAt.Load() >= int64(idleAfter) }
+
+// observe notes the work that r, a report of this router alone, tells of, and the pause
+// until the next report.
+func (f *Fleet) observe(r *Report, now time.Time) {
+	for _, l := range r.Loads {
+		if l.Running > 0 {
+			f.usedAt.Store(now.UnixNano())
+			return
+		}
+	}
+	if !f.last.direct && !f.last.hub && f.idle(now) {
+		r.PaceMs = memberIdle.Milliseconds()
+	}
+}
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -21,11 +21,11 @@
 	// firstTimeout bounds the first question for the secret. A store that answers at all
 	// answers within milliseconds; peers are asked next, and callers wait meanwhile.
 	firstTimeout = 300 * time.Millisecond
-	// lookEvery is the pause between two looks at the list of members for each lookSize
+	// membersEvery is the pause between two looks at the list of members for each membersSize
 	// routers: peers name each other, so it only finds parts of the fleet that don't know of
 	// each other, and one router that looks is enough.
-	lookEvery = 15 * time.Second
-	lookSize  = 8
+	membersEvery = 15 * time.Second
+	membersSize  = 8
 	// lonelyEvery is that pause while nobody is heard of.
 	lonelyEvery = time.Second
 	// leaveTimeout bounds the call that takes this router off the list.
@@ -57,7 +57,7 @@
 	j.until(ctx, "members", j.look)
 	last := time.Now()
 	for waiting.For(ctx, lonelyEvery) {
-		if j.fleet.Count() > 1 && time.Since(last) < lookEvery*time.Duration(1+j.fleet.Count()/lookSize) {
+		if j.fleet.Count() > 1 && time.Since(last) < membersEvery*time.Duration(1+j.fleet.Count()/membersSize) {
 			continue
 		}
 		last = time.Now()
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -4,8 +4,12 @@
 
 // peer is what is known of another router.
 type peer struct {
-	member Member
-	report Report
+	member   Member
+	strength ranked
+	report   *Report
+	// counted is the report that the newest sum holds, nil for none, countedAge its age then.
+	counted    *Report
+	countedAge time.Duration
 	// met is when the peer was first heard of from anybody.
 	met time.Time
 	// heard is when the newest report came; zero before the first.
@@ -25,11 +29,15 @@
 	ackedOf Scope
 	// joined is when the peer last made us its hub.
 	joined time.Time
-	// vouched is when a hub last named the peer as alive, ready whether callers may be sent
+	// pace is the pause until the peer's next report, as it said.
+	pace time.Duration
+	// vouched is when a hub last named the peer as alive and vouchedFor how long that holds,
+	// ready whether callers may be sent
 	// to it as far as is known, pressed whether it gets too little processor.
-	vouched time.Time
-	ready   bool
-	pressed bool
+	vouched    time.Time
+	vouchedFor time.Duration
+	ready      bool
+	pressed    bool
 	// entries are the routers that the peer, a hub, last named, under digest.
 	entries []Entry
 	digest  uint64
@@ -44,7 +52,7 @@
 
 // alive reports whether the peer was heard of lately, by us or by a hub.
 func (p *peer) alive(now time.Time) bool {
-	return p.heardLately(now) || !p.vouched.IsZero() && now.Sub(p.vouched) < groupLife
+	return p.heardLately(now) || !p.vouched.IsZero() && now.Sub(p.vouched) < p.vouchedFor
 }
 
 // everAlive reports whether the peer was ever heard of, by us or by a hub.
@@ -70,7 +78,7 @@
 
 // inGroup reports whether the peer counts on us to tell others of its work.
 func (p *peer) inGroup(now time.Time) bool {
-	return !p.joined.IsZero() && now.Sub(p.joined) < groupLife
+	return !p.joined.IsZero() && now.Sub(p.joined) < groupLife+p.pace
 }
 
 // outdated reports whether r comes from an earlier life than the peer's newest report.
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -49,6 +49,9 @@
 	Entries    []Entry `cbor:"18,keyasint,omitempty"`
 	Digest     uint64  `cbor:"19,keyasint,omitempty"`
 	HaveDigest uint64  `cbor:"20,keyasint,omitempty"`
+	// PaceMs is the pause until the sender's next report, in milliseconds, where it is longer
+	// than that of a router with work.
+	PaceMs int64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Scope says whose work a report tells of.
--- a/pkg/fleet/total.go
+++ b/pkg/fleet/total.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // LifeKey is an instance in one of its lives, as reports name it.
 type LifeKey struct {
@@ -56,6 +59,23 @@
 	}
 }
 
+// clone gives a copy that shares nothing with w but the pauses' lists, which are never changed.
+func (w Work) clone() Work {
+	return Work{Loads: maps.Clone(w.Loads), Uses: maps.Clone(w.Uses), Pauses: maps.Clone(w.Pauses), Inflows: maps.Clone(w.Inflows)}
+}
+
+// age lets the sum grow older by d.
+func (w Work) age(d time.Duration) {
+	for service, f := range w.Inflows {
+		f.Unseen += f.Rate * d.Seconds()
+		w.Inflows[service] = f
+	}
+}
+
+// leastUse is the use below which an organisation isn't told of, in tokens a second. Means
+// that decay never reach 0.
+const leastUse = 0.5
+
 // fill puts the sum into a report.
 func (w Work) fill(r *Report) {
 	r.Loads, r.Uses, r.Pauses, r.Inflows = nil, nil, nil, nil
@@ -70,7 +90,7 @@
 		}
 	}
 	for _, u := range w.Uses {
-		if u.Asked > 0 || u.Got > 0 {
+		if u.Asked >= leastUse || u.Got >= leastUse {
 			r.Uses = append(r.Uses, u)
 		}
 	}
@@ -100,6 +120,7 @@
 		return told
 	}
 	total := f.heard(now)
+	total.Uses = maps.Clone(total.Uses)
 	for org, use := range told.Uses {
 		if total.Uses[org].Asked < use.Asked {
 			total.Uses[org] = use
@@ -108,15 +129,37 @@
 	return total
 }
 
+// sumEvery is how long the sum of what was heard holds in a fleet with hubs. A hub gets
+// hundreds of reports a second, and needs the sum for each answer.
+const sumEvery = 20 * time.Millisecond
+
 // heard adds up what this router has heard of itself. Never what a hub told: two routers
 // that took each other for hubs would each count what the other counted, without end.
+//
+// The result is shared and must not be changed.
 func (f *Fleet) heard(now time.Time) Work {
+	if age := now.Sub(f.sumAt); !f.last.direct && age >= 0 && age < sumEvery {
+		return f.sum
+	}
 	total := newWork()
 	for _, p := range f.peers {
-		if p.counts(now) {
-			total.add(&p.report, 1, now.Sub(p.heard))
+		p.counted = nil
+		if p.report != nil && p.counts(now) {
+			p.counted, p.countedAge = p.report, now.Sub(p.heard)
+			total.add(p.report, 1, p.countedAge)
 		}
 	}
+	f.sum, f.sumAt = total, now
+	return total
+}
+
+// sumWithout gives a sum of its own of what was heard of all but p.
+func (f *Fleet) sumWithout(p *peer, now time.Time) Work {
+	total := f.heard(now).clone()
+	total.age(now.Sub(f.sumAt))
+	if p.counted != nil {
+		total.add(p.counted, -1, p.countedAge+now.Sub(f.sumAt))
+	}
 	return total
 }
 
@@ -124,20 +167,33 @@
 func (f *Fleet) group(now time.Time) Work {
 	total := newWork()
 	for _, p := range f.peers {
-		if p.inGroup(now) {
-			total.add(&p.report, 1, now.Sub(p.heard))
+		if p.report != nil && p.inGroup(now) {
+			total.add(p.report, 1, now.Sub(p.heard))
 		}
 	}
 	return total
 }
 
-// entriesOf gives the routers of a scope with a digest of the list.
+// naming is a list of routers with its digest, as of one moment.
+type naming struct {
+	at     time.Time
+	list   []Entry
+	digest uint64
+}
+
+// entriesOf gives the routers of a scope with a digest of the list, which must not be changed.
 func (f *Fleet) entriesOf(scope Scope, self Entry, now time.Time) ([]Entry, uint64) {
-	list := []Entry{self}
+	last := &f.named[scope]
+	if age := now.Sub(last.at); age >= 0 && age < sumEvery {
+		return last.list, last.digest
+	}
+	list := make([]Entry, 1, len(last.list)+1)
+	list[0] = self
 	for _, p := range f.peers {
 		if scope == ScopeGroup && p.inGroup(now) || scope == ScopeAll && p.alive(now) {
 			list = append(list, p.entry())
 		}
 	}
-	return list, digest(list)
+	*last = naming{at: now, list: list, digest: digest(list)}
+	return last.list, last.digest
 }
