Store calls of joining and of outages no longer grow with the fleet

Cause: each start made two transactions in one part of the store (150 a second there), a read of all routers' rows, one of the configuration and one of the list; refused ones came again every 0.2 to 3 s. In an outage every router asked each 3 s. Change: secret and routers are read in one call; a router registers only while under 32 others on the list are known; routers of a large fleet leave configuration and list to the 16 strongest for up to 1 s after their start; whoever nobody tells asks in the order of strength, 40 ms apart; the longest pause grows with fleets over 80.

--- a/pkg/backoff/backoff.go
+++ b/pkg/backoff/backoff.go
@@ -15,9 +15,12 @@
 const (
 	// First is the pause after the first failure, which may have been a single lost packet.
 	First = 200 * time.Millisecond
-	// longest bounds the pauses of any fleet. Others tell a router of the store's return much
-	// sooner; one that nobody tells comes back to it within this time.
-	longest = 3 * time.Second
+	// longest bounds the pauses of fleets up to largeFleet, so that a router that nobody tells
+	// of the store's return comes back to it within this time; in larger ones it grows with
+	// them up to longestOfAll.
+	longest      = 3 * time.Second
+	largeFleet   = 80
+	longestOfAll = time.Minute
 	// quickCallers is how many callers may ask again without their pauses growing.
 	quickCallers = 8
 	// spread is the part of a pause that is left to chance, so that callers who failed together
@@ -44,5 +47,8 @@
 	if callers <= quickCallers {
 		return First
 	}
+	if callers > largeFleet {
+		return min(longestOfAll, longest*time.Duration(callers)/largeFleet)
+	}
 	return min(longest, First*time.Duration(callers)/quickCallers*2)
 }
--- a/pkg/backoff/backoff_test.go
+++ b/pkg/backoff/backoff_test.go
@@ -30,6 +30,10 @@
 
 func TestTheLongestPauseGrowsWithTheFleet(t *testing.T) {
 	require.Less(t, Longest(12), Longest(30))
-	require.Equal(t, longest, Longest(300))
+	require.Equal(t, longest, Longest(80))
+	require.Equal(t, longestOfAll, Longest(100_000))
+	for _, callers := range []int{30, 300, 1000} {
+		require.LessOrEqual(t, float64(callers)/Longest(callers).Seconds(), 27.0, "calls a second of %d that wait longest", callers)
+	}
 	require.Equal(t, First, Longest(0))
 }
--- a/pkg/catalog/fake_test.go
+++ b/pkg/catalog/fake_test.go
@@ -39,6 +39,8 @@
 	refused int
 	// askedConfig counts questions for newer configurations.
 	askedConfig int
+	// hearFirst is how long the router leaves the store to others as it starts.
+	hearFirst time.Duration
 	// mute leaves calls that come without an answer for good, as a connection that died in
 	// silence does.
 	mute bool
@@ -64,7 +66,9 @@
 
 func (s *fakeStore) ReadsConfig() bool { return s.ReadsInstances() }
 
-func (s *fakeStore) AsksFirst() bool { return true }
+func (s *fakeStore) Turn() time.Duration { return 0 }
+
+func (s *fakeStore) HearsFirst(waited time.Duration) bool { return waited < s.hearFirst }
 
 func (s *fakeStore) Callers() int { return max(1, s.callers) }
 
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -31,9 +31,9 @@
 	// followerAge is the age at which a router that leaves the reading to others asks the
 	// store after all: they tell it several times in that time.
 	followerAge = 1400 * time.Millisecond
-	// laterAge is that age for routers that don't ask first in a large fleet: those that do
-	// tell them meanwhile, and the store is not asked by all at once.
-	laterAge = 1700 * time.Millisecond
+	// hearPause is the pause between two looks whether others have told what a router that
+	// starts must know.
+	hearPause = 20 * time.Millisecond
 	// readTimeout bounds a call that doesn't wait.
 	readTimeout = 1500 * time.Millisecond
 	// outage is how long the store must have been silent for entries to have lapsed: they
@@ -61,8 +61,11 @@
 	ReadsConfig() bool
 	// TellsMany reports whether many others go by what this router reads.
 	TellsMany() bool
-	// AsksFirst reports whether the router is among the first to ask when none tells it.
-	AsksFirst() bool
+	// Turn is how long after the first ones the router asks the store when none tells it.
+	Turn() time.Duration
+	// HearsFirst reports whether a router that started waited ago leaves the store to others
+	// yet, as they may tell it.
+	HearsFirst(waited time.Duration) bool
 	// Callers is how many routers ask the store, this one included.
 	Callers() int
 }
@@ -77,6 +80,7 @@
 	dep := newDependency("store config", w.log)
 	var rev Revision
 	var failures backoff.Backoff
+	w.hear(ctx, func() bool { return w.catalog.Version() > 0 })
 	for ctx.Err() == nil {
 		if w.toldConfig() {
 			rev = 0 // asked again, the store is asked for the whole configuration
@@ -94,17 +98,35 @@
 		if errors.Is(err, ErrHistoryGone) {
 			continue
 		}
-		waiting.For(ctx, w.afterFailure(&failures))
+		w.rest(ctx, &failures)
 	}
 }
 
-// afterFailure is the pause after a failed call. Routers that read for all go on asking at the
-// shortest pause: the others hear of the store's return from them.
-func (w *Watcher) afterFailure(failures *backoff.Backoff) time.Duration {
-	if w.duties.ReadsInstances() {
-		return backoff.First
+// hear waits until others have told this router what known looks for, as long as it leaves
+// the store to them.
+func (w *Watcher) hear(ctx context.Context, known func() bool) {
+	began := time.Now()
+	for !known() && w.duties.HearsFirst(time.Since(began)) {
+		if !waiting.For(ctx, hearPause) {
+			return
+		}
+	}
+}
+
+// rest pauses after a failed call. Routers that read for all go on asking at the shortest
+// pause: the others hear of the store's return from them. The pause ends early when fewer
+// routers share the store than before, as one that is cut off from the others is told nothing.
+func (w *Watcher) rest(ctx context.Context, failures *backoff.Backoff) {
+	pause, began := failures.Failed(w.duties.Callers()), time.Now()
+	for {
+		if w.duties.ReadsInstances() {
+			pause = backoff.First
+		}
+		left := min(pause, backoff.Longest(w.duties.Callers())) - time.Since(began)
+		if left <= 0 || w.followed() || !waiting.For(ctx, min(left, followPause)) {
+			return
+		}
 	}
-	return failures.Failed(w.duties.Callers())
 }
 
 func (w *Watcher) nextConfig(ctx context.Context, after Revision) (Revision, error) {
@@ -138,6 +160,7 @@
 	dep := newDependency("store instances", w.log)
 	var rev Revision
 	var failures backoff.Backoff
+	w.hear(ctx, func() bool { return w.catalog.InstancesRevision() > 0 })
 	for ctx.Err() == nil {
 		if w.followed() {
 			// The peers' list is newer than what this watch has seen.
@@ -155,7 +178,8 @@
 		switch {
 		case lost:
 			w.doubtConfig()
-			next, pause = 0, w.afterFailure(&failures)
+			w.rest(ctx, &failures)
+			next, pause = 0, 0
 		case err != nil:
 			w.doubtConfig()
 			next, pause = 0, 0
@@ -205,10 +229,7 @@
 
 // current reports whether the list of instances is known to be current.
 func (w *Watcher) current() bool {
-	most := laterAge
-	if w.duties.AsksFirst() {
-		most = followerAge
-	}
+	most := followerAge + w.duties.Turn()
 	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < most
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -141,6 +141,20 @@
 	return list
 }
 
+// aliveOf counts the routers of list that are alive, this one included.
+func (f *Fleet) aliveOf(list []Member) int {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	alive := 0
+	for _, m := range list {
+		if p := f.peers[m.Peers]; m.Peers == f.self.Peers || p != nil && p.alive(now) {
+			alive++
+		}
+	}
+	return alive
+}
+
 // namedFor is how long after a hub last named a router callers are told of it.
 const namedFor = 2500 * time.Millisecond
 
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -28,6 +31,13 @@
 	membersSize  = 8
 	// lonelyEvery is that pause while nobody is heard of.
 	lonelyEvery = time.Second
+	// registered is the number of routers that the list names in a large fleet.
+	registered = 32
+	// strongHost is the processor, in cores, from which on a host registers among the first;
+	// strongTurn and lastTurn bound the turns of strong hosts and of all.
+	strongHost = 0.5
+	strongTurn = 250 * time.Millisecond
+	lastTurn   = time.Second
 	// leaveTimeout bounds the call that takes this router off the list.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -39,23 +49,40 @@
 	registry Registry
 	// seeds are addresses of routers that may be alive.
 	seeds []string
+	// first is whether the whole fleet starts for the first time.
+	first bool
 	log   log.Interface
+	// read is whether the registry was read; listed whether this router is on its list.
+	read, listed atomic.Bool
+	// list are the routers on the list as last read.
+	list []Member
 }
 
 // NewJoiner returns the joiner of d's fleet.
-func NewJoiner(d *Duty, r Registry, seeds []string, l log.Interface) *Joiner {
-	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, log: l}
+func NewJoiner(d *Duty, r Registry, seeds []string, first bool, l log.Interface) *Joiner {
+	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, first: first, log: l}
 }
 
+// Knows reports whether the routers on the list are known.
+func (j *Joiner) Knows() bool { return j.read.Load() }
+
 // Run joins and keeps looking for members until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
-	if err := j.within(ctx, firstTimeout, j.secret); err != nil {
+	if j.first {
+		waiting.For(ctx, j.turn())
+	}
+	if err := j.within(ctx, firstTimeout, j.join); err != nil {
 		j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": "secret"}).Warn("joining waits for the store")
-		j.until(ctx, "secret", j.secret)
+		j.until(ctx, "secret", j.join)
 	}
-	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
-	j.until(ctx, "members", j.look)
+	if !j.Knows() {
+		j.until(ctx, "members", j.look)
+	}
+	j.register(ctx, len(j.list))
 	last := time.Now()
+	if waiting.For(ctx, presumeFor+aliveFor) {
+		j.register(ctx, j.fleet.aliveOf(j.list))
+	}
 	for waiting.For(ctx, lonelyEvery) {
 		if j.fleet.Count() > 1 && time.Since(last) < membersEvery*time.Duration(1+j.fleet.Count()/membersSize) {
 			continue
@@ -63,10 +90,39 @@
 		last = time.Now()
 		if err := j.call(ctx, j.look); err != nil {
 			j.log.WithError(err).WithField("event", "members_unread").Debug("list of routers can't be read")
+			continue
 		}
+		j.register(ctx, j.fleet.aliveOf(j.list))
 	}
 }
 
+// turn is how long this router waits at the fleet's first start: seeds come first, then
+// strong hosts.
+//
+// Guard: all routers start at once and find an empty list, so all would register, and the
+// store would take them one by one for seconds.
+func (j *Joiner) turn() time.Duration {
+	switch {
+	case slices.Contains(j.seeds, j.fleet.self.Peers):
+		return 0
+	case j.fleet.self.Power >= strongHost:
+		return time.Duration(rand.Float64() * float64(strongTurn))
+	}
+	return strongTurn + time.Duration(rand.Float64()*float64(lastTurn-strongTurn))
+}
+
+// register puts this router on the list when only known others on it can be found.
+//
+// Newcomers need to find some routers; these name the others. So the store's rows and calls
+// don't grow with the fleet.
+func (j *Joiner) register(ctx context.Context, known int) {
+	if j.listed.Load() || known >= registered {
+		return
+	}
+	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
+	j.listed.Store(true)
+}
+
 // until repeats step until it is done.
 func (j *Joiner) until(ctx context.Context, name string, step func(context.Context) error) {
 	var failures backoff.Backoff
@@ -93,22 +149,46 @@
 	return step(ctx)
 }
 
-func (j *Joiner) secret(ctx context.Context) error {
-	proposal := make([]byte, secretSize)
-	if _, err := rand.Read(proposal); err != nil {
-		return errors.Trace(err)
-	}
-	secret, err := j.registry.Secret(ctx, proposal)
+// join learns the secret and the routers on the list.
+func (j *Joiner) join(ctx context.Context) error {
+	secret, list, err := j.registry.Read(ctx)
 	if err != nil {
-		secret = j.fromPeers()
+		if secret = j.fromPeers(); secret == nil {
+			return errors.Trace(err)
+		}
+		j.fleet.SetSecret(secret)
+		return nil
 	}
 	if secret == nil {
-		return errors.Trace(err)
+		if secret, err = j.found(ctx); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	j.fleet.SetSecret(secret)
+	j.meet(list)
 	return nil
 }
 
+// found proposes a secret for a fleet that has none, and gives the one that it has then.
+func (j *Joiner) found(ctx context.Context) ([]byte, error) {
+	proposal := make([]byte, secretSize)
+	if _, err := crand.Read(proposal); err != nil {
+		return nil, errors.Trace(err)
+	}
+	secret, err := j.registry.Secret(ctx, proposal)
+	return secret, errors.Trace(err)
+}
+
+// meet takes the list of routers.
+func (j *Joiner) meet(list []Member) {
+	j.list = list
+	j.listed.Store(slices.ContainsFunc(list, func(m Member) bool {
+		return m.Peers == j.fleet.self.Peers && m.Name == j.fleet.self.Name && m.Callers == j.fleet.self.Callers
+	}))
+	j.fleet.Meet(list)
+	j.read.Store(true)
+}
+
 // fromPeers asks the seeds for the secret; nil when none gives it.
 func (j *Joiner) fromPeers() []byte {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
@@ -127,16 +207,19 @@
 }
 
 func (j *Joiner) look(ctx context.Context) error {
-	list, err := j.registry.Members(ctx)
+	_, list, err := j.registry.Read(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	j.fleet.Meet(list)
+	j.meet(list)
 	return nil
 }
 
 // Leave takes this router off the list, as well as it can.
 func (j *Joiner) Leave() {
+	if !j.listed.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := j.registry.Remove(ctx, j.fleet.self); err != nil {
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -69,6 +69,8 @@
 
 func (onePeer) Count() int { return 1 }
 
+func (onePeer) Use(time.Time) {}
+
 // world is a gateway before fake upstreams.
 type world struct {
 	t       *testing.T
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -1,5 +1,7 @@
 package gatewayd
 
+import "time"
+
 const (
 	// readers is how many routers read from the store for all. One may be cut off from it and
 	// another be gone; the rest ask it when none tells them.
@@ -8,9 +10,20 @@
 	// there that costs few calls, and a change is in force as soon as the store tells it.
 	smallFleet = 16
 	// first is how many routers of a large fleet ask the store first when none tells them.
-	first = 10
+	first = 16
 )
 
+// turnEvery is the pause between the turns of two routers that ask the store when nobody
+// tells them: the first that is answered tells the others.
+const turnEvery = 40 * time.Millisecond
+
+// hearFirst is how long a router that starts in a large fleet leaves the store to others.
+const hearFirst = time.Second
+
+// listWait is how long a router that starts waits for the list of routers: its place follows
+// from it.
+const listWait = 100 * time.Millisecond
+
 // ranks is what duties follow from.
 type ranks interface {
 	// Count is the number of routers alive, Rank this router's place among them.
@@ -19,19 +32,38 @@
 }
 
 // duties implements catalog.Duties.
-type duties struct{ ranks ranks }
+type duties struct {
+	ranks ranks
+	// knows reports whether the list of routers is known.
+	knows func() bool
+}
 
 // ReadsInstances reports whether this router reads the list of upstreams.
 func (d duties) ReadsInstances() bool { return d.ranks.Rank() < readers }
 
 // TellsMany reports whether many others go by what this router reads.
-func (d duties) TellsMany() bool { return d.ranks.Count() > smallFleet && d.ReadsInstances() }
+func (d duties) TellsMany() bool { return d.large() && d.ReadsInstances() }
 
-// AsksFirst reports whether this router asks the store without waiting for others.
-func (d duties) AsksFirst() bool { return d.ranks.Count() <= smallFleet || d.ranks.Rank() < first }
+// Turn is how long after the first ones this router asks the store when nobody tells it.
+func (d duties) Turn() time.Duration {
+	if !d.large() {
+		return 0
+	}
+	return time.Duration(max(0, d.ranks.Rank()-first)) * turnEvery
+}
+
+// HearsFirst reports whether a router that started waited ago leaves the store to others yet.
+func (d duties) HearsFirst(waited time.Duration) bool {
+	if !d.knows() {
+		return waited < listWait
+	}
+	return d.large() && d.ranks.Rank() >= first && waited < hearFirst
+}
 
 // Callers is how many routers ask the store when it fails.
 func (d duties) Callers() int { return d.ranks.Count() }
 
 // ReadsConfig reports whether this router waits for configurations.
-func (d duties) ReadsConfig() bool { return d.ranks.Count() <= smallFleet || d.ReadsInstances() }
+func (d duties) ReadsConfig() bool { return !d.large() || d.ReadsInstances() }
+
+func (d duties) large() bool { return d.ranks.Count() > smallFleet }
--- a/pkg/gatewayd/duties_test.go
+++ b/pkg/gatewayd/duties_test.go
@@ -24,7 +24,7 @@
 		{place{count: 86, rank: 2}, true, true},
 		{place{count: 86, rank: 3}, false, false},
 	} {
-		d := duties{one.place}
+		d := duties{ranks: one.place}
 		require.Equal(t, one.instances, d.ReadsInstances(), one.place)
 		require.Equal(t, one.config, d.ReadsConfig(), one.place)
 	}
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -87,7 +87,7 @@
 		health: upstream.NewHealth(), holdings: placement.NewHoldings()}
 	p.settings.Store(&s)
 	p.telling = &telling{catalog: p.catalog, ledger: ledger, holdings: p.holdings, shares: shares, inflows: inflows, paces: paces, suspects: suspects, demand: new(demand),
-		ready: func() bool { return p.gateway.Ready() }, pressed: p.pressure.pressed, waits: func() bool { return duties{p.fleet}.ReadsConfig() }, behind: make(chan newer, 1)}
+		ready: func() bool { return p.gateway.Ready() }, pressed: p.pressure.pressed, waits: func() bool { return duties{ranks: p.fleet}.ReadsConfig() }, behind: make(chan newer, 1)}
 	p.crowd.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
@@ -95,8 +95,8 @@
 	p.uses = uses{shares: shares, capacity: p.capacity, log: l}
 	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
 	p.catalog.Follow(p.pools.Follow)
-	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{p.fleet}, l)
-	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, l)
+	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
+	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{ranks: p.fleet, knows: p.joiner.Knows}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Inflows: inflows, Paces: paces, Suspects: suspects, Peers: p.fleet, Log: l,
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -28,6 +28,9 @@
 type RouterSettings struct {
 	Name string `yaml:"name"`
 	Zone string `yaml:"zone"`
+	// FirstStart is whether all routers start for the first time: they take turns then, so
+	// that few of them register.
+	FirstStart bool `yaml:"firstStart"`
 }
 
 // ListenSettings are addresses, each IP:port.
