--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -24,12 +24,11 @@
 	// time, and asking without pause would cost a call for each. It stays well under the
 	// two seconds in which a leaving upstream must be left alone.
 	instancesPause = 700 * time.Millisecond
-	// tellingWait and tellingPause are these times for routers that read for many: the others
-	// take the list for old when nobody has confirmed it for followerAge, and would all ask.
-	tellingWait  = 400 * time.Millisecond
-	tellingPause = 400 * time.Millisecond
+	// tellingWait is this time for routers that read for many: the others take the list for
+	// old when nobody has confirmed it for followerAge, and would ask.
+	tellingWait = 250 * time.Millisecond
 	// followerAge is the age at which a router that leaves the reading to others asks the
-	// store after all: they tell it several times in that time.
+	// store after all, longer where it isn't the next one to ask.
 	followerAge = 1400 * time.Millisecond
 	// hearPause is the pause between two looks whether others have told what a router that
 	// starts must know.
@@ -197,7 +196,7 @@
 // pace gives how long a question for changed instances stays open, and the pause after it.
 func (w *Watcher) pace() (wait, pause time.Duration) {
 	if w.duties.TellsMany() {
-		return tellingWait, tellingPause
+		return tellingWait, instancesPause
 	}
 	return instancesWait, instancesPause
 }
--- a/pkg/fleet/census.go
+++ b/pkg/fleet/census.go
@@ -24,7 +24,7 @@
 	count, rank int
 	// strongest are the routers in the order of strength.
 	strongest []ranked
-	// lost are the peers that are known and not alive.
+	// lost are the peers that are neither alive nor presumed to be.
 	lost []*peer
 }
 
@@ -67,7 +67,7 @@
 	lost := f.census.lost[:0]
 	for addr, p := range f.peers {
 		switch {
-		case p.alive(now):
+		case p.alive(now), p.presumed(now):
 		case f.isForgotten(p, now):
 			delete(f.peers, addr)
 			continue
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -82,15 +82,27 @@
 	f.noticeStall(now)
 	f.takeRole(now)
 	var list []*peer
+	lost := 0
 	for _, p := range f.candidates() {
-		if pause := f.pause(p, now); pause > 0 && f.isDue(p, now, pause) {
-			p.tried, p.asking = now, true
-			list = append(list, p)
+		pause := f.pause(p, now)
+		if pause == 0 || !f.isDue(p, now, pause) {
+			continue
+		}
+		if !p.alive(now) && !p.presumed(now) {
+			if lost++; lost > lostAtOnce {
+				continue
+			}
 		}
+		p.tried, p.asking = now, true
+		list = append(list, p)
 	}
 	return list
 }
 
+// lostAtOnce bounds the lost routers that one look asks: of a large fleet all may be lost at
+// once.
+const lostAtOnce = directLimit
+
 // candidates gives the peers that this router may have to ask.
 func (f *Fleet) candidates() []*peer {
 	if f.last.direct {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -143,18 +143,24 @@
 
 // aliveOf counts the routers of list that are alive, this one included.
 func (f *Fleet) aliveOf(list []Member) int {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	alive := 0
 	for _, m := range list {
-		if p := f.peers[m.Peers]; m.Peers == f.self.Peers || p != nil && p.alive(now) {
+		if f.isAlive(m.Peers) {
 			alive++
 		}
 	}
 	return alive
 }
 
+// isAlive reports whether the router at an address for peers is alive.
+func (f *Fleet) isAlive(addr string) bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[addr]
+	return addr == f.self.Peers || p != nil && p.alive(now)
+}
+
 // namedFor is how long after a hub last named a router callers are told of it.
 const namedFor = 2500 * time.Millisecond
 
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -38,8 +38,10 @@
 	strongHost = 0.5
 	strongTurn = 250 * time.Millisecond
 	lastTurn   = time.Second
-	// leaveTimeout bounds the call that takes this router off the list.
-	leaveTimeout = 500 * time.Millisecond
+	// goneAfter is how long a router on the list must have been missed to be taken off it,
+	// mostSwept how many are in one call.
+	goneAfter = 2 * time.Minute
+	mostSwept = 50
 )
 
 // Joiner finds the fleet through the registry.
@@ -56,11 +58,13 @@
 	read, listed atomic.Bool
 	// list are the routers on the list as last read.
 	list []Member
+	// missing are routers on the list that are not alive.
+	missing missing
 }
 
 // NewJoiner returns the joiner of d's fleet.
 func NewJoiner(d *Duty, r Registry, seeds []string, first bool, l log.Interface) *Joiner {
-	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, first: first, log: l}
+	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, first: first, log: l, missing: make(missing)}
 }
 
 // Knows reports whether the routers on the list are known.
@@ -93,6 +97,7 @@
 			continue
 		}
 		j.register(ctx, j.fleet.aliveOf(j.list))
+		j.sweep(ctx, last)
 	}
 }
 
@@ -215,14 +220,17 @@
 	return nil
 }
 
-// Leave takes this router off the list, as well as it can.
-func (j *Joiner) Leave() {
-	if !j.listed.Load() {
+// sweep takes routers off the list that this one, the first of the fleet, has missed for
+// long. A router that leaves stays on it: most start again at the same address.
+func (j *Joiner) sweep(ctx context.Context, now time.Time) {
+	gone := j.missing.since(j.list, j.fleet.isAlive, now.Add(-goneAfter), now)
+	if len(gone) == 0 || j.fleet.Rank() > 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	if err := j.registry.Remove(ctx, j.fleet.self); err != nil {
-		j.log.WithError(err).WithField("event", "still_listed").Info("router stays on the list")
+	gone = gone[:min(len(gone), mostSwept)]
+	if err := j.call(ctx, func(ctx context.Context) error { return j.registry.Remove(ctx, gone) }); err != nil {
+		j.log.WithError(err).WithField("event", "still_listed").Info("lost routers stay on the list")
+		return
 	}
+	j.log.WithFields(log.Fields{"event": "list_swept", "routers": len(gone)}).Info("lost routers are off the list")
 }
--- /dev/null
+++ b/pkg/fleet/join_test.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeRegistry is a list of routers that counts the calls to it.
+type fakeRegistry struct {
+	mu      sync.Mutex
+	secret  []byte
+	members map[string]Member
+	reads   int
+	writes  int
+	down    bool
+}
+
+func newFakeRegistry() *fakeRegistry { return &fakeRegistry{members: make(map[string]Member)} }
+
+func (r *fakeRegistry) Read(context.Context) ([]byte, []Member, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reads++
+	if r.down {
+		return nil, nil, errors.New("down")
+	}
+	var list []Member
+	for _, m := range r.members {
+		list = append(list, m)
+	}
+	return r.secret, list, nil
+}
+
+func (r *fakeRegistry) Secret(_ context.Context, proposal []byte) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+	if r.secret == nil {
+		r.secret = proposal
+	}
+	return r.secret, nil
+}
+
+func (r *fakeRegistry) Register(_ context.Context, m Member) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+	r.members[m.Peers] = m
+	return nil
+}
+
+func (r *fakeRegistry) Remove(_ context.Context, members []Member) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+	for _, m := range members {
+		delete(r.members, m.Peers)
+	}
+	return nil
+}
+
+// starting is a router that joins.
+func starting(i int, first bool, registry Registry) (*router, *Joiner) {
+	r := &router{heard: make(chan struct{}, 1)}
+	addr := fmt.Sprintf("10.0.0.%d:1", i)
+	power := 0.2
+	if i%20 == 0 {
+		power = 0.8
+	}
+	r.fleet = New(Member{Name: addr, Peers: addr, Callers: addr, Started: 1, Power: power}, r, quiet)
+	return r, NewJoiner(NewDuty(r.fleet), registry, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, first, quiet)
+}
+
+// 295 routers start at once. Each made two transactions and refused ones came again, 5,295
+// calls in the first seconds.
+func TestAFleetThatStartsCallsTheStoreLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 295
+		registry := newFakeRegistry()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range n {
+			r, j := starting(i, true, registry)
+			go j.Run(ctx)
+			defer func() { require.Equal(t, registry.secret, r.fleet.Secret()) }()
+		}
+		time.Sleep(presumeFor)
+		require.LessOrEqual(t, registry.reads, n)
+		require.LessOrEqual(t, registry.writes, 2*registered)
+		require.GreaterOrEqual(t, len(registry.members), registered)
+	})
+}
+
+// All routers of a running fleet are killed at once and start again.
+func TestAFleetThatStartsAgainReadsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 295
+		registry := newFakeRegistry()
+		registry.secret = secret
+		for i := range registered {
+			r, _ := starting(i, false, registry)
+			registry.members[r.fleet.self.Peers] = r.fleet.self
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var all []*router
+		for i := range n {
+			r, j := starting(i, false, registry)
+			all = append(all, r)
+			go j.Run(ctx)
+		}
+		time.Sleep(presumeFor / 2)
+		require.Equal(t, n, registry.reads)
+		require.Zero(t, registry.writes)
+		for _, r := range all {
+			require.Equal(t, secret, r.fleet.Secret())
+		}
+	})
+}
+
+// The routers on the list are all gone. Newcomers that leave it as it is never find each
+// other.
+func TestNewcomersRegisterBesideDeadRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := newFakeRegistry()
+		registry.secret = secret
+		for i := range registered {
+			r, _ := starting(100+i, false, registry)
+			registry.members[r.fleet.self.Peers] = r.fleet.self
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r, j := starting(1, false, registry)
+		go j.Run(ctx)
+		time.Sleep(time.Second)
+		require.NotContains(t, registry.members, r.fleet.self.Peers)
+		time.Sleep(presumeFor + aliveFor)
+		require.Contains(t, registry.members, r.fleet.self.Peers)
+	})
+}
+
+// Routers that ended for good stay on the list, and each newcomer would ask at their addresses.
+func TestLostRoutersAreTakenOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := newFakeRegistry()
+		registry.secret = secret
+		lost, _ := starting(9, false, registry)
+		registry.members[lost.fleet.self.Peers] = lost.fleet.self
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_, j := starting(1, false, registry)
+		go j.Run(ctx)
+		time.Sleep(goneAfter - 10*time.Second)
+		require.Contains(t, registry.members, lost.fleet.self.Peers)
+		time.Sleep(time.Minute)
+		require.NotContains(t, registry.members, lost.fleet.self.Peers)
+		require.Contains(t, registry.members, "10.0.0.1:1")
+	})
+}
+
+// A router starts beside hundreds that are on the list. Taken for lost before they are heard
+// of, they would make it exchange with each of them.
+func TestANewcomerPresumesThatListedRoutersAreAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list []Member
+		for i := range 200 {
+			r, _ := starting(i, false, nil)
+			list = append(list, r.fleet.self)
+		}
+		r, _ := starting(200, false, nil)
+		r.fleet.SetSecret(secret)
+		r.fleet.Meet(list)
+		require.Equal(t, 201, r.fleet.Count())
+		asked := r.fleet.due(time.Now())
+		require.Less(t, len(asked), mostHubs)
+	})
+}
+
+// A member without work is asked for nothing, and hears of the fleet all the same.
+func TestIdleMembersExchangeLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 48
+		c := newCrowd(n)
+		for _, r := range c.routers {
+			r.loads = nil
+		}
+		c.play(4 * time.Second)
+		clear(c.exchanges)
+		c.play(4 * time.Second)
+		for addr, r := range c.routers {
+			require.Equal(t, n, r.fleet.Count())
+			require.Len(t, r.readyPeers(), n-1)
+			if !r.fleet.last.hub {
+				require.LessOrEqual(t, c.exchanges[addr], 10, "in 4 s")
+			}
+		}
+		idle := c.member("")
+		time.Sleep(memberQuick)
+		idle.fleet.Use(time.Now())
+		require.Len(t, idle.fleet.wake, 1)
+		require.NotEmpty(t, idle.fleet.due(time.Now()), "work that comes makes it ask at once")
+	})
+}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -11,6 +11,6 @@
 	Secret(ctx context.Context, proposal []byte) ([]byte, error)
 	// Register puts a member on the list.
 	Register(ctx context.Context, m Member) error
-	// Remove takes a member off the list.
-	Remove(ctx context.Context, m Member) error
+	// Remove takes members off the list.
+	Remove(ctx context.Context, members []Member) error
 }
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// readers is how many routers read from the store for all. One may be cut off from it and
-	// another be gone; the rest ask it when none tells them.
+	// readers is how many routers wait for configurations for all, and in a small fleet read
+	// the list of upstreams. One may be cut off from the store and another be gone; the rest
+	// ask it when none tells them.
 	readers = 3
 	// smallFleet is the largest fleet in which each router waits for configurations itself:
 	// there that costs few calls, and a change is in force as soon as the store tells it.
@@ -38,8 +39,14 @@
 	knows func() bool
 }
 
-// ReadsInstances reports whether this router reads the list of upstreams.
-func (d duties) ReadsInstances() bool { return d.ranks.Rank() < readers }
+// ReadsInstances reports whether this router reads the list of upstreams. In a large fleet
+// one does: its list changes all the time, and the next one takes over when it is silent.
+func (d duties) ReadsInstances() bool {
+	if d.large() {
+		return d.ranks.Rank() == 0
+	}
+	return d.ranks.Rank() < readers
+}
 
 // TellsMany reports whether many others go by what this router reads.
 func (d duties) TellsMany() bool { return d.large() && d.ReadsInstances() }
@@ -49,7 +56,7 @@
 	if !d.large() {
 		return 0
 	}
-	return time.Duration(max(0, d.ranks.Rank()-first)) * turnEvery
+	return time.Duration(d.ranks.Rank()) * turnEvery
 }
 
 // HearsFirst reports whether a router that started waited ago leaves the store to others yet.
@@ -64,6 +71,6 @@
 func (d duties) Callers() int { return d.ranks.Count() }
 
 // ReadsConfig reports whether this router waits for configurations.
-func (d duties) ReadsConfig() bool { return !d.large() || d.ReadsInstances() }
+func (d duties) ReadsConfig() bool { return !d.large() || d.ranks.Rank() < readers }
 
 func (d duties) large() bool { return d.ranks.Count() > smallFleet }
--- a/pkg/gatewayd/leave.go
+++ b/pkg/gatewayd/leave.go
@@ -24,7 +24,6 @@
 	end := began.Add(seconds((1 - endMargin) * grace))
 	p.gateway.Leave(end)
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("router leaves")
-	p.joiner.Leave()
 	time.Sleep(time.Until(began.Add(seconds(refuseAfter * grace))))
 	p.gateway.Shut()
 	for p.gateway.Active() > 0 && time.Now().Before(end) {
