--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -52,6 +52,7 @@
 		Faces:        gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
 		Readdress:    store.Readdress,
 		RowFaults:    store.RowFaults,
+		StoreCalls:   store.Calls,
 		LinesDropped: out.Dropped,
 	}, l)
 	if err == nil {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -41,6 +41,8 @@
 	// RowFaults counts changes of the store's rows, beside the list of upstreams, to ones
 	// that can't be used; nil for none.
 	RowFaults func() int64
+	// StoreCalls counts calls to the store so far by kind; nil for none.
+	StoreCalls func() map[string]int64
 	// LinesDropped counts log lines that a slow reader cost so far; nil for none.
 	LinesDropped func() int64
 }
@@ -64,6 +66,7 @@
 	joiner    *fleet.Joiner
 	faces     []*face
 	dropped   drops
+	calls     storeCalls
 	faults    *entryFaults
 	// turnedAway tells of callers' connections that were not let in.
 	turnedAway turnedAway
@@ -92,6 +95,7 @@
 	p.fleet = fleet.New(member(s), p.telling, l)
 	p.exchange = fleet.NewDuty(p.fleet)
 	p.dropped = drops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
+	p.calls = storeCalls{count: d.StoreCalls, scope: p.metrics.Scope, log: l}
 	p.uses = uses{shares: shares, capacity: p.capacity, log: l}
 	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
 	p.catalog.Follow(p.pools.Follow)
@@ -212,6 +216,7 @@
 	p.leave()
 	end()
 	p.duties.Wait()
+	p.calls.write()
 	p.log.WithField("event", "stop").Info("router has stopped")
 	return nil
 }
@@ -255,6 +260,7 @@
 			p.health.Prune(p.catalog.Instances())
 			p.telling.ledger.Prune(p.catalog.Instances())
 			p.dropped.tell()
+			p.calls.tell()
 			p.faults.tell()
 			p.turnedAway.tell()
 			p.uses.tell(now)
