How long a plain call takes is learned; fresh routers wait for their place

Cause: a call that waits counted 120 ms of wait where a slot is free each 10 ms (six slots, 60 ms a call). Change: the mean call time is learned without its wait; what others gave is poured with what ended meanwhile; a call may wait for what its objective leaves; a call without a prompt has no order of instances. Ruled out: a learned bound of each queue, as views are too old to tell it.

--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -24,6 +24,9 @@
 	// firstTimeout bounds the first question for the secret. A store that answers at all
 	// answers within milliseconds; peers are asked next, and callers wait meanwhile.
 	firstTimeout = 300 * time.Millisecond
+	// listWait is how long others wait for the list of routers, as this router's place in the
+	// fleet follows from it.
+	listWait = 100 * time.Millisecond
 	// membersEvery is the pause between two looks at the list of members for each membersSize
 	// routers: peers name each other, so it only finds parts of the fleet that don't know of
 	// each other, and one router that looks is enough.
@@ -54,6 +57,8 @@
 	// first is whether the whole fleet starts for the first time.
 	first bool
 	log   log.Interface
+	// asked is when the registry was first asked, in nanoseconds since 1970; 0 before.
+	asked atomic.Int64
 	// read is whether the registry was read; listed whether this router is on its list.
 	read, listed atomic.Bool
 	// list are the routers on the list as last read.
@@ -67,19 +72,24 @@
 	return &Joiner{fleet: d.fleet, duty: d, registry: r, seeds: seeds, first: first, log: l, missing: make(missing)}
 }
 
-// Knows reports whether the routers on the list are known.
-func (j *Joiner) Knows() bool { return j.read.Load() }
+// Settled reports whether the routers on the list are known, or the store doesn't answer at
+// once.
+func (j *Joiner) Settled() bool {
+	asked := j.asked.Load()
+	return j.read.Load() || asked != 0 && time.Now().UnixNano()-asked >= int64(listWait)
+}
 
 // Run joins and keeps looking for members until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
 	if j.first {
 		waiting.For(ctx, j.turn())
 	}
+	j.asked.Store(time.Now().UnixNano())
 	if err := j.within(ctx, firstTimeout, j.join); err != nil {
 		j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": "secret"}).Warn("joining waits for the store")
 		j.until(ctx, "secret", j.join)
 	}
-	if !j.Knows() {
+	if !j.read.Load() {
 		j.until(ctx, "members", j.look)
 	}
 	j.register(ctx, len(j.list))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -30,12 +30,14 @@
 	budget   *placement.Budget
 	suspects *quarantine.List
 	peers    Peers
-	crowded  func() bool
-	overrun  func() bool
-	late     func() bool
-	log      log.Interface
-	lines    lineBudget
-	meter    *meter
+	// calls are what is known of calls to plain services.
+	calls   pace.Calls
+	crowded func() bool
+	overrun func() bool
+	late    func() bool
+	log     log.Interface
+	lines   lineBudget
+	meter   *meter
 	// departures hears of callers that close their connections.
 	departures *departures
 
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -35,7 +35,7 @@
 	if !g.settings.Load().Off.Herds {
 		req.Unseen, req.Draw = g.inflows.Unseen(r.service.Name, now), rand.Float64()
 	}
-	found := placement.Choose(req, candidates, g.pace())
+	found := placement.Choose(req, candidates, g.paceOf(r.service))
 	r.trail.decided.limits(req, found)
 	if !found.OK {
 		return placement.Choice{}, errOverloaded(shedding.ComeBack(found, req.Limits, rand.Float64()))
@@ -43,6 +43,23 @@
 	return found.Choice, nil
 }
 
+// paceOf is what is known of the speed of a service's instances.
+func (g *Gateway) paceOf(s *routing.Service) placement.Pace {
+	p := g.pace()
+	if s.Engine == nil {
+		p.Call = g.calls.Mean(s.Name)
+	}
+	return p
+}
+
+// called notes how long a call of a plain service took.
+func (g *Gateway) called(r *request, c placement.Choice, took time.Duration) {
+	if r.service.Engine == nil {
+		in := c.Candidate.Instance
+		g.calls.Observe(r.service.Name, took, placement.Waiting(c.Candidate.Load, in.Slots), in.Slots)
+	}
+}
+
 // learned sets what is known of the service's engines.
 func (g *Gateway) learned(r *request, req *placement.Request) {
 	if r.service.Engine == nil || r.ask.Prompt == nil {
@@ -102,7 +119,7 @@
 // limit sets what the request may find at an instance.
 func (g *Gateway) limit(r *request, req *placement.Request, now time.Time) {
 	if r.service.Engine == nil || r.ask.Prompt == nil {
-		req.Limits = shedding.Call()
+		req.Limits = shedding.Call(r.route.Objective, now.Sub(r.start), g.calls.Mean(r.service.Name))
 		return
 	}
 	own := max(1, req.Scale) * float64(r.ask.Prompt.Input) / g.settings.Load().PrefillTokensPerMs * float64(time.Millisecond)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -165,6 +165,7 @@
 	if g.dialect.NotRun(answer.Status, answer.Header) {
 		return g.declined(r, st, in, answer)
 	}
+	g.called(r, choice, time.Since(now))
 	if g.streams(r, answer) {
 		return g.relayStream(r, st, in, answer, p)
 	}
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -21,9 +21,9 @@
 // hearFirst is how long a router that starts in a large fleet leaves the store to others.
 const hearFirst = time.Second
 
-// listWait is how long a router that starts waits for the list of routers: its place follows
-// from it.
-const listWait = 100 * time.Millisecond
+// joinsWithin bounds the wait for a router's place in the fleet, which its other duties follow
+// from.
+const joinsWithin = 2 * time.Second
 
 // ranks is what duties follow from.
 type ranks interface {
@@ -35,8 +35,8 @@
 // duties implements catalog.Duties.
 type duties struct {
 	ranks ranks
-	// knows reports whether the list of routers is known.
-	knows func() bool
+	// settled reports whether the router has found its place, as far as the store answers.
+	settled func() bool
 }
 
 // ReadsInstances reports whether this router reads the list of upstreams. In a large fleet
@@ -61,8 +61,8 @@
 
 // HearsFirst reports whether a router that started waited ago leaves the store to others yet.
 func (d duties) HearsFirst(waited time.Duration) bool {
-	if !d.knows() {
-		return waited < listWait
+	if !d.settled() {
+		return waited < joinsWithin
 	}
 	return d.large() && d.ranks.Rank() >= first && waited < hearFirst
 }
--- a/pkg/gatewayd/duties_test.go
+++ b/pkg/gatewayd/duties_test.go
@@ -47,10 +47,10 @@
 // A router that starts in a large fleet asks the store though others would tell it.
 func TestWeakRoutersHearFirst(t *testing.T) {
 	known, unknown := func() bool { return true }, func() bool { return false }
-	require.True(t, duties{ranks: place{count: 1}, knows: unknown}.HearsFirst(listWait/2))
-	require.False(t, duties{ranks: place{count: 1}, knows: unknown}.HearsFirst(listWait))
-	require.False(t, duties{ranks: place{count: 8, rank: 7}, knows: known}.HearsFirst(0))
-	require.False(t, duties{ranks: place{count: 295, rank: 3}, knows: known}.HearsFirst(0))
-	require.True(t, duties{ranks: place{count: 295, rank: 100}, knows: known}.HearsFirst(hearFirst/2))
-	require.False(t, duties{ranks: place{count: 295, rank: 100}, knows: known}.HearsFirst(hearFirst))
+	require.True(t, duties{ranks: place{count: 1}, settled: unknown}.HearsFirst(joinsWithin/2))
+	require.False(t, duties{ranks: place{count: 1}, settled: unknown}.HearsFirst(joinsWithin))
+	require.False(t, duties{ranks: place{count: 8, rank: 7}, settled: known}.HearsFirst(0))
+	require.False(t, duties{ranks: place{count: 295, rank: 3}, settled: known}.HearsFirst(0))
+	require.True(t, duties{ranks: place{count: 295, rank: 100}, settled: known}.HearsFirst(hearFirst/2))
+	require.False(t, duties{ranks: place{count: 295, rank: 100}, settled: known}.HearsFirst(hearFirst))
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -100,7 +100,7 @@
 	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
 	p.catalog.Follow(p.pools.Follow)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
-	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{ranks: p.fleet, knows: p.joiner.Knows}, l)
+	p.watcher = catalog.NewWatcher(p.catalog, d.Store, duties{ranks: p.fleet, settled: p.joiner.Settled}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Parts{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
 		Ledger: ledger, Holdings: p.holdings, Shares: shares, Inflows: inflows, Paces: paces, Suspects: suspects, Peers: p.fleet, Log: l,
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -111,8 +111,10 @@
 		choice := evaluate(req, c, holders, p)
 		v.Soonest = min(v.Soonest, choice.Wait)
 		v.Queue = min(v.Queue, choice.Queue)
-		rank := float64(score(key, c.Instance.ID)) / float64(1<<64)
-		choice.Cost += time.Duration(float64(orderCost) * (1 - rank))
+		if len(req.Chain) > 0 {
+			rank := float64(score(key, c.Instance.ID)) / float64(1<<64)
+			choice.Cost += time.Duration(float64(orderCost) * (1 - rank))
+		}
 		s.costs = append(s.costs, choice.Cost)
 		if req.fits(choice) {
 			s.fitting = append(s.fitting, choice)
@@ -130,11 +132,32 @@
 		}
 		draw /= v.Part
 	}
-	v.Choice, v.OK = s.fitting[pick(s.fitting, level(s.costs, meanwhile), draw)], true
+	top := level(s.costs, meanwhile)
+	if over := req.overPoured(s.fitting[0].Candidate, top, p); over > 0 {
+		v.Queue = req.Limits.Queue + over
+		return v
+	}
+	v.Choice, v.OK = s.fitting[pick(s.fitting, top, draw)], true
 	v.Choice.Added, v.Choice.Unseen = added(req, v.Choice, p), req.Unseen
 	return v
 }
 
+// overPoured is by how much the queue of a plain service exceeds what a call may find, once
+// what others gave meanwhile is poured over its instances up to top; 0 where it doesn't.
+//
+// Guard: by reports that are as old as a call is long, all routers see room that they have
+// filled together, and full instances refuse most of what comes.
+func (r *Request) overPoured(c Candidate, top time.Duration, p Pace) time.Duration {
+	if r.Service.Engine != nil || p.Call <= 0 {
+		return 0
+	}
+	slots := max(1, c.Instance.Slots)
+	each := p.Call / time.Duration(slots)
+	most := int(r.Limits.Queue / max(1, each))
+	allowed := time.Duration(most)*each + batch(Load{Running: slots + most}, slots)
+	return max(0, top-allowed)
+}
+
 // scratch holds the lists of one choice for reuse.
 type scratch struct {
 	// costs are those of all candidates, fitting the choices within the limits.
@@ -148,11 +171,12 @@
 
 // added is by how much a choice raises the cost of its instance for those after it.
 func added(req Request, c Choice, p Pace) time.Duration {
-	slots := c.Candidate.Instance.Slots
 	if req.Service.Engine != nil {
-		slots = req.Service.Engine.Slots
+		return p.reading(c.Reading) + batch(Load{Running: 1}, req.Service.Engine.Slots)
 	}
-	return p.reading(c.Reading) + batch(Load{Running: 1}, slots)
+	slots := c.Candidate.Instance.Slots
+	more := Load{Running: c.Candidate.Load.Running + 1}
+	return callWait(more, slots, p) - c.Queue + batch(Load{Running: 1}, slots)
 }
 
 // crowded reports whether more of an engine's slots are taken than the request may find.
@@ -229,18 +253,36 @@
 }
 
 func evaluateCall(req Request, c Candidate, p Pace) Choice {
-	wait := slotWait(c.Load, c.Instance.Slots, p)
+	c.Load.Running -= req.ended(c, p)
+	wait := callWait(c.Load, c.Instance.Slots, p)
 	cost := wait + c.Handicap + far(req, c) + batch(c.Load, c.Instance.Slots)
 	return Choice{Candidate: c, Wait: wait, Cost: cost, Queue: wait}
 }
 
-// slotWait is how long a request waits for one of an instance's slots.
-func slotWait(l Load, slots int, p Pace) time.Duration {
-	over := l.Running + 1 - slots
-	if over <= 0 {
+// Waiting is how many requests wait for one of an instance's slots.
+func Waiting(l Load, slots int) int { return max(0, l.Running+1-slots) }
+
+// callWait is how long a call waits for one of an instance's slots: each that waits for a
+// slots-th part of a call.
+func callWait(l Load, slots int, p Pace) time.Duration {
+	if p.Call <= 0 {
+		return slotWait(l, slots, p)
+	}
+	return time.Duration(Waiting(l, slots)) * p.Call / time.Duration(max(1, slots))
+}
+
+// ended is how many calls have ended at an instance since its load was counted.
+func (r *Request) ended(c Candidate, p Pace) int {
+	if p.Call <= 0 {
 		return 0
 	}
-	return time.Duration(over) * p.Slot
+	busy := min(c.Load.Running, c.Instance.Slots)
+	return min(c.Load.Running, int(float64(busy)*float64(r.Unseen.Age)/float64(p.Call)))
+}
+
+// slotWait is how long a request waits for one of an instance's slots.
+func slotWait(l Load, slots int, p Pace) time.Duration {
+	return time.Duration(Waiting(l, slots)) * p.Slot
 }
 
 // batch is the cost of running beside others.
--- a/pkg/placement/inflow.go
+++ b/pkg/placement/inflow.go
@@ -113,6 +113,8 @@
 	Given time.Duration
 	// Spare is how many requests of organisations over their share have come to them.
 	Spare float64
+	// Age is how old those loads are.
+	Age time.Duration
 }
 
 // Unseen gives what the other routers have done for a service since the loads that they told
@@ -126,5 +128,5 @@
 	}
 	age := now.Sub(f.at).Seconds() + told.Unseen.Seconds()/told.Rate.Seconds()
 	age = max(0, min(age, mostUnseen.Seconds()))
-	return Unseen{Given: time.Duration(age * float64(told.Rate)), Spare: age * told.Spare}
+	return Unseen{Given: time.Duration(age * float64(told.Rate)), Spare: age * told.Spare, Age: time.Duration(age * float64(time.Second))}
 }
--- a/pkg/shedding/limits.go
+++ b/pkg/shedding/limits.go
@@ -64,12 +64,26 @@
 	yielding = 2.0
 )
 
-// callPatience bounds the wait for a plain service, whose calls take milliseconds.
-const callPatience = 400 * time.Millisecond
+const (
+	// callPatience bounds the wait for a plain service, whose calls take milliseconds.
+	callPatience = 400 * time.Millisecond
+	// leastCallPatience is the part of what an objective allows that a call may wait at least:
+	// one that is late already still serves its caller.
+	leastCallPatience = 0.25
+)
 
-// Call gives the limits of a call to a plain service.
-func Call() placement.Limits {
-	return placement.Limits{Wait: callPatience, Queue: callPatience, OwnQueue: callPatience}
+// Call gives the limits of a call to a plain service that takes long once it has a slot; 0 while
+// that isn't known.
+//
+// Load pattern: for seconds more calls come than the service can serve. Whoever waits for longer
+// than the objective allows is late and makes all behind it late.
+func Call(objective, waited, long time.Duration) placement.Limits {
+	wait := callPatience
+	if long > 0 && objective > 0 {
+		most := patience * float64(objective)
+		wait = min(wait, time.Duration(max(leastCallPatience*most, most-float64(waited+long))))
+	}
+	return placement.Limits{Wait: wait, Queue: wait, OwnQueue: wait}
 }
 
 // Prompt gives the limits of a request to a model engine.
