--- a/pkg/catalog/fake_test.go
+++ b/pkg/catalog/fake_test.go
@@ -39,6 +39,10 @@
 	refused int
 	// askedConfig counts questions for newer configurations.
 	askedConfig int
+	// readsConfig makes a follower wait for configurations itself.
+	readsConfig bool
+	// configDown makes questions for the configuration fail, and those alone.
+	configDown bool
 	// hearFirst is how long the router leaves the store to others as it starts.
 	hearFirst time.Duration
 	// mute leaves calls that come without an answer for good, as a connection that died in
@@ -64,7 +68,7 @@
 	return !s.follower
 }
 
-func (s *fakeStore) ReadsConfig() bool { return s.ReadsInstances() }
+func (s *fakeStore) ReadsConfig() bool { return s.readsConfig || s.ReadsInstances() }
 
 func (s *fakeStore) Turn() time.Duration { return 0 }
 
@@ -96,7 +100,7 @@
 func (s *fakeStore) Config(context.Context) (*routing.Config, Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || s.configDown {
 		s.refused++
 		return nil, 0, errDown
 	}
@@ -110,6 +114,10 @@
 	waiting.For(ctx, min(wait, 100*time.Millisecond))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.configDown {
+		s.refused++
+		return nil, 0, errDown
+	}
 	if err := s.refusal(ctx, after); err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/pkg/catalog/follower_test.go
@@ -0,0 +1,43 @@
+package catalog
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// A router waits for configurations itself while peers keep its list current, and the store
+// fails its calls. Without a pause between them it made thousands.
+func TestFailedCallsForConfigurationsPauseThoughTheListIsCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{rev: 1, config: &routing.Config{Version: 1}, callers: 17, follower: true, readsConfig: true,
+			instances: []upstream.Instance{{ID: "i", Service: "s", State: upstream.Ready}}}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.configDown, s.refused = true, 0 })
+		for range 50 {
+			c.Confirm(c.InstancesRevision(), time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Less(t, s.failed(), 50)
+	})
+}
+
+// A router that starts in a large fleet leaves the store to others, and asks it itself when
+// nobody tells it in time.
+func TestAFreshRouterHearsOfOthersFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{rev: 1, config: &routing.Config{Version: 1}, follower: true, hearFirst: time.Second,
+			instances: []upstream.Instance{{ID: "i", Service: "s", State: upstream.Ready}}}
+		c, _ := start(t, s)
+		time.Sleep(900 * time.Millisecond)
+		require.Zero(t, c.Version())
+		time.Sleep(200 * time.Millisecond)
+		require.True(t, c.Complete())
+	})
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -97,7 +97,7 @@
 		if errors.Is(err, ErrHistoryGone) {
 			continue
 		}
-		w.rest(ctx, &failures)
+		w.rest(ctx, &failures, w.toldConfig)
 	}
 }
 
@@ -115,14 +115,14 @@
 // rest pauses after a failed call. Routers that read for all go on asking at the shortest
 // pause: the others hear of the store's return from them. The pause ends early when fewer
 // routers share the store than before, as one that is cut off from the others is told nothing.
-func (w *Watcher) rest(ctx context.Context, failures *backoff.Backoff) {
+func (w *Watcher) rest(ctx context.Context, failures *backoff.Backoff, told func() bool) {
 	pause, began := failures.Failed(w.duties.Callers()), time.Now()
 	for {
 		if w.duties.ReadsInstances() {
 			pause = backoff.First
 		}
 		left := min(pause, backoff.Longest(w.duties.Callers())) - time.Since(began)
-		if left <= 0 || w.followed() || !waiting.For(ctx, min(left, followPause)) {
+		if left <= 0 || told() || !waiting.For(ctx, min(left, followPause)) {
 			return
 		}
 	}
@@ -177,7 +177,7 @@
 		switch {
 		case lost:
 			w.doubtConfig()
-			w.rest(ctx, &failures)
+			w.rest(ctx, &failures, w.followed)
 			next, pause = 0, 0
 		case err != nil:
 			w.doubtConfig()
