--- a/pkg/fleet/join_test.go
+++ b/pkg/fleet/join_test.go
@@ -84,14 +84,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		const n = 295
 		registry := newFakeRegistry()
+		var all []*router
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for i := range n {
 			r, j := starting(i, true, registry)
+			all = append(all, r)
 			go j.Run(ctx)
-			defer func() { require.Equal(t, registry.secret, r.fleet.Secret()) }()
 		}
 		time.Sleep(presumeFor)
+		synctest.Wait()
+		for _, r := range all {
+			require.Equal(t, registry.secret, r.fleet.Secret())
+		}
 		require.LessOrEqual(t, registry.reads, n)
 		require.LessOrEqual(t, registry.writes, 2*registered)
 		require.GreaterOrEqual(t, len(registry.members), registered)
@@ -117,6 +122,7 @@
 			go j.Run(ctx)
 		}
 		time.Sleep(presumeFor / 2)
+		synctest.Wait()
 		require.Equal(t, n, registry.reads)
 		require.Zero(t, registry.writes)
 		for _, r := range all {
@@ -140,8 +146,10 @@
 		r, j := starting(1, false, registry)
 		go j.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.NotContains(t, registry.members, r.fleet.self.Peers)
 		time.Sleep(presumeFor + aliveFor)
+		synctest.Wait()
 		require.Contains(t, registry.members, r.fleet.self.Peers)
 	})
 }
@@ -158,8 +166,10 @@
 		_, j := starting(1, false, registry)
 		go j.Run(ctx)
 		time.Sleep(goneAfter - 10*time.Second)
+		synctest.Wait()
 		require.Contains(t, registry.members, lost.fleet.self.Peers)
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		require.NotContains(t, registry.members, lost.fleet.self.Peers)
 		require.Contains(t, registry.members, "10.0.0.1:1")
 	})
