Calls without a prompt wait by their learned time at engines too

Change: a call is what has no prompt, whatever its service; until calls were seen one is taken to last one turn of a slot, not each that waits.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -35,7 +35,7 @@
 	if !g.settings.Load().Off.Herds {
 		req.Unseen, req.Draw = g.inflows.Unseen(r.service.Name, now), rand.Float64()
 	}
-	found := placement.Choose(req, candidates, g.paceOf(r.service))
+	found := placement.Choose(req, candidates, g.paceFor(r))
 	r.trail.decided.limits(req, found)
 	if !found.OK {
 		return placement.Choice{}, errOverloaded(shedding.ComeBack(found, req.Limits, rand.Float64()))
@@ -43,18 +43,21 @@
 	return found.Choice, nil
 }
 
-// paceOf is what is known of the speed of a service's instances.
-func (g *Gateway) paceOf(s *routing.Service) placement.Pace {
+// isCall reports whether the request is a call, which holds a slot and has no prompt to be read.
+func (r *request) isCall() bool { return r.service.Engine == nil || r.ask.Prompt == nil }
+
+// paceFor is what is known of the speed of the instances that may run a request.
+func (g *Gateway) paceFor(r *request) placement.Pace {
 	p := g.pace()
-	if s.Engine == nil {
-		p.Call = g.calls.Mean(s.Name)
+	if r.isCall() {
+		p.Call = g.calls.Mean(r.service.Name)
 	}
 	return p
 }
 
-// called notes how long a call of a plain service took.
+// called notes how long a call took.
 func (g *Gateway) called(r *request, c placement.Choice, took time.Duration) {
-	if r.service.Engine == nil {
+	if r.isCall() {
 		in := c.Candidate.Instance
 		g.calls.Observe(r.service.Name, took, placement.Waiting(c.Candidate.Load, in.Slots), in.Slots)
 	}
@@ -118,7 +121,7 @@
 
 // limit sets what the request may find at an instance.
 func (g *Gateway) limit(r *request, req *placement.Request, now time.Time) {
-	if r.service.Engine == nil || r.ask.Prompt == nil {
+	if r.isCall() {
 		req.Limits = shedding.Call(r.route.Objective, now.Sub(r.start), g.calls.Mean(r.service.Name))
 		return
 	}
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -148,7 +149,7 @@
 // Guard: by reports that are as old as a call is long, all routers see room that they have
 // filled together, and full instances refuse most of what comes.
 func (r *Request) overPoured(c Candidate, top time.Duration, p Pace) time.Duration {
-	if r.Service.Engine != nil || p.Call <= 0 {
+	if p.Call <= 0 {
 		return 0
 	}
 	slots := max(1, c.Instance.Slots)
@@ -171,7 +172,7 @@
 
 // added is by how much a choice raises the cost of its instance for those after it.
 func added(req Request, c Choice, p Pace) time.Duration {
-	if req.Service.Engine != nil {
+	if !req.isCall() {
 		return p.reading(c.Reading) + batch(Load{Running: 1}, req.Service.Engine.Slots)
 	}
 	slots := c.Candidate.Instance.Slots
@@ -187,9 +188,12 @@
 	return float64(c.Load.Running+1) > max(1, req.Limits.Occupancy*float64(req.Service.Engine.Slots))
 }
 
+// isCall reports whether the request is a call, which holds a slot and has no prompt to be read.
+func (r *Request) isCall() bool { return r.Service.Engine == nil || r.Work.Prompt == nil }
+
 // evaluate works out what the request would find at a candidate, and what that counts.
 func evaluate(req Request, c Candidate, holders holders, p Pace) Choice {
-	if req.Service.Engine == nil || req.Work.Prompt == nil {
+	if req.isCall() {
 		return evaluateCall(req, c, p)
 	}
 	choice := Choice{Candidate: c, Queue: engineQueue(req, c, p)}
@@ -263,12 +267,9 @@
 func Waiting(l Load, slots int) int { return max(0, l.Running+1-slots) }
 
 // callWait is how long a call waits for one of an instance's slots: each that waits for a
-// slots-th part of a call.
+// slots-th part of a call. Until calls were seen, one is taken to last as long as a slot's turn.
 func callWait(l Load, slots int, p Pace) time.Duration {
-	if p.Call <= 0 {
-		return slotWait(l, slots, p)
-	}
-	return time.Duration(Waiting(l, slots)) * p.Call / time.Duration(max(1, slots))
+	return time.Duration(Waiting(l, slots)) * cmp.Or(p.Call, p.Slot) / time.Duration(max(1, slots))
 }
 
 // ended is how many calls have ended at an instance since its load was counted.
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -11,7 +11,7 @@
 	First time.Duration
 	// Slot is the time after which one of a full engine's slots is free, on the average.
 	Slot time.Duration
-	// Call is how long a call of the plain service takes; 0 while it isn't known.
+	// Call is how long a call without a prompt takes; 0 while it isn't known.
 	Call time.Duration
 }
 
