--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -63,20 +63,21 @@
 	sumAt time.Time
 	// named are the routers of each scope as they were last named.
 	named [ScopeAll + 1]naming
-	// unpublished is whether a report came whose work the router has not been told yet.
+	// unpublished is whether a report came whose work the router has not been told yet, as it
+	// was told of others' at publishedAt.
 	unpublished bool
-	// usedAt is when this router last had work, in nanoseconds since 1970; wake is signalled
-	// when work comes after a while without.
+	publishedAt time.Time
+	// born is when this router started, usedAt how long after it last had work, in nanoseconds
+	// of the steady clock; wake is signalled when work comes after a while without.
+	born   time.Time
 	usedAt atomic.Int64
 	wake   chan struct{}
 }
 
 // New returns a fleet of one.
 func New(self Member, local Local, l log.Interface) *Fleet {
-	f := &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), last: role{direct: true},
-		strength: rankedOf(self), wake: make(chan struct{}, 1)}
-	f.usedAt.Store(time.Now().UnixNano())
-	return f
+	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), last: role{direct: true},
+		strength: rankedOf(self), born: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 // SetSecret gives the secret that seals messages; without one nothing is exchanged.
--- a/pkg/fleet/idle.go
+++ b/pkg/fleet/idle.go
@@ -7,8 +7,8 @@
 
 // Use notes that a request came. A router that was idle exchanges at once.
 func (f *Fleet) Use(now time.Time) {
-	before := f.usedAt.Swap(now.UnixNano())
-	if now.UnixNano()-before < int64(idleAfter) {
+	at := int64(now.Sub(f.born))
+	if at-f.usedAt.Swap(at) < int64(idleAfter) {
 		return
 	}
 	select {
@@ -18,14 +18,16 @@
 }
 
 // idle reports whether this router has no work.
-func (f *Fleet) idle(now time.Time) bool { return now.UnixNano()-f.usedAt.Load() >= int64(idleAfter) }
+func (f *Fleet) idle(now time.Time) bool {
+	return int64(now.Sub(f.born))-f.usedAt.Load() >= int64(idleAfter)
+}
 
 // observe notes the work that r, a report of this router alone, tells of, and the pause
 // until the next report.
 func (f *Fleet) observe(r *Report, now time.Time) {
 	for _, l := range r.Loads {
 		if l.Running > 0 {
-			f.usedAt.Store(now.UnixNano())
+			f.usedAt.Store(int64(now.Sub(f.born)))
 			return
 		}
 	}
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -57,8 +57,8 @@
 	// first is whether the whole fleet starts for the first time.
 	first bool
 	log   log.Interface
-	// asked is when the registry was first asked, in nanoseconds since 1970; 0 before.
-	asked atomic.Int64
+	// asked is when the registry was first asked; nil before.
+	asked atomic.Pointer[time.Time]
 	// read is whether the registry was read; listed whether this router is on its list.
 	read, listed atomic.Bool
 	// list are the routers on the list as last read.
@@ -76,7 +76,7 @@
 // once.
 func (j *Joiner) Settled() bool {
 	asked := j.asked.Load()
-	return j.read.Load() || asked != 0 && time.Now().UnixNano()-asked >= int64(listWait)
+	return j.read.Load() || asked != nil && time.Since(*asked) >= listWait
 }
 
 // Run joins and keeps looking for members until ctx ends.
@@ -84,7 +84,8 @@
 	if j.first {
 		waiting.For(ctx, j.turn())
 	}
-	j.asked.Store(time.Now().UnixNano())
+	asked := time.Now()
+	j.asked.Store(&asked)
 	if err := j.within(ctx, firstTimeout, j.join); err != nil {
 		j.log.WithError(err).WithFields(log.Fields{"event": "join_waits", "step": "secret"}).Warn("joining waits for the store")
 		j.until(ctx, "secret", j.join)
--- a/pkg/gatewayd/duties.go
+++ b/pkg/gatewayd/duties.go
@@ -18,6 +18,10 @@
 // tells them: the first that is answered tells the others.
 const turnEvery = 40 * time.Millisecond
 
+// idleAge is by how much older the list of a router without work may be than that of a hub: it
+// hears of the others twice a second.
+const idleAge = 400 * time.Millisecond
+
 // hearFirst is how long a router that starts in a large fleet leaves the store to others.
 const hearFirst = time.Second
 
@@ -56,7 +60,11 @@
 	if !d.large() {
 		return 0
 	}
-	return time.Duration(d.ranks.Rank()) * turnEvery
+	turn := time.Duration(d.ranks.Rank()) * turnEvery
+	if d.ranks.Rank() >= readers {
+		turn += idleAge
+	}
+	return turn
 }
 
 // HearsFirst reports whether a router that started waited ago leaves the store to others yet.
