Shares follow what engines do where far less is got than asked for

Ruled out: placement and door (one hub's router served the small organisation, without refusals at the door).

--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -29,6 +29,9 @@
 	mu     sync.Mutex
 	own    map[string]*account
 	others map[string]Use
+	// done is the most that was got together lately, at doneAt.
+	done   float64
+	doneAt time.Time
 	// asked is reused by each question for a standing.
 	asked []float64
 }
@@ -139,17 +142,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var mine Use
-	got := 0.0
+	got, asked := 0.0, 0.0
 	s.asked = s.asked[:0]
 	s.each(now, func(name string, use Use) {
 		got += use.Got
+		asked += use.Asked
 		s.asked = append(s.asked, use.Asked)
 		if name == org {
 			mine = use
 		}
 	})
 	standing := Standing{Full: got >= capacity}
-	due := waterLevel(s.asked, shared(got, capacity))
+	due := waterLevel(s.asked, shared(s.mostDone(got, now), asked, capacity))
 	if due <= 0 {
 		return standing
 	}
@@ -177,15 +181,43 @@
 // two.
 const leastBehind = 0.2
 
-// shared is the capacity that is shared when all organisations get got together.
+// doneWindow is the time constant in seconds with which the most that engines did is forgotten.
+const doneWindow = 20.0
+
+// mostDone is the most that organisations got together in the last seconds.
+//
+// Guard: organisations over their share give way, and less is got for it. If what is shared fell
+// with it, they would be further over, and so on until engines are idle.
+func (s *Shares) mostDone(got float64, now time.Time) float64 {
+	passed := max(0, now.Sub(s.doneAt).Seconds())
+	s.done, s.doneAt = max(got, s.done*math.Exp(-passed/doneWindow)), now
+	return s.done
+}
+
+// shared is the capacity that is shared when organisations ask for asked together and got done at most.
 //
 // Guard: engines that crash or read prompts again do less than they are said to. Shares
 // of the nominal capacity would then be more than anybody gets, nobody would be over its
-// share, and whoever asks most would get most.
-func shared(got, capacity float64) float64 {
-	return min(capacity, max(got, leastDone*capacity))
+// share, and whoever asks most would get most. Engines whose slots are the bound may do a fifth
+// of it at all times: where far less is got than asked for, what is got is all that they do.
+func shared(done, asked, capacity float64) float64 {
+	if asked <= 0 {
+		return min(capacity, max(done, leastDone*capacity))
+	}
+	saturated := min(1, max(0, (mostServed-done/asked)/(mostServed-leastServed)))
+	least := (1-saturated)*leastDone*capacity + saturated*leastOfAsked*min(asked, capacity)
+	return min(capacity, max(done, least))
 }
 
+// Parts of what is asked: from mostServed on, what isn't got says nothing of the engines, below
+// leastServed they are taken to do no more. Just after a start little has been got yet, so
+// leastOfAsked is shared at least.
+const (
+	mostServed   = 0.85
+	leastServed  = 0.65
+	leastOfAsked = 0.2
+)
+
 // each gives the traffic of each organisation over all routers.
 func (s *Shares) each(now time.Time, take func(org string, use Use)) {
 	for org, use := range s.others {
