--- a/pkg/telemetry/asyncwriter_test.go
+++ b/pkg/telemetry/asyncwriter_test.go
@@ -20,12 +20,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx) }()
-	for range 3 * queuedLines {
-		n, err := w.Write([]byte("line\n"))
+	line := []byte("line\n")
+	// The writer may take a buffer of lines off the queue before the reader holds it up.
+	taken := writeBuffer/len(line) + 1
+	for range 3*queuedLines + taken {
+		n, err := w.Write(line)
 		require.NoError(t, err)
-		require.Equal(t, 5, n)
+		require.Equal(t, len(line), n)
 	}
-	require.Greater(t, w.Dropped(), int64(queuedLines/2))
+	require.GreaterOrEqual(t, w.Dropped(), int64(2*queuedLines))
 	cancel()
 	r.Close()
 	<-done
