Bytes of the platform's wire leave gatewayd's benchmark; comments and a needless atomic

The request and the engine's head that the benchmark plays stand in platform/platformtest now, with the other stand-ins. Whether a router is on the list is known to one goroutine alone. No behaviour changes; BenchmarkRequest runs as before (refused and served, new and kept).

--- a/internal/replay/calls.go
+++ b/internal/replay/calls.go
@@ -96,7 +96,7 @@
 	instances map[upstream.ID]*callInstance
 	list      []*upstream.Instance
 	routers   []*callRouter
-	// ended are calls under way, in the order of their ends.
+	// pending are calls under way, in the order of their ends.
 	pending []callEnd
 	next    int
 	told    time.Duration
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -59,8 +59,10 @@
 	log   log.Interface
 	// asked is when the registry was first asked; nil before.
 	asked atomic.Pointer[time.Time]
-	// read is whether the registry was read; listed whether this router is on its list.
-	read, listed atomic.Bool
+	// read is whether the registry was read.
+	read atomic.Bool
+	// listed is whether this router is on the registry's list.
+	listed bool
 	// list are the routers on the list as last read.
 	list []Member
 	// missing are routers on the list that are not alive.
@@ -127,16 +129,16 @@
 	return strongTurn + time.Duration(rand.Float64()*float64(lastTurn-strongTurn))
 }
 
-// register puts this router on the list when only known others on it can be found.
+// register puts this router on the list when known, the routers on it that can be found, are few.
 //
 // Newcomers need to find some routers; these name the others. So the store's rows and calls
 // don't grow with the fleet.
 func (j *Joiner) register(ctx context.Context, known int) {
-	if j.listed.Load() || known >= registered {
+	if j.listed || known >= registered {
 		return
 	}
 	j.until(ctx, "register", func(ctx context.Context) error { return j.registry.Register(ctx, j.fleet.self) })
-	j.listed.Store(true)
+	j.listed = true
 }
 
 // until repeats step until it is done.
@@ -198,9 +200,9 @@
 // meet takes the list of routers.
 func (j *Joiner) meet(list []Member) {
 	j.list = list
-	j.listed.Store(slices.ContainsFunc(list, func(m Member) bool {
+	j.listed = slices.ContainsFunc(list, func(m Member) bool {
 		return m.Peers == j.fleet.self.Peers && m.Name == j.fleet.self.Name && m.Callers == j.fleet.self.Callers
-	}))
+	})
 	j.fleet.Meet(list)
 	j.read.Store(true)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -30,7 +30,7 @@
 	budget   *placement.Budget
 	suspects *quarantine.List
 	peers    Peers
-	// calls are what is known of calls to plain services.
+	// calls tells how long calls without a prompt take.
 	calls   pace.Calls
 	crowded func() bool
 	overrun func() bool
--- a/pkg/gatewayd/crowd_bench_test.go
+++ b/pkg/gatewayd/crowd_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
 // crowdVariable makes the test's program play the callers and the engine of benchmarks.
@@ -72,11 +73,7 @@
 
 func playEngine(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // a router that breaks off is no fault here
-	h := w.Header()
-	h.Set("Request-Id", r.Header.Get("Request-Id"))
-	h.Set("Content-Type", "text/event-stream")
-	h.Set("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
-	h.Set("Keep-Alive", "timeout=3")
+	platformtest.StreamHead(w.Header(), r)
 	for i := range crowdEvents {
 		fmt.Fprintf(w, "id: %d\ndata: tokens tokens tokens tokens tokens\n\n", i+1)
 		http.NewResponseController(w).Flush()
@@ -133,10 +130,7 @@
 }
 
 // crowdRequest is what every caller sends.
-var crowdRequest = []byte("POST /route-3/2f HTTP/1.1\r\nHost: service.example\r\nRequest-Id: 9c41d07be2a35f68\r\nModel: m\r\n" +
-	"Token-Counts: 1460,80\r\nLength-Hint: 60\r\nPrefix-Hash: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nDeadline-Ms: 12000\r\n" +
-	"Authorization: Bearer key-0\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(crowdBody) + "\r\n\r\n" +
-	string(bytes.Repeat([]byte("x"), crowdBody)))
+var crowdRequest = platformtest.RawRequest(crowdBody)
 
 func (c *caller) ask() error {
 	if c.conn == nil {
--- a/pkg/pace/calls.go
+++ b/pkg/pace/calls.go
@@ -13,7 +13,7 @@
 	leastCalls = 5
 )
 
-// Calls learns how long plain services work on a call. The zero value is ready.
+// Calls learns how long calls without a prompt take, by service. The zero value is ready.
 //
 // Load pattern: calls come in clumps, and all slots of a service are taken for some
 // milliseconds. Where a call is taken to last ten times as long as it does, most of what waits is
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -143,7 +143,7 @@
 	return v
 }
 
-// overPoured is by how much the queue of a plain service exceeds what a call may find, once
+// overPoured is by how much the queue of a service exceeds what a call may find, once
 // what others gave meanwhile is poured over its instances up to top; 0 where it doesn't.
 //
 // Guard: by reports that are as old as a call is long, all routers see room that they have
