Routers without work wake less often

Cause: a router without a request looked at the processor 50 times a second, at its peers' list 20 times and for whom to ask 10 times. Change: 10, 8 and 4 times a second while nothing is served; lateness fades by time and not by look; a stall is told from the planned pause.

--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -83,7 +83,7 @@
 	for ctx.Err() == nil {
 		if w.toldConfig() {
 			rev = 0 // asked again, the store is asked for the whole configuration
-			waiting.For(ctx, followPause)
+			w.follow(ctx)
 			continue
 		}
 		next, err := w.nextConfig(ctx, rev)
@@ -165,7 +165,7 @@
 			// The peers' list is newer than what this watch has seen.
 			rev = w.catalog.InstancesRevision()
 			w.catalog.Settle(time.Now())
-			waiting.For(ctx, followPause)
+			w.follow(ctx)
 			continue
 		}
 		next, err := w.nextInstances(ctx, rev)
@@ -212,8 +212,19 @@
 	}
 }
 
-// followPause is the pause between two looks whether peers still keep the list current.
-const followPause = 100 * time.Millisecond
+// Pauses between two looks whether peers still keep the list current: the shortest one, and the
+// longest one of a router that has just heard of it.
+const (
+	followPause = 100 * time.Millisecond
+	calmPause   = 250 * time.Millisecond
+)
+
+// follow pauses while peers keep the list current. Nothing is to be done before the list is too
+// old, but a role may change meanwhile.
+func (w *Watcher) follow(ctx context.Context) {
+	left := w.mostAge() - w.catalog.InstancesAge(time.Now())
+	waiting.For(ctx, min(calmPause, max(followPause, left)))
+}
 
 // toldConfig reports whether peers tell of newer configurations, or nobody can. They do as long
 // as they keep the list of instances current: each report names both versions. While the store
@@ -228,10 +239,12 @@
 
 // current reports whether the list of instances is known to be current.
 func (w *Watcher) current() bool {
-	most := followerAge + w.duties.Turn()
-	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < most
+	return w.catalog.InstancesRevision() > 0 && w.catalog.InstancesAge(time.Now()) < w.mostAge()
 }
 
+// mostAge is the age from which on the list isn't current.
+func (w *Watcher) mostAge() time.Duration { return followerAge + w.duties.Turn() }
+
 func (w *Watcher) nextInstances(ctx context.Context, after Revision) (Revision, error) {
 	if after == 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -35,8 +35,8 @@
 // Times between two looks whom to ask.
 const (
 	lookEvery = exchangeEvery / 4
-	// idleLook is that of a router without work that is no hub.
-	idleLook = 5 * lookEvery
+	// idleLook is that of a router without work that is no hub: half of its pause.
+	idleLook = memberIdle / 2
 )
 
 // Run exchanges until ctx ends.
@@ -63,10 +63,11 @@
 func (f *Fleet) look(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.last.direct || f.last.hub || !f.idle(now) {
-		return lookEvery
+	f.nextLook = lookEvery
+	if !f.last.direct && !f.last.hub && f.idle(now) {
+		f.nextLook = idleLook
 	}
-	return idleLook
+	return f.nextLook
 }
 
 // due gives the peers that are asked now, and forgets those that are long gone.
@@ -128,13 +129,13 @@
 	return list
 }
 
-// stalledAfter is the pause between two looks that shows a stall.
-const stalledAfter = 10 * lookEvery
+// stalledAfter is how much later than planned a look comes that shows a stall.
+const stalledAfter = 9 * lookEvery
 
 // noticeStall notes that this router stood still when its last look is long past: that it
 // heard of nobody since says nothing of the others.
 func (f *Fleet) noticeStall(now time.Time) {
-	if !f.lastDue.IsZero() && now.Sub(f.lastDue) > stalledAfter {
+	if !f.lastDue.IsZero() && now.Sub(f.lastDue) > max(lookEvery, f.nextLook)+stalledAfter {
 		f.lateAt = now
 	}
 	f.lastDue = now
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -48,6 +48,8 @@
 	// lateAt is when this router was last seen to get too little processor, lastDue when it
 	// last looked whom to ask.
 	lateAt, lastDue time.Time
+	// nextLook is the pause that was planned until the next look; 0 for the usual one.
+	nextLook time.Duration
 	// fromHub is the work of all others as the hub last told it, its uses as told at usesAt.
 	fromHub           *Report
 	fromHubAt, usesAt time.Time
--- a/pkg/gatewayd/pressure.go
+++ b/pkg/gatewayd/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +14,9 @@
 	// pressureLook is the pause between two looks; how late it ends shows how long work waits
 	// for the processor.
 	pressureLook = 20 * time.Millisecond
-	// pressureKept is the part of the last lateness that is kept from look to look: after a
+	// calmLook is that pause while no request is served: nothing waits for the processor then.
+	calmLook = 5 * pressureLook
+	// pressureKept is the part of the last lateness that is kept over pressureLook: after a
 	// second without lateness nothing is left of it.
 	pressureKept = 0.9
 	// pressedLate is the lateness from which on callers should go elsewhere. A host whose
@@ -32,6 +35,8 @@
 	// wait is how long a new connection waits for the processor; nil where nobody measures it.
 	// A timer's goroutine may overtake a thousand others that wait.
 	wait func() time.Duration
+	// calm reports whether no request is served; nil for never.
+	calm func() bool
 	// told is whether the log says that the router is pressed.
 	told bool
 }
@@ -41,17 +46,26 @@
 	tick := time.NewTimer(pressureLook)
 	defer tick.Stop()
 	for began := time.Now(); ; began = time.Now() {
-		tick.Reset(pressureLook)
+		pause := p.pause()
+		tick.Reset(pause)
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			p.observe(max(time.Since(began)-pressureLook, p.waited()))
+			p.observe(max(time.Since(began)-pause, p.waited()), pause)
 			p.tell(l)
 		}
 	}
 }
 
+// pause is the time until the next look.
+func (p *pressure) pause() time.Duration {
+	if p.calm != nil && p.calm() && !p.pressed() {
+		return calmLook
+	}
+	return pressureLook
+}
+
 // waited is how long a new connection waits now.
 func (p *pressure) waited() time.Duration {
 	if p.wait == nil {
@@ -60,9 +74,9 @@
 	return p.wait()
 }
 
-// observe notes how late a look came.
-func (p *pressure) observe(late time.Duration) {
-	kept := time.Duration(float64(p.late.Load()) * pressureKept)
+// observe notes how late a look came that was planned after pause.
+func (p *pressure) observe(late, pause time.Duration) {
+	kept := time.Duration(float64(p.late.Load()) * math.Pow(pressureKept, pause.Seconds()/pressureLook.Seconds()))
 	p.late.Store(int64(max(late, kept)))
 }
 
--- a/pkg/gatewayd/pressure_test.go
+++ b/pkg/gatewayd/pressure_test.go
@@ -11,13 +11,13 @@
 // away while it is late, and take them back soon after.
 func TestPressureComesAndGoes(t *testing.T) {
 	var p pressure
-	p.observe(2 * time.Millisecond)
+	p.observe(2*time.Millisecond, pressureLook)
 	require.False(t, p.pressed())
-	p.observe(100 * time.Millisecond)
+	p.observe(100*time.Millisecond, pressureLook)
 	require.True(t, p.pressed())
-	p.observe(900 * time.Millisecond)
+	p.observe(900*time.Millisecond, pressureLook)
 	for range time.Second / pressureLook {
-		p.observe(0)
+		p.observe(0, pressureLook)
 	}
 	require.False(t, p.pressed())
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -182,6 +182,7 @@
 	callers.server.ConnContext = gateway.WithConn
 	p.faces = append(p.faces, callers)
 	p.pressure.wait = l.Wait
+	p.pressure.calm = func() bool { return p.gateway.Active() == 0 }
 	p.telling.demand.count = func() (accepted, away int64) {
 		refused, closed := l.TurnedAway()
 		return l.Accepted(), refused + closed
