--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -152,7 +152,7 @@
 	}{
 		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{"peers", s.Listen.Peers, p.fleet.Handler()},
-		{"metrics", s.Listen.Metrics, status.Handler(p.status, p.metrics, p.log)},
+		{"metrics", s.Listen.Metrics, p.metricsHandler()},
 		{"entries", s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
 	} {
 		if one.addr == "" {
@@ -167,6 +167,15 @@
 	return nil
 }
 
+// metricsHandler serves metrics and status, and profiles where they are switched on.
+func (p *Process) metricsHandler() http.Handler {
+	h := status.Handler(p.status, p.metrics, p.log)
+	if p.settings.Load().Listen.Profile {
+		return status.WithProfiles(h)
+	}
+	return h
+}
+
 // bindCallers listens for callers.
 func (p *Process) bindCallers(addr string) error {
 	tcp, err := listen(addr)
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -41,6 +41,8 @@
 	Entries   string `yaml:"entries"`
 	// Metrics serves counters and histograms; empty for none.
 	Metrics string `yaml:"metrics"`
+	// Profile serves profiles of the process beside the metrics.
+	Profile bool `yaml:"profile"`
 }
 
 // AdvertiseSettings are the addresses under which others reach the router, each IP:port;
--- a/pkg/status/handler.go
+++ b/pkg/status/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"html/template"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/apex/log"
 	"github.com/gorilla/mux"
@@ -19,6 +20,8 @@
 const (
 	PathJSON    = "/status"
 	PathMetrics = "/metrics"
+	// PathProfile is where profiles of the process are taken, if that is switched on.
+	PathProfile = "/debug/pprof/"
 )
 
 // Handler serves the newest status as JSON on PathJSON and as a page on /, and metrics on
@@ -37,6 +40,15 @@
 	return r
 }
 
+// WithProfiles adds the runtime's profiles of the process to h.
+func WithProfiles(h http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	mux.HandleFunc(PathProfile, pprof.Index)
+	mux.HandleFunc(PathProfile+"profile", pprof.Profile)
+	return mux
+}
+
 // unsent logs an answer that could not be sent; its reader is usually gone.
 func unsent(l log.Interface, err error) {
 	if err != nil {
