--- /dev/null
+++ b/internal/waiting/aligned_test.go
@@ -0,0 +1,18 @@
+package waiting
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAlignedPausesEndTogether(t *testing.T) {
+	const every = 250 * time.Millisecond
+	for _, at := range []time.Duration{0, time.Millisecond, 249 * time.Millisecond, 250 * time.Millisecond, time.Hour + 7*time.Millisecond} {
+		pause := Aligned(started.Add(at), every)
+		require.Positive(t, pause)
+		require.LessOrEqual(t, pause, every)
+		require.Zero(t, (at+pause)%every)
+	}
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -212,18 +212,22 @@
 	}
 }
 
-// Pauses between two looks whether peers still keep the list current: the shortest one, and the
-// longest one of a router that has just heard of it.
+// Pauses between two looks whether peers still keep the list current: of a list that is soon too
+// old, and of others.
 const (
 	followPause = 100 * time.Millisecond
 	calmPause   = 250 * time.Millisecond
 )
 
 // follow pauses while peers keep the list current. Nothing is to be done before the list is too
-// old, but a role may change meanwhile.
+// old, but the router's duties may change meanwhile.
 func (w *Watcher) follow(ctx context.Context) {
-	left := w.mostAge() - w.catalog.InstancesAge(time.Now())
-	waiting.For(ctx, min(calmPause, max(followPause, left)))
+	now := time.Now()
+	if w.mostAge()-w.catalog.InstancesAge(now) < calmPause {
+		waiting.For(ctx, followPause)
+		return
+	}
+	waiting.For(ctx, waiting.Aligned(now, calmPause))
 }
 
 // toldConfig reports whether peers tell of newer configurations, or nobody can. They do as long
--- a/pkg/fleet/duty.go
+++ b/pkg/fleet/duty.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/internal/waiting"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
@@ -65,7 +66,7 @@
 	defer f.mu.Unlock()
 	f.nextLook = lookEvery
 	if !f.last.direct && !f.last.hub && f.idle(now) {
-		f.nextLook = idleLook
+		f.nextLook = waiting.Aligned(now, idleLook)
 	}
 	return f.nextLook
 }
--- a/pkg/gatewayd/pressure.go
+++ b/pkg/gatewayd/pressure.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
 )
 
 // Figures of pressure.
@@ -15,7 +17,7 @@
 	// for the processor.
 	pressureLook = 20 * time.Millisecond
 	// calmLook is that pause while no request is served: nothing waits for the processor then.
-	calmLook = 5 * pressureLook
+	calmLook = 250 * time.Millisecond
 	// pressureKept is the part of the last lateness that is kept over pressureLook: after a
 	// second without lateness nothing is left of it.
 	pressureKept = 0.9
@@ -61,7 +63,7 @@
 // pause is the time until the next look.
 func (p *pressure) pause() time.Duration {
 	if p.calm != nil && p.calm() && !p.pressed() {
-		return calmLook
+		return waiting.Aligned(time.Now(), calmLook)
 	}
 	return pressureLook
 }
