Logs tell why a departed upstream was still used

The record couldn't tell its hypotheses apart: a router that took a peer's whole list logged no change of an upstream, nothing said which upstreams were kept after an outage, a lost dependency didn't say how long its call had waited, and an attempt didn't say which list it went by. No decision changes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -34,8 +34,9 @@
 	restored func(zones []string, at time.Time)
 	// restorations are those of the last while, one for each zone at most.
 	restorations []Restoration
-	// faults counts entries that can't be used.
-	faults int64
+	// faults counts entries that can't be used, holds instances that were kept though they were
+	// missing from the list.
+	faults, holds int64
 }
 
 // New returns an empty catalog.
@@ -150,12 +151,18 @@
 	if c.revision > 0 && now.Sub(c.heard) > outage {
 		c.lapsed.open(now)
 	}
-	known, old := c.heard, c.set.Load()
+	known, old, first := c.heard, c.set.Load(), c.revision == 0
 	c.revision, c.heard, c.changed = rev, asOf, rev
-	c.put(upstream.NewSet(append(list, c.lapsed.missing(old, list, now)...)), known)
-	c.logChanges(newLives(old, list), rev, source)
-	c.logUnusable(newFaults(old, list), rev, source)
-	c.log.WithFields(log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}).Info("list of instances read")
+	held := c.lapsed.missing(old, list, now)
+	next := upstream.NewSet(append(list, held...))
+	c.put(next, known)
+	c.logChanges(differences(old, next, first), rev, source)
+	fields := log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}
+	if !first {
+		fields["silent_ms"] = now.Sub(known).Milliseconds()
+	}
+	c.log.WithFields(fields).Info("list of instances read")
+	c.logHeld(held, now, source)
 }
 
 // Settle takes instances that stay missing off the list.
@@ -181,7 +188,8 @@
 	}
 	known := c.heard
 	c.revision, c.heard = rev, time.Now()
-	in := c.lapsed.filter(c.set.Load(), changes, c.heard)
+	in, held := c.lapsed.filter(c.set.Load(), changes, c.heard)
+	c.logHeld(held, c.heard, source)
 	next, differs := c.set.Load().Apply(in)
 	if differs || len(in) < len(changes) {
 		c.changed = rev // also by removals that are held back here
--- a/pkg/catalog/dependency.go
+++ b/pkg/catalog/dependency.go
@@ -19,7 +19,8 @@
 	return &dependency{name: name, log: l, since: time.Now()}
 }
 
-func (d *dependency) observe(err error) {
+// observe takes the outcome of a call that was begun at asked.
+func (d *dependency) observe(err error, asked time.Time) {
 	if errors.Is(err, ErrHistoryGone) {
 		d.log.WithFields(log.Fields{"event": "history_gone", "dependency": d.name}).Info("history is gone, reading the whole table")
 		return
@@ -33,6 +34,7 @@
 	d.lost, d.since = lost, now
 	if lost {
 		fields["event"] = "dependency_lost"
+		fields["waited_ms"] = now.Sub(asked).Milliseconds()
 		d.log.WithFields(fields).WithError(err).Warn("dependency lost")
 		return
 	}
--- a/pkg/catalog/entrylog.go
+++ b/pkg/catalog/entrylog.go
@@ -43,28 +43,21 @@
 	}
 }
 
-// newFaults gives the entries of list that can't be used and were not the same in old.
-func newFaults(old *upstream.Set, list []upstream.Instance) []upstream.Instance {
-	var fresh []upstream.Instance
-	for _, in := range list {
-		before := old.Get(in.ID)
-		if in.State == upstream.Unusable && (before == nil || *before != in) {
-			fresh = append(fresh, in)
+// differences gives what a whole list tells that wasn't known; of the first one only the entries
+// that can't be used, as nothing was known before it.
+func differences(old, next *upstream.Set, first bool) []upstream.Change {
+	var all []upstream.Change
+	for _, in := range next.List() {
+		if !first || in.State == upstream.Unusable {
+			all = append(all, upstream.Change{Instance: in})
 		}
 	}
-	return fresh
-}
-
-// newLives gives the entries of list that are another life of an instance of old.
-func newLives(old *upstream.Set, list []upstream.Instance) []upstream.Change {
-	var fresh []upstream.Change
-	for _, in := range list {
-		before := old.Get(in.ID)
-		if before != nil && in.State != upstream.Unusable && before.Life() != in.Life() {
-			fresh = append(fresh, upstream.Change{Instance: in})
+	for _, in := range old.List() {
+		if next.Get(in.ID) == nil {
+			all = append(all, upstream.Change{Instance: upstream.Instance{ID: in.ID}, Gone: true})
 		}
 	}
-	return fresh
+	return news(old, all)
 }
 
 // Faults is how often an entry of the list changed to one that can't be used.
--- a/pkg/catalog/entrylog_test.go
+++ b/pkg/catalog/entrylog_test.go
@@ -81,3 +81,13 @@
 		require.EqualValues(t, 1, set.Get("a").Born)
 	})
 }
+
+// Guards against departures that a router learns from a peer's whole list and that its log never names.
+func TestDeparturesInWholeListsAreLogged(t *testing.T) {
+	l, h := quiet()
+	c := New(l)
+	c.Replace([]upstream.Instance{{ID: "a", State: upstream.Ready}, {ID: "b", State: upstream.Ready}, {ID: "c"}}, 1, time.Now(), "store")
+	require.Zero(t, h.count("instance_changed"), "nothing was known before")
+	c.Replace([]upstream.Instance{{ID: "a", State: upstream.Draining}, {ID: "c"}}, 2, time.Now(), "peer")
+	require.Equal(t, 2, h.count("instance_changed"), "one drains, one is gone")
+}
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -52,23 +52,24 @@
 //
 // Guard: an entry that is back as the grace ends must not be taken away by its end. It changes
 // nothing in the list, so nobody would notice that it is missing from then on.
-func (l *lapsed) filter(old *upstream.Set, changes []upstream.Change, now time.Time) []upstream.Change {
+func (l *lapsed) filter(old *upstream.Set, changes []upstream.Change, now time.Time) (in []upstream.Change, held []upstream.Instance) {
 	if !now.Before(l.until) {
 		for _, c := range changes {
 			delete(l.ids, c.Instance.ID)
 		}
-		return changes
+		return changes, nil
 	}
 	kept := make([]upstream.Change, 0, len(changes))
 	for _, c := range changes {
-		if c.Gone && old.Get(c.Instance.ID) != nil {
+		if was := old.Get(c.Instance.ID); c.Gone && was != nil {
 			l.ids[c.Instance.ID] = true
+			held = append(held, *was)
 			continue
 		}
 		delete(l.ids, c.Instance.ID)
 		kept = append(kept, c)
 	}
-	return kept
+	return kept, held
 }
 
 // settle gives the removals that are due once the grace is over.
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -88,8 +88,9 @@
 			w.follow(ctx)
 			continue
 		}
+		asked := time.Now()
 		next, err := w.nextConfig(ctx, rev)
-		dep.observe(err)
+		dep.observe(err, asked)
 		if err == nil && next > 0 {
 			failures.Succeeded()
 			rev = next
@@ -144,8 +145,9 @@
 			w.follow(ctx)
 			continue
 		}
+		asked := time.Now()
 		next, err := w.nextInstances(ctx, rev)
-		dep.observe(err)
+		dep.observe(err, asked)
 		w.catalog.Settle(time.Now())
 		_, pause := w.pace()
 		lost := err != nil && !errors.Is(err, ErrHistoryGone)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -147,6 +147,7 @@
 		Shared: sharedTokens(r), UnseenMs: choice.Unseen.Given.Milliseconds(), started: now,
 	})
 	st := &r.trail.steps[len(r.trail.steps)-1]
+	st.basis(g.catalog.Basis(in.ID, now))
 	entry := g.ledger.Begin(in.Life(), g.work(r, choice))
 	defer entry.End()
 	reading := g.beginReading(r, choice, now)
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -22,8 +23,13 @@
 	// UnseenMs is what other routers were expected to have given to all instances of the service
 	// since the loads that were known of, in milliseconds.
 	UnseenMs int64 `json:"unseen_ms,omitempty"`
-	FirstMs  int64 `json:"first_ms,omitempty"`
-	Events   int   `json:"events,omitempty"`
+	// Revision is that of the list of instances that the attempt went by, ListAgeMs the list's age.
+	Revision  int64 `json:"revision"`
+	ListAgeMs int64 `json:"list_age_ms,omitempty"`
+	// Held is whether the instance was missing from that list and was kept after an outage.
+	Held    bool  `json:"held,omitempty"`
+	FirstMs int64 `json:"first_ms,omitempty"`
+	Events  int   `json:"events,omitempty"`
 	// Fetched is the number of prompt tokens that were to be fetched from another engine.
 	Fetched int `json:"fetched_tokens,omitempty"`
 	// Risk is the part of the streams beside it that its reading was expected to make late.
@@ -35,6 +41,11 @@
 	started time.Time
 }
 
+// basis notes which list the attempt goes by.
+func (s *step) basis(b catalog.Basis) {
+	s.Revision, s.ListAgeMs, s.Held = int64(b.Revision), b.Age.Milliseconds(), b.Held
+}
+
 // decided is what the last choice of an instance went by.
 type decided struct {
 	// Candidates is the number of instances that could be given the request.
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -71,6 +71,8 @@
 	dropped   drops
 	calls     storeCalls
 	faults    *entryFaults
+	// holds counts upstreams that were kept though they were missing from the list.
+	holds holds
 	// turnedAway tells of callers' connections that were not let in.
 	turnedAway turnedAway
 	// handover passes callers' connections on, nil where it doesn't.
@@ -104,6 +106,7 @@
 	p.calls = storeCalls{count: d.StoreCalls, scope: p.metrics.Scope, log: l}
 	p.uses = uses{shares: shares, capacity: p.capacity, log: l}
 	p.faults = newEntryFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
+	p.holds = holds{count: p.catalog.Holds, counter: p.metrics.Scope.Counter("upstreams_held")}
 	p.warmup = warmup.NewGate(p.roster, p.listCurrent, l)
 	p.tuneWarmup(s)
 	p.catalog.Follow(func(set *upstream.Set, known time.Time) {
@@ -289,6 +292,7 @@
 			p.dropped.tell()
 			p.calls.tell()
 			p.faults.tell()
+			p.holds.tell()
 			p.turnedAway.tell()
 			p.handed.tell()
 			p.uses.tell(now)
