--- /dev/null
+++ b/pkg/catalog/departures_test.go
@@ -0,0 +1,105 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// contactLimit is the time after the end of a disturbance from which on a router's list has to be
+// current.
+const contactLimit = 3 * time.Second
+
+// ready gives n ready instances of a service.
+func ready(service string, n int) []upstream.Instance {
+	list := make([]upstream.Instance, n)
+	for i := range list {
+		list[i] = upstream.Instance{ID: upstream.ID(fmt.Sprint(service, i)), Service: service, State: upstream.Ready}
+	}
+	return list
+}
+
+func removal(in upstream.Instance) []upstream.Change {
+	return []upstream.Change{{Instance: upstream.Instance{ID: in.ID}, Gone: true}}
+}
+
+// Guards against a departure that is held back as a lapse, as the router alone was away.
+func TestDeparturesBehindACutAreNoLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := ready("s", 10)
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: all, rev: 5, patient: true}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(8 * time.Second)
+		s.set(func() { s.down, s.instances, s.rev = false, all[1:], 9 })
+		time.Sleep(500 * time.Millisecond)
+		require.Nil(t, c.Instances().Get(all[0].ID), "the store was there: nine of ten are on its list")
+		require.Len(t, c.Instances().Of("s"), 9)
+	})
+}
+
+// Guards against a removal after the router's return that is held back as a lapse.
+func TestRemovalsAfterAReturnAreNoLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := ready("s", 10)
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: all, rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(8 * time.Second)
+		s.set(func() { s.down, s.rev = false, 9 })
+		time.Sleep(400 * time.Millisecond)
+		s.set(func() { s.changes, s.rev = removal(all[0]), 10 })
+		time.Sleep(instancesPause + 200*time.Millisecond)
+		require.Nil(t, c.Instances().Get(all[0].ID))
+	})
+}
+
+// Guards against a grace that ends with the next answer of the store in place of its own time.
+func TestTheGraceEndsOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := ready("s", 10)
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: all, rev: 5, patient: true, prompt: true}
+		c, _ := start(t, s)
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(8 * time.Second)
+		s.set(func() { s.down, s.instances, s.rev = false, nil, 9 })
+		for c.InstancesRevision() < 9 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Len(t, c.Instances().Of("s"), 10, "all lapsed")
+		// An answer just before the end of the grace begins a pause and then a question.
+		time.Sleep(lapseGrace - instancesPause)
+		s.set(func() { s.changes, s.rev = []upstream.Change{{Instance: all[0]}}, 10 })
+		time.Sleep(instancesPause + 100*time.Millisecond)
+		require.Len(t, c.Instances().Of("s"), 1, "the others stayed away")
+	})
+}
+
+// Guards against a departure that is not known in time, as connections to the store went silent.
+func TestDeparturesAreKnownInTimeThoughConnectionsWentSilent(t *testing.T) {
+	for after := time.Duration(0); after < 4*time.Second; after += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			all := ready("s", 10)
+			s := &fakeStore{config: &routing.Config{Version: 1}, instances: all, rev: 5, patient: true, prompt: true}
+			c, _ := start(t, s)
+			time.Sleep(3*time.Second + after)
+			leaving := append(ready("s", 10)[1:], upstream.Instance{ID: all[0].ID, Service: "s", State: upstream.Draining})
+			s.set(func() {
+				s.silenced = time.Now() // an open question gets no answer, nor does the next on its connection
+				s.instances, s.rev = leaving, 6
+				s.changes = []upstream.Change{{Instance: leaving[9]}}
+			})
+			time.Sleep(contactLimit)
+			require.Equal(t, upstream.Draining, c.Instances().Get(all[0].ID).State, "silent since %v", after)
+		})
+	}
+}
--- a/pkg/catalog/fake_test.go
+++ b/pkg/catalog/fake_test.go
@@ -51,6 +51,32 @@
 	// mute leaves calls that come without an answer for good, as a connection that died in
 	// silence does.
 	mute bool
+	// prompt makes a patient question end with the first news.
+	prompt bool
+	// silenced is when the kept connection went silent; zero while it answers.
+	silenced time.Time
+}
+
+// onSilent reports whether a question is on the connection that went silent. The one after it has a new connection.
+func (s *fakeStore) onSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := !s.silenced.IsZero()
+	s.silenced = time.Time{}
+	return silent
+}
+
+// waitForNews waits until there is something newer than after, for wait at most.
+func (s *fakeStore) waitForNews(ctx context.Context, after Revision, wait time.Duration) {
+	const look = 10 * time.Millisecond
+	for begun := time.Now(); time.Since(begun) < wait && ctx.Err() == nil; waiting.For(ctx, look) {
+		s.mu.Lock()
+		news := s.prompt && (after < s.rev || !s.silenced.IsZero())
+		s.mu.Unlock()
+		if news {
+			return
+		}
+	}
 }
 
 func (s *fakeStore) answers(ctx context.Context) error {
@@ -154,7 +180,15 @@
 		wait = min(wait, 100*time.Millisecond)
 	}
 	s.mu.Unlock()
-	waiting.For(ctx, wait)
+	if s.prompt {
+		s.waitForNews(ctx, after, wait)
+	} else {
+		waiting.For(ctx, wait)
+	}
+	if s.onSilent() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refusal(ctx, after); err != nil {
