A departure that a router missed is no lapse of the store

Cause: a router that heard nothing for 3 s took whatever was missing from the next list for entries that had lapsed with the store, also where the router alone had been away, and kept it for 2 s, counted from its own return and ended by the store's next answer, up to 2.7 s late. Class: one's own silence is taken for another's.

Now the silence is judged by the store's contact: spans in which some router heard it without a break.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -28,6 +28,10 @@
 	heard time.Time
 	// lapsed are instances that are missing from the list since the store came back.
 	lapsed lapsed
+	// contact is when the store was heard, by this router or another one.
+	contact Contact
+	// graceEnd takes what stays missing off the list; nil before the first outage.
+	graceEnd *time.Timer
 	// follow takes each new list, see Follow.
 	follow func(set *upstream.Set, known time.Time)
 	// restored takes zones that are no longer evacuated, see FollowRestored.
@@ -115,6 +119,7 @@
 	if asOf.After(c.heard) {
 		c.heard = asOf
 	}
+	c.vouch(Contact{Since: asOf, Until: asOf})
 }
 
 // InstancesAge is the time since the list of instances was last known to be current.
@@ -147,11 +152,9 @@
 	if rev < c.revision {
 		return
 	}
-	now := time.Now()
-	if c.revision > 0 && now.Sub(c.heard) > outage {
-		c.lapsed.open(now)
-	}
-	known, old, first := c.heard, c.set.Load(), c.revision == 0
+	now, known, first := time.Now(), c.heard, c.revision == 0
+	c.hear(asOf)
+	old := c.set.Load()
 	c.revision, c.heard, c.changed = rev, asOf, rev
 	held := c.lapsed.missing(old, list, now)
 	next := upstream.NewSet(append(list, held...))
@@ -165,20 +168,6 @@
 	c.logHeld(held, now, source)
 }
 
-// Settle takes instances that stay missing off the list.
-func (c *Catalog) Settle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	gone := c.lapsed.settle(now)
-	if len(gone) == 0 {
-		return
-	}
-	next, _ := c.set.Load().Apply(gone)
-	c.changed = c.revision
-	c.put(next, c.heard)
-	c.logChanges(gone, c.revision, "grace after an outage")
-}
-
 // Apply takes changes that lead from after to rev; others are passed over.
 func (c *Catalog) Apply(changes []upstream.Change, after, rev Revision, source string) {
 	c.mu.Lock()
@@ -186,18 +175,19 @@
 	if after > c.revision || rev < c.revision {
 		return
 	}
-	known := c.heard
-	c.revision, c.heard = rev, time.Now()
-	in, held := c.lapsed.filter(c.set.Load(), changes, c.heard)
-	c.logHeld(held, c.heard, source)
+	known, now := c.heard, time.Now()
+	c.hear(now)
+	c.revision, c.heard = rev, now
+	in, held := c.lapsed.filter(c.set.Load(), changes, now)
+	c.logHeld(held, now, source)
 	next, differs := c.set.Load().Apply(in)
 	if differs || len(in) < len(changes) {
 		c.changed = rev // also by removals that are held back here
 	}
-	if !differs {
-		return
+	if differs {
+		changed := news(c.set.Load(), in)
+		c.put(next, known)
+		c.logChanges(changed, rev, source)
 	}
-	changed := news(c.set.Load(), in)
-	c.put(next, known)
-	c.logChanges(changed, rev, source)
+	c.settle(now)
 }
--- /dev/null
+++ b/pkg/catalog/contact_test.go
@@ -0,0 +1,45 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a silence of the store that joined contacts hide.
+func TestJoinedContactsHideNoOutage(t *testing.T) {
+	start := time.Unix(0, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		// The store answers at these times; each router hears some of the answers.
+		answers := rapid.SliceOfN(rapid.IntRange(0, 600), 1, 60).Draw(t, "answers")
+		at := func(tenths int) time.Time { return start.Add(time.Duration(tenths) * 100 * time.Millisecond) }
+		var routers [3]Contact
+		heard := make(map[int]bool)
+		for tenth := range 601 {
+			for _, a := range answers {
+				if a == tenth {
+					i := rapid.IntRange(0, len(routers)-1).Draw(t, "router")
+					routers[i] = routers[i].join(Contact{Since: at(a), Until: at(a)})
+					heard[a] = true
+				}
+			}
+			i, j := rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to")
+			routers[j] = routers[j].join(routers[i])
+			for _, r := range routers {
+				if r.Until.IsZero() {
+					continue
+				}
+				last := r.Since
+				for step := r.Since; !step.After(r.Until); step = step.Add(100 * time.Millisecond) {
+					if heard[int(step.Sub(start)/(100*time.Millisecond))] {
+						require.Less(t, step.Sub(last), outage)
+						last = step
+					}
+				}
+				require.Equal(t, r.Until, last, "ends with an answer")
+			}
+		}
+	})
+}
--- a/pkg/catalog/departures_test.go
+++ b/pkg/catalog/departures_test.go
@@ -103,3 +103,47 @@
 		})
 	}
 }
+
+// Guards against a grace that goes on though other routers heard the store all the while.
+func TestPeersThatHeardTheStoreEndAGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, first := range map[string]bool{"told before the list": true, "told after it": false} {
+			l, _ := quiet()
+			c := New(l)
+			all := ready("s", 3)
+			c.Replace(all, 1, time.Now(), "store")
+			began := time.Now()
+			time.Sleep(8 * time.Second)
+			told := func() { c.Vouch(Contact{Since: began.Add(-time.Minute), Until: time.Now()}) }
+			if first {
+				told()
+			}
+			c.Replace(all[2:], 9, time.Now(), "store")
+			if !first {
+				require.Len(t, c.Instances().Of("s"), 3, "nobody knows of the store")
+				told()
+			}
+			require.Len(t, c.Instances().Of("s"), 1, name)
+		}
+	})
+}
+
+// Guards against instances that are given up, as a peer heard the store a part of the time.
+func TestPeersThatLostTheStoreTooEndNoGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		c := New(l)
+		all := ready("s", 3)
+		c.Replace(all, 1, time.Now(), "store")
+		began := time.Now()
+		time.Sleep(8 * time.Second)
+		c.Vouch(Contact{Since: began.Add(-time.Minute), Until: began.Add(2 * time.Second)})
+		back := time.Now().Add(-time.Second)
+		c.Vouch(Contact{Since: back, Until: time.Now()})
+		c.Replace(all[2:], 9, time.Now(), "store")
+		require.Len(t, c.Instances().Of("s"), 3, "they may have lapsed")
+		time.Sleep(time.Until(back.Add(lapseGrace)))
+		synctest.Wait()
+		require.Len(t, c.Instances().Of("s"), 1, "the grace began with the store's return")
+	})
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -141,14 +141,12 @@
 		if w.followed() {
 			// The peers' list is newer than what this watch has seen.
 			rev = w.catalog.InstancesRevision()
-			w.catalog.Settle(time.Now())
 			w.follow(ctx)
 			continue
 		}
 		asked := time.Now()
 		next, err := w.nextInstances(ctx, rev)
 		dep.observe(err, asked)
-		w.catalog.Settle(time.Now())
 		_, pause := w.pace()
 		lost := err != nil && !errors.Is(err, ErrHistoryGone)
 		w.away.Store(lost)
