Reports tell when the store was heard

A router that was away knows from its peers whether the store was there all the while: then whatever is missing from its list has left, also where that is most of a small service. Before, the catalog took such spans (TestPeersThatHeardTheStoreEndAGrace) and nobody told them (TestReportsTellOfTheStore).

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -144,13 +144,16 @@
 		f.local.Work(total)
 	}
 	f.local.Evacuated(r.From, r.Evacuated, r.EvacuatedAt, r.Restored)
+	if r.Store != nil {
+		f.local.StoreHeard(r.Store.span(made, now))
+	}
 	f.local.Behind(r.From, r.Config, r.Instances, made.Add(-time.Duration(r.ListAgeMs)*time.Millisecond))
 }
 
 // keep keeps what r says of work, without what is taken over at once.
 func (f *Fleet) keep(p *peer, r *Report, now time.Time) {
 	kept := *r
-	kept.Read, kept.Others, kept.Suspects, kept.Entries, kept.Evacuated, kept.Restored = nil, nil, nil, nil, nil, nil
+	kept.Read, kept.Others, kept.Suspects, kept.Entries, kept.Evacuated, kept.Restored, kept.Store = nil, nil, nil, nil, nil, nil, nil
 	if r.Scope == ScopeAll {
 		f.keepUses(&kept, now)
 		f.fromHub, f.fromHubAt = &kept, now
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -34,8 +34,12 @@
 	// evacuated are the evacuated zones that the router knows of, as of evacuatedAt.
 	evacuated   []string
 	evacuatedAt int64
-	heard       chan struct{}
-	late        bool
+	// storeSince and storeUntil are the contact with the store that the router was told of, told
+	// the one that it tells.
+	storeSince, storeUntil time.Time
+	told                   *StoreContact
+	heard                  chan struct{}
+	late                   bool
 
 	fleet *Fleet
 	duty  *Duty
@@ -48,6 +52,7 @@
 	rep.Uses = append([]Use{{Organisation: "org", Asked: 10, Got: 5}}, r.traffic...)
 	rep.Evacuated, rep.EvacuatedAt = r.evacuated, r.evacuatedAt
 	rep.Inflows = []Inflow{{Service: "llm", Rate: 2}}
+	rep.Store = r.told
 }
 
 // readyPeers are the other routers that callers may be sent to.
@@ -75,6 +80,12 @@
 	r.others, r.uses, r.inflows = w.Loads, w.Uses, w.Inflows
 }
 
+func (r *router) StoreHeard(since, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeSince, r.storeUntil = since, until
+}
+
 func (r *router) Evacuated(_ Member, zones []string, revision int64, _ []RestoredZone) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -23,6 +23,9 @@
 	// Evacuated takes the evacuated zones that another router knows of, and those that were
 	// restored lately.
 	Evacuated(peer Member, zones []string, revision int64, restored []RestoredZone)
+	// StoreHeard is told of a span in which another router heard the operators' store without a
+	// break.
+	StoreHeard(since, until time.Time)
 	// Behind is told which configuration and list a peer has, and that its list was current
 	// at asOf.
 	Behind(peer Member, config, instances int64, asOf time.Time)
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -58,6 +58,8 @@
 	EvacuatedAt int64    `cbor:"27,keyasint,omitempty"`
 	// Restored are the zones whose evacuation ended lately.
 	Restored []RestoredZone `cbor:"28,keyasint,omitempty"`
+	// Store is when the operators' store was heard, as far as the sender knows; nil where it wasn't.
+	Store *StoreContact `cbor:"29,keyasint,omitempty"`
 }
 
 // RestoredZone is an availability zone that is no longer evacuated.
--- /dev/null
+++ b/pkg/fleet/storecontact_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against spans that grow as routers tell each other, or by ages that can't be.
+func TestToldContactsNeverGrow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		since, until, now := start, start.Add(time.Second), start.Add(time.Second)
+		for range rapid.IntRange(1, 200).Draw(t, "exchanges") {
+			made := now.Add(time.Duration(rapid.IntRange(0, 500_000).Draw(t, "pause")) * time.Microsecond)
+			now = made.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "under way")) * time.Microsecond)
+			since, until = NewStoreContact(since, until, made).span(made, now)
+			require.False(t, since.Before(start))
+			require.False(t, until.After(start.Add(time.Second)))
+		}
+	})
+	now := time.Unix(10_000, 0)
+	for _, ms := range []int64{math.MinInt64, -1, 0, math.MaxInt64} {
+		since, until := (&StoreContact{SinceMs: ms, AgeMs: ms}).span(now, now)
+		require.False(t, since.After(now) || until.After(now), ms)
+		require.False(t, since.Before(now.Add(-time.Hour)), ms)
+	}
+	require.Nil(t, NewStoreContact(time.Time{}, time.Time{}, now))
+}
+
+// Guards against reports that don't tell of the store.
+func TestReportsTellOfTheStore(t *testing.T) {
+	a, b := newRouter(t, "a", []byte("secret")), newRouter(t, "b", []byte("secret"))
+	a.told = &StoreContact{SinceMs: 9000, AgeMs: 100}
+	now := time.Now()
+	report, _ := a.fleet.describe(false)
+	b.fleet.incoming(&report, now)
+	require.WithinDuration(t, now.Add(-9*time.Second), b.storeSince, time.Second)
+	require.Equal(t, now.Add(-100*time.Millisecond), b.storeUntil)
+}
--- a/pkg/gatewayd/telling.go
+++ b/pkg/gatewayd/telling.go
@@ -49,6 +49,8 @@
 	r.Ready, r.Pressed = t.ready(), t.pressed()
 	r.Config, r.Instances = t.catalog.Version(), int64(t.catalog.InstancesRevision())
 	r.ListAgeMs = t.catalog.InstancesAge(time.Now()).Milliseconds()
+	contact := t.catalog.Contact()
+	r.Store = fleet.NewStoreContact(contact.Since, contact.Until, time.Now())
 	evacuations := t.catalog.Evacuations()
 	r.Evacuated, r.EvacuatedAt = evacuations.Zones, int64(evacuations.Revision)
 	r.Restored = encodeRestorations(t.catalog, time.Now())
@@ -172,6 +174,11 @@
 	}
 }
 
+// StoreHeard takes when another router heard the operators' store.
+func (t *telling) StoreHeard(since, until time.Time) {
+	t.catalog.Vouch(catalog.Contact{Since: since, Until: until})
+}
+
 // Behind notes a peer that knows more. The channel holds one: while a peer is asked,
 // further ones are not needed, and reports come again.
 //
