--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -18,8 +18,11 @@
 	// the longest that the store allows. Longer waits cost fewer calls; a connection that
 	// died is noticed by its own keep-alive.
 	configWait = 25 * time.Second
-	// instancesWait is how long one question for changed instances stays open.
-	instancesWait = 2 * time.Second
+	// instancesWait is how long one question for changed instances stays open, answerTimeout how
+	// much later its answer may come. With the pauses they bound how long it takes to notice that
+	// the connection went silent; a router's news must not be older than three seconds then.
+	instancesWait = 1400 * time.Millisecond
+	answerTimeout = 500 * time.Millisecond
 	// instancesPause is the pause between two questions: heartbeats change rows all the
 	// time, and asking without pause would cost a call for each. It stays well under the
 	// two seconds in which a leaving upstream must be left alone.
@@ -237,7 +240,7 @@
 		return rev, nil
 	}
 	wait, _ := w.pace()
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	changes, rev, err := w.store.InstancesAfter(ctx, after, wait)
 	if err != nil {
