Lists at one revision agree: an entry that was gone and is back is news

A router whose question spans a removal and the entry's return sees no difference and said that nothing had changed, to others that had read the list in between; they lacked the upstream until it changed again (or, where it left next, a router could hold its list for current without it). The same for an instance that was held here. Now every change that is told moves the revision from which on the list is known to be the same.

--- /dev/null
+++ b/pkg/catalog/agree_test.go
@@ -0,0 +1,157 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// history is what a store was told, by revision.
+type history struct {
+	states []map[upstream.ID]upstream.Instance
+}
+
+func (h *history) newest() Revision { return Revision(len(h.states)) }
+
+func (h *history) at(rev Revision) map[upstream.ID]upstream.Instance { return h.states[rev-1] }
+
+func (h *history) list(rev Revision) []upstream.Instance {
+	return slices.Collect(maps.Values(h.at(rev)))
+}
+
+// write puts an instance into the list, or takes it off.
+func (h *history) write(id upstream.ID, in *upstream.Instance) {
+	next := maps.Clone(h.at(h.newest()))
+	delete(next, id)
+	if in != nil {
+		next[id] = *in
+	}
+	h.states = append(h.states, next)
+}
+
+// changes leads from one revision to another: the newest entry of each row that was written.
+func (h *history) changes(after, rev Revision) []upstream.Change {
+	var list []upstream.Change
+	written := make(map[upstream.ID]bool)
+	for r := after + 1; r <= rev; r++ {
+		for id := range h.at(r) {
+			if h.at(r)[id] != h.at(r - 1)[id] {
+				written[id] = true
+			}
+		}
+		for id := range h.at(r - 1) {
+			if _, there := h.at(r)[id]; !there {
+				written[id] = true
+			}
+		}
+	}
+	for id := range written {
+		if in, there := h.at(rev)[id]; there {
+			list = append(list, upstream.Change{Instance: in})
+		} else {
+			list = append(list, removed(id))
+		}
+	}
+	return list
+}
+
+// move is a step of a play: what is done, by whom, and how.
+type move struct{ what, router, peer, id, state, pause int }
+
+func drawMove(t *rapid.T) move {
+	return move{what: rapid.IntRange(0, 6).Draw(t, "what"), router: rapid.IntRange(0, 2).Draw(t, "router"), peer: rapid.IntRange(0, 2).Draw(t, "peer"),
+		id: rapid.IntRange(0, 4).Draw(t, "id"), state: rapid.IntRange(0, 5).Draw(t, "state"), pause: rapid.IntRange(0, 5000).Draw(t, "pause")}
+}
+
+func (h *history) play(m move, routers []*Catalog) {
+	c, now := routers[m.router], time.Now()
+	rev := c.InstancesRevision()
+	switch m.what {
+	case 0, 1:
+		id, states := upstream.ID(fmt.Sprint(m.id)), []upstream.State{upstream.Ready, upstream.Ready, upstream.Draining, upstream.Unusable}
+		if m.state < len(states) {
+			h.write(id, &upstream.Instance{ID: id, Service: "s", State: states[m.state]})
+		} else {
+			h.write(id, nil)
+		}
+	case 2:
+		c.Replace(h.list(h.newest()), h.newest(), now, "store")
+	case 3:
+		if after := rev - Revision(m.id); after > 0 {
+			c.Apply(h.changes(after, h.newest()), after, h.newest(), "store")
+		}
+	case 4:
+		h.ask(c, routers[m.peer])
+	case 5:
+		time.Sleep(time.Duration(m.pause) * time.Millisecond)
+	case 6: // all lapse, and are back unchanged
+		before := h.at(h.newest())
+		for id := range before {
+			h.write(id, nil)
+		}
+		c.Replace(h.list(h.newest()), h.newest(), now, "store")
+		for id, in := range before {
+			h.write(id, &in)
+		}
+	}
+	synctest.Wait()
+}
+
+// ask has c take what peer knows more.
+func (h *history) ask(c, peer *Catalog) {
+	c.Vouch(peer.Contact())
+	rev := c.InstancesRevision()
+	given, at := peer.List()
+	switch {
+	case at <= rev:
+	case peer.Same(rev):
+		c.Confirm(at, time.Now())
+	default:
+		c.Replace(given.List(), at, time.Now(), "peer")
+	}
+}
+
+// differs gives the first router whose list isn't that of its revision; -1 for none.
+func (h *history) differs(routers []*Catalog) int {
+	for i, r := range routers {
+		set, at := r.List()
+		if at == 0 {
+			continue
+		}
+		listed := make(map[upstream.ID]upstream.Instance)
+		for _, in := range set.List() {
+			listed[in.ID] = in
+		}
+		if !maps.Equal(listed, h.at(at)) {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against routers whose lists differ at one revision, which "nothing changed since" relies on.
+func TestListsAgreeAtARevision(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		moves := rapid.SliceOfN(rapid.Custom(drawMove), 200, 300).Draw(rt, "moves")
+		wrong := -1
+		synctest.Test(t, func(*testing.T) {
+			l, _ := quiet()
+			h := &history{states: []map[upstream.ID]upstream.Instance{{}}}
+			routers := []*Catalog{New(l), New(l), New(l)}
+			for _, m := range moves {
+				if h.play(m, routers); wrong < 0 {
+					wrong = h.differs(routers)
+				}
+			}
+		})
+		require.Equal(rt, -1, wrong, "this router's list isn't that of its revision")
+	})
+}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -22,7 +22,7 @@
 	mu sync.Mutex
 	// revision of the instances in set; 0 before the first list.
 	revision Revision
-	// changed is the revision at which the list last became another.
+	// changed is the revision from which on the list is known to have been the same at each one.
 	changed Revision
 	// heard is when the list was last known to be current.
 	heard time.Time
@@ -181,8 +181,9 @@
 	in, held := c.lapsed.filter(c.set.Load(), changes, now)
 	c.logHeld(held, now, source)
 	next, differs := c.set.Load().Apply(in)
-	if differs || len(in) < len(changes) {
-		c.changed = rev // also by removals that are held back here
+	if len(changes) > 0 {
+		// An entry that seems unchanged may have been gone meanwhile, at a revision that others have.
+		c.changed = rev
 	}
 	if differs {
 		changed := news(c.set.Load(), in)
--- a/pkg/catalog/lapsed_test.go
+++ b/pkg/catalog/lapsed_test.go
@@ -81,3 +81,24 @@
 		require.Nil(t, list.Get("gone"))
 	})
 }
+
+// Guards against followers that never hear of an instance which was held here and is back unchanged.
+func TestInstancesThatAreBackAreNewsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		a, b := New(l), New(l)
+		both := []upstream.Instance{{ID: "back"}, {ID: "stays"}}
+		a.Replace(both, 1, time.Now(), "store")
+		b.Replace(both, 1, time.Now(), "store")
+		time.Sleep(outage + time.Second)
+		b.Confirm(1, time.Now())
+		a.Replace(both[1:], 5, time.Now(), "store")
+		told, rev := a.List()
+		b.Replace(told.List(), rev, time.Now(), "peer")
+		require.Nil(t, b.Instances().Get("back"))
+		a.Apply([]upstream.Change{{Instance: both[0]}}, 5, 6, "store")
+		require.False(t, a.Same(5), "what was told at 5 lacks it")
+		told, _ = a.List()
+		require.NotNil(t, told.Get("back"))
+	})
+}
