Answers of the store are dated by its steady clock

But contacts with the store, and what cold upstreams are sent, rely on the age. Each answer bounds where the store's clock began by the local one; an answer is dated by the earliest time that all answers allow, and anew after a jump. TestAnswersAreNeverDatedTooLate is a property (it fails with dates of reading).

--- a/pkg/catalog/agree_test.go
+++ b/pkg/catalog/agree_test.go
@@ -86,7 +86,7 @@
 		c.Replace(h.list(h.newest()), h.newest(), now, "store")
 	case 3:
 		if after := rev - Revision(m.id); after > 0 {
-			c.Apply(h.changes(after, h.newest()), after, h.newest(), "store")
+			c.Apply(h.changes(after, h.newest()), after, h.newest(), time.Now(), "store")
 		}
 	case 4:
 		h.ask(c, routers[m.peer])
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -168,16 +168,20 @@
 	c.logHeld(held, now, source)
 }
 
-// Apply takes changes that lead from after to rev; others are passed over.
-func (c *Catalog) Apply(changes []upstream.Change, after, rev Revision, source string) {
+// Apply takes changes that lead from after to rev, which was current at the time asOf; others are
+// passed over.
+func (c *Catalog) Apply(changes []upstream.Change, after, rev Revision, asOf time.Time, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if after > c.revision || rev < c.revision {
 		return
 	}
 	known, now := c.heard, time.Now()
-	c.hear(now)
-	c.revision, c.heard = rev, now
+	c.hear(asOf)
+	c.revision = rev
+	if asOf.After(c.heard) {
+		c.heard = asOf
+	}
 	in, held := c.lapsed.filter(c.set.Load(), changes, now)
 	c.logHeld(held, now, source)
 	next, differs := c.set.Load().Apply(in)
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -110,9 +110,9 @@
 	require.EqualValues(t, 7, c.Version())
 	c.Replace([]upstream.Instance{{ID: "new"}}, 9, time.Now(), "peer")
 	c.Replace([]upstream.Instance{{ID: "old"}}, 8, time.Now(), "store")
-	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 3, 7, "store")
-	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 11, 12, "store")
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 3, 7, time.Now(), "store")
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 11, 12, time.Now(), "store")
 	require.NotNil(t, c.Instances().Get("new"))
-	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 9, 10, "store")
+	c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "new"}, Gone: true}}, 9, 10, time.Now(), "store")
 	require.Nil(t, c.Instances().Get("new"))
 }
--- a/pkg/catalog/departures_test.go
+++ b/pkg/catalog/departures_test.go
@@ -147,3 +147,18 @@
 		require.Len(t, c.Instances().Of("s"), 1, "the grace began with the store's return")
 	})
 }
+
+// Guards against an old list that passes for a current one, as its answer waited to be read.
+func TestAnswersThatWaitedAreAsOldAsTheyAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{config: &routing.Config{Version: 1}, instances: ready("s", 3), rev: 5}
+		c, _ := start(t, s)
+		time.Sleep(3 * time.Second)
+		for c.InstancesAge(time.Now()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.set(func() { s.standstill = 5 * time.Second })
+		time.Sleep(instancesPause + 100*time.Millisecond + 5*time.Second + time.Millisecond)
+		require.GreaterOrEqual(t, c.InstancesAge(time.Now()), 5*time.Second)
+	})
+}
--- a/pkg/catalog/entrylog_test.go
+++ b/pkg/catalog/entrylog_test.go
@@ -27,7 +27,7 @@
 		c.Replace([]upstream.Instance{unusable("a", "no service"), {ID: "c", Service: "s"}}, 5, time.Now(), "store")
 		require.Equal(t, upstream.Unusable, c.Instances().Get("a").State)
 		require.NotNil(t, c.Instances().Get("b"), "it lapsed")
-		c.Apply([]upstream.Change{{Instance: unusable("c", "no address")}}, 5, 6, "store")
+		c.Apply([]upstream.Change{{Instance: unusable("c", "no address")}}, 5, 6, time.Now(), "store")
 		require.Equal(t, upstream.Unusable, c.Instances().Get("c").State)
 		require.Len(t, c.Instances().Of("s"), 1)
 		time.Sleep(lapseGrace + time.Second)
@@ -46,7 +46,7 @@
 	require.Equal(t, 1, h.count("instance_unusable"))
 	rev := Revision(1)
 	for range 5 {
-		c.Apply([]upstream.Change{{Instance: unusable("a", "y")}}, rev, rev+1, "store")
+		c.Apply([]upstream.Change{{Instance: unusable("a", "y")}}, rev, rev+1, time.Now(), "store")
 		c.Replace([]upstream.Instance{unusable("a", "y"), unusable("b", "x")}, rev+1, time.Now(), "peer")
 		rev++
 	}
@@ -56,7 +56,7 @@
 	for i := range 100 {
 		many = append(many, upstream.Change{Instance: unusable(fmt.Sprint(i), "z")})
 	}
-	c.Apply(many, rev, rev+1, "store")
+	c.Apply(many, rev, rev+1, time.Now(), "store")
 	require.Equal(t, 2+maxFaultLines+1, h.count("instance_unusable"))
 	require.EqualValues(t, 102, c.Faults())
 }
@@ -76,7 +76,7 @@
 		c.Confirm(2, time.Now())
 		confirmed := time.Now()
 		time.Sleep(time.Second)
-		c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "a", Born: 1}}}, 2, 3, "store")
+		c.Apply([]upstream.Change{{Instance: upstream.Instance{ID: "a", Born: 1}}}, 2, 3, time.Now(), "store")
 		require.Equal(t, confirmed, known)
 		require.EqualValues(t, 1, set.Get("a").Born)
 	})
--- a/pkg/catalog/fake_test.go
+++ b/pkg/catalog/fake_test.go
@@ -51,6 +51,8 @@
 	// mute leaves calls that come without an answer for good, as a connection that died in
 	// silence does.
 	mute bool
+	// standstill is how long the process stands still between the next answer and its reading.
+	standstill time.Duration
 	// prompt makes a patient question end with the first news.
 	prompt bool
 	// silenced is when the kept connection went silent; zero while it answers.
@@ -161,19 +163,19 @@
 	return Declared{}, s.rev, nil
 }
 
-func (s *fakeStore) Instances(context.Context) ([]upstream.Instance, Revision, error) {
+func (s *fakeStore) Instances(context.Context) ([]upstream.Instance, Stamp, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		s.refused++
-		return nil, 0, errDown
+		return nil, Stamp{}, errDown
 	}
-	return s.instances, s.rev, nil
+	return s.instances, s.stamp(), nil
 }
 
-func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Revision, error) {
+func (s *fakeStore) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Stamp, error) {
 	if err := s.answers(ctx); err != nil {
-		return nil, 0, err
+		return nil, Stamp{}, err
 	}
 	s.mu.Lock()
 	if !s.patient {
@@ -187,18 +189,26 @@
 	}
 	if s.onSilent() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, Stamp{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refusal(ctx, after); err != nil {
-		return nil, 0, err
+		return nil, Stamp{}, err
 	}
 	s.asked++
+	if s.standstill > 0 {
+		stamp, pause := s.stamp(), s.standstill
+		s.standstill = 0
+		s.mu.Unlock()
+		time.Sleep(pause) // nothing in the process runs
+		s.mu.Lock()
+		return nil, stamp, nil
+	}
 	if after < s.rev {
-		return s.changes, s.rev, nil
+		return s.changes, s.stamp(), nil
 	}
-	return nil, s.rev, nil
+	return nil, s.stamp(), nil
 }
 
 func (s *fakeStore) refusal(ctx context.Context, after Revision) error {
@@ -248,3 +258,10 @@
 	go w.WatchInstances(ctx)
 	return c, h
 }
+
+// fakeClockStart is when the fake store's steady clock was zero.
+var fakeClockStart = time.Unix(0, 0)
+
+func (s *fakeStore) stamp() Stamp {
+	return Stamp{Revision: s.rev, Clock: time.Since(fakeClockStart)}
+}
--- a/pkg/catalog/returned_test.go
+++ b/pkg/catalog/returned_test.go
@@ -21,11 +21,11 @@
 func TestAnUpstreamThatIsBackAsTheGraceEndsStays(t *testing.T) {
 	one := upstream.Instance{ID: "one", Service: "s", State: upstream.Ready}
 	for name, comes := range map[string]func(*Catalog){
-		"as a change":       func(c *Catalog) { c.Apply([]upstream.Change{{Instance: one}}, 2, 3, "store") },
+		"as a change":       func(c *Catalog) { c.Apply([]upstream.Change{{Instance: one}}, 2, 3, time.Now(), "store") },
 		"in the whole list": func(c *Catalog) { c.Replace([]upstream.Instance{one}, 3, time.Now(), "store") },
 		"after a whole list": func(c *Catalog) {
 			c.Replace(nil, 3, time.Now(), "store")
-			c.Apply([]upstream.Change{{Instance: one}}, 3, 4, "store")
+			c.Apply([]upstream.Change{{Instance: one}}, 3, 4, time.Now(), "store")
 		},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/pkg/catalog/storeclock_test.go
@@ -0,0 +1,42 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against answers that are dated later than they were made, whatever they waited for.
+func TestAnswersAreNeverDatedTooLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c storeClock
+		start := time.Unix(1_000_000, 0)
+		began := time.Duration(rapid.IntRange(1, 1_000_000).Draw(t, "store's clock")) * time.Millisecond
+		now := time.Duration(0)
+		ms := func(most int, what string) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, what)) * time.Millisecond
+		}
+		for range rapid.IntRange(1, 50).Draw(t, "answers") {
+			asked := now + ms(700, "pause")
+			made := asked + ms(1500, "there")
+			read := made + ms(4000, "back")
+			date := c.date(start.Add(asked), start.Add(read), began+made)
+			require.False(t, date.After(start.Add(made)))
+			require.False(t, date.Before(start.Add(asked)))
+			now = read
+		}
+	})
+}
+
+// Guards against dates by a clock that has jumped.
+func TestAClockThatJumpedIsLearnedAnew(t *testing.T) {
+	var c storeClock
+	start, quick := time.Unix(1_000_000, 0), 4*time.Millisecond
+	for i, clock := range []time.Duration{time.Hour, time.Hour + time.Second, time.Minute, time.Minute + time.Second, 2 * time.Hour} {
+		asked := start.Add(time.Duration(i) * time.Second)
+		require.WithinDuration(t, asked, c.date(asked, asked.Add(quick), clock), quick)
+	}
+	require.Equal(t, start, c.date(start.Add(-time.Second), start, 0), "a store without a clock")
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -49,6 +49,8 @@
 	store   Store
 	duties  Duties
 	log     log.Interface
+	// clock dates answers to questions for instances.
+	clock storeClock
 	// away is whether the newest question for instances failed.
 	away atomic.Bool
 	// lookedBack is whether the store's history from before the first read was asked for.
@@ -232,20 +234,22 @@
 	if after == 0 {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		list, rev, err := w.store.Instances(ctx)
+		asked := time.Now()
+		list, stamp, err := w.store.Instances(ctx)
 		if err != nil {
 			return 0, errors.Trace(err)
 		}
-		w.catalog.Replace(list, rev, time.Now(), "store")
-		return rev, nil
+		w.catalog.Replace(list, stamp.Revision, w.clock.date(asked, time.Now(), stamp.Clock), "store")
+		return stamp.Revision, nil
 	}
 	wait, _ := w.pace()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
-	changes, rev, err := w.store.InstancesAfter(ctx, after, wait)
+	asked := time.Now()
+	changes, stamp, err := w.store.InstancesAfter(ctx, after, wait)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	w.catalog.Apply(changes, after, rev, "store")
-	return rev, nil
+	w.catalog.Apply(changes, after, stamp.Revision, w.clock.date(asked, time.Now(), stamp.Clock), "store")
+	return stamp.Revision, nil
 }
--- a/pkg/gatewayd/life_test.go
+++ b/pkg/gatewayd/life_test.go
@@ -84,7 +84,7 @@
 			case "feed":
 				after := rapid.Int64Range(0, 20).Draw(t, "after")
 				rev := rapid.Int64Range(after, 20).Draw(t, "revision")
-				w.catalog.Apply(changesOf(lives, restart, after, rev), catalog.Revision(after), catalog.Revision(rev), "test")
+				w.catalog.Apply(changesOf(lives, restart, after, rev), catalog.Revision(after), catalog.Revision(rev), time.Now(), "test")
 				if after <= newest && rev >= newest {
 					newest = rev
 				}
@@ -131,7 +131,7 @@
 	old, next := instanceBorn(5), instanceBorn(3)
 	w.catalog.Replace([]upstream.Instance{old}, 1, time.Now(), "store")
 	work := w.telling.ledger.Begin(w.present().Life(), placement.Work{Unread: 10})
-	w.catalog.Apply([]upstream.Change{{Instance: next}}, 1, 2, "store")
+	w.catalog.Apply([]upstream.Change{{Instance: next}}, 1, 2, time.Now(), "store")
 	require.Zero(t, w.telling.ledger.Of(w.present().Life()).Running)
 	later := w.telling.ledger.Begin(w.present().Life(), placement.Work{})
 	work.End()
