--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -30,8 +30,6 @@
 	lapsed lapsed
 	// contact is when the store was heard, by this router or another one.
 	contact Contact
-	// graceEnd takes what stays missing off the list; nil before the first outage.
-	graceEnd *time.Timer
 	// follow takes each new list, see Follow.
 	follow func(set *upstream.Set, known time.Time)
 	// restored takes zones that are no longer evacuated, see FollowRestored.
@@ -156,7 +154,7 @@
 	c.hear(asOf)
 	old := c.set.Load()
 	c.revision, c.heard, c.changed = rev, asOf, rev
-	held := c.lapsed.missing(old, list, now)
+	held := c.lapsed.missing(old, list)
 	next := upstream.NewSet(append(list, held...))
 	c.put(next, known)
 	c.logChanges(differences(old, next, first), rev, source)
@@ -182,7 +180,7 @@
 	if asOf.After(c.heard) {
 		c.heard = asOf
 	}
-	in, held := c.lapsed.filter(c.set.Load(), changes, now)
+	in, held := c.lapsed.filter(c.set.Load(), changes)
 	c.logHeld(held, now, source)
 	next, differs := c.set.Load().Apply(in)
 	if len(changes) > 0 {
@@ -194,5 +192,5 @@
 		c.put(next, known)
 		c.logChanges(changed, rev, source)
 	}
-	c.settle(now)
+	c.settle()
 }
--- a/pkg/catalog/fake_test.go
+++ b/pkg/catalog/fake_test.go
@@ -265,3 +265,16 @@
 func (s *fakeStore) stamp() Stamp {
 	return Stamp{Revision: s.rev, Clock: time.Since(fakeClockStart)}
 }
+
+// answering has the store answer routers for a while, with nothing new.
+func answering(lasts time.Duration, routers ...*Catalog) {
+	const pause = 500 * time.Millisecond
+	for end := time.Now().Add(lasts); ; time.Sleep(pause) {
+		for _, c := range routers {
+			c.Vouch(Contact{Since: time.Now(), Until: time.Now()})
+		}
+		if !time.Now().Before(end) {
+			return
+		}
+	}
+}
--- a/pkg/catalog/grace.go
+++ b/pkg/catalog/grace.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Vouch takes when other routers heard the store.
+// Vouch takes when the store was heard, by this router or another one.
 func (c *Catalog) Vouch(o Contact) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -16,15 +16,21 @@
 	return c.contact
 }
 
+// GraceEnd is when the store is to be asked what is still missing; false while nothing is kept.
+func (c *Catalog) GraceEnd() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lapsed.until, c.lapsed.open && len(c.lapsed.ids) > 0
+}
+
 // hear notes that the store answered at asOf, before its news are taken. A grace begins when the
 // store may have been away since the list was last current.
 func (c *Catalog) hear(asOf time.Time) {
 	c.vouch(Contact{Since: asOf, Until: asOf})
-	if c.revision == 0 || c.contact.covers(c.heard) {
-		return
+	if c.revision > 0 && !c.contact.covers(c.heard) {
+		c.lapsed.begin(c.set.Load(), c.heard)
+		c.lapsed.observe(c.contact)
 	}
-	c.lapsed.open(c.set.Load(), c.heard, c.contact.Since.Add(lapseGrace))
-	c.awaitGraceEnd()
 }
 
 // vouch joins o to what is known of the store's contact.
@@ -33,32 +39,15 @@
 // store served all the while knows.
 func (c *Catalog) vouch(o Contact) {
 	c.contact = c.contact.join(o)
-	now := time.Now()
-	if !c.lapsed.isOpen(now) {
-		return
+	if c.lapsed.open {
+		c.lapsed.observe(c.contact)
+		c.settle()
 	}
-	c.lapsed.shorten(c.contact, now)
-	c.settle(now)
-	c.awaitGraceEnd()
-}
-
-// awaitGraceEnd makes the grace end at its time, whatever the watches wait for.
-func (c *Catalog) awaitGraceEnd() {
-	if c.graceEnd != nil {
-		c.graceEnd.Stop()
-	}
-	c.graceEnd = time.AfterFunc(time.Until(c.lapsed.until), func() { c.Settle(time.Now()) })
-}
-
-// Settle takes instances that stay missing off the list.
-func (c *Catalog) Settle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.settle(now)
 }
 
-func (c *Catalog) settle(now time.Time) {
-	gone := c.lapsed.settle(c.set.Load(), now)
+// settle takes instances that stay missing off the list.
+func (c *Catalog) settle() {
+	gone := c.lapsed.settle(c.set.Load())
 	if len(gone) == 0 {
 		return
 	}
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -15,24 +15,27 @@
 // Guard: entries lapse while the store is away, as nobody can renew them. Taken as the truth, the
 // first list after the outage would leave requests without upstreams that are alive. But a silence
 // may as well be this router's own, and what is missing then has left. So an instance is kept
-// only while the store isn't known to have been there all the while, for the grace after its
-// return, and while no more than half of its service's instances are listed: with more of them,
-// requests need no instance that may have left.
+// only while the store isn't known to have been there all the while, until the store has answered
+// after the grace, and while no more than half of its service's instances are listed: with more of
+// them, requests need no instance that may have left.
 type lapsed struct {
-	// from is when the list was last current before the silence, until the end of the grace.
-	from, until time.Time
+	open bool
+	// from is when the list was last current before the silence.
+	from time.Time
+	// until is the end of the grace; it is over once the store has answered after it.
+	until time.Time
 	// before is how many instances of each service served before the silence.
 	before map[string]int
 	// ids are the instances that are kept.
 	ids map[upstream.ID]bool
 }
 
-// open begins a grace after a silence since from.
-func (l *lapsed) open(old *upstream.Set, from, until time.Time) {
-	l.from, l.until, l.before = from, until, make(map[string]int)
-	if l.ids == nil {
-		l.ids = make(map[upstream.ID]bool)
+// begin opens a grace after a silence since from. One that is open goes on.
+func (l *lapsed) begin(old *upstream.Set, from time.Time) {
+	if l.open {
+		return
 	}
+	*l = lapsed{open: true, from: from, before: make(map[string]int), ids: make(map[upstream.ID]bool)}
 	for _, in := range old.List() {
 		if serves(in) {
 			l.before[in.Service]++
@@ -45,23 +48,22 @@
 	return in.State != upstream.Draining && in.State != upstream.Unusable
 }
 
-// shorten takes what is known of the store's contact now.
-func (l *lapsed) shorten(c Contact, now time.Time) {
-	if c.covers(l.from) {
-		l.until = now
-	} else if end := c.Since.Add(lapseGrace); end.Before(l.until) {
-		l.until = end
+// observe takes what is known of the store's contact now.
+//
+// Guard: a store that is away again at once gives nobody the time to be back. A grace that ended
+// by the time alone would then take all upstreams off the list.
+func (l *lapsed) observe(c Contact) {
+	l.until = c.Since.Add(lapseGrace)
+	if c.covers(l.from) || !c.Until.Before(l.until) {
+		l.open = false
 	}
 }
 
-// isOpen reports whether the grace lasts.
-func (l *lapsed) isOpen(now time.Time) bool { return now.Before(l.until) }
-
 // missing gives the instances of old that list lacks and that are kept. Afterwards they are the
 // only ones.
-func (l *lapsed) missing(old *upstream.Set, list []upstream.Instance, now time.Time) []upstream.Instance {
+func (l *lapsed) missing(old *upstream.Set, list []upstream.Instance) []upstream.Instance {
 	l.ids = nil // the list is the truth again, but for what is kept
-	if !l.isOpen(now) {
+	if !l.open {
 		return nil
 	}
 	l.ids = make(map[upstream.ID]bool)
@@ -92,8 +94,8 @@
 //
 // Guard: an entry that is back as the grace ends must not be taken away by its end. It changes
 // nothing in the list, so nobody would notice that it is missing from then on.
-func (l *lapsed) filter(old *upstream.Set, changes []upstream.Change, now time.Time) (in []upstream.Change, held []upstream.Instance) {
-	if !l.isOpen(now) {
+func (l *lapsed) filter(old *upstream.Set, changes []upstream.Change) (in []upstream.Change, held []upstream.Instance) {
+	if !l.open {
 		for _, c := range changes {
 			delete(l.ids, c.Instance.ID)
 		}
@@ -115,11 +117,11 @@
 
 // settle gives the removals that are due: all that were held back once the grace is over, before
 // that those of services that don't lack them.
-func (l *lapsed) settle(set *upstream.Set, now time.Time) []upstream.Change {
+func (l *lapsed) settle(set *upstream.Set) []upstream.Change {
 	if len(l.ids) == 0 {
 		return nil
 	}
-	if !l.isOpen(now) {
+	if !l.open {
 		gone := l.held()
 		l.ids = nil
 		return gone
--- /dev/null
+++ b/pkg/catalog/sim_run_test.go
@@ -0,0 +1,78 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// Bounds of the simulation.
+const (
+	simSeeds  = 12
+	simLength = time.Minute
+	simStep   = 20 * time.Millisecond
+	// drainLimit is the time after which a calm router gives nothing to an upstream that left.
+	drainLimit = 2 * time.Second
+)
+
+// late gives what a router still uses though it left.
+func (r *simRouter) late(now time.Time) string {
+	if !r.calm(now) {
+		return ""
+	}
+	for _, in := range r.catalog.Instances().List() {
+		if at, gone := r.sim.left[in.ID]; gone && in.State == upstream.Ready && now.Sub(at) > drainLimit {
+			return fmt.Sprintf("router %d uses %s, %v after it left", r.rank, in.ID, now.Sub(at))
+		}
+	}
+	return ""
+}
+
+// bare gives how a router lacks upstreams that are alive.
+func (r *simRouter) bare() string {
+	if r.catalog.InstancesRevision() == 0 {
+		return ""
+	}
+	usable := 0
+	for id := range r.sim.alive {
+		if in := r.catalog.Instances().Get(id); in != nil && in.State == upstream.Ready {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return fmt.Sprintf("router %d knows none of %d upstreams", r.rank, len(r.sim.alive))
+	}
+	return ""
+}
+
+// Guards against upstreams that are used after they left, and against lapses that leave none, as
+// routers and the store are away in any order.
+func TestDeparturesAndLapsesAreToldApart(t *testing.T) {
+	for seed := range uint64(simSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			l, _ := quiet()
+			s := newSim(seed, l)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for _, r := range s.routers {
+				go NewWatcher(r.catalog, r, r, l).WatchInstances(ctx)
+			}
+			for began := time.Now(); time.Since(began) < simLength; time.Sleep(simStep) {
+				s.step(simStep)
+				synctest.Wait()
+				s.mu.Lock()
+				for _, r := range s.routers {
+					require.Empty(t, r.late(time.Now()), "seed %d after %v", seed, time.Since(began))
+					require.Empty(t, r.bare(), "seed %d after %v", seed, time.Since(began))
+				}
+				s.mu.Unlock()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/catalog/sim_test.go
@@ -0,0 +1,230 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/internal/waiting"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// Times of simulated upstreams: entries lapse after three heartbeats, and are back within a
+// heartbeat of the store's return.
+const (
+	simHeartbeat = 1200 * time.Millisecond
+	simLapse     = 3 * simHeartbeat
+	simAnswer    = 4 * time.Millisecond
+)
+
+// sim is a store with upstreams and routers that are cut off from it and from each other.
+type sim struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	history history
+	// away is whether the store answers nobody, since when it does.
+	away  bool
+	since time.Time
+	// left is when an upstream's departure was accepted, alive holds the others and when each last
+	// renewed its entry.
+	left  map[upstream.ID]time.Time
+	alive map[upstream.ID]time.Time
+	// beats is when an upstream tries to renew its entry next.
+	beats map[upstream.ID]time.Time
+	next  int
+
+	routers []*simRouter
+}
+
+// simRouter is a router of the simulation.
+type simRouter struct {
+	sim     *sim
+	rank    int
+	catalog *Catalog
+	// cutStore and cutPeers are until when it is cut off.
+	cutStore, cutPeers time.Time
+}
+
+const simService = "s"
+
+// simUpstreams is how many upstreams serve at a time, simRouters how many routers.
+const (
+	simUpstreams = 8
+	simRouters   = 5
+)
+
+func newSim(seed uint64, l log.Interface) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 0)), history: history{states: []map[upstream.ID]upstream.Instance{{}}},
+		left: make(map[upstream.ID]time.Time), alive: make(map[upstream.ID]time.Time), beats: make(map[upstream.ID]time.Time), since: time.Now()}
+	for range simUpstreams {
+		s.arrive()
+	}
+	for rank := range simRouters {
+		s.routers = append(s.routers, &simRouter{sim: s, rank: rank, catalog: New(l)})
+	}
+	return s
+}
+
+func (s *sim) arrive() {
+	id := upstream.ID(fmt.Sprint("u", s.next))
+	s.next++
+	s.alive[id] = time.Now()
+	s.beats[id] = time.Now().Add(time.Duration(s.random.Int64N(int64(simHeartbeat))))
+	s.history.write(id, &upstream.Instance{ID: id, Service: simService, State: upstream.Ready})
+}
+
+// depart takes an upstream away, with a word before or without.
+func (s *sim) depart() {
+	ids := slices.Sorted(maps.Keys(s.alive))
+	id := ids[s.random.IntN(len(ids))]
+	delete(s.alive, id)
+	s.left[id] = time.Now()
+	if s.random.IntN(2) == 0 {
+		s.history.write(id, &upstream.Instance{ID: id, Service: simService, State: upstream.Draining})
+		return
+	}
+	s.history.write(id, nil)
+}
+
+// beat renews entries while the store is there, and lapses those that weren't renewed.
+func (s *sim) beat(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.alive)) {
+		_, listed := s.history.at(s.history.newest())[id]
+		if now.Before(s.beats[id]) {
+			// It is not its time.
+		} else if s.beats[id] = now.Add(simHeartbeat); !s.away {
+			s.alive[id] = now
+			if !listed {
+				s.history.write(id, &upstream.Instance{ID: id, Service: simService, State: upstream.Ready})
+				listed = true
+			}
+		}
+		if listed && now.Sub(s.alive[id]) >= simLapse {
+			s.history.write(id, nil)
+		}
+	}
+}
+
+// pick gives whether something that comes so many times a minute comes in this step.
+func (s *sim) pick(perMinute float64, step time.Duration) bool {
+	return s.random.Float64() < perMinute*step.Minutes()
+}
+
+// step lets a while pass: departures, cuts, outages, and what routers tell each other.
+func (s *sim) step(step time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.beat(now)
+	if s.pick(4, step) {
+		s.away, s.since = !s.away, now
+	}
+	if !s.away && s.pick(30, step) && len(s.alive) > simUpstreams/2 {
+		s.depart()
+	}
+	if !s.away && len(s.alive) < simUpstreams && s.pick(60, step) {
+		s.arrive()
+	}
+	for _, r := range s.routers {
+		if lasts := time.Duration(1+s.random.IntN(8)) * time.Second; s.pick(4, step) {
+			kind := s.random.IntN(3)
+			if kind != 0 {
+				r.cutStore = now.Add(lasts)
+			}
+			if kind != 1 {
+				r.cutPeers = now.Add(lasts)
+			}
+		}
+	}
+	a, b := s.routers[s.random.IntN(simRouters)], s.routers[s.random.IntN(simRouters)]
+	if a != b && now.After(a.cutPeers) && now.After(b.cutPeers) {
+		b.hear(a)
+	}
+}
+
+// hear is a report of another router, and the question for what it knows more.
+func (r *simRouter) hear(from *simRouter) {
+	c, peer := r.catalog, from.catalog
+	c.Vouch(peer.Contact())
+	asOf := time.Now().Add(-peer.InstancesAge(time.Now()))
+	given, at := peer.List()
+	rev := c.InstancesRevision()
+	switch {
+	case at < rev || at == 0:
+	case at == rev || peer.Same(rev):
+		c.Confirm(at, asOf)
+	default:
+		c.Replace(given.List(), at, asOf, "peer")
+	}
+}
+
+// calm reports whether nothing has disturbed a router or the store for a while.
+func (r *simRouter) calm(now time.Time) bool {
+	s := r.sim
+	return !s.away && now.Sub(s.since) >= contactLimit && now.Sub(r.cutStore) >= contactLimit && now.Sub(r.cutPeers) >= contactLimit
+}
+
+// ask waits until the store has an answer for r, as long as ctx.
+func (r *simRouter) ask(ctx context.Context, wait time.Duration, news func() bool) error {
+	waiting.For(ctx, simAnswer)
+	for began := time.Now(); ctx.Err() == nil; waiting.For(ctx, simAnswer) {
+		r.sim.mu.Lock()
+		reached := !r.sim.away && time.Now().After(r.cutStore)
+		done := news() || time.Since(began) >= wait
+		r.sim.mu.Unlock()
+		if !reached {
+			<-ctx.Done()
+		} else if done {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *simRouter) stamp() Stamp {
+	return Stamp{Revision: r.sim.history.newest(), Clock: time.Since(fakeClockStart)}
+}
+
+// Instances implements Store.
+func (r *simRouter) Instances(ctx context.Context) ([]upstream.Instance, Stamp, error) {
+	if err := r.ask(ctx, 0, func() bool { return true }); err != nil {
+		return nil, Stamp{}, err
+	}
+	r.sim.mu.Lock()
+	defer r.sim.mu.Unlock()
+	return r.sim.history.list(r.sim.history.newest()), r.stamp(), nil
+}
+
+// InstancesAfter implements Store.
+func (r *simRouter) InstancesAfter(ctx context.Context, after Revision, wait time.Duration) ([]upstream.Change, Stamp, error) {
+	if err := r.ask(ctx, wait, func() bool { return r.sim.history.newest() > after }); err != nil {
+		return nil, Stamp{}, err
+	}
+	r.sim.mu.Lock()
+	defer r.sim.mu.Unlock()
+	return r.sim.history.changes(after, r.sim.history.newest()), r.stamp(), nil
+}
+
+// Declared and DeclaredAfter implement Store; nothing is declared.
+func (r *simRouter) Declared(context.Context) (Declared, Revision, error) {
+	return Declared{}, 1, nil
+}
+
+func (r *simRouter) DeclaredAfter(ctx context.Context, after Revision, wait time.Duration) (Declared, Revision, error) {
+	waiting.For(ctx, wait)
+	return Declared{}, after, ctx.Err()
+}
+
+// The first three routers read for all, as in a small fleet.
+func (r *simRouter) ReadsInstances() bool          { return r.rank < 3 }
+func (r *simRouter) ReadsConfig() bool             { return true }
+func (r *simRouter) TellsMany() bool               { return false }
+func (r *simRouter) Turn() time.Duration           { return 0 }
+func (r *simRouter) HearsFirst(time.Duration) bool { return false }
+func (r *simRouter) Callers() int                  { return simRouters }
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -33,6 +33,8 @@
 	// followerAge is the age at which a router that leaves the reading to others asks the
 	// store after all, longer where it isn't the next one to ask.
 	followerAge = 1400 * time.Millisecond
+	// shortestPause is the shortest pause between two questions, where an answer is due.
+	shortestPause = 20 * time.Millisecond
 	// hearPause is the pause between two looks whether others have told what a router that
 	// starts must know.
 	hearPause = 20 * time.Millisecond
@@ -174,12 +176,18 @@
 	}
 }
 
-// pace gives how long a question for changed instances stays open, and the pause after it.
+// pace gives how long a question for changed instances stays open, and the pause after it. The
+// store is asked anew as a grace ends.
 func (w *Watcher) pace() (wait, pause time.Duration) {
+	wait, pause = instancesWait, instancesPause
 	if w.duties.TellsMany() {
-		return tellingWait, instancesPause
+		wait = tellingWait
 	}
-	return instancesWait, instancesPause
+	if end, open := w.catalog.GraceEnd(); open {
+		left := max(0, time.Until(end))
+		wait, pause = min(wait, left), min(pause, max(left, shortestPause))
+	}
+	return wait, pause
 }
 
 // doubtConfig makes the watch of the configuration ask anew.
