--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -18,9 +18,9 @@
 func planDepartures(o Options) []fault { return planApart(o, ofDepartures, 3, departuresEvery) }
 
 const (
-	// cutFor is how long a router is away from the store and its peers: so long that entries lapse
+	// cutFor is how long a router is away from the store and its peers: its questions fail, and entries lapse
 	// where the store is away as well.
-	cutFor = 3500 * time.Millisecond
+	cutFor = 6 * time.Second
 	// servesOn is how long an upstream serves after its entry is gone: until no router may be
 	// excused by a cut that ended after that.
 	servesOn = settle + drainTime + late
@@ -42,12 +42,13 @@
 func unlistBehindCut(ctx context.Context, w *world, f fault) {
 	index := f.index % len(w.routers)
 	r := w.routers[index]
-	endStore, endPeers := w.journal.begin(partStore, index), w.journal.begin(partPeers, index)
+	endStore, endPeers := w.journal.begin(partStore, index), w.journal.begin(partPeers, everywhere)
 	r.store.Cut()
-	r.peers.Cut()
+	w.cutPeers()
 	time.AfterFunc(cutFor, func() {
+		r.store.Reset()
 		r.store.Heal()
-		r.peers.Heal()
+		w.healPeers()
 		endStore()
 		endPeers()
 	})
--- a/pkg/gatewayd/status.go
+++ b/pkg/gatewayd/status.go
@@ -11,7 +11,7 @@
 func (p *Process) status() status.Status {
 	now := time.Now()
 	s := p.settings.Load()
-	set, rev := p.catalog.List()
+	set, rev := p.catalog.Instances(), p.catalog.InstancesRevision()
 	one := status.Status{
 		Router: s.Router.Name, Zone: s.Router.Zone, Ready: p.gateway.Ready(), Active: p.gateway.Active(),
 		Config: p.catalog.Version(), ListRevision: int64(rev), Exchange: p.fleet.Place(),
@@ -31,7 +31,7 @@
 	for _, in := range set.List() {
 		handicap, usable := p.health.Usable(in.Life(), now)
 		load := p.telling.ledger.Of(in.Life())
-		one.Upstreams = append(one.Upstreams, status.Upstream{Born: in.Born, Fault: p.faults.of(&in),
+		one.Upstreams = append(one.Upstreams, status.Upstream{Born: in.Born, Fault: p.faults.of(&in), Held: p.catalog.Basis(in.ID, now).Held,
 			ID: string(in.ID), Service: in.Service, Addr: in.Addr, Zone: in.Zone,
 			State: string(in.State), Usable: usable, HandicapMs: handicap.Milliseconds(), Running: load.Running, Slots: in.Slots, Unread: load.Unread,
 			Slowness: p.telling.paces.Slowness(in.Life(), now), Fragile: load.Fragile, Long: load.Long})
--- a/pkg/status/handler_test.go
+++ b/pkg/status/handler_test.go
@@ -14,8 +14,9 @@
 
 func sample() Status {
 	return Status{Router: "router-01", Zone: "north", Config: 7, ListAgeMs: 12, Exchange: "direct",
-		Routers:   []Router{{Name: "router-02", Callers: "10.0.0.2:1", Ready: true}},
-		Upstreams: []Upstream{{ID: "i-1", State: "ready", Usable: true}, {ID: "i-<2>", State: "ready"}, {ID: "i-3", State: "unusable", Usable: true, Born: 1, Fault: "Addr <is> missing"}}, Faults: 4,
+		Routers: []Router{{Name: "router-02", Callers: "10.0.0.2:1", Ready: true}},
+		Upstreams: []Upstream{{ID: "i-1", State: "ready", Usable: true}, {ID: "i-<2>", State: "ready"}, {ID: "i-3", State: "unusable", Usable: true, Born: 1, Fault: "Addr <is> missing"},
+			{ID: "i-4", State: "ready", Usable: true, Held: true}}, Faults: 4,
 		Organisations: []Organisation{{Name: "org", Asked: 10, Got: 5, Standing: 0.5}}}
 }
 
@@ -42,7 +43,7 @@
 // The page shows names that others chose; none of them may become part of the page.
 func TestStatusPage(t *testing.T) {
 	page := get(t, "/")
-	for _, text := range []string{"router-01", "version 7", "router-02", "does not answer", "0.50", "i-&lt;2&gt;", "not used: Addr &lt;is&gt; missing", "<dd>4</dd>"} {
+	for _, text := range []string{"router-01", "version 7", "router-02", "does not answer", "0.50", "i-&lt;2&gt;", "not used: Addr &lt;is&gt; missing", "<dd>4</dd>", "ready, not listed any more"} {
 		require.Contains(t, page, text)
 	}
 	require.NotContains(t, page, "i-<2>")
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -47,6 +47,8 @@
 	Born int64 `json:"born,omitempty"`
 	// Fault is why its entry names no instance to use; empty when it does.
 	Fault string `json:"fault,omitempty"`
+	// Held is whether it is missing from the list and kept after an outage of the store.
+	Held bool `json:"held,omitempty"`
 	// Usable is false while this router leaves the instance alone.
 	Usable bool `json:"usable"`
 	// HandicapMs is what it counts as slower for its failures, in milliseconds.
