Questions of peers are dated by what they know, not by when they are read

Reports now carry the sender's steady clock and echo the receiver's; a question was made after the report that it knows. TestAQuestionThatWaitedTellsOfThePast failed with the former dating. Price: two numbers in each report.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -41,7 +41,7 @@
 
 // describe tells of this router alone.
 func (f *Fleet) describe(others bool) (Report, time.Time) {
-	r := Report{From: f.self}
+	r := Report{From: f.self, Clock: f.clock(time.Now())}
 	f.local.Describe(&r)
 	if others {
 		r.Suspects, r.AskOthers = f.local.Suspects(), true
@@ -70,6 +70,7 @@
 	r.Read, r.Last = f.logs[scope].after(after)
 	r.Have, r.HaveOf, r.HaveReadOf = p.have, p.member.Started, p.haveOf
 	r.HaveDigest = p.digest
+	r.Echo = p.clock
 	if scope != ScopeOwn {
 		f.widen(r, p, scope, now)
 		return
@@ -114,8 +115,9 @@
 		f.log.WithFields(log.Fields{"event": "peer_regained", "peer": r.From.Name, "addr": r.From.Peers, "started": r.From.Started}).Info("router is heard of")
 	}
 	if p.report == nil || r.From.Started != p.report.From.Started {
-		p.have, p.acked = 0, 0
+		p.have, p.acked, p.clock = 0, 0, 0
 	}
+	p.clock = max(p.clock, r.Clock)
 	p.member, p.heard, p.failed = r.From, now, 0
 	p.ready, p.pressed, p.config = r.Ready, r.Pressed, r.Config
 	p.theirDigest = r.HaveDigest
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -43,6 +43,8 @@
 	// entries are the routers that the peer, a hub, last named, under digest.
 	entries []Entry
 	digest  uint64
+	// clock is the newest clock that the peer told in its present life.
+	clock int64
 	// theirDigest is that of the list which the peer has from us.
 	theirDigest uint64
 }
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -60,6 +60,10 @@
 	Restored []RestoredZone `cbor:"28,keyasint,omitempty"`
 	// Store is when the operators' store was heard, as far as the sender knows; nil where it wasn't.
 	Store *StoreContact `cbor:"29,keyasint,omitempty"`
+	// Clock is the sender's steady clock, in milliseconds since it started. Echo is the newest one
+	// that it has read from the receiver, in the receiver's life HaveOf; 0 for none.
+	Clock int64 `cbor:"30,keyasint,omitempty"`
+	Echo  int64 `cbor:"31,keyasint,omitempty"`
 }
 
 // RestoredZone is an availability zone that is no longer evacuated.
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -34,10 +34,7 @@
 	if !f.open(w, in, report) {
 		return
 	}
-	// Guard: what a peer asked with may have waited here or on its way, so its list is older
-	// than it says. Taken as it came, two routers that tell each other in turn would keep a
-	// list young that nobody reads any more; answers are dated from their question.
-	f.incoming(report, time.Now().Add(-mostUnderWay))
+	f.incoming(report, f.madeAfter(report, time.Now()))
 	f.mu.Lock()
 	p := f.peers[report.From.Peers]
 	f.mu.Unlock()
