--- a/spec/mutants.sh
+++ b/spec/mutants.sh
@@ -27,6 +27,7 @@
 	for g in RESEND REFUSE_SENT NO_LOOK KEEP_OPEN; do echo handover safety $g; done
 	echo handover progress NO_END
 	for g in NO_WAIT NO_RESERVE ISOLATED_FREE; do echo warmup safety $g; done
+	for g in NO_GRACE OWN_SILENCE BY_CLOCK ANY_CONTACT; do echo departure safety $g; done
 	echo order progress NO_LOOK -DENGINE=PAUSED -DFAULTS=0
 	echo order progress NO_DECLARED -DENGINE=PAUSED -DFAULTS=0
 }
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -15,6 +15,7 @@
 handover safety
 handover progress
 warmup safety
+departure safety
 once progress -DN=2
 config progress -DTICKS=0
 order progress -DENGINE=PAUSED -DFAULTS=0
