The first list after a silence decides what is kept for the grace

The first mend left alone, at each moment, whatever was missing of a service of which more than half was listed: after each outage of the store up to half of the upstreams, alive, for up to a second. An outage that entries lapse in leaves few; so the first list after the silence decides for each service, and what is kept then is kept for the whole grace.

--- a/pkg/catalog/grace.go
+++ b/pkg/catalog/grace.go
@@ -47,7 +47,7 @@
 
 // settle takes instances that stay missing off the list.
 func (c *Catalog) settle() {
-	gone := c.lapsed.settle(c.set.Load())
+	gone := c.lapsed.settle()
 	if len(gone) == 0 {
 		return
 	}
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -15,9 +15,9 @@
 // Guard: entries lapse while the store is away, as nobody can renew them. Taken as the truth, the
 // first list after the outage would leave requests without upstreams that are alive. But a silence
 // may as well be this router's own, and what is missing then has left. So an instance is kept
-// only while the store isn't known to have been there all the while, until the store has answered
-// after the grace, and while no more than half of its service's instances are listed: with more of
-// them, requests need no instance that may have left.
+// only while the store isn't known to have been there all the while, and until the store has
+// answered after the grace. Nothing is kept of a service of which the first list after the silence
+// has more than half: an outage that entries lapse in leaves few.
 type lapsed struct {
 	open bool
 	// from is when the list was last current before the silence.
@@ -26,21 +26,31 @@
 	until time.Time
 	// before is how many instances of each service served before the silence.
 	before map[string]int
+	// kept are the services whose instances are kept; nil before the first list after a silence.
+	kept map[string]bool
 	// ids are the instances that are kept.
 	ids map[upstream.ID]bool
 }
 
-// begin opens a grace after a silence since from. One that is open goes on.
+// begin opens a grace after a silence since from. In one that is open the next list is the first
+// after a silence again.
 func (l *lapsed) begin(old *upstream.Set, from time.Time) {
+	l.kept = nil
 	if l.open {
 		return
 	}
-	*l = lapsed{open: true, from: from, before: make(map[string]int), ids: make(map[upstream.ID]bool)}
-	for _, in := range old.List() {
+	*l = lapsed{open: true, from: from, before: serving(old.List()), ids: make(map[upstream.ID]bool)}
+}
+
+// serving counts the instances of each service that serve.
+func serving(list []upstream.Instance) map[string]int {
+	count := make(map[string]int)
+	for _, in := range list {
 		if serves(in) {
-			l.before[in.Service]++
+			count[in.Service]++
 		}
 	}
+	return count
 }
 
 // serves reports whether requests miss an instance that is gone.
@@ -67,16 +77,14 @@
 		return nil
 	}
 	l.ids = make(map[upstream.ID]bool)
-	listed, present := make(map[string]int), make(map[upstream.ID]bool, len(list))
+	l.judge(list)
+	present := make(map[upstream.ID]bool, len(list))
 	for _, in := range list {
 		present[in.ID] = true
-		if serves(in) {
-			listed[in.Service]++
-		}
 	}
 	var kept []upstream.Instance
 	for _, in := range old.List() {
-		if !present[in.ID] && serves(in) && l.lacks(in.Service, listed[in.Service]) {
+		if !present[in.ID] && serves(in) && l.kept[in.Service] {
 			l.ids[in.ID] = true
 			kept = append(kept, in)
 		}
@@ -84,9 +92,17 @@
 	return kept
 }
 
-// lacks reports whether a service of which that many instances are listed lacks those that are
-// missing.
-func (l *lapsed) lacks(service string, listed int) bool { return 2*listed <= l.before[service] }
+// judge decides by the first list after a silence which services' instances are kept.
+func (l *lapsed) judge(list []upstream.Instance) {
+	if l.kept != nil {
+		return
+	}
+	l.kept = make(map[string]bool)
+	listed := serving(list)
+	for service, before := range l.before {
+		l.kept[service] = 2*listed[service] <= before
+	}
+}
 
 // filter leaves out removals of instances that were there at the outage, and gives the instances
 // that are kept by that. An entry that can't be used is no removal: somebody wrote it, so it
@@ -101,10 +117,14 @@
 		}
 		return changes, nil
 	}
+	if l.kept == nil {
+		next, _ := old.Apply(changes)
+		l.judge(next.List())
+	}
 	kept := make([]upstream.Change, 0, len(changes))
 	for _, c := range changes {
 		was := old.Get(c.Instance.ID)
-		if c.Gone && was != nil && serves(*was) {
+		if c.Gone && was != nil && serves(*was) && l.kept[was.Service] {
 			l.ids[c.Instance.ID] = true
 			held = append(held, *was)
 			continue
@@ -115,30 +135,13 @@
 	return kept, held
 }
 
-// settle gives the removals that are due: all that were held back once the grace is over, before
-// that those of services that don't lack them.
-func (l *lapsed) settle(set *upstream.Set) []upstream.Change {
-	if len(l.ids) == 0 {
+// settle gives the removals that are due: those that were held back, once the grace is over.
+func (l *lapsed) settle() []upstream.Change {
+	if l.open || len(l.ids) == 0 {
 		return nil
 	}
-	if !l.open {
-		gone := l.held()
-		l.ids = nil
-		return gone
-	}
-	listed := make(map[string]int)
-	for _, in := range set.List() {
-		if serves(in) && !l.ids[in.ID] {
-			listed[in.Service]++
-		}
-	}
-	var gone []upstream.Change
-	for id := range l.ids {
-		if in := set.Get(id); in == nil || !l.lacks(in.Service, listed[in.Service]) {
-			gone = append(gone, removed(id))
-			delete(l.ids, id)
-		}
-	}
+	gone := l.held()
+	l.ids = nil
 	return gone
 }
 
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -38,8 +38,10 @@
 	// hearPause is the pause between two looks whether others have told what a router that
 	// starts must know.
 	hearPause = 20 * time.Millisecond
-	// readTimeout bounds a call that doesn't wait.
+	// readTimeout bounds a call that doesn't wait, listTimeout the read of the whole list: while the
+	// store is silent, its return is noticed by the next one.
 	readTimeout = 1500 * time.Millisecond
+	listTimeout = time.Second
 	// outage is how long the store must have been silent for entries to have lapsed: they
 	// live for three heartbeats, of a second or more.
 	outage = 3 * time.Second
@@ -228,7 +230,15 @@
 
 // followed reports whether the store need not be asked: peers that read it keep the list
 // current. Each router's own questions would cost calls that grow with the fleet.
-func (w *Watcher) followed() bool { return !w.duties.ReadsInstances() && w.current() }
+func (w *Watcher) followed() bool {
+	return !w.duties.ReadsInstances() && w.current() && !w.overdue(time.Now())
+}
+
+// overdue reports whether a grace should have ended and nobody tells what is still missing.
+func (w *Watcher) overdue(now time.Time) bool {
+	end, open := w.catalog.GraceEnd()
+	return open && now.Sub(end) > followPause+w.duties.Turn()
+}
 
 // current reports whether the list of instances is known to be current.
 func (w *Watcher) current() bool {
@@ -240,7 +250,7 @@
 
 func (w *Watcher) nextInstances(ctx context.Context, after Revision) (Revision, error) {
 	if after == 0 {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		asked := time.Now()
 		list, stamp, err := w.store.Instances(ctx)
