Entries that lapse just after a full list are kept, at followers too

Read from the diff: the first list after an outage may still have all entries, which lapse a moment later; the decision by that list left a router without upstreams for up to a heartbeat. Now a service's instances are kept from the first list on that has half of them or less, and a confirmation begins a grace as a list does. TestLapsesAfterAFullListAreKept failed for both.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -113,11 +113,11 @@
 	if rev < c.revision || c.revision == 0 {
 		return
 	}
+	c.hear(asOf)
 	c.revision = rev
 	if asOf.After(c.heard) {
 		c.heard = asOf
 	}
-	c.vouch(Contact{Since: asOf, Until: asOf})
 }
 
 // InstancesAge is the time since the list of instances was last known to be current.
--- a/pkg/catalog/departures_test.go
+++ b/pkg/catalog/departures_test.go
@@ -179,3 +179,21 @@
 		require.Len(t, c.Instances().Of("s"), 10)
 	})
 }
+
+// Guards against entries that lapse just after the first list, which still had them all.
+func TestLapsesAfterAFullListAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := quiet()
+		c := New(l)
+		all := ready("s", 6)
+		c.Replace(all, 1, time.Now(), "store")
+		time.Sleep(2 * outage)
+		c.Confirm(1, time.Now())
+		for i, in := range all {
+			c.Apply(removal(in), Revision(1+i), Revision(2+i), time.Now(), "store")
+		}
+		require.Len(t, c.Instances().Of("s"), 4, "two removals may have been departures")
+		answering(lapseGrace, c)
+		require.Empty(t, c.Instances().Of("s"))
+	})
+}
--- a/pkg/catalog/lapsed.go
+++ b/pkg/catalog/lapsed.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -16,8 +17,8 @@
 // first list after the outage would leave requests without upstreams that are alive. But a silence
 // may as well be this router's own, and what is missing then has left. So an instance is kept
 // only while the store isn't known to have been there all the while, and until the store has
-// answered after the grace. Nothing is kept of a service of which the first list after the silence
-// has more than half: an outage that entries lapse in leaves few.
+// answered after the grace. Nothing is kept of a service of which each list since the silence had
+// more than half: an outage that entries lapse in leaves few.
 type lapsed struct {
 	open bool
 	// from is when the list was last current before the silence.
@@ -26,20 +27,18 @@
 	until time.Time
 	// before is how many instances of each service served before the silence.
 	before map[string]int
-	// kept are the services whose instances are kept; nil before the first list after a silence.
+	// kept are the services whose instances are kept.
 	kept map[string]bool
 	// ids are the instances that are kept.
 	ids map[upstream.ID]bool
 }
 
-// begin opens a grace after a silence since from. In one that is open the next list is the first
-// after a silence again.
+// begin opens a grace after a silence since from. One that is open goes on.
 func (l *lapsed) begin(old *upstream.Set, from time.Time) {
-	l.kept = nil
 	if l.open {
 		return
 	}
-	*l = lapsed{open: true, from: from, before: serving(old.List()), ids: make(map[upstream.ID]bool)}
+	*l = lapsed{open: true, from: from, before: serving(old.List()), kept: make(map[string]bool), ids: make(map[upstream.ID]bool)}
 }
 
 // serving counts the instances of each service that serve.
@@ -92,15 +91,13 @@
 	return kept
 }
 
-// judge decides by the first list after a silence which services' instances are kept.
+// judge decides by a list which services' instances are kept from now on.
 func (l *lapsed) judge(list []upstream.Instance) {
-	if l.kept != nil {
-		return
-	}
-	l.kept = make(map[string]bool)
 	listed := serving(list)
 	for service, before := range l.before {
-		l.kept[service] = 2*listed[service] <= before
+		if 2*listed[service] <= before {
+			l.kept[service] = true
+		}
 	}
 }
 
@@ -117,10 +114,8 @@
 		}
 		return changes, nil
 	}
-	if l.kept == nil {
-		next, _ := old.Apply(changes)
-		l.judge(next.List())
-	}
+	next, _ := old.Apply(slices.Concat(l.held(), changes))
+	l.judge(next.List())
 	kept := make([]upstream.Change, 0, len(changes))
 	for _, c := range changes {
 		was := old.Get(c.Instance.ID)
