--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -273,29 +273,3 @@
 	}
 	return table.Config.Limits.TokensPerSecond
 }
-
-// housekeepingEvery is the pause between two rounds that forget what is past.
-const housekeepingEvery = 2 * time.Second
-
-func (p *Process) housekeeping(ctx context.Context) {
-	tick := time.NewTicker(housekeepingEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			p.holdings.Prune(now)
-			p.health.Prune(p.catalog.Instances())
-			p.telling.ledger.Prune(p.catalog.Instances())
-			p.fleet.Roster(now) // notices when this router sees little of its fleet
-			p.dropped.tell()
-			p.calls.tell()
-			p.faults.tell()
-			p.holds.tell()
-			p.turnedAway.tell()
-			p.handed.tell()
-			p.uses.tell(now)
-		}
-	}
-}
