--- a/pkg/catalog/lapsed_test.go
+++ b/pkg/catalog/lapsed_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/pkg/routing"
@@ -31,21 +32,28 @@
 	})
 }
 
+// afterASilence gives a router that was away and then read a list without the first instance, and
+// one that has known all the while that the list was current.
+func afterASilence(l log.Interface, all []upstream.Instance) (away, current *Catalog) {
+	away, current = New(l), New(l)
+	away.Replace(all, 1, time.Now(), "store")
+	current.Replace(all, 1, time.Now(), "store")
+	for began := time.Now(); time.Since(began) <= outage; {
+		time.Sleep(time.Second)
+		current.Confirm(1, time.Now())
+	}
+	away.Replace(all[1:], 5, time.Now(), "store")
+	return away, current
+}
+
 // A router comes back after an outage and keeps, for the grace, instances that are missing
 // from the store's list; one of them has left for good. Told to another router as the
 // list at that revision, it would stay there for ever: no later change takes it away.
 func TestListsForOthersHoldNoLapsedInstances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l, _ := quiet()
-		a, b := New(l), New(l)
 		both := []upstream.Instance{{ID: "gone"}, {ID: "stays"}}
-		a.Replace(both, 1, time.Now(), "store")
-		b.Replace(both, 1, time.Now(), "store")
-		for range 4 {
-			time.Sleep(time.Second)
-			b.Confirm(1, time.Now())
-		}
-		a.Replace(both[1:], 5, time.Now(), "store")
+		a, b := afterASilence(l, both)
 		require.NotNil(t, a.Instances().Get("gone"), "it may have lapsed with the store")
 
 		list, rev := a.List()
@@ -86,15 +94,8 @@
 func TestInstancesThatAreBackAreNewsForOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l, _ := quiet()
-		a, b := New(l), New(l)
 		both := []upstream.Instance{{ID: "back"}, {ID: "stays"}}
-		a.Replace(both, 1, time.Now(), "store")
-		b.Replace(both, 1, time.Now(), "store")
-		for range 4 {
-			time.Sleep(time.Second)
-			b.Confirm(1, time.Now())
-		}
-		a.Replace(both[1:], 5, time.Now(), "store")
+		a, b := afterASilence(l, both)
 		told, rev := a.List()
 		b.Replace(told.List(), rev, time.Now(), "peer")
 		require.Nil(t, b.Instances().Get("back"))
