The time of refusing makes no round slow

Cause: a round's time began before what waits was refused. Under a quota a batch of refusals crosses a pause (492 refusals took 300 ms, 61 of those let in were too late by then), the round is slow by that, so all that comes is turned away again: refusing made the overload that it answers. Seen in the second that was left: 95 served, 1,291 refused, 174 lost, 55 of its 107 ms spent on refusals. Change: the round begins after the refusals. Failed before: 81 ms for a round in which only a refusal took time.

--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -159,10 +159,10 @@
 	if !l.rounds.full() {
 		return
 	}
-	began := l.now()
-	if l.rounds.overloaded(began) {
+	if l.rounds.overloaded(l.now()) {
 		l.turnAwayWaiting(always)
 	}
+	began := l.now()
 	l.yield()
 	now := l.now()
 	l.rounds.usual = l.load.perPeriod(now)
--- a/pkg/admission/standstill_test.go
+++ b/pkg/admission/standstill_test.go
@@ -73,3 +73,27 @@
 	r.refill(now.Add(refillAfter))
 	require.Greater(t, r.allowed.room(r.usedAt), spent)
 }
+
+// Guards against slow rounds that refusing itself makes: each of them has all who wait turned away,
+// which makes the next one slow.
+func TestRefusingMakesNoRoundSlow(t *testing.T) {
+	l := unserved(t, 0)
+	defer l.Close()
+	clock := &manualClock{at: start}
+	l.now = clock.now
+	l.refuser.refusal = func(time.Time) []byte {
+		clock.pass(longRound + time.Millisecond) // a pause of the quota falls into the refusals
+		return []byte(refusal)
+	}
+	for range 2 {
+		l.rounds.next(longRound+time.Millisecond, start)
+	}
+	asking(t, l, asks)
+	for !l.rounds.full() {
+		l.rounds.let()
+	}
+	l.round()
+	refused, _ := l.TurnedAway()
+	require.EqualValues(t, 1, refused)
+	require.LessOrEqual(t, l.rounds.took, longRound)
+}
