The line of connections turned away tells the share of a core

What a router gets of its host tells a crowd from a neighbour that has the processor; until now it took a trace of the listener.

--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -282,6 +282,9 @@
 // RefusalTime is the mean processor time in which a connection is turned away.
 func (l *Listener) RefusalTime() time.Duration { return l.refuser.meanTime() }
 
+// Share is the part of a core that the process got lately, as far as it was read.
+func (l *Listener) Share() float64 { return l.refuser.share() }
+
 // Accepted counts the connections that were let in so far.
 func (l *Listener) Accepted() int64 { return l.accepted.Load() }
 
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -142,6 +142,13 @@
 	return r.allowed.each
 }
 
+// share is the part of a core that the process got lately.
+func (r *refuser) share() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allowed.share.value
+}
+
 // textAt is the refusal at now, made anew after a while.
 func (r *refuser) textAt(now time.Time) []byte {
 	if r.text == nil || now.Sub(r.madeAt) >= lookEvery {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -215,7 +215,7 @@
 		refused, closed := l.TurnedAway()
 		return l.Accepted(), refused + closed
 	}
-	p.turnedAway = turnedAway{count: l.TurnedAway, takes: l.RefusalTime, log: p.log, counter: p.metrics.Scope.Counter("connections_turned_away")}
+	p.turnedAway = turnedAway{count: l.TurnedAway, takes: l.RefusalTime, share: l.Share, log: p.log, counter: p.metrics.Scope.Counter("connections_turned_away")}
 	return nil
 }
 
--- a/pkg/gatewayd/turnedaway.go
+++ b/pkg/gatewayd/turnedaway.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -11,8 +12,10 @@
 // have no line of their own, as nobody read them.
 type turnedAway struct {
 	count func() (refused, closed int64)
-	// takes is the mean time that passes while one is turned away.
+	// takes is the mean time that passes while one is turned away, share the part of a core that
+	// the process gets.
 	takes           func() time.Duration
+	share           func() float64
 	refused, closed int64
 	log             log.Interface
 	counter         tally.Counter
@@ -26,5 +29,8 @@
 	}
 	t.refused, t.closed = refused, closed
 	t.counter.Inc(fresh + silent)
-	t.log.WithFields(log.Fields{"event": "connections_turned_away", "refused": fresh, "closed": silent, "each_us": t.takes().Microseconds()}).Warn("connections were turned away for want of processor")
+	t.log.WithFields(log.Fields{
+		"event": "connections_turned_away", "refused": fresh, "closed": silent,
+		"each_us": t.takes().Microseconds(), "core_percent": int(math.Round(100 * t.share())),
+	}).Warn("connections were turned away for want of processor")
 }
