Requests are counted without a lock that they wait in line for

Callers see requests that wait for the processor twice. Cause, from all goroutines' stacks as it hung: 796 of 800 wait for the mutex of outcomes.counter, the holder is in Unlock, handing it on. One goroutine that loses the processor with the lock makes the others wait for over a millisecond; from then on the runtime hands the lock over in order of arrival, so each request gives up the processor at it and waits for a turn of all others. Every request of a router passes there. Ruled out: departures' own lock (no goroutine at it), the upstream's connection (closed in time in earlier traces), the clock of turns alone. Left: locks around state that changes with each request (ledger, shares, pools, holdings) hold it for longer; no stack stood at them.

--- a/pkg/gateway/linebudget.go
+++ b/pkg/gateway/linebudget.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,38 +14,46 @@
 )
 
 // lineBudget bounds the lines a second, and counts what is left out. Failures have a
-// budget of their own: a flood of successes never hides them.
+// budget of their own: a flood of successes never hides them. It has no lock, see outcomes.
 type lineBudget struct {
-	mu     sync.Mutex
-	second int64
-	served int
-	failed int
-	leftServed,
-	leftFailed int64
+	second                 atomic.Pointer[lineSecond]
+	leftServed, leftFailed atomic.Int64
+}
+
+// lineSecond counts the requests of one second.
+type lineSecond struct {
+	at             int64
+	served, failed atomic.Int64
 }
 
 // allow reports whether a line may be written now. At the first line of a second it also
 // gives what was left out since it last said so.
 func (b *lineBudget) allow(served bool, now time.Time) (ok bool, leftServed, leftFailed int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s := now.Unix(); s != b.second {
-		b.second, b.served, b.failed = s, 0, 0
-		leftServed, leftFailed = b.leftServed, b.leftFailed
-		b.leftServed, b.leftFailed = 0, 0
+	second, first := b.current(now.Unix())
+	if first {
+		leftServed, leftFailed = b.leftServed.Swap(0), b.leftFailed.Swap(0)
 	}
+	count, most, left := &second.failed, int64(failedLines), &b.leftFailed
 	if served {
-		b.served++
-		ok = b.served <= servedLines
-		if !ok {
-			b.leftServed++
-		}
-		return ok, leftServed, leftFailed
+		count, most, left = &second.served, servedLines, &b.leftServed
 	}
-	b.failed++
-	ok = b.failed <= failedLines
+	ok = count.Add(1) <= most
 	if !ok {
-		b.leftFailed++
+		left.Add(1)
 	}
 	return ok, leftServed, leftFailed
 }
+
+// current gives the counts of a second, and whether it has just begun.
+func (b *lineBudget) current(at int64) (second *lineSecond, first bool) {
+	for {
+		second = b.second.Load()
+		if second != nil && second.at == at {
+			return second, false
+		}
+		fresh := &lineSecond{at: at}
+		if b.second.CompareAndSwap(second, fresh) {
+			return fresh, true
+		}
+	}
+}
--- a/pkg/telemetry/requests.go
+++ b/pkg/telemetry/requests.go
@@ -20,11 +20,14 @@
 var unitBuckets = tally.MustMakeExponentialValueBuckets(1, 2, 20)
 
 // Requests keeps the histograms of each organisation and class.
+//
+// Guard: every request is counted here. With a lock, one goroutine that loses the processor while it
+// holds it has all others wait in line for it, so only what is new takes one.
 type Requests struct {
 	scope tally.Scope
+	sets  sync.Map // of *requestSet by requestKey
 
 	mu   sync.Mutex
-	sets map[requestKey]*requestSet
 	orgs map[string]struct{}
 }
 
@@ -34,16 +37,14 @@
 	firstToken, betweenTokens, queueWait, service tally.Histogram
 	units                                         tally.Counter
 	scope                                         tally.Scope
-	// refused holds the counters of error answers by code, a bounded set, below the lock of
-	// Requests.
-	refused map[string]tally.Counter
+	// refused holds the counters of error answers by code, a bounded set.
+	refused sync.Map // of tally.Counter by string
 }
 
 // NewRequests returns histograms below scope.
 func NewRequests(scope tally.Scope) *Requests {
 	return &Requests{
 		scope: scope.SubScope("request"),
-		sets:  make(map[requestKey]*requestSet),
 		orgs:  make(map[string]struct{}),
 	}
 }
@@ -78,24 +79,20 @@
 // refusedCounter finds or makes the counter of a code. A look in its scope costs half a
 // microsecond and three allocations, so counters are kept.
 func (r *Requests) refusedCounter(org, class, code string) tally.Counter {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.lockedSet(org, class)
-	c := s.refused[code]
-	if c == nil {
-		c = s.scope.Tagged(map[string]string{"code": code}).Counter("refused")
-		s.refused[code] = c
+	s := r.set(org, class)
+	if c, ok := s.refused.Load(code); ok {
+		return c.(tally.Counter)
 	}
-	return c
+	c, _ := s.refused.LoadOrStore(code, s.scope.Tagged(map[string]string{"code": code}).Counter("refused"))
+	return c.(tally.Counter)
 }
 
 func (r *Requests) set(org, class string) *requestSet {
+	if s, ok := r.sets.Load(requestKey{org, class}); ok {
+		return s.(*requestSet)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lockedSet(org, class)
-}
-
-func (r *Requests) lockedSet(org, class string) *requestSet {
 	if _, known := r.orgs[org]; !known {
 		if len(r.orgs) >= MaxOrgs {
 			org = otherOrg
@@ -103,11 +100,11 @@
 		r.orgs[org] = struct{}{}
 	}
 	key := requestKey{org, class}
-	if s, ok := r.sets[key]; ok {
-		return s
+	if s, ok := r.sets.Load(key); ok {
+		return s.(*requestSet)
 	}
 	s := newRequestSet(r.scope.Tagged(map[string]string{"organisation": org, "class": class}))
-	r.sets[key] = s
+	r.sets.Store(key, s)
 	return s
 }
 
@@ -119,6 +116,5 @@
 		service:       scope.Histogram("service_units", unitBuckets),
 		units:         scope.Counter("units"),
 		scope:         scope,
-		refused:       make(map[string]tally.Counter),
 	}
 }
