--- a/test/crowd/collapse_test.go
+++ b/test/crowd/collapse_test.go
@@ -49,11 +49,13 @@
 	var used []time.Duration
 	var watching sync.WaitGroup
 	watching.Go(func() { used = s.watch(ctx, t) })
+	var late lateness
+	watching.Go(func() { late.watch(ctx) })
 	all.rush(ctx, overload*can)
 	watching.Wait()
 	t.Logf("can serve %d a second with %v of processor; asked for %d", can, got, overload*can)
 	for i, o := range all.seconds[:len(used)] {
-		t.Logf("second %d, %v: %+v", i, used[i], o)
+		t.Logf("second %d, %v: %+v; the test's own timers late by %v", i, used[i], o, late.mean(i))
 	}
 	for i := 1; i < len(used); i++ {
 		o := all.seconds[i]
