--- a/pkg/admission/load.go
+++ b/pkg/admission/load.go
@@ -20,7 +20,6 @@
 	mu        sync.Mutex
 	all, away float64
 	at        time.Time
-	let       inflow
 }
 
 // letIn counts a connection that was let in.
@@ -29,14 +28,6 @@
 	defer l.mu.Unlock()
 	l.fade(now)
 	l.all++
-	l.let.let(now)
-}
-
-// perPeriod is how many connections are let in in a quota's period, at the mean of the last while.
-func (l *load) perPeriod(now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.let.perPeriod(now)
 }
 
 // turnedAway counts n that were not.
@@ -57,6 +48,17 @@
 	}
 }
 
+// quotaPeriod is the time in which a quota gives its turns of the processor.
+const quotaPeriod = 100 * time.Millisecond
+
+// perPeriod is how many connections are let in in a quota's period, at the mean of the last while.
+func (l *load) perPeriod(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fade(now)
+	return int((l.all - l.away) * quotaPeriod.Seconds() / shareWindow.Seconds())
+}
+
 // pause is the time after which one that is turned away should come back.
 //
 // Guard: told the same short time however many come, those that are turned away come back
