--- a/test/callers/flood_test.go
+++ b/test/callers/flood_test.go
@@ -41,21 +41,43 @@
 	others := w.Traffic(36, func(i int) load.Request { return w.Request(load.Streamed, 1+i%2, i/2, answer) })
 	w.Eventually("a refusal says when to come back", func() bool { return refusedWithTime(w) })
 	w.Eventually("the others have got going", func() bool { return others.Count(failtest.Whole) >= warmUp })
-	before := w.Tokens()
+	before, from := w.Tokens(), time.Now()
 	w.Eventually("the others are served", func() bool { return others.Count(failtest.Whole) >= warmUp+400 })
-	after := w.Tokens()
+	after, to := w.Tokens(), time.Now()
 
 	served := others.Stop()
 	flooded := flood.Stop()
 	w.AllWhole(served)
 	w.Check(flooded, load.NoExcuse)
 	floods := after["org-01"] - before["org-01"]
+	for _, org := range []string{"org-02", "org-03"} {
+		t.Logf("%s: part %.2f, %.1f requests under way at the mean", org, float64(after[org]-before[org])/float64(floods), underWay(served, org, from, to))
+	}
 	for _, org := range []string{"org-02", "org-03"} {
 		require.Greater(t, float64(after[org]-before[org]), fairPart*float64(floods), org)
 	}
 	require.Less(t, medianTime(failtest.Filter(flooded, failtest.NotRun)), medianTime(served))
 }
 
+// underWay is how many requests of an organisation were under way between two times, at the mean: an
+// organisation whose callers get no processor has less than its callers to wait.
+func underWay(results []load.Result, org string, from, to time.Time) float64 {
+	sum := time.Duration(0)
+	for _, r := range results {
+		began, ended := r.Sent, r.Ended
+		if began.Before(from) {
+			began = from
+		}
+		if ended.After(to) {
+			ended = to
+		}
+		if r.Org.Name == org && ended.After(began) {
+			sum += ended.Sub(began)
+		}
+	}
+	return sum.Seconds() / to.Sub(from).Seconds()
+}
+
 func refusedWithTime(w *failtest.World) bool {
 	r, ok := w.Ask(0, 0)
 	seconds, err := strconv.Atoi(r.RetryAfter)
