--- a/pkg/gateway/outcomes_test.go
+++ b/pkg/gateway/outcomes_test.go
@@ -6,40 +6,21 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
-)
-
-// heldScope makes its counters only once release is closed.
-type heldScope struct {
-	tally.Scope
-	entered, release chan struct{}
-}
 
-func (s heldScope) Tagged(map[string]string) tally.Scope {
-	close(s.entered)
-	<-s.release
-	return s.Scope
-}
+	"github.com/flamingowind/flamingowind/internal/heldscope"
+)
 
 // Guards against requests that wait in line for a counter while a goroutine that has lost the
 // processor makes another one.
 func TestCountingWaitsForNoOtherRequest(t *testing.T) {
 	o := newOutcomes(tally.NoopScope)
 	o.count("stream", outcomeServed)
-	held := heldScope{Scope: tally.NoopScope, entered: make(chan struct{}), release: make(chan struct{})}
-	defer close(held.release)
+	held := heldscope.New()
+	defer held.Release()
 	o.scope = held
 	go o.count("none", "not_found")
-	<-held.entered
-	counted := make(chan struct{})
-	go func() {
-		o.count("stream", outcomeServed)
-		close(counted)
-	}()
-	select {
-	case <-counted:
-	case <-time.After(10 * time.Second):
-		require.Fail(t, "a request waits for another one's counter")
-	}
+	held.Entered()
+	held.RequireNoWait(t, func() { o.count("stream", outcomeServed) })
 }
 
 // Guards against lines that are left out and never told of as seconds change under many requests.
