The line of a request tells how its answer was framed, what ended it and what was left of an event

Callers got answers as complete that were short; the line said "served" and nothing else, so a close inside an event, a framing that is complete around half an event, and an end of our own looked alike. Attempts have framing, ending and rest_bytes now, the counter flamingowind_gateway_answers the first two. No logic changed. The cost of the longer line was not measured against the one before.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -23,6 +23,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Framing tells where the body ends; Ending is what ended its reading, empty until then.
+	Framing Framing
+	Ending  Ending
 
 	pool    *pool
 	conn    *conn
@@ -36,6 +39,7 @@
 
 func (a *Answer) accept(resp *http.Response) {
 	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
+	a.Framing = framingOf(resp)
 	a.conn.fresh = false
 	a.keep = keepFor(resp)
 }
@@ -66,6 +70,7 @@
 	if err == nil {
 		return n, nil
 	}
+	a.Ending = endingOf(a.Framing, err, a.abort.happened())
 	if errors.Is(err, io.EOF) && !a.abort.happened() {
 		a.ended = true
 		return n, io.EOF
--- a/pkg/gateway/meter.go
+++ b/pkg/gateway/meter.go
@@ -12,13 +12,15 @@
 type meter struct {
 	requests *telemetry.Requests
 	outcomes *outcomes
+	endings  *outcomes
 }
 
 func newMeter(scope tally.Scope) *meter {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &meter{requests: telemetry.NewRequests(scope), outcomes: newOutcomes(scope.SubScope("gateway"))}
+	own := scope.SubScope("gateway")
+	return &meter{requests: telemetry.NewRequests(scope), outcomes: newOutcomes(own), endings: newEndings(own)}
 }
 
 // noRoute stands for the kind of route of requests that match none.
--- a/pkg/gateway/outcomes.go
+++ b/pkg/gateway/outcomes.go
@@ -6,10 +6,10 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// outcomeKey is a kind of route with an outcome; both are bounded sets.
-type outcomeKey struct{ kind, outcome string }
+// outcomeKey is the values of a counter's two tags; both are bounded sets.
+type outcomeKey struct{ first, second string }
 
-// outcomes counts requests by kind of route and outcome. It keeps the counters that it made:
+// outcomes counts by two tags. It keeps the counters that it made:
 // a look in their scopes for each request allocates and costs many times the count itself
 // (BenchmarkMeter).
 //
@@ -17,19 +17,29 @@
 // it has all others wait in line, and the lock is handed from one to the next from then on: each
 // request waits for a turn of all that wait for the processor.
 type outcomes struct {
-	scope    tally.Scope
-	counters sync.Map // of tally.Counter by outcomeKey
+	scope         tally.Scope
+	metric        string
+	first, second string   // tags
+	counters      sync.Map // of tally.Counter by outcomeKey
 }
 
-func newOutcomes(scope tally.Scope) *outcomes { return &outcomes{scope: scope} }
+// newOutcomes counts requests by kind of route and outcome.
+func newOutcomes(scope tally.Scope) *outcomes {
+	return &outcomes{scope: scope, metric: "requests", first: "kind", second: "outcome"}
+}
+
+// newEndings counts answers of upstreams by how they were framed and what ended them.
+func newEndings(scope tally.Scope) *outcomes {
+	return &outcomes{scope: scope, metric: "answers", first: "framing", second: "ending"}
+}
 
-func (o *outcomes) count(kind, outcome string) { o.counter(outcomeKey{kind, outcome}).Inc(1) }
+func (o *outcomes) count(first, second string) { o.counter(outcomeKey{first, second}).Inc(1) }
 
 func (o *outcomes) counter(key outcomeKey) tally.Counter {
 	if c, ok := o.counters.Load(key); ok {
 		return c.(tally.Counter)
 	}
-	made := o.scope.Tagged(map[string]string{"kind": key.kind, "outcome": key.outcome}).Counter("requests")
+	made := o.scope.Tagged(map[string]string{o.first: key.first, o.second: key.second}).Counter(o.metric)
 	c, _ := o.counters.LoadOrStore(key, made)
 	return c.(tally.Counter)
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -162,6 +162,7 @@
 		return g.failed(r, st, in, err)
 	}
 	defer answer.Close()
+	defer g.noteEnding(st, answer)
 	st.FirstMs = time.Since(now).Milliseconds()
 	if g.dialect.NotRun(answer.Status, answer.Header) {
 		return g.declined(r, st, in, answer)
@@ -173,6 +174,15 @@
 	return g.relayWhole(r, st, in, answer)
 }
 
+// noteEnding notes how an answer was framed and what ended it.
+func (g *Gateway) noteEnding(st *step, a *forward.Answer) {
+	if a.Ending == "" {
+		return
+	}
+	st.Framing, st.Ending = a.Framing, a.Ending
+	g.meter.endings.count(string(a.Framing), string(a.Ending))
+}
+
 func (g *Gateway) call(r *request, choice placement.Choice, now time.Time) *forward.Call {
 	in := choice.Candidate.Instance
 	errand := Errand{Instance: in.ID, Organisation: r.org, Left: r.left(now), After: r.ask.After, Resumes: r.ask.Resumes}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -25,6 +25,9 @@
 		if !ok {
 			err = errors.New("an event has no end")
 		}
+		if err != nil {
+			st.RestBytes = len(events.Rest())
+		}
 		if errors.Is(err, io.EOF) {
 			ready = append(ready, events.Rest()...)
 		}
--- a/pkg/gateway/trail.go
+++ b/pkg/gateway/trail.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -34,6 +35,11 @@
 	Fetched int `json:"fetched_tokens,omitempty"`
 	// Risk is the part of the streams beside it that its reading was expected to make late.
 	Risk float64 `json:"risk,omitempty"`
+	// Framing is how the answer tells where it ends, Ending what ended its reading, RestBytes what was
+	// left behind its last whole event.
+	Framing   forward.Framing `json:"framing,omitempty"`
+	Ending    forward.Ending  `json:"ending,omitempty"`
+	RestBytes int             `json:"rest_bytes,omitempty"`
 	// PauseMs is the longest time between two events.
 	PauseMs int64  `json:"pause_ms,omitempty"`
 	Outcome string `json:"outcome"`
