A stream that ends inside an event has been broken off

Cause: relayStream took the end of the connection, the length or the last chunk for the end of the stream and passed what was left behind the last event on. Ruled out: an end of our own, no time or caller's close lies near either case and both engines served on; a reset passed on as a close, six resets of the same seconds were told as such.

Events.End tells whether the stream ends between events. One that doesn't is broken, however it was framed: the caller's answer is cut, or the stream goes on at another engine, and health, the list of suspects and the log hear the same as of a reset. Its connection isn't kept.

TestLeavingRoutersServeWhatStillEnds had an engine stream "hello", which is no event; it streams one now and the body is asked for, too.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -101,6 +101,9 @@
 	a.pool.put(a.conn)
 }
 
+// Distrust has Close close the connection, as what came on it isn't what its framing says.
+func (a *Answer) Distrust() { a.keep = 0 }
+
 func (a *Answer) reusable() bool {
 	if !a.ended || a.keep <= 0 || a.conn.reader.Buffered() > 0 {
 		return false
--- a/pkg/forward/error.go
+++ b/pkg/forward/error.go
@@ -14,6 +14,9 @@
 	ErrAborted = errors.New("aborted")
 )
 
+// ErrInsideEvent is for a stream that ended in order, but inside an event.
+const ErrInsideEvent = errors.ConstError("the stream ended inside an event")
+
 // Error ends an attempt without a usable answer.
 type Error struct {
 	// Sent is whether any byte of the request may have reached the upstream. Only when
--- a/pkg/forward/events.go
+++ b/pkg/forward/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/juju/errors"
 )
 
 // maxPending bounds an event that is not complete yet, in bytes.
@@ -49,8 +51,18 @@
 	return whole, count, len(e.pending) <= maxPending
 }
 
-// Rest gives what follows the last whole event.
-func (e *Events) Rest() []byte { return e.pending }
+// Rest is the number of bytes behind the last whole event.
+func (e *Events) Rest() int { return len(e.pending) }
+
+// End takes the end of the stream, and gives the bytes behind the last event. It fails with
+// ErrInsideEvent where they are the beginning of another one: the stream was broken off then, however
+// orderly it ended.
+func (e *Events) End() ([]byte, error) {
+	if len(bytes.Trim(e.pending, "\r\n")) > 0 {
+		return nil, errors.Annotatef(ErrInsideEvent, "%d bytes after event %d", len(e.pending), e.last)
+	}
+	return e.pending, nil
+}
 
 // Break drops what follows the last whole event, before another upstream goes on.
 func (e *Events) Break() { e.pending = e.pending[:0] }
--- a/pkg/forward/events_test.go
+++ b/pkg/forward/events_test.go
@@ -27,7 +27,7 @@
 	require.EqualValues(t, 2, last)
 	e.Break()
 	require.Equal(t, event(3), push(t, e, event(2)+event(3)), "an event that was let through is not let through again")
-	require.Empty(t, e.Rest())
+	require.Zero(t, e.Rest())
 }
 
 func TestEventsOfAResumedCaller(t *testing.T) {
@@ -69,7 +69,7 @@
 		first, _, _ := e.Push(data[:cut])
 		got := len(first)
 		second, _, _ := e.Push(data[cut:])
-		if got+len(second)+len(e.Rest()) > len(data) {
+		if got+len(second)+e.Rest() > len(data) {
 			t.Fatal("more bytes leave than came")
 		}
 	})
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -74,7 +74,7 @@
 
 // world is a gateway before fake upstreams.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	gateway *Gateway
 	catalog *catalog.Catalog
 	front   *httptest.Server
@@ -89,7 +89,7 @@
 	seen []*http.Request // as upstreams saw them
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	w := &world{t: t, catalog: catalog.New(quiet)}
 	w.gateway = New(Settings{PrefillTokensPerMs: 50, FirstEvent: time.Millisecond, SlotTurn: time.Millisecond,
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -132,13 +132,14 @@
 // it; a stream that might be cut by the end is refused while its caller can go elsewhere.
 func TestLeavingRoutersServeWhatStillEnds(t *testing.T) {
 	w := newWorld(t)
-	w.upstreams(says("hello"))
+	w.upstreams(says(events(1, 1)))
 	w.gateway.Leave(time.Now().Add(2 * time.Second))
 	w.gateway.Shut()
 	status, _, _ := w.get("/safe/")
 	require.Equal(t, 200, status)
-	status, _, _ = w.get("/stream/", "X-Tokens", "1000")
+	status, body, _ := w.get("/stream/", "X-Tokens", "1000")
 	require.Equal(t, 200, status)
+	require.Equal(t, events(1, 1), body)
 	w.gateway.Leave(time.Now().Add(callTime / 2))
 	status, _, header := w.get("/safe/")
 	require.Equal(t, 503, status)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -14,47 +14,20 @@
 // relayStream passes events on as they come.
 func (g *Gateway) relayStream(r *request, st *step, in *upstream.Instance, a *forward.Answer, p *placed) result {
 	events := r.events()
-	flusher := http.NewResponseController(r.w)
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	g.relaying.Add(1)
 	defer g.relaying.Add(-1)
 	for rested := time.Duration(0); ; {
-		n, err := a.Read(*buf)
-		ready, count, ok := events.Push((*buf)[:n])
-		if !ok {
-			err = errors.New("an event has no end")
-		}
-		if err != nil {
-			st.RestBytes = len(events.Rest())
-		}
-		if errors.Is(err, io.EOF) {
-			ready = append(ready, events.Rest()...)
-		}
+		ready, count, err := nextEvents(a, events, *buf)
 		if len(ready) > 0 {
-			now := time.Now()
-			if p.newest.IsZero() {
-				g.begun(r, p, now)
-				st.FirstMs = now.Sub(st.started).Milliseconds()
-				g.beginStream(r, a)
-			} else {
-				g.paused(r, st, p, now, rested)
-			}
-			p.newest = now
-			st.Events += count
-			if _, werr := r.w.Write(ready); werr != nil {
-				st.Outcome = outcomeCallerOff
-				g.cut(r)
-			}
-			if ferr := flusher.Flush(); ferr != nil {
-				st.Outcome = outcomeCallerOff
-				g.cut(r)
-			}
+			g.passEvents(r, st, a, p, ready, count, rested)
 		}
 		if err == nil {
 			rested = g.restAfter(p)
 			continue
 		}
+		st.RestBytes = events.Rest()
 		if errors.Is(err, io.EOF) {
 			return g.streamEnded(r, st, in, a)
 		}
@@ -62,6 +35,47 @@
 	}
 }
 
+// nextEvents reads what has come, and gives the whole events of it. io.EOF means that the stream is
+// complete: its upstream ended it, and not inside an event.
+func nextEvents(a *forward.Answer, events *forward.Events, buf []byte) (ready []byte, count int, err error) {
+	n, err := a.Read(buf)
+	ready, count, ok := events.Push(buf[:n])
+	if !ok {
+		return ready, count, errors.New("an event has no end")
+	}
+	if !errors.Is(err, io.EOF) {
+		return ready, count, err
+	}
+	rest, inside := events.End()
+	if inside != nil {
+		a.Distrust()
+		return ready, count, inside
+	}
+	return append(ready, rest...), count, err
+}
+
+// passEvents gives the caller what is ready.
+func (g *Gateway) passEvents(r *request, st *step, a *forward.Answer, p *placed, ready []byte, count int, rested time.Duration) {
+	now := time.Now()
+	if p.newest.IsZero() {
+		g.begun(r, p, now)
+		st.FirstMs = now.Sub(st.started).Milliseconds()
+		g.beginStream(r, a)
+	} else {
+		g.paused(r, st, p, now, rested)
+	}
+	p.newest = now
+	st.Events += count
+	_, err := r.w.Write(ready)
+	if err == nil {
+		err = http.NewResponseController(r.w).Flush()
+	}
+	if err != nil {
+		st.Outcome = outcomeCallerOff
+		g.cut(r)
+	}
+}
+
 // events gives the cutter of the caller's stream, one for all attempts.
 func (r *request) events() *forward.Events {
 	if r.cutter == nil {
