Events end in CRLF and CR as in LF

Callers of a stream whose lines end in CRLF or CR got nothing until it ended, and lost what was held back when it broke off: a resumed one would get event 2 without event 1. An LF of a split CRLF is waited for only where the lines before ended in CRLF, so no event waits for the next one.

--- a/pkg/forward/events.go
+++ b/pkg/forward/events.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/sse"
 )
 
 // maxPending bounds an event that is not complete yet, in bytes.
@@ -16,9 +18,11 @@
 // the bytes before the break and those of the upstream that goes on would join into an
 // event that neither made. Only whole events leave here.
 type Events struct {
-	pending []byte
-	last    int64
-	seen    bool
+	scanner sse.Scanner
+	// pending is what follows the last whole event, ready what Push gave.
+	pending, ready []byte
+	last           int64
+	seen           bool
 }
 
 // Resumed returns a cutter that drops events up to and including last.
@@ -27,28 +31,29 @@
 // Last is the id of the newest event that was let through.
 func (e *Events) Last() (int64, bool) { return e.last, e.seen }
 
-// Push takes bytes as they came and gives the whole events that are new. The result is
-// valid until the next call. ok is false when an event grows beyond all bounds.
+// Push takes bytes as they came and gives the whole events that are new, and blank lines between
+// them. The result is valid until the next call. ok is false when an event grows beyond all bounds.
 func (e *Events) Push(data []byte) (whole []byte, count int, ok bool) {
 	e.pending = append(e.pending, data...)
-	end := 0
-	kept := 0
+	e.ready = e.ready[:0]
+	begin := 0
 	for {
-		i := bytes.Index(e.pending[end:], []byte("\n\n"))
-		if i < 0 {
+		n, event := e.scanner.Scan(e.pending[begin:])
+		if n == 0 {
 			break
 		}
-		event := e.pending[end : end+i+2]
-		end += i + 2
-		if e.old(event) {
+		piece := e.pending[begin : begin+n]
+		begin += n
+		if event && e.old(piece) {
 			continue
 		}
-		kept += copy(e.pending[kept:], event)
-		count++
+		e.ready = append(e.ready, piece...)
+		if event {
+			count++
+		}
 	}
-	whole = append([]byte(nil), e.pending[:kept]...)
-	e.pending = append(e.pending[:0], e.pending[end:]...)
-	return whole, count, len(e.pending) <= maxPending
+	e.pending = append(e.pending[:0], e.pending[begin:]...)
+	return e.ready, count, len(e.pending) <= maxPending
 }
 
 // Rest is the number of bytes behind the last whole event.
@@ -58,14 +63,20 @@
 // ErrInsideEvent where they are the beginning of another one: the stream was broken off then, however
 // orderly it ended.
 func (e *Events) End() ([]byte, error) {
-	if len(bytes.Trim(e.pending, "\r\n")) > 0 {
+	switch {
+	case e.scanner.Inside(e.pending):
 		return nil, errors.Annotatef(ErrInsideEvent, "%d bytes after event %d", len(e.pending), e.last)
+	case e.scanner.Whole(e.pending) && e.old(e.pending):
+		return nil, nil
 	}
 	return e.pending, nil
 }
 
 // Break drops what follows the last whole event, before another upstream goes on.
-func (e *Events) Break() { e.pending = e.pending[:0] }
+func (e *Events) Break() {
+	e.pending = e.pending[:0]
+	e.scanner = sse.Scanner{}
+}
 
 // old reports whether the event was let through before, and notes its id otherwise.
 func (e *Events) old(event []byte) bool {
@@ -82,12 +93,8 @@
 
 func eventID(event []byte) (int64, bool) {
 	for len(event) > 0 {
-		line := event
-		if i := bytes.IndexByte(event, '\n'); i >= 0 {
-			line, event = event[:i], event[i+1:]
-		} else {
-			event = nil
-		}
+		var line []byte
+		line, event = sse.CutLine(event)
 		text, found := bytes.CutPrefix(line, []byte("id:"))
 		if !found {
 			continue
--- a/pkg/forward/events_test.go
+++ b/pkg/forward/events_test.go
@@ -45,18 +45,27 @@
 		var all strings.Builder
 		n := rapid.IntRange(0, 30).Draw(t, "events")
 		for i := range n {
-			all.WriteString(event(i))
+			end := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "end")
+			all.WriteString(strings.ReplaceAll(event(i), "\n", end))
 		}
-		e, got, data := new(Events), "", all.String()
+		e, got, count, data := new(Events), "", 0, all.String()
 		for len(data) > 0 {
 			k := rapid.IntRange(1, len(data)).Draw(t, "cut")
-			whole, _, _ := e.Push([]byte(data[:k]))
+			whole, events, _ := e.Push([]byte(data[:k]))
 			got += string(whole)
+			count += events
 			data = data[k:]
 		}
-		if got != all.String() {
+		rest, err := e.End()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got += string(rest); got != all.String() {
 			t.Fatalf("got %q, want %q", got, all.String())
 		}
+		if last, _ := e.Last(); count < n-1 || n > 0 && last != int64(n-1) {
+			t.Fatalf("%d events of %d, the last is %d", count, n, last)
+		}
 	})
 }
 
