--- a/pkg/dispatch/event.go
+++ b/pkg/dispatch/event.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/sse"
 )
 
 // event is one server-sent event. Its slices are valid until the next read.
@@ -25,9 +27,9 @@
 func parseEvent(raw []byte) (event, error) {
 	e := event{raw: raw}
 	for rest := raw; len(rest) > 0; {
-		line, after, _ := bytes.Cut(rest, newline)
-		rest = after
-		if err := e.take(bytes.TrimSuffix(line, carriage)); err != nil {
+		var line []byte
+		line, rest = sse.CutLine(rest)
+		if err := e.take(line); err != nil {
 			return event{}, err
 		}
 	}
--- a/pkg/dispatch/reader.go
+++ b/pkg/dispatch/reader.go
@@ -1,16 +1,15 @@
 package dispatch
 
 import (
-	"bytes"
 	"io"
 	"sync"
+
+	"github.com/flamingowind/flamingowind/pkg/sse"
 )
 
 var (
-	newline  = []byte("\n")
-	carriage = []byte("\r")
-	colon    = []byte(":")
-	space    = []byte(" ")
+	colon = []byte(":")
+	space = []byte(" ")
 )
 
 const (
@@ -25,13 +24,13 @@
 
 // eventReader cuts a byte stream into server-sent events, in one pooled buffer.
 type eventReader struct {
-	src    io.Reader
-	max    int
-	pooled *[]byte
-	buf    []byte
-	begin  int // first byte that wasn't returned yet
-	line   int // first byte of the line being looked at
-	end    int // end of what was read
+	src     io.Reader
+	max     int
+	pooled  *[]byte
+	buf     []byte
+	scanner sse.Scanner
+	begin   int // first byte that wasn't returned yet
+	end     int // end of what was read
 }
 
 func newEventReader(src io.Reader, max int) *eventReader {
@@ -52,24 +51,29 @@
 // there is none. It is valid until the next fill.
 func (r *eventReader) cut() []byte {
 	for {
-		n := bytes.IndexByte(r.buf[r.line:r.end], '\n')
-		if n < 0 {
+		n, event := r.scanner.Scan(r.buf[r.begin:r.end])
+		if n == 0 {
 			return nil
 		}
-		first, last := r.line, r.line+n
-		r.line = last + 1
-		blank := n == 0 || (n == 1 && r.buf[first] == '\r')
-		if !blank {
-			continue
-		}
-		raw := r.buf[r.begin:r.line]
-		r.begin = r.line
-		if first > r.begin-len(raw) {
+		raw := r.buf[r.begin : r.begin+n]
+		r.begin += n
+		if event {
 			return raw
 		}
 	}
 }
 
+// last returns an event at the end of the stream that lacks only the LF of its last CRLF, nil when
+// there is none.
+func (r *eventReader) last() []byte {
+	rest := r.buf[r.begin:r.end]
+	if !r.scanner.Whole(rest) {
+		return nil
+	}
+	r.begin, r.scanner = r.end, sse.Scanner{}
+	return rest
+}
+
 // fill reads more, moving or growing the buffer when it is full. The source's end is
 // io.ErrUnexpectedEOF: an orderly end shows by its end marker, after which nobody reads.
 func (r *eventReader) fill() error {
@@ -78,7 +82,6 @@
 	}
 	if r.begin > 0 {
 		copy(r.buf, r.buf[r.begin:r.end])
-		r.line -= r.begin
 		r.end -= r.begin
 		r.begin = 0
 	}
--- a/pkg/dispatch/source.go
+++ b/pkg/dispatch/source.go
@@ -43,10 +43,12 @@
 		if errors.Is(err, errTooMuch) {
 			return event{}, err
 		}
-		if err != nil {
+		if raw = s.events.cut(); raw != nil || err == nil {
+			continue
+		}
+		if raw = s.events.last(); raw == nil {
 			return event{}, broke(s.caller, s.ctx, err, false)
 		}
-		raw = s.events.cut()
 	}
 	return parseEvent(raw)
 }
--- a/pkg/dispatch/stream_test.go
+++ b/pkg/dispatch/stream_test.go
@@ -24,6 +24,19 @@
 	same(t, "slot.starts", 1, slot.starts)
 }
 
+// Guards against streams that are taken for broken, as their lines end in CR or the last LF is missing.
+func TestStreamsOfAnyLineEndAreRelayedWhole(t *testing.T) {
+	for _, end := range []string{"\r\n", "\r"} {
+		text := strings.ReplaceAll(eventsText(0, 10)+doneText, "\n", end)
+		for _, sent := range []string{text, strings.TrimSuffix(text, "\n")} {
+			up := newUpstream(t, func(w http.ResponseWriter, r *http.Request) { sendEvents(w, r, sent) })
+			r, _, sink := do(t, up.URL, streamCall(true))
+			whole(t, r)
+			same(t, "sink.String", sent, sink.String())
+		}
+	}
+}
+
 // A caller reads a streamed answer when the connection between router and engine
 // breaks in the middle of an event. The engine goes on and repeats some events in the
 // resumed part. The caller must see each event once, in order, and the end.
