--- a/pkg/dispatch/reader.go
+++ b/pkg/dispatch/reader.go
@@ -49,16 +49,19 @@
 
 // cut returns the first complete event of the buffer with its blank line, nil when
 // there is none. It is valid until the next fill.
-func (r *eventReader) cut() []byte {
+func (r *eventReader) cut() ([]byte, error) {
 	for {
 		n, event := r.scanner.Scan(r.buf[r.begin:r.end])
 		if n == 0 {
-			return nil
+			return nil, nil
+		}
+		if event && n > r.max {
+			return nil, errTooMuch
 		}
 		raw := r.buf[r.begin : r.begin+n]
 		r.begin += n
 		if event {
-			return raw
+			return raw, nil
 		}
 	}
 }
@@ -77,7 +80,7 @@
 // fill reads more, moving or growing the buffer when it is full. The source's end is
 // io.ErrUnexpectedEOF: an orderly end shows by its end marker, after which nobody reads.
 func (r *eventReader) fill() error {
-	if r.end-r.begin >= r.max {
+	if r.full() {
 		return errTooMuch
 	}
 	if r.begin > 0 {
@@ -99,8 +102,15 @@
 	return err
 }
 
+// full reports whether the buffer holds as much of an event as it may have. Whether one that lacks
+// the LF of its last CRLF has more shows with the next byte.
+func (r *eventReader) full() bool {
+	rest := r.buf[r.begin:r.end]
+	return len(rest) > r.max || len(rest) == r.max && !r.scanner.Whole(rest)
+}
+
 func (r *eventReader) grow() {
-	bigger := make([]byte, min(2*len(r.buf), r.max))
+	bigger := make([]byte, min(2*len(r.buf), r.max+1))
 	copy(bigger, r.buf[:r.end])
 	r.buf = bigger
 }
--- a/pkg/dispatch/reader_test.go
+++ b/pkg/dispatch/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -15,19 +16,40 @@
 	r := newEventReader(src, max)
 	defer r.release()
 	for {
-		for raw := r.cut(); raw != nil; raw = r.cut() {
+		raw, err := r.cut()
+		for ; raw != nil; raw, err = r.cut() {
 			events = append(events, bytes.Clone(raw))
 		}
+		if err != nil {
+			return events, err
+		}
 		if err := r.fill(); err != nil {
 			return events, err
 		}
 	}
 }
 
+// Guards against events over the bound that pass where one read happens to bring them whole.
+func TestTheBoundOfAnEventDoesntDependOnReads(t *testing.T) {
+	const max = 32
+	for size := max - 4; size <= max+4; size++ {
+		for _, end := range []string{"\n", "\r\n", "\r"} {
+			text := "data: a" + end + end
+			text += "data: " + strings.Repeat("b", size-len("data: ")-2*len(end)) + end + end
+			whole, wholeErr := readAll(strings.NewReader(text+"data: c"), max)
+			single, singleErr := readAll(iotest.OneByteReader(strings.NewReader(text+"data: c")), max)
+			same(t, "end", wholeErr.Error(), singleErr.Error())
+			same(t, "events", whole, single)
+			same(t, "the event passes", size <= max, len(whole) == 2)
+		}
+	}
+}
+
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte(eventsText(0, 3) + doneText))
 	f.Add([]byte("\r\n\r\ndata: {}\r\n\r\n: ping\n\nid: 9\ndata:x\n\n"))
 	f.Add([]byte("id: 99999999999999999999\n\n"))
+	f.Add([]byte("data: " + strings.Repeat("x", 600) + "\n\n"))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		const max = 512
 		whole, wholeErr := readAll(bytes.NewReader(input), max)
--- a/pkg/dispatch/source.go
+++ b/pkg/dispatch/source.go
@@ -35,24 +35,32 @@
 // next gives the next event. The hang timer runs only while the upstream is waited
 // for: a caller that reads slowly must not make its upstream look hung.
 func (s *source) next() (event, error) {
-	raw := s.events.cut()
-	for raw == nil {
+	raw, err := s.events.cut()
+	for raw == nil && err == nil {
 		s.hang.Reset(s.limit)
-		err := s.events.fill()
+		end := s.events.fill()
 		s.hang.Stop()
-		if errors.Is(err, errTooMuch) {
-			return event{}, err
-		}
-		if raw = s.events.cut(); raw != nil || err == nil {
-			continue
-		}
-		if raw = s.events.last(); raw == nil {
-			return event{}, broke(s.caller, s.ctx, err, false)
+		if raw, err = s.events.cut(); raw == nil && err == nil {
+			raw, err = s.ended(end)
 		}
 	}
+	if err != nil {
+		return event{}, err
+	}
 	return parseEvent(raw)
 }
 
+// ended gives what is left when the source ended with err; nil for no end.
+func (s *source) ended(err error) ([]byte, error) {
+	if err == nil || errors.Is(err, errTooMuch) {
+		return nil, err
+	}
+	if raw := s.events.last(); raw != nil {
+		return raw, nil
+	}
+	return nil, broke(s.caller, s.ctx, err, false)
+}
+
 // drainTime bounds the wait for the end of a body after its end marker.
 const drainTime = 50 * time.Millisecond
 
