A caller of HTTP/1.0 sees that its stream was cut

Its answer has no chunks and ends with its connection, so a cut, which closes the connection in order, looked like the end. The connection is reset then. TestCallersOfHTTP10SeeACut failed before.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -99,9 +101,31 @@
 	if r.callerGone() {
 		r.trail.outcome = outcomeCallerOff
 	}
+	if !r.in.ProtoAtLeast(1, 1) {
+		g.resetOnClose(r)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetOnClose has the close of the caller's connection reset it. An HTTP/1.0 answer without a length
+// ends with its connection, and one that is closed in order looks complete.
+func (g *Gateway) resetOnClose(r *request) {
+	c, ok := r.in.Context().Value(connKey{}).(*callerConn)
+	if !ok || c.raw == nil {
+		return
+	}
+	var failed error
+	err := c.raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		g.log.WithError(err).WithField("event", "cut_unseen").WithField("request", r.ask.RequestID).Warn("an HTTP/1.0 caller can't be told that its answer was cut")
+	}
+}
+
 // hangUp ends a request whose caller has left, without an answer. One that closed only its
 // own way of the connection must not take an empty answer for a complete one.
 func (g *Gateway) hangUp(r *request) {
