The streams of a test announce the close that follows them

TestStreamsOfAnyLineEndAreCutAtTheirEvents was red once beside other tests: a whole stream was resumed. The order of choice is certain again after each forgiving, too.

--- a/pkg/gateway/ended_test.go
+++ b/pkg/gateway/ended_test.go
@@ -19,9 +19,9 @@
 // framings say how an answer is framed that its upstream ends in order.
 var framings = map[string]func(body string) string{
 	"close":  func(body string) string { return cutHead + "\r\n" + body },
-	"length": func(body string) string { return cutHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body },
+	"length": func(body string) string { return cutHead + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", len(body)) + body },
 	"chunks": func(body string) string {
-		text := cutHead + "Transfer-Encoding: chunked\r\n\r\n"
+		text := cutHead + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 		if body != "" {
 			text += chunk(body)
 		}
@@ -61,8 +61,11 @@
 	return c.cut > len(shortEvents(1, c.whole(), c.end))
 }
 
-// forgive makes the gateway forget how its upstreams did.
-func (w *world) forgive() { w.gateway.health.Prune(upstream.NewSet(nil)) }
+// forgive makes the gateway forget how its upstreams did, and prefer the first one again.
+func (w *world) forgive() {
+	w.gateway.health.Prune(upstream.NewSet(nil))
+	w.handicap()
+}
 
 // serveCut has the first upstream send what the path's last part tells, and the second one go on
 // after the event that it is asked for.
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -81,6 +81,9 @@
 	client  *http.Client
 	warmup  *warmup.Gate
 
+	// list is the upstreams in place.
+	list []upstream.Instance
+
 	// overrun makes the gateway refuse for lack of processor.
 	overrun bool
 	late    bool
@@ -154,14 +157,19 @@
 		}
 		list = append(list, upstream.Instance{ID: upstream.ID("i" + strconv.Itoa(i)), Service: "app", Addr: s.Listener.Addr().String(),
 			Zone: zone, Slots: 100, State: upstream.Ready})
-		if i > 0 {
-			// A handicap makes the order of choice certain.
-			w.gateway.health.Observe(list[i].Life(), upstream.Failed, time.Now())
-		}
 	}
+	w.list = list
+	w.handicap()
 	w.catalog.Replace(list, 1, time.Now(), "test")
 }
 
+// handicap makes the order of choice certain.
+func (w *world) handicap() {
+	for i := 1; i < len(w.list); i++ {
+		w.gateway.health.Observe(w.list[i].Life(), upstream.Failed, time.Now())
+	}
+}
+
 func (w *world) request(path string, header ...string) *http.Request {
 	req, err := http.NewRequest(http.MethodGet, w.front.URL+path, nil)
 	require.NoError(w.t, err)
