Plain answers that were read whole go on with their length

An answer that came without one, or in chunks, went on as the server frames it: to a caller of HTTP/1.0 by the end of the connection, complete wherever the router ended. TestPlainAnswersHaveALength failed before (no framing, chunks).

--- a/pkg/gateway/oldcaller_test.go
+++ b/pkg/gateway/oldcaller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -38,3 +39,28 @@
 	require.NoError(t, end)
 	require.True(t, strings.HasSuffix(answer, "\r\n\r\n"+events(1, 2)))
 }
+
+// Guards against a plain answer without a length: to a caller of HTTP/1.0 it would look complete
+// wherever its router ends.
+func TestPlainAnswersHaveALength(t *testing.T) {
+	text := strings.Repeat("x", 5000)
+	for framed, framing := range framings {
+		t.Run(framed, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstreams(breaks(framing(text)))
+			answer, end := w.askOld("/safe/")
+			require.NoError(t, end)
+			require.Contains(t, answer, "\r\nContent-Length: 5000\r\n")
+			require.True(t, strings.HasSuffix(answer, "\r\n\r\n"+text))
+		})
+	}
+}
+
+// Guards against a length of our own where an answer has no body.
+func TestAnswersWithoutABodyStayAsTheyAre(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNoContent) })
+	answer, end := w.askOld("/safe/")
+	require.NoError(t, end)
+	require.NotContains(t, answer, "Content-Length")
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -72,7 +73,18 @@
 	return result{done: true}
 }
 
+// writeWhole passes on an answer of which nothing is missing, with its length: framed by the end of
+// the connection it would look complete to a caller of HTTP/1.0 wherever the router ends.
+
 func (g *Gateway) writeWhole(r *request, answer *whole) {
+	if r.in.Method != http.MethodHead && answer.status != http.StatusNoContent && answer.status != http.StatusNotModified {
+		answer.header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	g.write(r, answer)
+}
+
+// write passes on an answer, or the start of a long one.
+func (g *Gateway) write(r *request, answer *whole) {
 	r.trail.status, r.trail.outcome = answer.status, outcomeServed
 	if answer.status >= statusBadRequest {
 		r.trail.outcome = outcomeFailure
@@ -86,7 +98,7 @@
 // relayLong passes on an answer that is too long to be kept: start, then the rest as it
 // comes.
 func (g *Gateway) relayLong(r *request, st *step, in *upstream.Instance, a *forward.Answer, start *whole) {
-	g.writeWhole(r, start)
+	g.write(r, start)
 	if _, err := io.Copy(r.w, a); err != nil {
 		st.Outcome, st.Error = outcomeBroken, err.Error()
 		g.cut(r)
