An answer that its upstream's close ends is complete only if the upstream lives

A process that dies closes its connections in order, so a plain answer without framing, or a stream between two events, reached its caller as complete when its upstream died. At such a close the router opens a connection to the upstream: one that has died doesn't listen any more, and the answer is repeated where that is allowed, else cut. The connection replaces the one that the answer has used up, so that the look costs one round trip and no further connection while the upstream is used. An upstream that leaves, or is off the list, stops listening before its last answers end and is believed.

Undecided stay an upstream that closes early and lives, one that was back within the round trip, and a worker process that dies behind a listener that others share.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	Framing Framing
 	Ending  Ending
 
+	// ctx is the call's.
+	ctx     context.Context
 	pool    *pool
 	conn    *conn
 	stop    func() bool
@@ -72,8 +75,10 @@
 	}
 	a.Ending = endingOf(a.Framing, err, a.abort.happened())
 	if errors.Is(err, io.EOF) && !a.abort.happened() {
-		a.ended = true
-		return n, io.EOF
+		if err = a.complete(); err == nil {
+			a.ended = true
+			return n, io.EOF
+		}
 	}
 	if a.abort.happened() {
 		err = ErrAborted // the end of a connection that we shut isn't that of an answer
@@ -81,6 +86,26 @@
 	return n, &Error{Sent: true, Stage: "body", cause: err}
 }
 
+// complete tells whether an answer whose end has come lacks nothing, as far as that can be told.
+//
+// Guard: a process that dies closes its connections in order, as does one whose answer is complete
+// and framed by the close. One that died takes no new connection. The one that is opened to find out
+// replaces the one that the answer has used up. An upstream that leaves stops listening before its
+// last answers end, and is believed.
+func (a *Answer) complete() error {
+	if a.Framing != FramedByClose || a.ended || a.pool.isLeaving() {
+		return nil
+	}
+	c, err := a.pool.dial(a.ctx)
+	if err != nil {
+		a.Ending = EndedUnconfirmed
+		return errors.Annotate(err, "closed by an upstream that takes no new connection")
+	}
+	c.until = time.Now().Add(idleDefault)
+	a.pool.put(c)
+	return nil
+}
+
 // Close keeps the connection for later when the answer was read to its end and nothing
 // follows it, else closes it, which makes the upstream drop the request.
 func (a *Answer) Close() {
--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -28,7 +28,7 @@
 		return nil, &Error{Stage: "connect", cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	a := &Answer{pool: p, conn: cn, stop: stop, abort: c.Abort}
+	a := &Answer{ctx: ctx, pool: p, conn: cn, stop: stop, abort: c.Abort}
 	if !c.Abort.hold(cn) {
 		a.Discard()
 		return nil, &Error{Stage: "connect", cause: ErrAborted}
--- a/pkg/forward/ending.go
+++ b/pkg/forward/ending.go
@@ -19,6 +19,8 @@
 	EndedByChunk  Ending = "last_chunk"
 	// EndedByClose: the upstream closed the connection of an answer that is framed by it.
 	EndedByClose Ending = "close"
+	// EndedUnconfirmed: the same, and the upstream takes no new connection since.
+	EndedUnconfirmed Ending = "close_unconfirmed"
 	// EndedShort: the upstream closed the connection before the length or the last chunk.
 	EndedShort   Ending = "closed_early"
 	EndedByReset Ending = "reset"
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -19,6 +19,8 @@
 	// busy are the connections that attempts use.
 	busy   map[*conn]struct{}
 	closed bool
+	// leaving is whether the instance is about to end, or no longer listed.
+	leaving bool
 }
 
 func newPool(addr string, m *traffic.Meter) *pool {
@@ -111,18 +113,24 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
+	p.closed, p.leaving = true, true
 	for _, c := range p.idle {
 		c.Close()
 	}
 	p.idle = nil
 }
 
-// open makes the pool keep connections again, for a life that is back on the list.
-func (p *pool) open() {
+// open makes the pool keep connections again, for a life that is on the list.
+func (p *pool) open(leaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = false
+	p.closed, p.leaving = false, leaving
+}
+
+func (p *pool) isLeaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving
 }
 
 // end breaks off the attempts on connections that were opened before the given time.
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -27,6 +27,11 @@
 	return set.Lives(key.life) && set.Get(key.life.ID).Addr == key.addr
 }
 
+// stays reports whether set has that upstream, and it isn't about to end.
+func stays(set *upstream.Set, key poolKey) bool {
+	return lists(set, key) && set.Get(key.life.ID).State == upstream.Ready
+}
+
 // Pools keeps the connections to all instances.
 type Pools struct {
 	// idHeader is the header in which an answer names its request.
@@ -58,6 +63,7 @@
 	p := ps.pools[key]
 	if p == nil {
 		p = newPool(in.Addr, &ps.meter)
+		p.leaving = in.State == upstream.Draining || ps.list != nil && !stays(ps.list, key)
 		ps.pools[key] = p
 		if ps.list != nil && !lists(ps.list, key) {
 			// A request that was placed by the list before: it is connected after that one
@@ -83,7 +89,7 @@
 	for key, p := range ps.pools {
 		if lists(set, key) {
 			delete(ps.unlisted, key)
-			p.open()
+			p.open(!stays(set, key))
 			continue
 		}
 		if _, ok := ps.unlisted[key]; !ok {
--- a/pkg/gateway/ended_test.go
+++ b/pkg/gateway/ended_test.go
@@ -18,8 +18,10 @@
 
 // framings say how an answer is framed that its upstream ends in order.
 var framings = map[string]func(body string) string{
-	"close":  func(body string) string { return cutHead + "\r\n" + body },
-	"length": func(body string) string { return cutHead + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", len(body)) + body },
+	"close": func(body string) string { return cutHead + "\r\n" + body },
+	"length": func(body string) string {
+		return cutHead + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", len(body)) + body
+	},
 	"chunks": func(body string) string {
 		text := cutHead + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 		if body != "" {
