A stream without framing that is closed before its first event hasn't begun

Its caller got 200 and an empty answer that looked complete. Nothing of such an answer says that it is one: a request begins to run with its first event. It counts as broken off now: the next attempt follows where the stream may be resumed, else 502. A caller that resumes may have had all events, so an empty answer to it stands. TestStreamsThatNeverBeganArentComplete failed before.

--- a/pkg/forward/error.go
+++ b/pkg/forward/error.go
@@ -14,8 +14,11 @@
 	ErrAborted = errors.New("aborted")
 )
 
-// ErrInsideEvent is for a stream that ended in order, but inside an event.
-const ErrInsideEvent = errors.ConstError("the stream ended inside an event")
+// Faults of streams that ended in order.
+const (
+	ErrInsideEvent = errors.ConstError("the stream ended inside an event")
+	ErrNoEvent     = errors.ConstError("the stream's connection was closed before its first event")
+)
 
 // Error ends an attempt without a usable answer.
 type Error struct {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -28,6 +28,9 @@
 			continue
 		}
 		st.RestBytes = events.Rest()
+		if errors.Is(err, io.EOF) && r.lacksBegin(a) {
+			err = forward.ErrNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			return g.streamEnded(r, st, in, a)
 		}
@@ -35,6 +38,12 @@
 	}
 }
 
+// lacksBegin reports whether a stream that ended shows nothing of having run: no event came, and
+// nothing but the connection's close says that none was due. A caller that resumes may have had all.
+func (r *request) lacksBegin(a *forward.Answer) bool {
+	return !r.begun && !r.ask.Resumes && a.Framing == forward.FramedByClose
+}
+
 // nextEvents reads what has come, and gives the whole events of it. io.EOF means that the stream is
 // complete: its upstream ended it, and not inside an event.
 func nextEvents(a *forward.Answer, events *forward.Events, buf []byte) (ready []byte, count int, err error) {
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -140,3 +140,21 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, shortEvents(1, 3, "\n"), body)
 }
+
+// Guards against streams that reach callers as complete and empty, as their upstream closed before the
+// first event.
+func TestStreamsThatNeverBeganArentComplete(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(nil, says(shortEvents(1, 3, "\n")))
+	w.first(w.rawUpstream(cutHead+"\r\n", false), upstream.Ready)
+	status, _, _ := w.get("/stream/")
+	require.Equal(t, http.StatusBadGateway, status)
+	w.forgive()
+	status, body, _ := w.get("/resume/")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, shortEvents(1, 3, "\n"), body)
+	w.forgive()
+	status, body, _ = w.get("/resume/", "X-After", "3")
+	require.Equal(t, http.StatusOK, status)
+	require.Empty(t, body, "nothing is left of a stream that its caller has whole")
+}
