Refusals without framing cost no connection

An upstream that says so that it didn't run a request was asked for a new connection, to find out whether the refusal is complete, which nobody needs to know.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -39,6 +39,9 @@
 
 // drain reads an answer that nobody needs, so that its connection can be kept.
 func drain(a *forward.Answer) {
+	if a.Framing == forward.FramedByClose {
+		return // its connection ends with it
+	}
 	// What fails here closes the connection, which is all that is needed.
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, wholeLimit))
 }
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -158,3 +158,15 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Empty(t, body, "nothing is left of a stream that its caller has whole")
 }
+
+// Guards against a connection for each upstream that says without framing that it is full.
+func TestRefusalsWithoutFramingAreNotConfirmed(t *testing.T) {
+	w := newWorld(t)
+	w.upstreams(nil, says("hello"))
+	u := w.rawUpstream("HTTP/1.1 503 Busy\r\nX-Id: request-1\r\nX-Not-Run: 1\r\n\r\nfull", false)
+	w.first(u, upstream.Ready)
+	status, body, _ := w.get("/safe/")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "hello", body)
+	require.EqualValues(t, 1, u.connections.Load())
+}
