An upstream that breaks off a long answer is left alone like one that breaks off a short one

An answer over 256 KiB that broke off was cut for its caller, and its upstream went on being given work; a caller that left one was told of as the upstream's break; a long failure counted as served well. Health, the list of suspects and the log hear now what they hear of other answers. Ruled out: that such a request counts as served in the end, as the cut ends its handler.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -78,7 +78,6 @@
 
 // writeWhole passes on an answer of which nothing is missing, with its length: framed by the end of
 // the connection it would look complete to a caller of HTTP/1.0 wherever the router ends.
-
 func (g *Gateway) writeWhole(r *request, answer *whole) {
 	if r.in.Method != http.MethodHead && answer.status != http.StatusNoContent && answer.status != http.StatusNotModified {
 		answer.header.Set("Content-Length", strconv.Itoa(len(answer.body)))
@@ -102,12 +101,52 @@
 // comes.
 func (g *Gateway) relayLong(r *request, st *step, in *upstream.Instance, a *forward.Answer, start *whole) {
 	g.write(r, start)
-	if _, err := io.Copy(r.w, a); err != nil {
-		st.Outcome, st.Error = outcomeBroken, err.Error()
+	caller := &callerWriter{to: r.w}
+	_, err := io.Copy(caller, a)
+	switch {
+	case caller.failed != nil:
+		st.Outcome = outcomeCallerOff
 		g.cut(r)
+	case err != nil:
+		g.longBroken(r, st, in, err)
 	}
 	st.Outcome = outcomeServed
-	g.observe(in, upstream.Served, nil)
+	g.clear(r)
+	g.observe(in, outcomeOf(a.Status), nil)
+}
+
+// longBroken cuts the answer to the caller, whose upstream broke off unless the request is over.
+func (g *Gateway) longBroken(r *request, st *step, in *upstream.Instance, err error) {
+	st.Outcome, st.Error = outcomeBroken, err.Error()
+	if r.over() || r.callerGone() {
+		st.Outcome = outcomeTimeout
+		g.cut(r)
+	}
+	g.suspect(r)
+	g.observe(in, g.blame(err), err)
+	g.cut(r)
+}
+
+// outcomeOf is what a whole answer says of its upstream.
+func outcomeOf(status int) upstream.Outcome {
+	if status >= http.StatusInternalServerError {
+		return upstream.Failed
+	}
+	return upstream.Served
+}
+
+// callerWriter tells a caller that takes no more from an upstream that gives no more.
+type callerWriter struct {
+	to     io.Writer
+	failed error
+}
+
+func (w *callerWriter) Write(p []byte) (int, error) {
+	n, err := w.to.Write(p)
+	if err != nil {
+		w.failed = err
+	}
+	return n, err
 }
 
 // cut breaks the answer to the caller off, so that it can't look complete.
