No answer is read inside a stray one

An answer to another request was skipped up to 1 MiB; what lay behind was read as the head of the answer that was due, so bytes inside a longer one could pass for it. It is an error now. TestDoReadsNoAnswerInsideAStrayOne failed before.

--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -80,13 +80,23 @@
 		if a.conn.fresh || id == "" {
 			return &Error{Sent: true, Stage: "head", cause: errors.Errorf("answer names request %q", id)}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody)); err != nil {
+		if err := skip(resp.Body); err != nil {
 			return &Error{Sent: true, Stage: "head", cause: err}
 		}
 	}
 	return &Error{Sent: true, Stage: "head", cause: errors.New("only answers to other requests")}
 }
 
+// skip reads a stray answer to its end. What lies behind an answer that is cut off here would be taken
+// for the next answer's head.
+func skip(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBody+1))
+	if err == nil && n > maxStrayBody {
+		err = errors.Errorf("an answer to another request has more than %d bytes", maxStrayBody)
+	}
+	return errors.Trace(err)
+}
+
 // readResponse reads one answer's head and passes over interim ones.
 func readResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
--- a/pkg/forward/do_test.go
+++ b/pkg/forward/do_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -297,3 +298,21 @@
 	require.Error(t, err)
 	<-ended
 }
+
+// Guards against bytes inside a stray answer that are taken for the answer that is due.
+func TestDoReadsNoAnswerInsideAStrayOne(t *testing.T) {
+	in := fakeUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		io.WriteString(c, reply("one", "ok"))
+		readRequest(r)
+		inside := strings.Repeat("x", maxStrayBody) + reply("two", "no")
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: %d\r\n\r\n%s", len(inside), inside)
+		readRequest(r)
+	})
+	ps := NewPools(idHeader)
+	a, err := do(t, ps, get(in, "one"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body(t, a))
+	_, err = do(t, ps, get(in, "two"))
+	require.Error(t, err)
+}
