The load tool takes no cut echo of a service for a whole answer

It looked for the call's marker alone, so a fleet that cut the answers of services behind it would have passed each run. TestEchoesThatAreCutAreNotWhole failed before.

--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -134,10 +133,16 @@
 	switch {
 	case err != nil:
 		r.end(Broken, err)
-	case !bytes.Contains(data, []byte(r.Marker)):
-		r.end(Cut, errors.Errorf("the answer isn't to this call: %.200s", data))
+	case !r.isEcho(data):
+		r.end(Cut, errors.Errorf("the answer isn't the whole one to this call: %.200s", data))
 	default:
 		r.First = time.Now()
 		r.end(Whole, nil)
 	}
 }
+
+// isEcho reports whether data is the call's body, as a service gives it back.
+func (q *Request) isEcho(data []byte) bool {
+	var got save
+	return json.Unmarshal(data, &got) == nil && got == serviceBody(q)
+}
