An object of the store that only the connection's end ends isn't taken for whole

The adapter of the object store took a raw object without length or chunks as whole when its connection was closed; a store that died midway looks the same. Rows are JSON and a cut one can't be read; raw objects had nothing else. Such an answer is unknown now. The row "no length" of TestBadAnswers failed before.

--- a/pkg/platform/httpplatform/call.go
+++ b/pkg/platform/httpplatform/call.go
@@ -44,9 +44,16 @@
 	if call.discard {
 		return nil, nil
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		// A service that dies closes the connection as one whose answer is complete.
+		return nil, errors.Annotatef(errors.WithType(errNoLength, platform.ErrUnknown), "%s %s", call.method, call.path)
+	}
 	return readAnswer(resp.Body)
 }
 
+// errNoLength says that only the connection's end would tell where an answer ends.
+const errNoLength = errors.ConstError("the answer has no declared length")
+
 func (c *Client) request(ctx context.Context, call call, connected *atomic.Bool) (*http.Request, error) {
 	u := c.base.JoinPath(call.path)
 	u.RawQuery = call.query.Encode()
--- a/pkg/platform/httpplatform/client_test.go
+++ b/pkg/platform/httpplatform/client_test.go
@@ -167,6 +167,14 @@
 	large := strings.Repeat("x", 1<<20)
 	for name, f := range map[string]http.HandlerFunc{
 		"cut": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "9") },
+		"no length": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\nthe first half"))
+		},
 		"too large": func(w http.ResponseWriter, _ *http.Request) {
 			for range 17 {
 				_, _ = w.Write([]byte(large))
