A daemon's caller of HTTP/1.0 sees that its stream was cut

The same as at the gateway: such an answer ends with its connection, so a cut looked complete. The connection is reset. TestCutStreamResetsAnHTTP10Connection failed before.

--- a/pkg/edge/fake_test.go
+++ b/pkg/edge/fake_test.go
@@ -121,6 +121,7 @@
 	e := New(c)
 	s := httptest.NewUnstartedServer(nil)
 	s.Config = e.Server()
+	s.Listener = e.Listener(s.Listener)
 	s.Start()
 	t.Cleanup(func() { s.Close(); c.Dispatcher.Close() })
 	return &fixture{edge: e, scheduler: scheduler, url: s.URL}
--- a/pkg/edge/path_test.go
+++ b/pkg/edge/path_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/flamingowind/flamingowind/pkg/dispatch"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 	"github.com/flamingowind/flamingowind/pkg/wire"
@@ -54,6 +58,26 @@
 	same(t, "end", io.ErrUnexpectedEOF.Error(), err.Error())
 }
 
+// Guards against a stream that was broken off and looks complete to a caller of HTTP/1.0, whose
+// answer ends with its connection.
+func TestCutStreamResetsAnHTTP10Connection(t *testing.T) {
+	f := newFixture(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			beginStream(w, r)
+		}
+		panic(http.ErrAbortHandler)
+	}), nil)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(streamBody), streamBody)
+	answer, err := io.ReadAll(c)
+	same(t, "part", true, strings.HasSuffix(string(answer), "\r\n\r\nid: 0\ndata: {}\n\n"))
+	same(t, "reset", true, errors.Is(err, syscall.ECONNRESET))
+}
+
 // streamUntilCancelled streams until the attempt is cancelled; each cancel is told.
 func streamUntilCancelled(text string, cancelled chan<- struct{}) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -152,7 +152,7 @@
 	switch {
 	case res.Err != nil && res.Begun:
 		q.edge.Observer.Refused(q.org.Name, q.class, res.Err.Code)
-		panic(http.ErrAbortHandler)
+		breakOff(q.r)
 	case res.Err != nil:
 		q.refuse(res.Err)
 	case !res.Begun:
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -14,11 +14,12 @@
 		ReadHeaderTimeout: e.Limits.BodyTimeout,
 		IdleTimeout:       e.Limits.IdleTimeout,
 		MaxHeaderBytes:    e.Limits.MaxHeader,
+		ConnContext:       withConn,
 	}
 }
 
 // Listener bounds the callers' connections of l: further ones wait in the kernel's
 // queue until one closes, so that they cost this process no memory.
 func (e *Edge) Listener(l net.Listener) net.Listener {
-	return netutil.LimitListener(l, e.Limits.MaxConnections)
+	return netutil.LimitListener(listener{l}, e.Limits.MaxConnections)
 }
