The daemon passes on a plain answer without a length if its upstream lives

It refused each such answer as garbage: a call that had run, whole, ended as may-have-run for its caller. The gateway passes them on, and the users' pages say that they may come. The refusal guarded against an upstream that dies in the middle; that is told now as in the gateway, by a new connection, which one that has died doesn't take.

--- a/pkg/dispatch/plain.go
+++ b/pkg/dispatch/plain.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/juju/errors"
@@ -92,30 +94,49 @@
 	return verdict.MayHaveRun
 }
 
-// readWhole refuses an answer whose end only shows by a closed connection: a crash of
-// the upstream would look the same, and a cut answer would pass for a whole one.
 func (a *attempt) readWhole(ctx context.Context, resp *http.Response) ([]byte, error) {
 	if a.call.Method == http.MethodHead || resp.Body == http.NoBody {
 		return nil, nil
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		a.gate.drop()
-		return nil, errors.WithType(errors.New("answer without declared length"), errGarbage)
-	}
 	limit := a.d.limits.MaxAnswer
 	if resp.ContentLength > limit {
 		return nil, errTooMuch
 	}
 	body, err := readUpTo(resp.Body, resp.ContentLength, limit)
-	switch {
-	case err != nil:
-		return nil, broke(a.ctx, ctx, err, false)
-	case int64(len(body)) > limit:
+	if err == nil && int64(len(body)) > limit {
 		return nil, errTooMuch
 	}
+	if err == nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		err = a.confirm(ctx)
+	}
+	if err != nil {
+		return nil, broke(a.ctx, ctx, err, false)
+	}
 	return body, nil
 }
 
+// confirm asks, after an answer that only the connection's end has ended, whether the upstream lives.
+// A process that dies closes its connections in order, too, but takes no new one.
+func (a *attempt) confirm(ctx context.Context) error {
+	target, err := a.target("", "")
+	if err != nil {
+		return err
+	}
+	c, err := newDialer().DialContext(ctx, "tcp", hostPort(target))
+	if err != nil {
+		return errors.Annotate(err, "closed by an upstream that takes no new connection")
+	}
+	return c.Close()
+}
+
+// hostPort is where u leads, with the port of its scheme if it names none.
+func hostPort(u *url.URL) string {
+	if u.Port() != "" {
+		return u.Host
+	}
+	return net.JoinHostPort(u.Hostname(), u.Scheme)
+}
+
 // readUpTo reads size bytes, or to the end but at most limit+1 bytes when size is negative.
 func readUpTo(r io.Reader, size, limit int64) ([]byte, error) {
 	if size < 0 {
--- a/pkg/dispatch/transport.go
+++ b/pkg/dispatch/transport.go
@@ -9,6 +9,7 @@
 
 const (
 	dialTimeout     = 2 * time.Second
+	keepAlive       = 15 * time.Second
 	idleTimeout     = 60 * time.Second
 	idlePerUpstream = 64
 	idleTotal       = 512
@@ -21,9 +22,8 @@
 func newTransport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Transport{
-		DialContext:            dialThrough(dialer),
+		DialContext:            dialThrough(newDialer()),
 		Protocols:              protocols,
 		DisableCompression:     true,
 		MaxIdleConns:           idleTotal,
@@ -36,6 +36,8 @@
 	}
 }
 
+func newDialer() *net.Dialer { return &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive} }
+
 func dialThrough(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dialer.DialContext(ctx, network, addr)
