A call that ends while its answer is confirmed blames nobody

The failed connection would have been told of as its upstream's death. TestACallThatEndsWhileItsAnswerIsConfirmedTellsWhoEndedIt failed before.

--- a/pkg/forward/answer.go
+++ b/pkg/forward/answer.go
@@ -97,6 +97,10 @@
 		return nil
 	}
 	c, err := a.pool.dial(a.ctx)
+	if err != nil && (a.abort.happened() || a.ctx.Err() != nil) {
+		a.Ending = EndedHere
+		return ErrAborted
+	}
 	if err != nil {
 		a.Ending = EndedUnconfirmed
 		return errors.Annotate(err, "closed by an upstream that takes no new connection")
--- a/pkg/forward/ending_test.go
+++ b/pkg/forward/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -75,3 +76,27 @@
 	require.ErrorIs(t, err, ErrAborted)
 	require.Equal(t, EndedHere, a.Ending)
 }
+
+// Guards against an upstream that is blamed for an answer whose call ends while it is confirmed.
+func TestACallThatEndsWhileItsAnswerIsConfirmedTellsWhoEndedIt(t *testing.T) {
+	in := fakeUpstream(t, func(conn net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		io.WriteString(conn, endingHead+"\r\nhello")
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	a, err := NewPools(idHeader).Do(ctx, get(in, "one"))
+	require.NoError(t, err)
+	defer a.Close()
+	a.body = io.NopCloser(io.MultiReader(a.body, &cancels{cancel: cancel}))
+	_, err = io.ReadAll(a)
+	require.ErrorIs(t, err, ErrAborted)
+	require.Equal(t, EndedHere, a.Ending)
+}
+
+// cancels ends a call as its answer ends.
+type cancels struct{ cancel context.CancelFunc }
+
+func (c *cancels) Read([]byte) (int, error) {
+	c.cancel()
+	return 0, io.EOF
+}
