The soak has upstreams whose answers end with their connection, whole or inside an event

No stand-in of ours answered without framing, so neither tests nor soak could see that a close inside an event passed for the end of a stream.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,7 +48,7 @@
 	duties.Go(func() { v.Stalls = w.watchStalls(busy) })
 	var ends endings
 	duties.Go(func() { ends.watch(busy, w) })
-	v.Faults = w.bring(ctx, slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o)))
+	v.Faults = w.bring(ctx, slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o)))
 	w.heal()
 	waiting.For(ctx, recovery)
 	well := time.Now()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,6 +20,7 @@
 }{
 	{1, ""},
 	{5, ""},
+	{700, "streams without framing that end inside an event look complete"},
 }
 
 // Routers are killed, paused, asked to leave and to read their settings again, their links
