--- a/pkg/sse/scanner_test.go
+++ b/pkg/sse/scanner_test.go
@@ -123,7 +123,7 @@
 	var event []string
 	rest := []byte(text)
 	for len(rest) > 0 {
-		if bytes.IndexAny(rest, "\r\n") < 0 {
+		if !bytes.ContainsAny(rest, "\r\n") {
 			return events
 		}
 		var line []byte
