--- a/pkg/handover/relay_test.go
+++ b/pkg/handover/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,6 +99,42 @@
 	}
 }
 
+// Guards against a reset that reaches a caller as a close, which ends an answer without framing: with
+// HTTP/1.0 as if it were complete.
+func TestAResetGoesOnAsAResetAndACloseAsAClose(t *testing.T) {
+	const answer = "HTTP/1.0 200 OK\r\n\r\nid: 1\ndata: a\n\n"
+	for name, reset := range map[string]bool{"reset": true, "close": false} {
+		t.Run(name, func(t *testing.T) {
+			read := make(chan struct{})
+			addr := router(t, func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				io.WriteString(c, answer)
+				<-read
+				if reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			})
+			s := newStage(t, addr)
+			c := s.dial()
+			io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+			_, err := io.ReadFull(c, make([]byte, len(answer)))
+			require.NoError(t, err)
+			close(read)
+			_, err = io.ReadAll(c)
+			if reset {
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+			} else {
+				require.NoError(t, err)
+			}
+			s.ended()
+		})
+	}
+}
+
 // Guards against work that goes on at another router for a caller that has left.
 func TestTheOtherRouterHearsOfACallerThatLeft(t *testing.T) {
 	began, left := make(chan struct{}), make(chan struct{})
