--- a/pkg/gateway/ended_test.go
+++ b/pkg/gateway/ended_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -136,3 +137,19 @@
 	}
 	require.Equal(w.t, want, body, "cut at %d", c.cut)
 }
+
+// Guards against an upstream that ends a stream inside an event and is given work as if it were well, or
+// one that frames nothing and is blamed for that.
+func TestOnlyAnEndInsideAnEventIsBlamed(t *testing.T) {
+	for text, usable := range map[string]bool{shortEvents(1, 2, "\n") + "id: 3\nda": false, shortEvents(1, 2, "\n"): true} {
+		w := newWorld(t)
+		w.upstreams(breaks(framings["close"](text)))
+		resp, err := w.client.Do(w.request("/stream/"))
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		require.Equal(t, usable, err == nil)
+		_, got := w.gateway.health.Usable(w.list[0].Life(), time.Now())
+		require.Equal(t, usable, got)
+	}
+}
