A settings file that is still being written isn't applied

Cause: the watcher applied whatever one look found. Of a real file that is rewritten in place a part may be sound, and was in force for two seconds: a store's address cut short, limits left out. Change: two looks, a second apart, must find the same; the bound of two seconds stays. SIGHUP applies at once.

--- a/pkg/reload/watcher.go
+++ b/pkg/reload/watcher.go
@@ -10,14 +10,22 @@
 	"github.com/juju/errors"
 )
 
-// Every is the pause between two looks whether the settings file is another one: it
-// may change without a signal. A look costs one read of a small file.
-const Every = 2 * time.Second
+const (
+	// Every is the time within which other content of the settings file is applied: it may
+	// change without a signal.
+	Every = 2 * time.Second
+	// lookEvery is the pause between two looks, of which two must find the same. A look costs
+	// one read of a small file.
+	lookEvery = Every / 2
+)
 
 // Watcher watches one settings file.
 type Watcher struct {
 	file    string
 	content []byte
+	// unsettled is whether the newest look found seen in place of content.
+	unsettled bool
+	seen      []byte
 }
 
 // Open reads file for the first time. A process starts with that content.
@@ -45,7 +53,7 @@
 // Guard: by default the signal that announces other settings ends the process, and with
 // it all that it serves. Whoever sends the signal must be listened to.
 func (w *Watcher) Run(ctx context.Context, now <-chan os.Signal, apply Apply, l log.Interface) {
-	tick := time.NewTicker(Every)
+	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
 		asked := false
@@ -62,17 +70,27 @@
 	}
 }
 
-// look reads the file and applies it when it has changed or asked is set.
+// look reads the file and applies it when asked is set, or when it has changed and stays the same.
 func (w *Watcher) look(asked bool, apply Apply) error {
 	content, err := os.ReadFile(w.file)
 	switch {
-	case err != nil && !asked: // it is being replaced; the next look finds it
+	case err != nil && !asked: // it is being replaced; a later look finds it
+		w.unsettled = false
 		return nil
 	case err != nil:
 		return errors.Trace(err)
-	case !asked && bytes.Equal(content, w.content):
+	case !asked && !w.settled(content):
 		return nil
 	}
-	w.content = content
+	w.content, w.unsettled = content, false
 	return errors.Trace(apply(content))
 }
+
+// settled reports whether the file has changed and two looks found the same.
+//
+// Guard: a file that is just being written ends anywhere, and half of it may be sound.
+func (w *Watcher) settled(content []byte) bool {
+	same := w.unsettled && bytes.Equal(content, w.seen)
+	w.unsettled, w.seen = !bytes.Equal(content, w.content), content
+	return same && w.unsettled
+}
--- a/pkg/reload/watcher_test.go
+++ b/pkg/reload/watcher_test.go
@@ -66,6 +66,24 @@
 	})
 }
 
+// Guards against settings of a file that is just being written: half a file may be sound, with a
+// store's address cut short or limits left out. Only the whole file comes into force.
+func TestAFileIsNotAppliedWhileItIsWritten(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for begun := time.Duration(0); begun < reload.Every; begun += step {
+		watch(t, func(t *testing.T, w *watched) {
+			time.Sleep(begun)
+			for _, written := range []string{"", "sec", "second"} {
+				w.write(t, written)
+				time.Sleep(step)
+			}
+			time.Sleep(reload.Every)
+			synctest.Wait()
+			require.Equal(t, []string{"second"}, w.applied, "written from %v on", begun)
+		})
+	}
+}
+
 // Whoever announces settings expects them to be read at once, also when they are the
 // same ones, or when the file can't be read.
 func TestTheSignalIsAnsweredAtOnce(t *testing.T) {
