Keepers count their grants, and those without another organisation waiting

For the flood that TestAFloodHarmsOnlyItself compares with two others, the logs couldn't tell an order that isn't kept from organisations with nothing to order: whose callers, or the routers between, are held up. Counters flamingowind_keeper_grants and _grants_unopposed; a test of the count.

--- a/internal/failtest/metrics.go
+++ b/internal/failtest/metrics.go
@@ -21,7 +21,17 @@
 	})
 }
 
-// gauge reads one value; a gauge that isn't there yet is -1.
+// Sum adds up a counter without labels over all routers that have it.
+func (w *World) Sum(name string) float64 {
+	w.t.Helper()
+	sum := 0.0
+	for _, r := range w.Routers {
+		sum += max(0, w.gauge(r.Info.Metrics, name))
+	}
+	return sum
+}
+
+// gauge reads one value; a metric that isn't there yet is -1.
 func (w *World) gauge(metrics, name string) float64 {
 	w.t.Helper()
 	resp, err := http.Get("http://" + metrics + "/metrics")
--- a/pkg/daemon/gauges.go
+++ b/pkg/daemon/gauges.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/claimant"
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/keeper"
 	"github.com/flamingowind/flamingowind/pkg/keeping"
 	"github.com/flamingowind/flamingowind/pkg/member"
 	"github.com/flamingowind/flamingowind/pkg/peer"
@@ -25,8 +26,9 @@
 	members   *member.Duty
 	suspects  *suspects
 	last      peer.Stats
-	// claims and own are those counted already.
+	// claims, own and granted are those counted already.
 	claims, own uint64
+	granted     keeper.Granted
 }
 
 func (g *gauges) run(ctx context.Context) {
@@ -76,6 +78,9 @@
 	scope.Gauge("slots_spare").Update(float64(k.Spare))
 	scope.Gauge("backlog").Update(float64(k.Backlog))
 	scope.Gauge("counter_gap").Update(k.Gap)
+	scope.Counter("grants").Inc(int64(k.Granted.All - g.granted.All))
+	scope.Counter("grants_unopposed").Inc(int64(k.Granted.Unopposed - g.granted.Unopposed))
+	g.granted = k.Granted
 	g.scope.SubScope("claimant").Gauge("waiting").Update(float64(g.claimant.Waiting()))
 	alive, known := g.members.View().Reachable()
 	members := g.scope.SubScope("member")
--- a/pkg/fair/view.go
+++ b/pkg/fair/view.go
@@ -72,6 +72,11 @@
 // Backlogged returns the number of organisations with waiting entries.
 func (o *Order[T]) Backlogged() int { return len(o.backlog) }
 
+// Contended reports whether an organisation other than org is backlogged.
+func (o *Order[T]) Contended(org string) bool {
+	return len(o.backlog) > 1 || len(o.backlog) == 1 && o.backlog[0].org != org
+}
+
 // Gap returns the difference between the largest and the least counter of the
 // backlogged organisations.
 func (o *Order[T]) Gap() wire.Units {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -36,6 +36,7 @@
 	headroom  headroom
 	mean      wire.Units // cost of settled requests
 	outbox    []Out
+	granted   Granted
 
 	configured bool
 	leaving    bool
--- a/pkg/keeper/next.go
+++ b/pkg/keeper/next.go
@@ -61,6 +61,7 @@
 	if !k.farOverShare(c.Org) {
 		k.headroom.light.add(now)
 	}
+	k.granted.count(k.order.Contended(c.Org))
 	s := &slot{key: c.key, org: c.Org, claim: c, alone: alone, granted: now, expected: k.mean}
 	k.hold(r, s, u)
 	k.order.Expect(c.Org, s.expected)
--- a/pkg/keeper/policy_test.go
+++ b/pkg/keeper/policy_test.go
@@ -177,3 +177,16 @@
 	b.done("r", 2, "u", 1)
 	equal(t, []wire.ClaimID{3}, grants(b.next()))
 }
+
+// Guards against shares that seem unkept where an organisation had nothing waiting.
+func TestGrantsTellWhetherOthersWaited(t *testing.T) {
+	b := newBed(t, Options{}, engine("e1", 2))
+	b.claim("r", 1, 1, "a")
+	b.next()
+	equal(t, Granted{All: 1, Unopposed: 1}, b.k.TakeGranted())
+	b.claim("r", 1, 2, "a")
+	b.claim("r", 1, 3, "b")
+	b.next()
+	equal(t, Granted{All: 1}, b.k.TakeGranted())
+	equal(t, Granted{}, b.k.TakeGranted())
+}
--- a/pkg/keeping/duty.go
+++ b/pkg/keeping/duty.go
@@ -70,6 +70,7 @@
 	marks   map[string]wire.UpstreamMark
 	index   *resource.Index
 	touched map[wire.CellID]bool
+	granted keeper.Granted
 }
 
 // New returns a Duty that keeps nothing yet.
--- a/pkg/keeping/refresh.go
+++ b/pkg/keeping/refresh.go
@@ -68,6 +68,7 @@
 func (d *Duty) leave(id wire.CellID, k *keeper.Keeper, now time.Time) {
 	k.Leave()
 	d.send(k.Next(now))
+	d.granted.Add(k.TakeGranted())
 	delete(d.keepers, id)
 	delete(d.touched, id)
 	d.options.Log.WithField("cell", id).Info("handed cell over")
--- a/pkg/keeping/stats.go
+++ b/pkg/keeping/stats.go
@@ -1,6 +1,10 @@
 package keeping
 
-import "time"
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/keeper"
+)
 
 // Stats sums up the keepers of this router.
 type Stats struct {
@@ -11,6 +15,8 @@
 	// Gap is the largest difference of virtual counters among backlogged
 	// organisations in one cell, in units.
 	Gap float64
+	// Granted counts grants since the start.
+	Granted keeper.Granted
 }
 
 // Stats gives the sums of the last tick.
@@ -23,6 +29,8 @@
 		s.Spare += k.Spare(now)
 		s.Backlog += k.Backlog()
 		s.Gap = max(s.Gap, k.Gap())
+		d.granted.Add(k.TakeGranted())
 	}
+	s.Granted = d.granted
 	d.stats.Store(&s)
 }
