Files of authorities that are still being written aren't taken

Cause: a router took the PEM files as one look found them. A file of several authorities is sound up to any of them, so a look in the middle of a rewrite took fewer, and the connections of peers of the others were closed until the next look. Ruled out for certificate and key: half of either doesn't parse or fit, which TestHalfReplacedCredentialsAreNotTaken holds. Left: the operators' token file, which is taken at once, as a test of its own asks; while it is written a token may be refused for some milliseconds.

--- a/pkg/peer/keyring.go
+++ b/pkg/peer/keyring.go
@@ -60,16 +60,24 @@
 	return true
 }
 
-// watch looks at the files until ctx ends and calls changed after a reload.
+// watch looks at the files until ctx ends and calls changed after a reload. Other files are taken
+// within the time of every, once two looks have found the same.
+//
+// Guard: a file of authorities that is just being written is sound up to some certificate, and peers
+// whose authority it lacks yet would be cut off.
 func (k *keyring) watch(ctx context.Context, every time.Duration, changed func()) {
-	ticker := time.NewTicker(every)
+	ticker := time.NewTicker(every / 2)
 	defer ticker.Stop()
+	var seen stamp
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if k.reload() {
+			s, err := stampOf(k.files)
+			settled := err != nil || s == seen
+			seen = s
+			if settled && k.reload() {
 				changed()
 			}
 		}
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -53,7 +53,8 @@
 	HandshakeTimeout time.Duration
 	// WriteTimeout bounds the write of one frame to a peer that takes nothing.
 	WriteTimeout time.Duration
-	// ReloadEvery is how often the PEM files are looked at.
+	// ReloadEvery is the time within which other PEM files are taken, once they have stayed the same
+	// for half of it.
 	ReloadEvery time.Duration
 	// MaxPeers bounds the peers with a connection or a queue.
 	MaxPeers int
