A flood that comes at once leaves places at the door to others

Seen: TestAFloodHarmsOnlyItself with routers stopped for 200 ms in turn, red in 3 of 21 plays: some of the others' requests, 2 or 3 a play, refused with 429 "this router has too many waiting requests" (the first play's log wasn't kept, the two others' say so). Cause: the edge's bound on waiting requests counts all organisations together. When a router goes on after a stop, the flood's requests that came meanwhile take all places before any reaches the claimant, whose own gate leaves as many places free as one organisation holds. Ruled out: the claimant's gate, whose words are others. Change: the same bound at the edge: one organisation holds at most as many places as are free, besides its own bound. Before: the new test failed (64 of 64 places to the flood, all others refused). After: 12 of 12 plays of the test with stopped routers.

--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -31,6 +31,9 @@
 }
 
 // enter takes a place in org's queue, or refuses with the time after which there may be room.
+//
+// Guard: one organisation may hold at most as many places as are free, besides its own bound. A flood
+// that comes all at once, as when the router stood still, would otherwise have the others refused.
 func (a *admission) enter(org Org, now time.Time) (*place, *verdict.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -46,7 +49,7 @@
 	if q.waiting >= bound {
 		return nil, overloaded("the organisation has too many waiting requests", q.retryAfter())
 	}
-	if a.total >= a.max {
+	if q.waiting >= a.max-a.total {
 		return nil, overloaded("this router has too many waiting requests", q.retryAfter())
 	}
 	a.total++
--- a/pkg/edge/bounds_test.go
+++ b/pkg/edge/bounds_test.go
@@ -52,6 +52,26 @@
 	same(t, "other organisation", true, err == nil)
 }
 
+// Guards against a flood that takes all places at once, as when a router that stood still goes on, and
+// has others refused who hold few.
+func TestAFloodLeavesPlacesToOthers(t *testing.T) {
+	now := time.Unix(100, 0)
+	a := newAdmission(64)
+	taken := 0
+	for range 200 {
+		if _, err := a.enter(Org{Name: "flood", MaxQueued: 256}, now); err == nil {
+			taken++
+		}
+	}
+	same(t, "places of the flood", 32, taken)
+	for range 8 {
+		for _, name := range []string{"a", "b"} {
+			_, err := a.enter(Org{Name: name, MaxQueued: 256}, now)
+			same(t, name, true, err == nil)
+		}
+	}
+}
+
 func TestBodyBudgetLeavesRoomForOthers(t *testing.T) {
 	b := newBodyBudget(100)
 	free, err := b.take("a", 20)
