--- a/pkg/peer/keyring_test.go
+++ b/pkg/peer/keyring_test.go
@@ -35,10 +35,7 @@
 	taken := 0
 	ctx, end := context.WithCancel(t.Context())
 	defer end()
-	go k.watch(ctx, every, func() {
-		taken++
-		require.Equal(t, 1, taken)
-	})
+	go k.watch(ctx, every, func() { taken++ })
 	synctest.Wait()
 	time.Sleep(begun)
 	for _, pem := range [][]byte{nil, next.PEM, append(next.PEM[:len(next.PEM):len(next.PEM)], old.PEM...)} {
