Log the software version of each attempt and what a stream resumes; count resumed streams

The incident's logs could neither count streams that callers took up again nor tell versions: a line named the instance alone. Counter flamingowind_gateway_streams_resumed, by what is resumed and by the version at which it goes on.

--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -20,6 +20,9 @@
 	// whether the caller named one.
 	LastEventID int64
 	Resumes     bool
+	// FirstAttempt is the RequestID of the caller's attempt that brought the stream's first event;
+	// empty if the caller names none.
+	FirstAttempt string
 	// Prompt is set when the caller describes work for a model engine.
 	Prompt *prompt.Prompt
 }
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -14,13 +14,15 @@
 
 // attemptRecord describes one attempt of a request in the log.
 type attemptRecord struct {
-	Instance       upstream.ID `json:"instance"`
-	OffsetMs       int64       `json:"at_ms"`
-	ExpectedWaitMs int64       `json:"expected_wait_ms"`
-	Running        int         `json:"running"`
-	UncachedTokens int         `json:"unread_tokens"`
-	CachedTokens   int         `json:"kept_tokens"`
-	SharedTokens   int         `json:"shared_tokens"`
+	Instance upstream.ID `json:"instance"`
+	// Software is the instance's software version.
+	Software       string `json:"software,omitempty"`
+	OffsetMs       int64  `json:"at_ms"`
+	ExpectedWaitMs int64  `json:"expected_wait_ms"`
+	Running        int    `json:"running"`
+	UncachedTokens int    `json:"unread_tokens"`
+	CachedTokens   int    `json:"kept_tokens"`
+	SharedTokens   int    `json:"shared_tokens"`
 	// UnseenMs is the work, in milliseconds, that other routers are estimated to have assigned to all
 	// instances of the service since they reported their loads.
 	UnseenMs int64 `json:"unseen_ms,omitempty"`
@@ -92,7 +94,7 @@
 
 // logFieldCapacity is the maximum number of fields of a request's log line. Growing the map to that
 // size would cost a tenth of the line.
-const logFieldCapacity = 16
+const logFieldCapacity = 18
 
 func (r *request) logFields(now time.Time) log.Fields {
 	f := make(log.Fields, logFieldCapacity)
@@ -105,6 +107,12 @@
 	if r.meta.Deadline > 0 {
 		f["deadline_ms"] = r.meta.Deadline.Milliseconds()
 	}
+	if r.meta.Resumes {
+		f["after"] = r.meta.LastEventID
+	}
+	if r.meta.FirstAttempt != "" {
+		f["resumes"] = loggedID(r.meta.FirstAttempt)
+	}
 	if r.route != nil {
 		f["route"] = r.route.Name
 	}
@@ -134,3 +142,9 @@
 	}
 	return f
 }
+
+// maxLoggedID bounds the length of an ID that a caller names, in bytes.
+const maxLoggedID = 64
+
+// loggedID returns id, or the beginning of a long one.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,6 +35,8 @@
 	// response header has been sent to the caller.
 	splitter        *forward.EventSplitter
 	responseStarted bool
+	// software is the version of the instance that the first event of this response came from.
+	software string
 	// standing compares what the organisation gets with its fair share.
 	standing  placement.Standing
 	logRecord logRecord
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -13,6 +13,7 @@
 	requests *telemetry.Requests
 	outcomes *taggedCounters
 	endings  *taggedCounters
+	resumed  *taggedCounters
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
@@ -20,7 +21,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub)}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -143,7 +143,7 @@
 	inst := choice.Candidate.Instance
 	r.tried[inst.ID] = true
 	r.logRecord.attempts = append(r.logRecord.attempts, attemptRecord{
-		Instance: inst.ID, OffsetMs: now.Sub(r.start).Milliseconds(), ExpectedWaitMs: choice.Wait.Milliseconds(),
+		Instance: inst.ID, Software: inst.Software, OffsetMs: now.Sub(r.start).Milliseconds(), ExpectedWaitMs: choice.Wait.Milliseconds(),
 		Running: choice.Candidate.Load.Running, UncachedTokens: choice.UncachedTokens, CachedTokens: choice.Candidate.Cached, FetchedTokens: choice.FetchedTokens, Risk: math.Round(choice.Risk*100) / 100,
 		SharedTokens: sharedTokens(r), UnseenMs: choice.Unseen.Assigned.Milliseconds(), started: now,
 	})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -21,7 +21,7 @@
 	for batched := time.Duration(0); ; {
 		ready, count, err := nextEvents(resp, events, *buf)
 		if len(ready) > 0 {
-			g.relayEvents(r, rec, resp, state, ready, count, batched)
+			g.relayEvents(r, rec, inst, resp, state, ready, count, batched)
 		}
 		if err == nil {
 			batched = g.waitForBatch(state)
@@ -65,10 +65,11 @@
 }
 
 // relayEvents writes the events in ready to the caller.
-func (g *Gateway) relayEvents(r *request, rec *attemptRecord, resp *forward.Response, state *attemptState, ready []byte, count int, batched time.Duration) {
+func (g *Gateway) relayEvents(r *request, rec *attemptRecord, inst *upstream.Instance, resp *forward.Response, state *attemptState, ready []byte, count int, batched time.Duration) {
 	now := time.Now()
 	if state.lastEventAt.IsZero() {
 		g.recordFirstEvent(r, state, now)
+		g.countResumed(r, inst)
 		rec.FirstByteMs = now.Sub(rec.started).Milliseconds()
 		g.beginStream(r, resp)
 	} else {
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -32,6 +32,12 @@
 	return &taggedCounters{scope: scope, metric: "answers", firstTag: "framing", secondTag: "ending"}
 }
 
+// newResumedCounters returns counters of streams that went on at another instance, by what they
+// resumed and by the software version there, compared with that which began them.
+func newResumedCounters(scope tally.Scope) *taggedCounters {
+	return &taggedCounters{scope: scope, metric: "streams_resumed", firstTag: "resumed", secondTag: "software"}
+}
+
 func (t *taggedCounters) count(first, second string) { t.counter(tagValues{first, second}).Inc(1) }
 
 func (t *taggedCounters) counter(key tagValues) tally.Counter {
