A broken stream goes on only at the software version that wrote its first event

From its first event on a request is bound to that version; candidates of other versions are left out before anything waits, and with none left the answer breaks off at once. A stream without an event is bound to nothing.

--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -93,7 +93,7 @@
 	members := g.catalog.Instances().ByService(r.service.Name)
 	cached := g.prefixIndex.Lookup(r.prefixes, now)
 	g.health.EachUsable(members, now, func(inst *upstream.Instance, handicap time.Duration) {
-		if !g.catalog.Placeable(inst) || r.tried[inst.ID] {
+		if !g.catalog.Placeable(inst) || r.tried[inst.ID] || r.bound && inst.Software != r.software {
 			return
 		}
 		if !g.warmup.Allows(inst, r.service, now) {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,8 +35,10 @@
 	// response header has been sent to the caller.
 	splitter        *forward.EventSplitter
 	responseStarted bool
-	// software is the version of the instance that the first event of this response came from.
+	// software is the software version that wrote the stream's first event. Events of another version
+	// don't fit that one, so once it is known, bound is set and no other version may go on.
 	software string
+	bound    bool
 	// standing compares what the organisation gets with its fair share.
 	standing  placement.Standing
 	logRecord logRecord
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -15,17 +15,18 @@
 	softwareUnknown = "unknown" // the version that began the stream isn't known
 )
 
-// countResumed counts a stream whose first event of an attempt has arrived, unless it is new.
-func (g *Gateway) countResumed(r *request, inst *upstream.Instance) {
+// beginEvents binds a stream to the software version of the instance that its first event came from,
+// and counts a stream that goes on.
+func (g *Gateway) beginEvents(r *request, inst *upstream.Instance) {
 	switch {
-	case !r.responseStarted:
-		r.software = inst.Software
-		if r.meta.Resumes {
-			g.metrics.resumed.count(resumedRequest, softwareUnknown)
-		}
-	case r.software == inst.Software:
+	case r.responseStarted && r.software == inst.Software:
 		g.metrics.resumed.count(resumedAttempt, softwareSame)
-	default:
+	case r.responseStarted:
 		g.metrics.resumed.count(resumedAttempt, softwareOther)
+	case r.meta.Resumes:
+		g.metrics.resumed.count(resumedRequest, softwareUnknown)
+	}
+	if !r.bound {
+		r.software, r.bound = inst.Software, true
 	}
 }
