KV cache is fetched only from engines of the same software version

A prompt's cached part is work of the version that computed it, and an engine continues from it without a check, as it continues a stream. The new row of the table failed before.

--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -38,7 +38,8 @@
 }
 
 // bestFetch returns the engine from which c should fetch the tokens that it lacks, and the duration
-// of the transfer; nil when prefilling them is as good.
+// of the transfer; nil when prefilling them is as good. Only engines of c's software version are
+// considered: what another version has computed need not fit, and engines don't check it.
 func (h holders) bestFetch(req Request, c Candidate, speed Speed) (time.Duration, *Candidate) {
 	if !req.AllowFetch || req.Service.Engine.LinkBitsPerSecond <= 0 {
 		return 0, nil
@@ -46,7 +47,7 @@
 	var best *Candidate
 	for i := range h.sources {
 		holder := &h.sources[i]
-		if holder.Instance.ID != c.Instance.ID && (best == nil || betterHolder(*holder, *best, c)) {
+		if holder.Instance.ID != c.Instance.ID && holder.Instance.Software == c.Instance.Software && (best == nil || betterHolder(*holder, *best, c)) {
 			best = holder
 		}
 	}
--- a/pkg/placement/holders_test.go
+++ b/pkg/placement/holders_test.go
@@ -50,6 +50,7 @@
 		"while the holder is still prefilling":  {func(*Request) {}, Candidate{Instance: &upstream.Instance{ID: "keeps"}, Cached: 5000, Load: Load{PrefillTokens: 60_000}}},
 		"when there are too few tokens":         {func(*Request) {}, holder("keeps", "", minFetchTokens-1)},
 		"over a link slower than prefill":       {func(r *Request) { r.Service.Engine.LinkBitsPerSecond = 1e9 }, holder("keeps", "", 5000)},
+		"from another software version":         {func(*Request) {}, Candidate{Instance: &upstream.Instance{ID: "keeps", Software: "v2"}, Cached: 5000, Confirmed: 5000, Load: Load{PrefillTokens: 60_000}}},
 		"by the engine with most tokens cached": {func(*Request) {}, Candidate{Instance: &upstream.Instance{ID: "idle"}, Cached: 5000, Confirmed: 5000}},
 	} {
 		req := fetchRequest()
