--- /dev/null
+++ b/pkg/affinity/history.go
@@ -0,0 +1,298 @@
+package affinity
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+const (
+	// maxListAge is the age of the list of upstreams up to which a router is sure that no further
+	// version serves: watches renew it within two seconds.
+	maxListAge = 2500 * time.Millisecond
+	// openAfter is how long after a version was first listed it begins streams at the latest. A router
+	// whose list lacks the version claims no sole version any more by then; the second half covers what
+	// a router was told while its report was on its way.
+	openAfter = 2 * maxListAge
+	// window is how long a version that is no longer listed is taken to have streams: routers with an
+	// old list may have begun some after it had left.
+	window = StreamLife + openAfter
+)
+
+// version is what is known of a software version of a service.
+type version struct {
+	// since is when this router first knew it, revision a revision of the list at which it was
+	// listed; 0 while that isn't known.
+	since    time.Time
+	revision int64
+	listed   bool
+	// lastListed is when it was last known to be listed.
+	lastListed time.Time
+	// open says that streams may begin there.
+	open bool
+}
+
+func (v *version) recent(now time.Time) bool { return v.listed || now.Sub(v.lastListed) < window }
+
+// history knows which software versions of services served lately.
+type history struct {
+	log log.Interface
+
+	mu       sync.Mutex
+	services map[string]map[string]*version
+	// watchedSince is since when no version can have served without being known here; whole says that
+	// this holds since the fleet first started.
+	watchedSince time.Time
+	whole        bool
+	// closed is the number of listed versions that aren't open.
+	closed atomic.Int32
+}
+
+func newHistory(l log.Interface) *history {
+	return &history{log: l, services: make(map[string]map[string]*version)}
+}
+
+// setList takes over a new list of upstreams.
+func (h *history) setList(set *upstream.Set, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.watchedSince.IsZero() {
+		h.watchedSince = now
+	}
+	listed := make(map[*version]bool)
+	for _, in := range set.List() {
+		if in.State != upstream.Unusable {
+			listed[h.get(in.Service, in.Software, now)] = true
+		}
+	}
+	for service, versions := range h.services {
+		for name, v := range versions {
+			if v.listed != listed[v] {
+				h.logListed(service, name, listed[v])
+			}
+			if v.listed {
+				v.lastListed = now
+			}
+			if v.listed = listed[v]; v.listed {
+				v.lastListed = now
+			} else if v.open = false; !v.recent(now) {
+				delete(versions, name)
+			}
+		}
+	}
+	h.openSole()
+}
+
+func (h *history) logListed(service, name string, listed bool) {
+	h.log.WithFields(log.Fields{"event": "software_listed", "service": service, "software": name, "listed": listed}).Info("software version of a service")
+}
+
+// get returns what is known of a version, a new entry if there is none.
+func (h *history) get(service, name string, now time.Time) *version {
+	versions := h.services[service]
+	if versions == nil {
+		versions = make(map[string]*version)
+		h.services[service] = versions
+	}
+	v := versions[name]
+	if v == nil {
+		v = &version{since: now}
+		versions[name] = v
+	}
+	return v
+}
+
+// openSole opens versions that are the only listed one of their service: no router can begin streams
+// at another one.
+func (h *history) openSole() {
+	closed := int32(0)
+	for _, versions := range h.services {
+		listed := 0
+		for _, v := range versions {
+			if v.listed {
+				listed++
+			}
+		}
+		for _, v := range versions {
+			v.open = v.listed && (v.open || listed == 1)
+			if v.listed && !v.open {
+				closed++
+			}
+		}
+	}
+	h.closed.Store(closed)
+}
+
+// openKnown opens the versions that all other routers know, or that have been listed for openAfter.
+func (h *history) openKnown(view View, now time.Time) {
+	if h.closed.Load() == 0 {
+		return
+	}
+	rev, peers := view.ListRevision(), view.Peers(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, versions := range h.services {
+		for name, v := range versions {
+			if !v.listed || v.open {
+				continue
+			}
+			if v.revision == 0 {
+				v.revision = rev
+			}
+			known := peers.Complete && peers.Floor >= v.revision
+			if known || now.Sub(v.since) >= openAfter {
+				v.open = true
+				h.log.WithFields(log.Fields{"event": "software_opened", "service": service, "software": name, "known_to_all": known, "after_ms": now.Sub(v.since).Milliseconds()}).Info("streams may begin at a software version")
+			}
+		}
+	}
+	h.openSole()
+}
+
+// isOpen reports whether streams may begin at a version.
+func (h *history) isOpen(service, name string) bool {
+	if h.closed.Load() == 0 {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.services[service][name]
+	return v != nil && v.open
+}
+
+// sole returns the only version of a service that served within the window, if there is just one and
+// no other one can have served unknown.
+func (h *history) sole(service string, now time.Time) (name string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.whole && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < window) {
+		return "", false
+	}
+	for candidate, v := range h.services[service] {
+		if !v.recent(now) {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		name, ok = candidate, true
+	}
+	return name, ok
+}
+
+// names returns the versions of a service that are known.
+func (h *history) names(service string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := make([]string, 0, len(h.services[service]))
+	for name := range h.services[service] {
+		list = append(list, name)
+	}
+	return list
+}
+
+// markWhole records that the fleet first started with this router.
+func (h *history) markWhole() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.whole = true
+}
+
+// statement returns what this router tells others; listAge is the age of its list.
+func (h *history) statement(listAge time.Duration, now time.Time) Statement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := Statement{Whole: h.whole}
+	if !h.watchedSince.IsZero() {
+		s.WatchedMs = now.Sub(h.watchedSince).Milliseconds()
+	}
+	for service, versions := range h.services {
+		for name, v := range versions {
+			age := now.Sub(v.lastListed)
+			if v.listed {
+				age = listAge
+			}
+			if v.recent(now) {
+				s.Versions = append(s.Versions, SeenVersion{Service: service, Version: name, AgeMs: max(0, age.Milliseconds()), Open: v.open})
+			}
+		}
+	}
+	slices.SortFunc(s.Versions, func(a, b SeenVersion) int {
+		if a.Service != b.Service {
+			return strings.Compare(a.Service, b.Service)
+		}
+		return strings.Compare(a.Version, b.Version)
+	})
+	s.Versions = s.Versions[:min(len(s.Versions), maxSeenVersions)]
+	return s
+}
+
+// merge takes over a statement that was made at createdAt or later. Times are rounded so that none
+// gets later, or longer, by being told from router to router.
+func (h *history) merge(s Statement, createdAt, now time.Time) {
+	if len(s.Versions) > maxSeenVersions {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, seen := range s.Versions {
+		last := createdAt.Add(-time.Duration(seen.AgeMs) * time.Millisecond)
+		if !seen.valid() || now.Sub(last) >= window {
+			continue
+		}
+		v := h.get(seen.Service, seen.Version, now)
+		if last.After(v.lastListed) {
+			v.lastListed = last
+		}
+		v.open = v.open || seen.Open && v.listed
+	}
+	h.whole = h.whole || s.Whole
+	if since := now.Add(-time.Duration(max(0, s.WatchedMs)) * time.Millisecond); !h.watchedSince.IsZero() && since.Before(h.watchedSince) {
+		h.watchedSince = since
+	}
+	h.openSole()
+}
+
+// several reports whether some service has had several versions within the window.
+func (h *history) several(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, versions := range h.services {
+		if countRecent(versions, now) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// recent returns the identities of recent versions, and for each whether its service has several.
+func (h *history) recent(now time.Time) map[Software]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make(map[Software]bool)
+	for service, versions := range h.services {
+		several := countRecent(versions, now) > 1
+		for name, v := range versions {
+			if v.recent(now) {
+				all[SoftwareOf(service, name)] = several
+			}
+		}
+	}
+	return all
+}
+
+func countRecent(versions map[string]*version, now time.Time) int {
+	n := 0
+	for _, v := range versions {
+		if v.recent(now) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/affinity/ledger.go
@@ -0,0 +1,101 @@
+package affinity
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// StreamLife is how long after its first event a stream may still be resumed: twice the longest
+	// time limit of a caller, which covers all of its tries.
+	StreamLife = 30 * time.Second
+	// generations is the number of maps that a ledger keeps. It drops the oldest one at a time, so a
+	// record lives for StreamLife and up to half as long again, and nothing is searched for old ones.
+	generations   = 3
+	generationAge = StreamLife / (generations - 1)
+	// maxRecords bounds the records of one generation.
+	maxRecords = 200_000
+)
+
+// ledger keeps records for StreamLife.
+type ledger struct {
+	mu sync.Mutex
+	// records holds the generations, the newest first.
+	records   [generations]map[Key]Software
+	rotatedAt time.Time
+}
+
+// add adds a record. Two streams that began under one key at different versions can't be told apart,
+// so the key then finds no version.
+func (l *ledger) add(r Record, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotate(now)
+	known, found := l.find(r.Key)
+	if found && known != r.Software {
+		r.Software = unknownSoftware
+	}
+	if len(l.records[0]) < maxRecords {
+		l.records[0][r.Key] = r.Software
+	}
+}
+
+// lookup returns the version that is on record for a key.
+func (l *ledger) lookup(k Key, now time.Time) (Software, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotate(now)
+	return l.find(k)
+}
+
+func (l *ledger) find(k Key) (Software, bool) {
+	for _, generation := range l.records {
+		if s, ok := generation[k]; ok {
+			return s, true
+		}
+	}
+	return unknownSoftware, false
+}
+
+// all returns the records of a version.
+func (l *ledger) all(s Software, now time.Time) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rotate(now)
+	var list []Record
+	for _, generation := range l.records {
+		for k, software := range generation {
+			if software == s {
+				list = append(list, Record{Key: k, Software: software})
+			}
+		}
+	}
+	return list
+}
+
+// size returns the number of records.
+func (l *ledger) size() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, generation := range l.records {
+		n += len(generation)
+	}
+	return n
+}
+
+// rotate drops the generations that are too old.
+func (l *ledger) rotate(now time.Time) {
+	if l.records[0] == nil {
+		l.records[0], l.rotatedAt = make(map[Key]Software), now
+	}
+	for range generations {
+		if now.Sub(l.rotatedAt) < generationAge {
+			return
+		}
+		copy(l.records[1:], l.records[:generations-1])
+		l.records[0] = make(map[Key]Software)
+		l.rotatedAt = l.rotatedAt.Add(generationAge)
+	}
+	l.rotatedAt = now // nothing was added for longer than all generations last
+}
--- /dev/null
+++ b/pkg/affinity/record.go
@@ -0,0 +1,8 @@
+package affinity
+
+// Record says at which software version a stream began.
+type Record struct {
+	_        struct{} `cbor:",toarray"`
+	Key      Key
+	Software Software
+}
--- /dev/null
+++ b/pkg/affinity/tracker.go
@@ -0,0 +1,256 @@
+package affinity
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// Asker asks other routers, all at once, until one has a record or all have answered.
+type Asker func(ctx context.Context, q Question) Reply
+
+const (
+	// askTimeout bounds a question to other routers: callers that resume a stream wait for it.
+	askTimeout = 250 * time.Millisecond
+	// maxQuestions bounds the questions at a time, so that callers who name attempts at random don't
+	// make a router ask without end.
+	maxQuestions = 64
+	// maxUnsent bounds the records that wait to be sent; others can still ask for the rest.
+	maxUnsent = 4096
+	// viewInterval is the time between two looks at the other routers for the same purpose.
+	viewInterval = 20 * time.Millisecond
+)
+
+// Tracker is a router's knowledge of the software versions of services and of the streams that
+// began there.
+type Tracker struct {
+	history *history
+	// own holds the streams that this router began, others those that other routers sent.
+	own, others ledger
+	view        View
+	ask         Asker
+	questions   chan struct{}
+	wake        wakeDetector
+
+	mu sync.Mutex
+	// unsent are own records since the last call of TakeRecords.
+	unsent []unsentRecord
+	// sent holds the versions of services whose records are being sent to others.
+	sent map[Software]bool
+	// openedAt is when versions were last looked at for being opened.
+	openedAt time.Time
+}
+
+type unsentRecord struct {
+	Record
+	service string
+}
+
+// NewTracker returns a tracker that knows nothing yet.
+func NewTracker(v View, ask Asker, l log.Interface) *Tracker {
+	return &Tracker{history: newHistory(l), view: v, ask: ask, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
+}
+
+// SetUpstreams takes over a new list of upstreams.
+func (t *Tracker) SetUpstreams(set *upstream.Set, now time.Time) { t.history.setList(set, now) }
+
+// MarkFounded records that the fleet first started with this router, so that no stream began before.
+func (t *Tracker) MarkFounded() { t.history.markWhole() }
+
+// Open reports whether streams may begin at an instance.
+func (t *Tracker) Open(in *upstream.Instance, now time.Time) bool {
+	if t.history.closed.Load() == 0 {
+		return true
+	}
+	t.openKnown(now)
+	return t.history.isOpen(in.Service, in.Software)
+}
+
+// AllOpen reports whether streams may begin at every instance.
+func (t *Tracker) AllOpen() bool { return t.history.closed.Load() == 0 }
+
+func (t *Tracker) openKnown(now time.Time) {
+	t.mu.Lock()
+	due := now.Sub(t.openedAt) >= viewInterval
+	if due {
+		t.openedAt = now
+	}
+	t.mu.Unlock()
+	if due {
+		t.history.openKnown(t.view, now)
+	}
+}
+
+// Begin records that the stream of an attempt began at an instance.
+func (t *Tracker) Begin(organisation, firstAttempt string, in *upstream.Instance, now time.Time) {
+	r := Record{Key: KeyOf(organisation, firstAttempt), Software: SoftwareOf(in.Service, in.Software)}
+	t.own.add(r, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unsent) < maxUnsent {
+		t.unsent = append(t.unsent, unsentRecord{Record: r, service: in.Service})
+	}
+}
+
+// TakeRecords returns the records to send to the other routers since the last call: none of services
+// with a sole version. The streams that began before a service had several are sent once it has.
+func (t *Tracker) TakeRecords(now time.Time) []Record {
+	t.openKnown(now)
+	t.mu.Lock()
+	unsent := t.unsent
+	t.unsent = nil
+	t.mu.Unlock()
+	sole := make(map[string]bool)
+	var list []Record
+	for _, u := range unsent {
+		if _, ok := sole[u.service]; !ok {
+			_, ok = t.history.sole(u.service, now)
+			sole[u.service] = ok && t.certain(now, time.Time{})
+		}
+		if !sole[u.service] {
+			list = append(list, u.Record)
+		}
+	}
+	return append(list, t.earlierRecords(now)...)
+}
+
+// earlierRecords returns the records of streams that began before their service had several versions.
+func (t *Tracker) earlierRecords(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.sent) == 0 && !t.history.several(now) {
+		return nil
+	}
+	var list []Record
+	for software, several := range t.history.recent(now) {
+		if several && !t.sent[software] {
+			list = append(list, t.own.all(software, now)...)
+		}
+		if several {
+			t.sent[software] = true
+		} else {
+			delete(t.sent, software)
+		}
+	}
+	return list
+}
+
+// Merge takes over records of other routers.
+func (t *Tracker) Merge(list []Record, now time.Time) {
+	for _, r := range list {
+		t.others.add(r, now)
+	}
+}
+
+// Statement returns what this router tells others of versions. It is worth telling at any time if
+// several is set, otherwise now and then.
+func (t *Tracker) Statement(now time.Time) (s Statement, several bool) {
+	return t.history.statement(t.view.ListAge(now), now), t.history.several(now)
+}
+
+// MergeStatement takes over a statement that another router made at createdAt or later.
+func (t *Tracker) MergeStatement(s Statement, createdAt, now time.Time) {
+	t.history.merge(s, createdAt, now)
+}
+
+// sole returns the sole version of a service if that is certain.
+func (t *Tracker) sole(service string, now time.Time) (string, bool) {
+	name, ok := t.history.sole(service, now)
+	return name, ok && t.certain(now, t.wake.since(now))
+}
+
+// certain reports whether no version can serve unknown to this router: its list of upstreams is
+// recent, or every other router was heard of recently and none has a newer list. What was learned
+// before awakeSince doesn't count.
+func (t *Tracker) certain(now, awakeSince time.Time) bool {
+	peers := t.view.Peers(now)
+	if !peers.Current {
+		return false
+	}
+	listedAt := now.Add(-t.view.ListAge(now))
+	if now.Sub(listedAt) <= maxListAge && !listedAt.Before(awakeSince) {
+		return true
+	}
+	return peers.Complete && peers.Newest <= t.view.ListRevision() &&
+		now.Sub(peers.HeardAt) <= maxListAge && !peers.HeardAt.Before(awakeSince)
+}
+
+// Find returns the version at which a stream has to go on. Without one, the binding's source says
+// why.
+func (t *Tracker) Find(ctx context.Context, q Query, now time.Time) (Binding, bool) {
+	if q.FirstAttempt != "" {
+		k := KeyOf(q.Organisation, q.FirstAttempt)
+		if s, ok := t.own.lookup(k, now); ok {
+			return t.resolve(q, s, OwnRecord)
+		}
+		if s, ok := t.others.lookup(k, now); ok {
+			return t.resolve(q, s, OthersRecord)
+		}
+	}
+	name, sole := t.sole(q.Service, now)
+	if sole && (q.FirstAttempt == "" || len(q.Services) <= 1) {
+		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
+	}
+	reply := t.askOthers(ctx, q)
+	switch {
+	case reply.Recorded:
+		return t.resolve(q, reply.Software, AskedRecord)
+	case sole:
+		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
+	}
+	return t.resolve(q, reply.Software, AskedSole)
+}
+
+func (t *Tracker) askOthers(ctx context.Context, q Query) Reply {
+	question := Question{Service: q.Service}
+	if q.FirstAttempt != "" {
+		question.Key = KeyOf(q.Organisation, q.FirstAttempt)
+	}
+	select {
+	case t.questions <- struct{}{}:
+		defer func() { <-t.questions }()
+	default:
+		return Reply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return t.ask(ctx, question)
+}
+
+// resolve returns the binding to a version of one of the route's services.
+func (t *Tracker) resolve(q Query, s Software, source Source) (Binding, bool) {
+	if s == unknownSoftware {
+		return Binding{Service: q.Service, Source: Unknown}, false
+	}
+	for _, service := range q.Services {
+		for _, name := range t.history.names(service) {
+			if SoftwareOf(service, name) == s {
+				return Binding{Service: service, Version: name, Source: source}, true
+			}
+		}
+	}
+	return Binding{Service: q.Service, Source: Elsewhere}, false
+}
+
+// Reply answers another router's question.
+func (t *Tracker) Reply(q Question, now time.Time) Reply {
+	if q.Key != 0 {
+		if s, ok := t.own.lookup(q.Key, now); ok {
+			return Reply{Software: s, Recorded: true}
+		}
+		if s, ok := t.others.lookup(q.Key, now); ok {
+			return Reply{Software: s, Recorded: true}
+		}
+	}
+	if name, ok := t.sole(q.Service, now); ok {
+		return Reply{Software: SoftwareOf(q.Service, name)}
+	}
+	return Reply{}
+}
+
+// Records returns the number of streams on record.
+func (t *Tracker) Records() int { return t.own.size() + t.others.size() }
--- /dev/null
+++ b/pkg/affinity/tracker_test.go
@@ -0,0 +1,244 @@
+package affinity
+
+import (
+	"context"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// fakeView is a view that tests set.
+type fakeView struct {
+	rev  int64
+	age  time.Duration
+	peer PeerView
+}
+
+func (v *fakeView) ListRevision() int64             { return v.rev }
+func (v *fakeView) ListAge(time.Time) time.Duration { return v.age }
+func (v *fakeView) Peers(time.Time) PeerView        { return v.peer }
+
+// fixture is a tracker at a time that tests advance.
+type fixture struct {
+	*Tracker
+	view  *fakeView
+	now   time.Time
+	reply Reply
+	asked int
+}
+
+// newFixture returns the tracker of a router that founded its fleet, whose peers are current.
+func newFixture() *fixture {
+	f := &fixture{view: &fakeView{rev: 1, peer: PeerView{Floor: math.MaxInt64, Complete: true, Current: true}}, now: time.Unix(1000, 0)}
+	f.Tracker = NewTracker(f.view, func(context.Context, Question) Reply { f.asked++; return f.reply }, &log.Logger{Handler: discard.New()})
+	f.MarkFounded()
+	return f
+}
+
+func (f *fixture) list(versions ...string) {
+	var list []upstream.Instance
+	for i, v := range versions {
+		list = append(list, upstream.Instance{ID: upstream.ID(rune('a' + i)), Service: "s", Software: v, State: upstream.Ready})
+	}
+	f.SetUpstreams(upstream.NewSet(list), f.now)
+}
+
+func (f *fixture) instance(version string) *upstream.Instance {
+	return &upstream.Instance{Service: "s", Software: version}
+}
+
+func (f *fixture) find(first string) Binding {
+	b, _ := f.Find(context.Background(), Query{Organisation: "o", FirstAttempt: first, Services: []string{"s"}, Service: "s"}, f.now)
+	return b
+}
+
+func bound(version string, source Source) Binding {
+	return Binding{Service: "s", Version: version, Source: source}
+}
+
+var unknown = Binding{Service: "s", Source: Unknown}
+
+func TestSoleVersionNeedsNoRecord(t *testing.T) {
+	f := newFixture()
+	f.list("v1", "v1")
+	f.Begin("o", "r", f.instance("v1"), f.now)
+	require.Empty(t, f.TakeRecords(f.now))
+	require.Equal(t, bound("v1", SoleVersion), f.find(""))
+	require.Equal(t, bound("v1", OwnRecord), f.find("r"))
+	require.Zero(t, f.asked)
+}
+
+// Guards against a sole version claimed by a router that can't know: each case could resume a stream
+// at another version than the one that began it.
+func TestSoleVersionMustBeCertain(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"another version is listed":         func(f *fixture) { f.list("v1", "v2") },
+		"another version left a moment ago": func(f *fixture) { f.list("v1", "v2"); f.list("v1"); f.now = f.now.Add(window - time.Second) },
+		"another router knows another one": func(f *fixture) {
+			f.MergeStatement(Statement{Versions: []SeenVersion{{Service: "s", Version: "v2"}}}, f.now, f.now)
+		},
+		"the list is old":                     func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
+		"another router doesn't record":       func(f *fixture) { f.view.peer.Current = false },
+		"the router started a moment ago":     func(f *fixture) { f.history.whole = false; f.history.watchedSince = f.now.Add(time.Second - window) },
+		"nothing is listed":                   func(f *fixture) { f.list(); f.now = f.now.Add(window) },
+		"a peer is silent and the list old":   func(f *fixture) { f.view.age = time.Minute; f.view.peer.HeardAt = f.now.Add(-maxListAge - time.Second) },
+		"a peer has a newer list, own is old": func(f *fixture) { f.view.age, f.view.peer.HeardAt, f.view.peer.Newest = time.Minute, f.now, 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.list("v1")
+			change(f)
+			require.Equal(t, unknown, f.find(""))
+			require.Equal(t, unknown, f.find("r"))
+		})
+	}
+}
+
+// Guards against streams that can't be resumed during an outage of the store: the list is old, and
+// all other routers were heard of lately and know nothing newer.
+func TestSoleVersionIsCertainWhileAllPeersAreHeard(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	f.view.age, f.view.peer.HeardAt, f.view.peer.Newest = time.Minute, f.now.Add(-time.Second), 1
+	require.Equal(t, bound("v1", SoleVersion), f.find(""))
+}
+
+// Guards against a version that is resumed as the sole one long after it left, and against one that is
+// remembered for ever.
+func TestVersionsAreForgottenAfterTheirStreams(t *testing.T) {
+	f := newFixture()
+	f.list("v1", "v2")
+	f.list("v2")
+	f.now = f.now.Add(window)
+	require.Equal(t, bound("v2", SoleVersion), f.find("r"))
+}
+
+// Guards against streams that begin at a new version while another router may take the old one for the
+// only one.
+func TestNewVersionsOpenOnceAllRoutersKnowThem(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	require.True(t, f.Open(f.instance("v1"), f.now))
+	f.view.rev, f.view.peer.Floor = 7, 6
+	f.list("v1", "v2")
+	require.True(t, f.Open(f.instance("v1"), f.now), "it was open before")
+	require.False(t, f.Open(f.instance("v2"), f.now))
+	f.now = f.now.Add(viewInterval)
+	f.view.peer.Floor, f.view.peer.Complete = 7, false
+	require.False(t, f.Open(f.instance("v2"), f.now), "a router is silent")
+	f.now = f.now.Add(viewInterval)
+	f.view.peer.Complete = true
+	require.True(t, f.Open(f.instance("v2"), f.now))
+	require.True(t, f.AllOpen())
+}
+
+func TestNewVersionsOpenAfterAWhileWithoutWordOfAll(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	f.view.peer.Complete = false
+	f.list("v1", "v2")
+	f.now = f.now.Add(openAfter - time.Millisecond)
+	require.False(t, f.Open(f.instance("v2"), f.now))
+	f.now = f.now.Add(viewInterval)
+	require.True(t, f.Open(f.instance("v2"), f.now))
+}
+
+// Guards against engines that idle because no version of their service is open.
+func TestTheOnlyListedVersionIsOpen(t *testing.T) {
+	f := newFixture()
+	f.view.peer.Complete = false
+	f.list("v1", "v2")
+	require.False(t, f.Open(f.instance("v2"), f.now))
+	f.list("v2")
+	require.True(t, f.Open(f.instance("v2"), f.now))
+}
+
+// Guards against streams that began before a second version came, of which other routers never hear.
+func TestEarlierStreamsAreToldOnceThereAreSeveralVersions(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	f.Begin("o", "early", f.instance("v1"), f.now)
+	require.Empty(t, f.TakeRecords(f.now))
+	f.list("v1", "v2")
+	early := Record{Key: KeyOf("o", "early"), Software: SoftwareOf("s", "v1")}
+	require.Equal(t, []Record{early}, f.TakeRecords(f.now))
+	f.Begin("o", "late", f.instance("v2"), f.now)
+	late := Record{Key: KeyOf("o", "late"), Software: SoftwareOf("s", "v2")}
+	require.Equal(t, []Record{late}, f.TakeRecords(f.now))
+	require.Empty(t, f.TakeRecords(f.now))
+
+	other := newFixture()
+	other.list("v1", "v2")
+	other.Merge([]Record{early, late}, other.now)
+	require.Equal(t, bound("v1", OthersRecord), other.find("early"))
+	require.Equal(t, bound("v2", OthersRecord), other.find("late"))
+	require.Equal(t, Reply{Software: early.Software, Recorded: true}, other.Reply(Question{Key: early.Key, Service: "s"}, other.now))
+}
+
+// Guards against an answer that tells an organisation of another one's attempts, and against one
+// attempt that stands for two streams.
+func TestRecordsBelongToOneStreamOfOneOrganisation(t *testing.T) {
+	f := newFixture()
+	f.list("v1", "v2")
+	f.Begin("o2", "r", f.instance("v1"), f.now)
+	require.Equal(t, unknown, f.find("r"))
+	f.Begin("o", "twice", f.instance("v1"), f.now)
+	f.Begin("o", "twice", f.instance("v2"), f.now)
+	require.Equal(t, unknown, f.find("twice"))
+}
+
+func TestOthersAreAskedForWhatIsNotKnown(t *testing.T) {
+	f := newFixture()
+	f.list("v1", "v2")
+	f.reply = Reply{Software: SoftwareOf("s", "v2"), Recorded: true}
+	require.Equal(t, bound("v2", AskedRecord), f.find("r"))
+	f.reply.Recorded = false
+	require.Equal(t, bound("v2", AskedSole), f.find("r"))
+	f.reply = Reply{Software: SoftwareOf("t", "v2"), Recorded: true}
+	require.Equal(t, Binding{Service: "s", Source: Elsewhere}, f.find("r"))
+	f.reply = Reply{}
+	require.Equal(t, unknown, f.find("r"))
+}
+
+// Guards against a version that never ages, as routers tell each other of it in turn, and against a
+// watch that grows by being told.
+func TestStatementsDontGrowByBeingTold(t *testing.T) {
+	a, b := newFixture(), newFixture()
+	a.history.whole, b.history.whole = false, false
+	a.list("v1", "v2")
+	a.list("v1")
+	b.list("v1")
+	start := a.now
+	for range 100 {
+		sent, arrived := a.now, a.now.Add(100*time.Millisecond)
+		s, _ := a.Statement(sent)
+		b.MergeStatement(s, sent, arrived)
+		back, _ := b.Statement(arrived)
+		a.now = arrived.Add(100 * time.Millisecond)
+		a.MergeStatement(back, arrived, a.now)
+	}
+	s, _ := a.Statement(a.now)
+	require.LessOrEqual(t, s.WatchedMs, a.now.Sub(start).Milliseconds())
+	a.now = start.Add(window)
+	require.Equal(t, bound("v1", SoleVersion), a.find(""))
+}
+
+func TestRecordsEndWithTheirStreams(t *testing.T) {
+	var l ledger
+	now := time.Unix(1000, 0)
+	l.add(Record{Key: 1, Software: 1}, now)
+	_, ok := l.lookup(1, now.Add(StreamLife-time.Millisecond))
+	require.True(t, ok)
+	l.add(Record{Key: 2, Software: 1}, now.Add(StreamLife-time.Millisecond))
+	_, ok = l.lookup(1, now.Add(2*StreamLife))
+	require.False(t, ok)
+	_, ok = l.lookup(2, now.Add(time.Hour))
+	require.False(t, ok)
+	require.Zero(t, l.size())
+}
--- a/pkg/ctl/gateways.go
+++ b/pkg/ctl/gateways.go
@@ -37,7 +37,7 @@
 
 func (a *app) gateways(ctx context.Context, addrs []string) error {
 	table := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "GATEWAY\tREADY\tACTIVE\tCONFIG\tLIST AGE\tPEERS\tEXCHANGE\tUPSTREAMS\tLEFT ALONE\tNOT USED\tFAULTS\tEVACUATED")
+	fmt.Fprintln(table, "GATEWAY\tREADY\tACTIVE\tCONFIG\tLIST AGE\tPEERS\tEXCHANGE\tUPSTREAMS\tLEFT ALONE\tNOT USED\tFAULTS\tEVACUATED\tSOFTWARE")
 	ready := true
 	for _, addr := range addrs {
 		s, err := gatewayStatus(ctx, addr)
@@ -68,8 +68,23 @@
 			alone++
 		}
 	}
-	fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d ms\t%d\t%s\t%d\t%d\t%d\t%d\t%s\n",
-		s.Router, s.Ready, s.Active, s.Config, s.ListAgeMs, len(s.Routers), s.Exchange, len(s.Upstreams), alone, faulty, s.Faults, cmp.Or(strings.Join(s.EvacuatedZones, ","), "-"))
+	fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d ms\t%d\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n",
+		s.Router, s.Ready, s.Active, s.Config, s.ListAgeMs, len(s.Routers), s.Exchange, len(s.Upstreams), alone, faulty, s.Faults, cmp.Or(strings.Join(s.EvacuatedZones, ","), "-"), cmp.Or(severalVersions(s.Software), "-"))
+}
+
+// severalVersions describes the services that upstreams of several software versions serve.
+func severalVersions(list []status.Software) string {
+	count := make(map[string]int)
+	for _, v := range list {
+		count[v.Service]++
+	}
+	var texts []string
+	for _, v := range list {
+		if count[v.Service] > 1 {
+			texts = append(texts, fmt.Sprintf("%s %s: %d", v.Service, v.Version, v.Upstreams))
+		}
+	}
+	return strings.Join(texts, ", ")
 }
 
 func gatewayStatus(ctx context.Context, addr string) (*status.Status, error) {
--- a/pkg/ctl/gateways_test.go
+++ b/pkg/ctl/gateways_test.go
@@ -24,6 +24,7 @@
 		return server.Listener.Addr().String()
 	}
 	well := serve(status.Status{Router: "r-1", Ready: true, Config: 3, Exchange: "direct", Faults: 5, EvacuatedZones: []string{"a", "b"},
+		Software:  []status.Software{{Service: "s", Version: "1", Upstreams: 3}, {Service: "s", Version: "2"}, {Service: "t", Version: "1"}},
 		Upstreams: []status.Upstream{{Usable: true}, {}, {Usable: true, Fault: "Addr is missing"}}})
 	unready := serve(status.Status{Router: "r-2"})
 
@@ -34,7 +35,7 @@
 	}
 	code, out := run(well)
 	require.Zero(t, code)
-	require.Regexp(t, `r-1 +true +0 +3 +0 ms +0 +direct +3 +1 +1 +5 +a,b`, out)
+	require.Regexp(t, `r-1 +true +0 +3 +0 ms +0 +direct +3 +1 +1 +5 +a,b +s 1: 3, s 2: 0\n`, out)
 	code, out = run(well, unready)
 	require.Equal(t, 1, code)
 	require.Regexp(t, `r-2 +false.* -\n`, out)
--- a/pkg/fleet/prefixlog_test.go
+++ b/pkg/fleet/entrylog_test.go
@@ -7,9 +7,9 @@
 	"pgregory.net/rapid"
 )
 
-func TestPrefixLogReturnsEntriesInOrder(t *testing.T) {
+func TestEntryLogReturnsEntriesInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var l prefixLog
+		var l entryLog[CachedPrefix]
 		seq, next, lastKey := uint64(0), uint64(0), uint64(0)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			list := make([]CachedPrefix, rapid.IntRange(0, 300).Draw(t, "added"))
@@ -43,12 +43,12 @@
 	})
 }
 
-func TestPrefixLogDropsTheOldest(t *testing.T) {
-	var l prefixLog
-	l.add(make([]CachedPrefix, prefixLogSize+10))
+func TestEntryLogDropsTheOldest(t *testing.T) {
+	var l entryLog[CachedPrefix]
+	l.add(make([]CachedPrefix, logSize+10))
 	got, last := l.after(0)
-	require.Len(t, got, maxPrefixes)
-	require.EqualValues(t, 10+maxPrefixes, last)
+	require.Len(t, got, maxEntries)
+	require.EqualValues(t, 10+maxEntries, last)
 }
 
 func FuzzDecode(f *testing.F) {
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -46,17 +46,21 @@
 
 // describeSelf builds a report of this router's own work.
 func (f *Fleet) describeSelf(withOthers bool) (Report, time.Time) {
-	r := Report{From: f.self, Clock: f.uptimeMs(time.Now())}
+	r := Report{From: f.self, Clock: f.uptimeMs(time.Now()), RecordsStreams: true}
 	f.local.Describe(&r)
 	if withOthers {
 		r.Suspects, r.AskOthers = f.local.Suspects(), true
 	}
-	prefixes := f.local.NewPrefixes()
+	r.Software = f.local.Software(withOthers)
+	prefixes, streams := f.local.NewPrefixes(), f.local.NewStreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.prefixLogs {
 		f.prefixLogs[i].add(prefixes)
 	}
+	for i := range f.streamLogs {
+		f.streamLogs[i].add(streams)
+	}
 	now := time.Now()
 	if r.CPUStarved {
 		f.starvedAt = now
@@ -68,16 +72,21 @@
 // setScope extends r, which describes this router alone, to the work of the given scope.
 func (f *Fleet) setScope(r *Report, p *peer, scope Scope, withOthers bool, now time.Time) {
 	r.Scope, r.PrefixScope = scope, scope
-	after := p.ackedSeq
+	after, afterStream := p.ackedSeq, p.ackedStream
 	if p.ackedScope != scope {
-		after = 0
+		after, afterStream = 0, 0
 	}
 	r.Prefixes, r.LastSeq = f.prefixLogs[scope].after(after)
+	if scope != ScopeAll {
+		r.Streams, r.LastStream = f.streamLogs[scope].after(afterStream)
+	}
+	r.AckStream = p.receivedStream
 	r.AckSeq, r.AckLife, r.AckScope = p.receivedSeq, p.member.Started, p.receivedScope
 	r.AckDigest = p.digest
 	r.Echo = p.clock
 	if scope != ScopeOwn {
 		f.addTotals(r, p, scope, now)
+		r.ListFloor, r.AllRecord = f.listFloor(scope, r.Instances, now)
 		return
 	}
 	if !withOthers || !f.role.direct {
@@ -122,6 +131,7 @@
 	}
 	if p.report == nil || r.From.Started != p.report.From.Started {
 		p.receivedSeq, p.ackedSeq, p.clock = 0, 0, 0
+		p.receivedStream, p.ackedStream = 0, 0
 	}
 	p.clock = max(p.clock, r.Clock)
 	p.member, p.reportAt, p.failures = r.From, now, 0
@@ -129,13 +139,17 @@
 	p.ackedDigest = r.AckDigest
 	f.storeReport(p, r, now)
 	if r.AckLife == f.self.Started {
-		p.ackedSeq, p.ackedScope = r.AckSeq, r.AckScope
+		p.ackedSeq, p.ackedScope, p.ackedStream = r.AckSeq, r.AckScope, r.AckStream
 	}
 	prefixes := r.Prefixes
+	if r.PrefixScope != p.receivedScope || r.LastStream > p.receivedStream {
+		p.receivedStream = r.LastStream
+	}
 	if r.PrefixScope != p.receivedScope || r.LastSeq > p.receivedSeq {
 		p.receivedSeq, p.receivedScope = r.LastSeq, r.PrefixScope
 	}
 	f.relayPrefixes(r)
+	f.relayStreams(r)
 	f.mergeMembers(p, r, now)
 	for _, m := range r.Others {
 		f.addMember(m)
@@ -145,6 +159,12 @@
 	if len(prefixes) > 0 {
 		f.local.AddPrefixes(prefixes)
 	}
+	if len(r.Streams) > 0 {
+		f.local.AddStreams(r.Streams)
+	}
+	if r.Software != nil {
+		f.local.MergeSoftware(*r.Software, createdAt)
+	}
 	if len(r.Suspects) > 0 {
 		f.local.MergeSuspects(r.Suspects)
 	}
@@ -162,11 +182,13 @@
 func (f *Fleet) storeReport(p *peer, r *Report, now time.Time) {
 	stored := *r
 	stored.Prefixes, stored.Others, stored.Suspects, stored.Members, stored.Evacuated, stored.Restored, stored.Store, stored.Update = nil, nil, nil, nil, nil, nil, nil, nil
+	stored.Streams, stored.Software = nil, nil
 	if r.Scope == ScopeAll {
 		f.selectUses(&stored, now)
 		f.hubReport, f.hubReportAt = &stored, now
 		// Its loads do not describe the hub's own work.
-		p.report = &Report{From: r.From, Scope: ScopeAll, Config: r.Config, ConfigDigest: r.ConfigDigest, Instances: r.Instances, ListAgeMs: r.ListAgeMs}
+		p.report = &Report{From: r.From, Scope: ScopeAll, Config: r.Config, ConfigDigest: r.ConfigDigest, Instances: r.Instances, ListAgeMs: r.ListAgeMs,
+			RecordsStreams: r.RecordsStreams, AllRecord: r.AllRecord, ListFloor: r.ListFloor}
 		return
 	}
 	p.report = &stored
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 )
 
 // Intervals and timeouts of the exchange.
@@ -47,7 +49,9 @@
 	peers  map[string]*peer // by peer address
 	// prefixLogs hold newly cached prefixes by scope: this router's own, its group's, all
 	// routers'.
-	prefixLogs [ScopeAll + 1]prefixLog
+	prefixLogs [ScopeAll + 1]entryLog[CachedPrefix]
+	// streamLogs hold the records of streams that this router and its group began.
+	streamLogs [ScopeGroup + 1]entryLog[affinity.Record]
 	// role is this router's current role.
 	role role
 	// starvedAt is when this router was last found CPU-starved, lastCheck when it last checked
@@ -71,6 +75,9 @@
 	// sum is the total of the other routers' reports, as of sumAt.
 	sum   Totals
 	sumAt time.Time
+	// peerView is the newest description of the other routers' lists of upstreams, as of peerViewAt.
+	peerView   affinity.PeerView
+	peerViewAt time.Time
 	// memberLists are the member lists last sent, by scope.
 	memberLists [ScopeAll + 1]memberList
 	// publishDue is set when a report has arrived that is not yet in the totals passed to Local;
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -41,8 +42,12 @@
 	reported               chan struct{}
 	starved                bool
 
-	fleet     *Fleet
-	exchanger *Exchanger
+	fleet               *Fleet
+	exchanger           *Exchanger
+	newStreams, streams []affinity.Record
+	statements          []affinity.Statement
+	replies             map[affinity.Key]affinity.Reply
+	founded             bool
 }
 
 func (r *router) Describe(rep *Report) {
@@ -116,6 +121,45 @@
 	r.suspects = list
 }
 
+func (r *router) NewStreams() []affinity.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.newStreams
+	r.newStreams = nil
+	return list
+}
+
+func (r *router) AddStreams(list []affinity.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.streams = append(r.streams, list...)
+}
+
+func (r *router) Software(always bool) *affinity.Statement {
+	if !always {
+		return nil
+	}
+	return &affinity.Statement{WatchedMs: 1}
+}
+
+func (r *router) MergeSoftware(s affinity.Statement, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statements = append(r.statements, s)
+}
+
+func (r *router) Stream(q affinity.Question) affinity.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replies[q.Key]
+}
+
+func (r *router) Founded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.founded = true
+}
+
 func (r *router) Catalog(CatalogRequest) CatalogUpdate { return CatalogUpdate{Revision: 3} }
 
 var discardLog = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	crand "crypto/rand"
 	"math/rand/v2"
@@ -195,6 +196,9 @@
 		return nil, errors.Trace(err)
 	}
 	secret, err := j.registry.Secret(ctx, proposal)
+	if err == nil && bytes.Equal(secret, proposal) {
+		j.fleet.local.Founded()
+	}
 	return secret, errors.Trace(err)
 }
 
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -14,6 +15,19 @@
 	NewPrefixes() []CachedPrefix
 	// AddPrefixes adds prefixes that other routers' requests have left in engines' caches.
 	AddPrefixes(list []CachedPrefix)
+	// NewStreams returns the records of streams that this router began since the last call, as far as
+	// others need them; AddStreams adds those of other routers.
+	NewStreams() []affinity.Record
+	AddStreams(list []affinity.Record)
+	// Software returns the software versions of services that this router knows; nil if that is known
+	// to be no news and always is false. MergeSoftware merges those of another router, which were
+	// known there at createdAt or later.
+	Software(always bool) *affinity.Statement
+	MergeSoftware(s affinity.Statement, createdAt time.Time)
+	// Stream answers another router's question for the version of a stream.
+	Stream(q affinity.Question) affinity.Reply
+	// Founded reports that the fleet first started with this router.
+	Founded()
 	// Suspects returns the contents of requests that ran on upstreams which crashed;
 	// MergeSuspects adds those of another router.
 	Suspects() []wire.Suspicion
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -32,6 +32,8 @@
 	// log's scope.
 	ackedSeq   uint64
 	ackedScope Scope
+	// receivedStream and ackedStream are the same for the logs of streams.
+	receivedStream, ackedStream uint64
 	// joinedAt is when the peer last used this router as its hub.
 	joinedAt time.Time
 	// reportInterval is the time until the peer's next report, as it announced.
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "github.com/flamingowind/flamingowind/pkg/wire"
+import (
+	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/wire"
+)
 
 // Report is the state that a router sends to another.
 type Report struct {
@@ -71,6 +74,21 @@
 	ListSince    int64  `cbor:"33,keyasint,omitempty"`
 	// Update is what the receiver lacks of the sender's configuration and list.
 	Update *CatalogUpdate `cbor:"34,keyasint,omitempty"`
+	// RecordsStreams says that the sender's build records at which software version streams begin;
+	// AllRecord says so of all routers in the scope.
+	RecordsStreams bool `cbor:"35,keyasint,omitempty"`
+	AllRecord      bool `cbor:"36,keyasint,omitempty"`
+	// ListFloor is the lowest revision of the lists of upstreams of the routers in the scope; 0 while
+	// some are not known.
+	ListFloor int64 `cbor:"37,keyasint,omitempty"`
+	// Software are the software versions of services that the sender knows.
+	Software *affinity.Statement `cbor:"38,keyasint,omitempty"`
+	// Streams are the newest entries of the sender's log of streams, up to number LastStream; AckStream
+	// is the number of the last entry of the receiver's log that the sender has. The logs' scopes are
+	// PrefixScope and AckScope.
+	Streams    []affinity.Record `cbor:"39,keyasint,omitempty"`
+	LastStream uint64            `cbor:"40,keyasint,omitempty"`
+	AckStream  uint64            `cbor:"41,keyasint,omitempty"`
 }
 
 // RestoredZone is an availability zone that is no longer evacuated.
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -19,6 +19,7 @@
 	r.HandleFunc(Path, f.serveReport).Methods(http.MethodPost)
 	r.HandleFunc(SecretPath, f.serveSecret).Methods(http.MethodGet)
 	r.HandleFunc(CatalogPath, f.serveCatalog).Methods(http.MethodPost)
+	r.HandleFunc(StreamPath, f.serveStream).Methods(http.MethodPost)
 	return r
 }
 
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -80,6 +82,7 @@
 	server  *httptest.Server
 	client  *http.Client
 	warmup  *warmup.Gate
+	streams *affinity.Tracker
 
 	// instances are the upstreams that were started.
 	instances []upstream.Instance
@@ -101,6 +104,7 @@
 		Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(), Shares: placement.NewShares(), Inflows: placement.NewInflows(), Estimator: pace.NewEstimator(),
 		Warmup:     env.newWarmupGate(),
 		Quarantine: quarantine.New(quarantine.Config{CrashLimit: CrashLimit, Duration: QuarantineDuration}),
+		Streams:    env.newTracker(logger),
 		Peers:      singlePeer{}, ConnectionPressure: func() bool { return false }, Overloaded: func() bool { return env.overloaded }, CPUStarved: func() bool { return env.cpuStarved }, Log: logger,
 	})
 	env.server = httptest.NewUnstartedServer(env.gateway)
@@ -118,10 +122,29 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	roster := warmup.Roster{Self: "r", Routers: []string{"r"}, Known: 1}
 	env.warmup = warmup.NewGate(func(time.Time) warmup.Roster { return roster }, func(time.Time) bool { return true }, logger)
-	env.catalog.OnInstances(func(set *upstream.Set, _ time.Time) { env.warmup.SetUpstreams(set, time.Now()) })
+	env.catalog.OnInstances(func(set *upstream.Set, _ time.Time) {
+		env.warmup.SetUpstreams(set, time.Now())
+		env.streams.SetUpstreams(set, time.Now())
+	})
 	return env.warmup
 }
 
+// aloneView is that of a router which is the only one and whose list is current.
+type aloneView struct{}
+
+func (aloneView) ListRevision() int64             { return 1 }
+func (aloneView) ListAge(time.Time) time.Duration { return 0 }
+func (aloneView) Peers(now time.Time) affinity.PeerView {
+	return affinity.PeerView{Floor: 1, Newest: 1, Complete: true, HeardAt: now, Current: true}
+}
+
+// newTracker returns the tracker of a router that is the first one of its fleet.
+func (env *testEnv) newTracker(l log.Interface) *affinity.Tracker {
+	env.streams = affinity.NewTracker(aloneView{}, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, l)
+	env.streams.MarkFounded()
+	return env.streams
+}
+
 func (env *testEnv) config() *routing.Config {
 	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
 		return routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, Timeout: 5 * time.Second,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -31,6 +32,7 @@
 	retryBudget *placement.RetryBudget
 	warmup      *warmup.Gate
 	quarantine  *quarantine.List
+	streams     *affinity.Tracker
 	peers       Peers
 	// callTimes estimates how long calls without a prompt take.
 	callTimes          pace.CallTimes
@@ -76,7 +78,9 @@
 	// Warmup limits the requests that cold upstreams get.
 	Warmup     *warmup.Gate
 	Quarantine *quarantine.List
-	Peers      Peers
+	// Streams knows at which software version streams began.
+	Streams *affinity.Tracker
+	Peers   Peers
 	// ConnectionPressure reports whether the router is short of connections or CPU, so that callers'
 	// connections should not be kept alive.
 	ConnectionPressure func() bool
@@ -94,7 +98,7 @@
 func New(s Settings, d Dependencies) *Gateway {
 	g := &Gateway{
 		catalog: d.Catalog, dialect: d.Dialect, pools: d.Pools, health: d.Health,
-		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
+		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, streams: d.Streams, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
 		metrics:     newRequestMetrics(d.Metrics),
 		retryBudget: new(placement.RetryBudget),
 
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -69,9 +69,8 @@
 	}
 	r.deadline = responseDeadline(r.start, r.route.Timeout, r.meta.Deadline)
 	r.prefixes = placement.Prefixes(r.meta.Prompt)
-	r.service = table.Service(r.route.Pick(hashFraction(r.meta.RequestID)))
-	if r.service == nil {
-		return errNoUpstream()
+	if err := g.setService(r, table); err != nil {
+		return err
 	}
 	g.retryBudget.CountRequest(r.service.Name, r.start)
 	if r.meta.Prompt != nil {
@@ -80,6 +79,22 @@
 	return nil
 }
 
+// setService chooses the service for the request, and for a stream that its caller resumes the
+// software version.
+func (g *Gateway) setService(r *request, table *routing.Table) *verdict.Error {
+	name := r.route.Pick(hashFraction(r.firstAttempt()))
+	if r.resumesStream() {
+		var err *verdict.Error
+		if name, err = g.bindResumed(r, name); err != nil {
+			return err
+		}
+	}
+	if r.service = table.Service(name); r.service == nil {
+		return errNoUpstream()
+	}
+	return nil
+}
+
 func matchAndAuthenticate(r *request, table *routing.Table) *verdict.Error {
 	r.route = table.Match(r.in.Host, escapedPath(r.in))
 	if r.route == nil {
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -94,7 +94,7 @@
 
 // logFieldCapacity is the maximum number of fields of a request's log line. Growing the map to that
 // size would cost a tenth of the line.
-const logFieldCapacity = 18
+const logFieldCapacity = 20
 
 func (r *request) logFields(now time.Time) log.Fields {
 	f := make(log.Fields, logFieldCapacity)
@@ -113,6 +113,12 @@
 	if r.meta.FirstAttempt != "" {
 		f["resumes"] = loggedID(r.meta.FirstAttempt)
 	}
+	if r.boundBy != "" {
+		f["bound_by"] = r.boundBy
+	}
+	if r.bound && (r.boundBy != "" || len(r.logRecord.attempts) > 1) {
+		f["bound_to"] = r.software
+	}
 	if r.route != nil {
 		f["route"] = r.route.Name
 	}
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -28,7 +28,7 @@
 		return placement.Choice{}, errCold()
 	}
 	if len(candidates) == 0 {
-		return placement.Choice{}, errNoUpstream()
+		return placement.Choice{}, g.errNoCandidate(r)
 	}
 	req := placement.Request{Work: placement.Work{Prompt: r.meta.Prompt, PauseWeight: r.pauseWeight()}, Prefixes: r.prefixes, Service: r.service, Zone: g.settings.Load().Zone}
 	g.applyLearnedSpeeds(r, &req)
@@ -93,7 +93,7 @@
 	members := g.catalog.Instances().ByService(r.service.Name)
 	cached := g.prefixIndex.Lookup(r.prefixes, now)
 	g.health.EachUsable(members, now, func(inst *upstream.Instance, handicap time.Duration) {
-		if !g.catalog.Placeable(inst) || r.tried[inst.ID] || r.bound && inst.Software != r.software {
+		if !g.catalog.Placeable(inst) || r.tried[inst.ID] || !g.softwareFits(r, inst, now) {
 			return
 		}
 		if !g.warmup.Allows(inst, r.service, now) {
@@ -136,7 +136,12 @@
 	}
 	prefillTime := max(1, req.Scale) * float64(r.meta.Prompt.Input) / g.settings.Load().PrefillTokensPerMs * float64(time.Millisecond)
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
-	req.Limits = shedding.PromptLimits(shedding.Request{Objective: r.route.Objective, Waited: now.Sub(r.start), Prefill: time.Duration(prefillTime), Standing: r.standing})
+	limited := shedding.Request{Objective: r.route.Objective, Waited: now.Sub(r.start), Prefill: time.Duration(prefillTime), Standing: r.standing}
+	if r.bound {
+		req.Limits = shedding.ResumeLimits(limited)
+		return
+	}
+	req.Limits = shedding.PromptLimits(limited)
 	g.settings.Load().Disabled.liftLimits(&req.Limits)
 }
 
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -71,6 +71,20 @@
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeQuarantined, "upstreams broke off while they ran this request; it is refused for a time", QuarantineDuration)
 }
 
+// errStreamUnknown tells the caller to start anew: no router knows which software version began the
+// stream, and another one must not go on with it.
+func errStreamUnknown() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamUnknown, "the software version that began this stream is not known; request it from the beginning", 0)
+}
+
+func errStreamMoved() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamGone, "the route no longer leads to the service that began this stream; request it from the beginning", 0)
+}
+
+func errSoftwareGone() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamGone, "no upstream of the software version that began this stream is left; request it from the beginning", 0)
+}
+
 func errTimeout() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, http.StatusGatewayTimeout, verdict.CodeDeadline, "no answer in time")
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"net/http"
 	"time"
 
@@ -36,7 +37,9 @@
 	splitter        *forward.EventSplitter
 	responseStarted bool
 	// software is the software version that wrote the stream's first event. Events of another version
-	// don't fit that one, so once it is known, bound is set and no other version may go on.
+	// don't fit that one, so once it is known, bound is set and no other version may go on. boundBy says
+	// how it is known of a stream that the caller resumes.
+	boundBy  affinity.Source
 	software string
 	bound    bool
 	// standing compares what the organisation gets with its fair share.
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -33,6 +33,9 @@
 		kind = string(r.route.Kind)
 	}
 	m.outcomes.count(kind, r.logRecord.outcome)
+	if r.boundBy != "" {
+		m.resumed.count(string(r.boundBy), resumedOutcome(r))
+	}
 	if r.logRecord.outcome != outcomeServed {
 		m.requests.Refused(r.org, kind, r.logRecord.outcome)
 		return
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -1,32 +1,104 @@
 package gateway
 
-import "github.com/flamingowind/flamingowind/pkg/upstream"
+import (
+	"cmp"
+	"time"
 
-// What a stream that goes on resumes, for metrics.
-const (
-	resumedAttempt = "attempt" // an earlier attempt of the same request
-	resumedRequest = "request" // an earlier request of the caller
+	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/routing"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
-// Software version at which a stream goes on, for metrics.
+// knownByAttempt says that an earlier attempt of the same request brought the first event; other
+// sources are those of package affinity.
+const knownByAttempt = "own_attempt"
+
+// Outcomes of streams that are resumed, for metrics.
 const (
-	softwareSame    = "same"
-	softwareOther   = "other"
-	softwareUnknown = "unknown" // the version that began the stream isn't known
+	resumedWentOn   = "went_on"
+	resumedRefused  = "refused"
+	resumedCutShort = "cut_short"
 )
 
-// beginEvents binds a stream to the software version of the instance that its first event came from,
-// and counts a stream that goes on.
-func (g *Gateway) beginEvents(r *request, inst *upstream.Instance) {
+// resumedOutcome returns what became of a stream that its caller resumed.
+func resumedOutcome(r *request) string {
+	if r.responseStarted {
+		return resumedWentOn
+	}
+	return resumedRefused
+}
+
+// resumesStream reports whether the caller goes on with a stream that it has begun to receive.
+func (r *request) resumesStream() bool {
+	return r.route.Kind == routing.Stream && (r.meta.Resumes || r.meta.FirstAttempt != "")
+}
+
+// firstAttempt returns the request ID of the attempt that began the stream, as far as the caller names
+// it. All tries of a caller use the same service where it does.
+func (r *request) firstAttempt() string { return cmp.Or(r.meta.FirstAttempt, r.meta.RequestID) }
+
+// bindResumed binds a stream that its caller resumes to the software version that began it, and
+// returns the service. A caller that names an attempt but no event starts from the beginning, which is
+// a new stream where the version isn't known.
+func (g *Gateway) bindResumed(r *request, service string) (string, *verdict.Error) {
+	services := make([]string, 0, len(r.route.Targets))
+	for _, t := range r.route.Targets {
+		services = append(services, t.Service)
+	}
+	b, ok := g.streams.Find(r.in.Context(), affinity.Query{Organisation: r.org, FirstAttempt: r.meta.FirstAttempt, Services: services, Service: service}, time.Now())
+	r.boundBy = b.Source
 	switch {
-	case r.responseStarted && r.software == inst.Software:
-		g.metrics.resumed.count(resumedAttempt, softwareSame)
-	case r.responseStarted:
-		g.metrics.resumed.count(resumedAttempt, softwareOther)
-	case r.meta.Resumes:
-		g.metrics.resumed.count(resumedRequest, softwareUnknown)
+	case ok:
+		r.software, r.bound = b.Version, true
+		return b.Service, nil
+	case !r.meta.Resumes:
+		return service, nil
+	case b.Source == affinity.Elsewhere:
+		return "", errStreamMoved()
+	}
+	return "", errStreamUnknown()
+}
+
+// softwareFits reports whether a request may be sent to an instance of this software version.
+func (g *Gateway) softwareFits(r *request, inst *upstream.Instance, now time.Time) bool {
+	if r.bound {
+		return inst.Software == r.software
 	}
+	return r.route.Kind != routing.Stream || g.streams.AllOpen() || g.streams.Open(inst, now)
+}
+
+// errNoCandidate returns the error for a request that no instance can be sent.
+func (g *Gateway) errNoCandidate(r *request) *verdict.Error {
 	if !r.bound {
-		r.software, r.bound = inst.Software, true
+		return errNoUpstream()
+	}
+	for _, inst := range g.catalog.Instances().ByService(r.service.Name) {
+		if inst.Software == r.software && !r.tried[inst.ID] {
+			return errNoUpstream() // suspended, cold or leaving
+		}
+	}
+	return errSoftwareGone()
+}
+
+// beginEvents binds a stream to the software version of the instance that its first event came from.
+// A stream that a caller resumed is recorded under the attempt that began it, as its next try names
+// that one again.
+func (g *Gateway) beginEvents(r *request, inst *upstream.Instance, now time.Time) {
+	if r.responseStarted {
+		g.metrics.resumed.count(knownByAttempt, resumedWentOn)
+		return
+	}
+	if r.route.Kind == routing.Stream && (!r.meta.Resumes || r.meta.FirstAttempt != "") {
+		g.streams.Begin(r.org, r.recordedAttempt(), inst, now)
+	}
+	r.software, r.bound = inst.Software, true
+}
+
+// recordedAttempt returns the request ID under which the stream is recorded.
+func (r *request) recordedAttempt() string {
+	if r.meta.Resumes {
+		return r.meta.FirstAttempt
 	}
+	return r.meta.RequestID
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -106,6 +106,9 @@
 func (g *Gateway) giveUp(r *request, res attemptResult, refusal *verdict.Error) {
 	switch {
 	case r.responseStarted:
+		if res.resumable {
+			g.metrics.resumed.count(knownByAttempt, resumedCutShort)
+		}
 		g.abortResponse(r)
 	case res.response != nil:
 		g.writeBuffered(r, res.response)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -69,7 +69,7 @@
 	now := time.Now()
 	if state.lastEventAt.IsZero() {
 		g.recordFirstEvent(r, state, now)
-		g.beginEvents(r, inst)
+		g.beginEvents(r, inst, now)
 		rec.FirstByteMs = now.Sub(rec.started).Milliseconds()
 		g.beginStream(r, resp)
 	} else {
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -32,10 +32,10 @@
 	return &taggedCounters{scope: scope, metric: "answers", firstTag: "framing", secondTag: "ending"}
 }
 
-// newResumedCounters returns counters of streams that went on at another instance, by what they
-// resumed and by the software version there, compared with that which began them.
+// newResumedCounters returns counters of streams that broke off, or that callers resumed, by how the
+// software version that began them is known and by what became of them.
 func newResumedCounters(scope tally.Scope) *taggedCounters {
-	return &taggedCounters{scope: scope, metric: "streams_resumed", firstTag: "resumed", secondTag: "software"}
+	return &taggedCounters{scope: scope, metric: "streams_resumed", firstTag: "known_by", secondTag: "outcome"}
 }
 
 func (t *taggedCounters) count(first, second string) { t.counter(tagValues{first, second}).Inc(1) }
--- a/pkg/gatewayd/fleetmodel_test.go
+++ b/pkg/gatewayd/fleetmodel_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/internal/modelnet"
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -81,6 +82,8 @@
 	r.fleet.SetSecret([]byte("secret"))
 	r.exchanger = fleet.NewExchanger(r.fleet)
 	r.exchanger.DialWith(f.network.Dial(r.host))
+	r.local.streams = affinity.NewTracker(streamView{r.catalog, r.fleet}, r.exchanger.AskStream, quiet)
+	r.catalog.OnInstances(func(set *upstream.Set, _ time.Time) { r.local.streams.SetUpstreams(set, time.Now()) })
 	r.server = &http.Server{Handler: r.fleet.Handler()}
 	return r
 }
--- a/pkg/gatewayd/localstate.go
+++ b/pkg/gatewayd/localstate.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -24,6 +25,7 @@
 	inflows     *placement.Inflows
 	estimator   *pace.Estimator
 	quarantine  *quarantine.List
+	streams     *affinity.Tracker
 	// demand is nil where connections aren't counted.
 	demand     *demand
 	ready      func() bool
@@ -106,6 +108,35 @@
 	ls.prefixIndex.Merge(prefixes, time.Now())
 }
 
+// NewStreams returns the records of streams that other routers need.
+func (ls *localState) NewStreams() []affinity.Record { return ls.streams.TakeRecords(time.Now()) }
+
+// AddStreams adds the records of other routers.
+func (ls *localState) AddStreams(list []affinity.Record) { ls.streams.Merge(list, time.Now()) }
+
+// Software returns the software versions of services; nil while each has just one, unless always is
+// set.
+func (ls *localState) Software(always bool) *affinity.Statement {
+	s, several := ls.streams.Statement(time.Now())
+	if !always && !several {
+		return nil
+	}
+	return &s
+}
+
+// MergeSoftware merges the software versions that another router knows.
+func (ls *localState) MergeSoftware(s affinity.Statement, createdAt time.Time) {
+	ls.streams.MergeStatement(s, createdAt, time.Now())
+}
+
+// Stream answers another router's question for the version of a stream.
+func (ls *localState) Stream(q affinity.Question) affinity.Reply {
+	return ls.streams.Reply(q, time.Now())
+}
+
+// Founded records that the fleet first started with this router.
+func (ls *localState) Founded() { ls.streams.MarkFounded() }
+
 // maxSuspects bounds the suspects in one report.
 const maxSuspects = 256
 
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/admission"
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -68,6 +69,7 @@
 	warmup       *warmup.Gate
 	local        *localState
 	fleet        *fleet.Fleet
+	streams      *affinity.Tracker
 	exchange     *fleet.Exchanger
 	// peerTraffic counts the traffic on connections that other routers open.
 	peerTraffic traffic.Meter
@@ -111,6 +113,8 @@
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.local, l)
 	p.exchange = fleet.NewExchanger(p.fleet)
+	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, l)
+	p.local.streams = p.streams
 	p.logDrops = logDrops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
 	p.linkUsage = linkUsage{scope: p.metrics.Scope, log: l}
 	p.linkUsage.watch("upstreams", p.pools.Traffic)
@@ -126,13 +130,14 @@
 	p.catalog.OnInstances(func(set *upstream.Set, known time.Time) {
 		p.pools.UpdateList(set, known)
 		p.warmup.SetUpstreams(set, time.Now())
+		p.streams.SetUpstreams(set, time.Now())
 	})
 	p.catalog.OnZonesRestored(p.warmup.MarkRestored)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, storeDuties{ranking: p.fleet, joined: p.joiner.Settled}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
-		Loads: loads, PrefixIndex: p.prefixIndex, Shares: shares, Inflows: inflows, Estimator: estimator, Warmup: p.warmup, Quarantine: suspects, Peers: p.fleet, Log: l,
+		Loads: loads, PrefixIndex: p.prefixIndex, Shares: shares, Inflows: inflows, Estimator: estimator, Warmup: p.warmup, Quarantine: suspects, Streams: p.streams, Peers: p.fleet, Log: l,
 		ConnectionPressure: func() bool { return p.conns.overLimit() || p.cpu.starved() || p.callerLink.Busy(time.Now()) }, Overloaded: p.overloaded, CPUStarved: p.cpu.starved, Metrics: p.metrics.Scope,
 	})
 	p.addKnownPeers(s.Entries.Known)
--- a/pkg/gatewayd/status.go
+++ b/pkg/gatewayd/status.go
@@ -21,6 +21,7 @@
 	if rev > 0 {
 		current.ListAgeMs = p.catalog.InstancesAge(now).Milliseconds()
 	}
+	current.Software, current.Streams = p.software(now), p.streams.Records()
 	current.Faults = p.rowFaults.total()
 	if p.logDrops.count != nil {
 		current.LinesDropped = p.logDrops.count()
@@ -53,3 +54,20 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
+
+// software returns the software versions of services with their upstreams that are ready.
+func (p *Process) software(now time.Time) []status.Software {
+	known, _ := p.streams.Statement(now)
+	list := make([]status.Software, 0, len(known.Versions))
+	for _, v := range known.Versions {
+		one := status.Software{Service: v.Service, Version: v.Version, AgeMs: v.AgeMs, Open: v.Open}
+		for _, in := range p.catalog.Instances().ByService(v.Service) {
+			if in.Software == v.Version && p.catalog.Placeable(in) {
+				one.Upstreams++
+				one.Slots += in.Slots
+			}
+		}
+		list = append(list, one)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/gatewayd/streamview.go
@@ -0,0 +1,24 @@
+package gatewayd
+
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/fleet"
+)
+
+// streamView is what the software versions of streams are judged by.
+type streamView struct {
+	catalog *catalog.Catalog
+	fleet   *fleet.Fleet
+}
+
+// ListRevision returns the revision of the list of upstreams.
+func (v streamView) ListRevision() int64 { return int64(v.catalog.InstancesRevision()) }
+
+// ListAge returns the time since the list was last known to be current.
+func (v streamView) ListAge(now time.Time) time.Duration { return v.catalog.InstancesAge(now) }
+
+// Peers describes the other routers.
+func (v streamView) Peers(now time.Time) affinity.PeerView { return v.fleet.PeerView(now) }
--- a/pkg/shedding/limits.go
+++ b/pkg/shedding/limits.go
@@ -101,6 +101,21 @@
 	return l
 }
 
+// maxResumeWait is the least wait that a stream which goes on may have: its caller has part of the
+// answer and gives up after two seconds without an event.
+const maxResumeWait = time.Second
+
+// ResumeLimits returns the limits of a stream that goes on at a model engine. Its prompt was read and
+// its caller has part of the answer, and only engines of one software version are left to it, so it
+// comes before new streams whatever its organisation gets.
+func ResumeLimits(r Request) placement.Limits {
+	r.Standing, r.Waited = placement.Standing{}, 0
+	l := PromptLimits(r)
+	l.Wait = max(l.Wait, r.Prefill+maxResumeWait)
+	l.Queue, l.ChosenQueue, l.RecomputeReserve = l.Wait, l.Wait, 0
+	return l
+}
+
 // limitOverShare lowers the limits of an organisation over its share.
 func limitOverShare(l *placement.Limits, r Request) {
 	share := r.Standing.ShareRatio
--- a/pkg/status/handler_test.go
+++ b/pkg/status/handler_test.go
@@ -17,6 +17,7 @@
 		Routers: []Router{{Name: "router-02", Callers: "10.0.0.2:1", Ready: true}},
 		Upstreams: []Upstream{{ID: "i-1", State: "ready", Usable: true}, {ID: "i-<2>", State: "ready"}, {ID: "i-3", State: "unusable", Usable: true, Born: 1, Fault: "Addr <is> missing"},
 			{ID: "i-4", State: "ready", Usable: true, Held: true}}, Faults: 4,
+		Software: []Software{{Service: "s", Version: "v<1>", Upstreams: 2, Slots: 8, Open: true}}, Streams: 3,
 		Organisations: []Organisation{{Name: "org", Asked: 10, Got: 5, Standing: 0.5}}}
 }
 
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -22,6 +22,10 @@
 	Routers       []Router       `json:"routers"`
 	Upstreams     []Upstream     `json:"upstreams"`
 	Organisations []Organisation `json:"organisations"`
+	// Software are the software versions of services that streams may have begun at, Streams the
+	// number of streams whose version is on record.
+	Software []Software `json:"software"`
+	Streams  int        `json:"streams"`
 	// Faults counts the changes of the store's rows to ones that can't be used.
 	Faults int64 `json:"faults"`
 	// LinesDropped counts log lines that nobody read in time.
--- a/pkg/verdict/error.go
+++ b/pkg/verdict/error.go
@@ -24,6 +24,8 @@
 	CodeQuarantined    Code = "quarantined"     // the content has crashed upstreams
 	CodeDuplicate      Code = "duplicate"       // the idempotency key was used before
 	CodeTableDown      Code = "table_down"      // the idempotency key can't be recorded
+	CodeStreamUnknown  Code = "stream_unknown"  // it is not known which software version began the stream
+	CodeStreamGone     Code = "stream_gone"     // nothing is left that can go on with the stream
 	CodeCanceled       Code = "canceled"        // the caller left
 	CodeInternal       Code = "internal"
 )
