Soak: releases and rollbacks of software versions, kills of many routers, callers that resume streams

Upstreams of three versions serve side by side, a tenth, half or all routers are killed at once, and callers leave in the middle of a stream or lose it, and resume it at any router, one in twelve without naming who began it. No stream may hold events of two versions over all tries.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -93,19 +93,19 @@
 
 func (c *checker) checkEvents(a *attempt) {
 	for i, id := range a.answer.Events {
-		if id != i+1 {
-			c.find("streams are in order", a, "event %d is number %d", id, i+1)
+		if id != a.After+i+1 {
+			c.find("streams are in order", a, "event %d is number %d", id, a.After+i+1)
 			return
 		}
 	}
-	if a.answer.Whole && len(a.answer.Events) != a.Events {
+	if a.answer.Whole && len(a.answer.Events) != a.Events-a.After {
 		c.find("a cut stream doesn't look complete", a, "%d of %d events", len(a.answer.Events), a.Events)
 	}
 }
 
 // checkLost: a calm router answers what it has passed on, and so does one that leaves.
 func (c *checker) checkLost(a *attempt, runs []ran) {
-	if a.answer.Whole || a.impatient || a.answer.Status >= http.StatusMultipleChoices || len(runs) == 0 {
+	if a.answer.Whole || a.impatient || a.LeaveAfter > 0 || a.answer.Status >= http.StatusMultipleChoices || len(runs) == 0 {
 		return
 	}
 	if !c.calm(a, partProcess, partCallers) || !c.upstreamsCalm(a, runs) {
@@ -200,7 +200,7 @@
 func (c *checker) checkEnd(list []*attempt, from time.Time) {
 	served := make(map[*router]int)
 	for _, a := range list {
-		if a.from.Before(from) || a.impatient || a.Key == passingKey {
+		if a.from.Before(from) || a.impatient || a.LeaveAfter > 0 || a.first != nil || a.Key == passingKey {
 			continue
 		}
 		if a.answer.Status == http.StatusOK && a.answer.Whole {
--- a/internal/soak/departures.go
+++ b/internal/soak/departures.go
@@ -28,7 +28,7 @@
 
 // unlist replaces an upstream whose entry goes without a word.
 func unlist(ctx context.Context, w *world, f fault) {
-	old, err := w.replace(f.index)
+	old, err := w.replace(f.index, "")
 	if err != nil {
 		return // no ports are left; the run goes on with the old one
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -201,15 +201,18 @@
 
 // retire replaces an upstream: the new one starts, the old one is told to be leaving, goes
 // off the list and is gone after the time that it owes.
-func retire(ctx context.Context, w *world, f fault) {
-	old, err := w.replace(f.index)
+func retire(ctx context.Context, w *world, f fault) { w.retire(ctx, f.index, f.lasts, "") }
+
+// retire replaces an upstream by one of a software version; an empty one stands for the same.
+func (w *world) retire(ctx context.Context, index int, lasts time.Duration, software string) {
+	old, err := w.replace(index, software)
 	if err != nil {
 		return // no ports are left; the run goes on with the old one
 	}
 	w.history.named(old.engine.ID)
 	w.store.List(old.engine, old.service, old.relay.Addr(), true)
 	w.history.leaving(old.engine.ID)
-	waiting.For(ctx, drainTime+f.lasts)
+	waiting.For(ctx, drainTime+lasts)
 	w.store.Unlist(old.engine)
 	time.AfterFunc(drainTime, old.close)
 }
@@ -253,7 +256,7 @@
 }
 
 func (f fault) act(ctx context.Context, w *world) {
-	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings} {
+	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings, ofReleases} {
 		if a := kinds[f.kind]; a != nil {
 			a(ctx, w, f)
 			return
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -13,6 +13,9 @@
 	// Faults is how many faults are brought about in Length, beside those of upstreams' lives.
 	Faults int
 	Length time.Duration
+	// Herd is the share of the routers that are killed at once, again and again, while software
+	// versions are released and rolled back; 0 for the faults of the seed.
+	Herd float64
 }
 
 // Small is a run for a machine that does other things as well: nine processes' worth of
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,8 @@
 	Requests, Served, Refused int
 	Faults                    []string
 	Findings                  []Finding
+	// Streams are those that callers resumed.
+	Streams Streams
 	// Stalls is how often this program itself got no processor for a while. What falls in
 	// such a time is not judged.
 	Stalls int
@@ -48,7 +50,7 @@
 	duties.Go(func() { v.Stalls = w.watchStalls(busy) })
 	var ends endings
 	duties.Go(func() { ends.watch(busy, w) })
-	v.Faults = w.bring(ctx, slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o)))
+	v.Faults = w.bring(ctx, planAll(o))
 	w.heal()
 	waiting.For(ctx, recovery)
 	well := time.Now()
@@ -57,6 +59,7 @@
 	duties.Wait()
 	c := &checker{world: w, began: began, runs: w.runs()}
 	c.check(t.list)
+	v.Streams = c.checkStreams(t.list)
 	for _, u := range w.everyLife() {
 		c.checkCold(u.index, u.engine.ID, u.engine.Arrivals())
 	}
@@ -67,6 +70,14 @@
 	return v, nil
 }
 
+// planAll gives all faults of a seed.
+func planAll(o Options) []fault {
+	if o.Herd > 0 {
+		return planHerds(o)
+	}
+	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planReleases(o))
+}
+
 func (v *Verdict) count(list []*attempt) {
 	for _, a := range list {
 		v.Requests++
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -125,7 +125,7 @@
 			defer c.Close()
 			random := rand.New(rand.NewPCG(w.options.Seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
-				t.call(c, r.callers.Addr(), fmt.Sprintf("direct-%d-%d", i, n), random)
+				t.send(c, newAttempt(r.callers.Addr(), fmt.Sprintf("direct-%d-%d", i, n), random))
 			}
 		})
 	}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -21,6 +21,11 @@
 	answer       platformtest.Answer
 	// impatient callers leave long before the route's timeout.
 	impatient bool
+	// first is the attempt that began the stream which this one resumes; nil for none.
+	first *attempt
+	// able is whether several upstreams of the version that began the stream served as this attempt
+	// was sent.
+	able bool
 }
 
 // traffic keeps callers busy.
@@ -68,7 +73,9 @@
 			}
 		}
 		if len(entries) > 0 {
-			t.call(c, entries[random.IntN(len(entries))], fmt.Sprintf("%d-%d", index, n), random)
+			a := newAttempt(entries[random.IntN(len(entries))], fmt.Sprintf("%d-%d", index, n), random)
+			t.send(c, a)
+			t.resume(ctx, c, a, entries, random)
 		}
 		waiting.For(ctx, time.Duration(random.Int64N(int64(think))))
 	}
@@ -85,9 +92,8 @@
 	return list
 }
 
-func (t *traffic) call(c *platformtest.Caller, entry, id string, random *rand.Rand) {
-	a := newAttempt(entry, id, random)
-	a.router = t.world.byEntry[entry]
+func (t *traffic) send(c *platformtest.Caller, a *attempt) {
+	a.router = t.world.byEntry[a.Addr]
 	a.from = time.Now()
 	t.mu.Lock()
 	t.list = append(t.list, a)
@@ -114,6 +120,9 @@
 	if random.IntN(15) == 0 {
 		a.Key, a.organisation = passingKey, organisation(0)
 	}
+	if a.Path == platformtest.PathStream && a.Events > 2 && random.IntN(leavesEvery) == 0 {
+		a.LeaveAfter = 1 + random.IntN(a.Events-2)
+	}
 	if random.IntN(15) == 0 {
 		a.Wait, a.impatient = impatience, true
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -30,6 +31,8 @@
 	// left are upstreams that have been replaced.
 	left  []*upstream
 	lives int
+	// releases counts the releases of software versions.
+	releases int
 
 	history *history
 }
@@ -110,8 +113,9 @@
 	return w.upstreams[index]
 }
 
-// replace starts a new life of upstream index and gives the old one.
-func (w *world) replace(index int) (old *upstream, err error) {
+// replace starts a new life of upstream index, of the given software version or of the same one where
+// that is empty, and gives the old life.
+func (w *world) replace(index int, software string) (old *upstream, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
@@ -120,6 +124,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	next.engine.Software = cmp.Or(software, old.engine.Software)
 	w.upstreams[index] = next
 	w.left = append(w.left, old)
 	w.cool(next)
--- a/internal/soak/zonehistory.go
+++ b/internal/soak/zonehistory.go
@@ -63,6 +63,13 @@
 	h.cold[id] = append(h.cold[id], span{from: now, to: now.Add(warmup)})
 }
 
+// coldAt reports whether an upstream is cold.
+func (h *history) coldAt(id string, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.cold[id], func(s span) bool { return !at.Before(s.from) && at.Before(s.to) })
+}
+
 // coldSeconds gives the seconds in which an upstream was cold all through, with the number of
 // arrivals in each. Seconds begin with an arrival.
 func (h *history) coldSeconds(id string, arrivals []time.Time) []coldSecond {
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -14,6 +14,9 @@
 	"github.com/flamingowind/flamingowind/internal/soak"
 )
 
+// herd is the share of the routers that are killed at once; 0 for the faults of each seed.
+var herd float64
+
 func main() {
 	bin := flag.String("bin", "bin", "directory of the built programs")
 	out := flag.String("out", "out/soak", "directory for logs; those of runs without a finding are removed")
@@ -21,6 +24,7 @@
 	runs := flag.Int("runs", 0, "number of runs with following seeds; 0 goes by -for")
 	length := flag.Duration("for", time.Minute, "begin no run after that time")
 	routers := flag.Int("routers", 0, "routers of a run; 0 takes the usual size")
+	flag.Float64Var(&herd, "herd", 0, "kill this share of the routers at once, again and again, during releases, in place of the seed's faults")
 	known := flag.String("seeds", "", "file of seeds that are played first, each line: SEED ROUTERS CAUSE")
 	flag.Parse()
 	sound := *known == "" || playKnown(*bin, *out, *known)
@@ -67,6 +71,7 @@
 	if routers > 0 {
 		o = o.Grown(routers)
 	}
+	o.Herd = herd
 	v, err := soak.Run(context.Background(), o)
 	if err != nil {
 		fmt.Printf("seed %d: not played: %v\n", o.Seed, err)
@@ -74,6 +79,9 @@
 	}
 	fmt.Printf("seed %d: %d routers, %d faults, %d requests, %d served, %d refused, %d stalls, %d findings\n",
 		o.Seed, o.Routers, len(v.Faults), v.Requests, v.Served, v.Refused, v.Stalls, len(v.Findings))
+	s := v.Streams
+	fmt.Printf("  streams resumed %d, went on %d, refused %d; could go on %d, went on %d; new ones at calm routers %d, began %d; with several versions %d\n",
+		s.Resumed, s.WentOn, s.Refused, s.Able, s.AbleWentOn, s.New, s.Begun, s.Mixed)
 	if len(v.Findings) > 0 {
 		show(v)
 		return false
