The rest of a stream may go on at an upstream that leaves, while it still serves

Near the end of a release all that is left of the old version may be leaving, and a stream of that version that breaks then had nowhere to go on, though those upstreams serve for streams.leavingUpstreamMs after their announcement.

--- a/internal/soak/router.go
+++ b/internal/soak/router.go
@@ -30,6 +30,7 @@
 	s := gatewayd.DefaultSettings()
 	s.Router = gatewayd.RouterSettings{Name: name, Zone: "z"}
 	s.Leaving.GraceSeconds = grace.Seconds()
+	s.Streams.LeavingUpstreamMs = float64(drainTime.Milliseconds())
 	s.Warmup = gatewayd.WarmupSettings{Over: coldOver, Slack: coldSlack}
 	for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Readiness, &s.Listen.Peers, &s.Listen.Entries, &s.Listen.Metrics, &s.Listen.Handover} {
 		var err error
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -35,6 +35,7 @@
 	ask         Asker
 	questions   chan struct{}
 	wake        wakeDetector
+	departures  departures
 
 	mu sync.Mutex
 	// unsent are own records since the last call of TakeRecords.
@@ -55,8 +56,20 @@
 	return &Tracker{history: newHistory(l), view: v, ask: ask, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
 }
 
-// SetUpstreams takes over a new list of upstreams.
-func (t *Tracker) SetUpstreams(set *upstream.Set, now time.Time) { t.history.setList(set, now) }
+// SetUpstreams takes over a new list of upstreams; the one before was current at known.
+func (t *Tracker) SetUpstreams(set *upstream.Set, known, now time.Time) {
+	t.history.setList(set, now)
+	t.departures.setList(set, known)
+}
+
+// SetLeaveLimit sets how long an upstream that leaves may be sent the rest of streams, from its
+// announcement on; 0 for not at all.
+func (t *Tracker) SetLeaveLimit(limit time.Duration) { t.departures.setLimit(limit) }
+
+// MayGoOn reports whether an upstream that leaves may still be sent the rest of a stream.
+func (t *Tracker) MayGoOn(in *upstream.Instance, now time.Time) bool {
+	return t.departures.mayGoOn(in, now)
+}
 
 // MarkFounded records that the fleet first started with this router, so that no stream began before.
 func (t *Tracker) MarkFounded() { t.history.markWhole() }
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -46,7 +46,7 @@
 	for i, v := range versions {
 		list = append(list, upstream.Instance{ID: upstream.ID(rune('a' + i)), Service: "s", Software: v, State: upstream.Ready})
 	}
-	f.SetUpstreams(upstream.NewSet(list), f.now)
+	f.SetUpstreams(upstream.NewSet(list), f.now, f.now)
 }
 
 func (f *fixture) instance(version string) *upstream.Instance {
@@ -242,3 +242,26 @@
 	require.False(t, ok)
 	require.Zero(t, l.size())
 }
+
+// Guards against streams that break off near the end of a release though the last upstreams of their
+// version still serve, and against requests that reach an upstream after its time.
+func TestStreamsGoOnAtUpstreamsThatLeave(t *testing.T) {
+	f := newFixture()
+	f.SetLeaveLimit(2 * time.Second)
+	in := upstream.Instance{ID: "a", Service: "s", Software: "v1", State: upstream.Ready}
+	list := func(known time.Duration) {
+		f.SetUpstreams(upstream.NewSet([]upstream.Instance{in}), f.now.Add(-known), f.now)
+	}
+	list(0)
+	in.State = upstream.Draining
+	list(time.Second)
+	require.True(t, f.MayGoOn(&in, f.now))
+	list(0)
+	f.now = f.now.Add(time.Second - leaveMargin)
+	require.False(t, f.MayGoOn(&in, f.now), "it may have left right after it was last known to be ready")
+
+	f = newFixture()
+	f.SetLeaveLimit(2 * time.Second)
+	list(0)
+	require.False(t, f.MayGoOn(&in, f.now), "it isn't known when it left")
+}
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -122,9 +122,9 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	roster := warmup.Roster{Self: "r", Routers: []string{"r"}, Known: 1}
 	env.warmup = warmup.NewGate(func(time.Time) warmup.Roster { return roster }, func(time.Time) bool { return true }, logger)
-	env.catalog.OnInstances(func(set *upstream.Set, _ time.Time) {
+	env.catalog.OnInstances(func(set *upstream.Set, known time.Time) {
 		env.warmup.SetUpstreams(set, time.Now())
-		env.streams.SetUpstreams(set, time.Now())
+		env.streams.SetUpstreams(set, known, time.Now())
 	})
 	return env.warmup
 }
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -93,9 +93,15 @@
 	members := g.catalog.Instances().ByService(r.service.Name)
 	cached := g.prefixIndex.Lookup(r.prefixes, now)
 	g.health.EachUsable(members, now, func(inst *upstream.Instance, handicap time.Duration) {
-		if !g.catalog.Placeable(inst) || r.tried[inst.ID] || !g.softwareFits(r, inst, now) {
+		if r.tried[inst.ID] || !g.softwareFits(r, inst, now) {
 			return
 		}
+		if !g.catalog.Placeable(inst) {
+			if !g.goesOnAtLeaving(r, inst, now) {
+				return
+			}
+			handicap += leavingHandicap
+		}
 		if !g.warmup.Allows(inst, r.service, now) {
 			cold++
 			return
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -68,6 +68,18 @@
 	return r.route.Kind != routing.Stream || g.streams.AllOpen() || g.streams.Open(inst, now)
 }
 
+// leavingHandicap is the handicap of an upstream that leaves: it may end before the stream does.
+const leavingHandicap = 500 * time.Millisecond
+
+// goesOnAtLeaving reports whether the rest of a stream may be sent to an upstream that leaves.
+func (g *Gateway) goesOnAtLeaving(r *request, inst *upstream.Instance, now time.Time) bool {
+	if !r.bound || g.catalog.Evacuated(inst.Zone) {
+		return false
+	}
+	current := g.catalog.Instances().Get(inst.ID)
+	return current != nil && current.Life() == inst.Life() && g.streams.MayGoOn(current, now)
+}
+
 // errNoCandidate returns the error for a request that no instance can be sent.
 func (g *Gateway) errNoCandidate(r *request) *verdict.Error {
 	if !r.bound {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -208,7 +208,11 @@
 // sendable reports whether the chosen instance may still be sent the request, which may have waited
 // for the CPU since the choice.
 func (g *Gateway) sendable(r *request, inst *upstream.Instance) bool {
-	return g.catalog.StillPlaceable(inst) && g.warmup.Acquire(inst, r.service, time.Now())
+	now := time.Now()
+	if !g.catalog.StillPlaceable(inst) && !g.goesOnAtLeaving(r, inst, now) {
+		return false
+	}
+	return g.warmup.Acquire(inst, r.service, now)
 }
 
 // sharedTokens returns how many tokens of the prompt other requests may have in common with it.
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -37,6 +37,7 @@
 	require(s.Repeats.Ratio >= 0 && s.Repeats.Slack >= 0, "repeats: ratio and slack must not be negative")
 	require(s.Repeats.WindowSeconds > 0, "repeats.windowSeconds must be positive")
 	require(s.Streams.EventDelayMs >= 0, "streams.eventDelayMs must not be negative")
+	require(s.Streams.LeavingUpstreamMs >= 0, "streams.leavingUpstreamMs must not be negative")
 	require(s.Warmup.Over >= 0 && s.Warmup.Slack >= 0, "warmup: over and slack must not be negative")
 	require(s.Leaving.GraceSeconds > 0, "leaving.graceSeconds must be positive")
 	require(s.Engines.PrefillTokensPerMs > 0, "engines.prefillTokensPerMs must be positive")
--- a/pkg/gatewayd/fleetmodel_test.go
+++ b/pkg/gatewayd/fleetmodel_test.go
@@ -83,7 +83,7 @@
 	r.exchanger = fleet.NewExchanger(r.fleet)
 	r.exchanger.DialWith(f.network.Dial(r.host))
 	r.local.streams = affinity.NewTracker(streamView{r.catalog, r.fleet}, r.exchanger.AskStream, quiet)
-	r.catalog.OnInstances(func(set *upstream.Set, _ time.Time) { r.local.streams.SetUpstreams(set, time.Now()) })
+	r.catalog.OnInstances(func(set *upstream.Set, known time.Time) { r.local.streams.SetUpstreams(set, known, time.Now()) })
 	r.server = &http.Server{Handler: r.fleet.Handler()}
 	return r
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -115,6 +115,7 @@
 	p.exchange = fleet.NewExchanger(p.fleet)
 	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, l)
 	p.local.streams = p.streams
+	p.streams.SetLeaveLimit(millis(s.Streams.LeavingUpstreamMs))
 	p.logDrops = logDrops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
 	p.linkUsage = linkUsage{scope: p.metrics.Scope, log: l}
 	p.linkUsage.watch("upstreams", p.pools.Traffic)
@@ -130,7 +131,7 @@
 	p.catalog.OnInstances(func(set *upstream.Set, known time.Time) {
 		p.pools.UpdateList(set, known)
 		p.warmup.SetUpstreams(set, time.Now())
-		p.streams.SetUpstreams(set, time.Now())
+		p.streams.SetUpstreams(set, known, time.Now())
 	})
 	p.catalog.OnZonesRestored(p.warmup.MarkRestored)
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -93,6 +93,9 @@
 	// EventDelayMs is the longest time that a router may delay an event, in milliseconds; 0 when it
 	// isn't known. A router that is short of CPU batches events within it.
 	EventDelayMs float64 `yaml:"eventDelayMs"`
+	// LeavingUpstreamMs is how long an upstream that announced its leaving still takes the rest of
+	// streams, in milliseconds; 0 for not at all.
+	LeavingUpstreamMs float64 `yaml:"leavingUpstreamMs"`
 }
 
 // WarmupSettings bound the requests per second that all routers together send to a cold upstream:
