Tests of the exchange: records reach every router or hub, new versions wait for all, mixed builds, questions

A router that has just started also asks those that it has read from the registry and not heard of yet; the test of questions failed without it.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -48,6 +48,8 @@
 	statements          []affinity.Statement
 	replies             map[affinity.Key]affinity.Reply
 	founded             bool
+	// listRevision is the revision of its list of upstreams.
+	listRevision int64
 }
 
 func (r *router) Describe(rep *Report) {
@@ -57,7 +59,7 @@
 	rep.Uses = append([]Use{{Organisation: "org", Asked: 10, Got: 5}}, r.extraUses...)
 	rep.Evacuated, rep.EvacuatedAt = r.evacuated, r.evacuatedAt
 	rep.Inflows = []Inflow{{Service: "llm", Rate: 2}}
-	rep.Store = r.contact
+	rep.Store, rep.Instances = r.contact, r.listRevision
 }
 
 // readyPeers returns the other routers that callers may be sent to.
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -69,7 +69,7 @@
 	var list []string
 	if f.role.direct {
 		for addr, p := range f.peers {
-			if p.alive(now) {
+			if p.alive(now) || p.presumedAlive(now) {
 				list = append(list, addr)
 			}
 		}
--- /dev/null
+++ b/pkg/fleet/streams_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/affinity"
+)
+
+// Guards against a stream whose version is known only to the router that began it, which may be killed.
+func TestRecordsOfStreamsReachAllOfASmallFleetAndAllHubsOfALargeOne(t *testing.T) {
+	for _, n := range []int{5, 48} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestFleet(n)
+				c.encoded = true
+				c.run(2 * time.Second)
+				begun := make(map[affinity.Key]bool)
+				for i, r := range c.alive() {
+					key := affinity.Key(i + 1)
+					begun[key] = true
+					r.newStreams = []affinity.Record{{Key: key, Software: 7}}
+				}
+				c.run(time.Second)
+				hubs := 0
+				for _, r := range c.alive() {
+					if role := r.fleet.role; !role.direct && !role.hub {
+						require.Empty(t, r.streams, "members ask")
+						continue
+					}
+					hubs++
+					got := make(map[affinity.Key]bool)
+					for _, s := range r.streams {
+						require.EqualValues(t, 7, s.Software)
+						got[s.Key] = true
+					}
+					require.GreaterOrEqual(t, len(got), len(begun)-1, "all but its own")
+				}
+				require.Greater(t, hubs, 1)
+			})
+		})
+	}
+}
+
+// Guards against a new software version that begins streams before every other router has it on its
+// list, and against one that waits for a router that is not there.
+func TestPeerViewCoversEveryRouter(t *testing.T) {
+	for _, n := range []int{1, 5, 48} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestFleet(n)
+				for _, r := range c.alive() {
+					r.listRevision = 9
+				}
+				c.run(2 * time.Second)
+				for _, r := range c.alive() {
+					view := r.fleet.PeerView(time.Now())
+					require.True(t, view.Complete)
+					require.True(t, view.Current)
+					require.GreaterOrEqual(t, view.Floor, int64(9))
+				}
+				if n == 1 {
+					return
+				}
+				behind := c.routers["10.0.0.1:1"]
+				behind.listRevision = 8
+				c.run(time.Second)
+				for _, r := range c.alive() {
+					if r != behind {
+						require.LessOrEqual(t, r.fleet.PeerView(time.Now()).Floor, int64(8), r.fleet.role.name())
+					}
+				}
+				c.down["10.0.0.1:1"] = true
+				c.run(3 * time.Second)
+				for _, r := range c.alive() {
+					require.False(t, r.fleet.PeerView(time.Now()).Complete, "a router is silent")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a fleet in the middle of an upgrade that takes a router which keeps no records for
+// one that does.
+func TestRoutersThatKeepNoRecordsAreNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestFleet(3)
+		c.run(time.Second)
+		f := c.routers["10.0.0.0:1"].fleet
+		f.handleReport(&Report{From: c.routers["10.0.0.1:1"].fleet.self, Clock: f.uptimeMs(time.Now()) + 1000}, time.Now())
+		time.Sleep(peerViewMaxAge)
+		require.False(t, f.PeerView(time.Now()).Current)
+	})
+}
+
+// Guards against a record that isn't found because the first router to answer has none.
+func TestRecordsCountMoreThanOtherAnswers(t *testing.T) {
+	a, b, c := newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)
+	b.replies = map[affinity.Key]affinity.Reply{1: {Software: 2}, 2: {Software: 2}}
+	c.replies = map[affinity.Key]affinity.Reply{1: {Software: 3, Recorded: true}}
+	a.fleet.AddMembers([]Member{b.fleet.self, c.fleet.self, {Peers: "127.0.0.1:1"}})
+	a.run(t)
+	b.run(t)
+	c.run(t)
+	for a.fleet.Count() < 3 {
+		<-a.reported
+	}
+	require.Equal(t, affinity.Reply{Software: 3, Recorded: true}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 1}))
+	require.Equal(t, affinity.Reply{Software: 2}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 2}))
+	require.Zero(t, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 3}))
+}
