A router goes by a list of upstreams only if that was current since it started; simulation of releases, kills and cuts

A router that had just started could take a list from a peer that was older than itself, and claim a sole version with it, while another router had opened a new version on the word of its earlier life. The soak counts streams whose first router was killed, and -herd runs have streams of about a second.

--- a/internal/experiment/emulator.go
+++ b/internal/experiment/emulator.go
@@ -68,7 +68,8 @@
 
 // days are the emulated days.
 func days() []emulated {
-	evacuated, crowd, slow := fleet(), fleet(), fleet()
+	evacuated, crowd, slow, released := fleet(), fleet(), fleet(), fleet()
+	released.Releases = []replay.Release{{At: 3 * time.Second, Gap: 400 * time.Millisecond, Engines: []int{0, 1, 2, 3, 4, 5, 6}, Version: "2"}}
 	evacuated.Evacuations = []replay.Evacuation{{From: time.Second, To: 5 * time.Second, Engines: []int{0, 1, 2, 3}},
 		{From: 4 * time.Second, To: 8 * time.Second, Engines: []int{4, 5, 6, 7}}}
 	crowd.Serves = perRouter
@@ -83,6 +84,7 @@
 		{"slow-engines", slow, mix(2*calmRate, 1, 2, 2)},
 		{"zones-evacuated-and-cold", evacuated, mix(2*calmRate, 1, 2, 2)},
 		{"crowd-at-one-host", crowd, crowded},
+		{"release-beside-the-old-version", released, mix(2*calmRate, 1, 2, 2)},
 	}
 }
 
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -50,10 +50,18 @@
 	kept  keeps
 	// until is when the present step ends.
 	until time.Duration
+	// starts is when the engine starts, leaves when it gets nothing new any more; 0 for never.
+	starts, leaves time.Duration
 	// sent are the times of the requests that it was sent.
 	sent []time.Time
 }
 
+// newEngine returns engine i of a service.
+func newEngine(m *Model, i int, slow float64) *engine {
+	in := &upstream.Instance{ID: upstream.ID(rune('a' + i)), Service: "llm", Slots: m.Slots, State: upstream.Ready}
+	return &engine{instance: in, model: m, slow: slow, kept: keeps{most: m.Keeps}}
+}
+
 func (e *engine) stretch(d time.Duration) time.Duration { return time.Duration(float64(d) * e.slow) }
 
 // reading is the job whose prompt is read next, nil for none.
--- a/internal/replay/gates.go
+++ b/internal/replay/gates.go
@@ -81,6 +81,9 @@
 func (w *world) open(i int, at *router, now time.Time) bool {
 	w.gates.restore(now)
 	since := now.Sub(epoch)
+	if !w.engines[i].serves(since) {
+		return false
+	}
 	for _, ev := range w.gates.evacuations {
 		if slices.Contains(ev.Engines, i) && since >= ev.From && since < ev.To {
 			return false
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -40,6 +40,8 @@
 	Serves float64
 	// Evacuations are of engines, which come back cold.
 	Evacuations []Evacuation
+	// Releases are of other software versions.
+	Releases []Release
 }
 
 // Evacuation is a time in which engines get nothing.
@@ -94,9 +96,9 @@
 		random: rand.New(rand.NewPCG(l.Seed, 2)), results: make(map[string]*Result)}
 	w.gates = newGates(s, w.declared)
 	for i, slow := range s.Slow {
-		in := &upstream.Instance{ID: upstream.ID(rune('a' + i)), Service: "llm", Slots: m.Slots, State: upstream.Ready}
-		w.engines = append(w.engines, &engine{instance: in, model: &m, slow: slow, kept: keeps{most: m.Keeps}})
+		w.engines = append(w.engines, newEngine(&m, i, slow))
 	}
+	w.release(s.Releases)
 	w.gates.follow(w.engines)
 	requests := l.requests()
 	for len(requests) > 0 || w.busy() {
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -1,6 +1,10 @@
 package soak
 
-import "time"
+import (
+	"time"
+
+	"github.com/flamingowind/flamingowind/platform/platformtest"
+)
 
 // Options of a run.
 type Options struct {
@@ -24,6 +28,18 @@
 	return Options{Bin: bin, Dir: dir, Seed: seed, Routers: 4, Upstreams: 5, Callers: 32, Faults: 16, Length: 8 * time.Second}
 }
 
+// herdPause is the pause after each event while many routers are killed: streams last about a second,
+// so that many are cut.
+const herdPause = 60 * time.Millisecond
+
+// usual is how upstreams behave without a fault.
+func (o Options) usual() platformtest.Behaviour {
+	if o.Herd == 0 {
+		return sound
+	}
+	return platformtest.Behaviour{Delay: sound.Delay, Pause: herdPause}
+}
+
 // Bounds that the promises name, and how much later than them a finding is one.
 const (
 	// settle is how long after a fault ends what it touched may still be affected.
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -26,8 +26,10 @@
 	// Resumed is their number, Able that of those which named the first attempt at a calm router
 	// while two upstreams of its version served.
 	Resumed, Able int
-	// WentOn and AbleWentOn are how many of each were served, Unknown how many were refused.
+	// WentOn and AbleWentOn are how many of each were served, Refused how many were refused.
 	WentOn, AbleWentOn, Refused int
+	// Orphaned are those of Able whose first router was killed meanwhile.
+	Orphaned, OrphanedWentOn int
 	// Begun and New are the streams that began, of those sent to calm routers.
 	Begun, New int
 	// Mixed are streams with events of several versions.
@@ -111,6 +113,12 @@
 	if wentOn && able {
 		s.AbleWentOn++
 	}
+	if able && !c.world.journal.sound(a.first.from, a.from, a.first.router.index, partProcess) {
+		s.Orphaned++
+		if wentOn {
+			s.OrphanedWentOn++
+		}
+	}
 	if a.answer.Refused {
 		s.Refused++
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -50,6 +50,7 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		u.engine.Behave(o.usual())
 		w.upstreams = append(w.upstreams, u)
 		w.store.List(u.engine, service, u.relay.Addr(), false)
 	}
@@ -124,6 +125,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	next.engine.Behave(w.options.usual())
 	next.engine.Software = cmp.Or(software, old.engine.Software)
 	w.upstreams[index] = next
 	w.left = append(w.left, old)
--- /dev/null
+++ b/pkg/affinity/sim_test.go
@@ -0,0 +1,357 @@
+package affinity
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// simSeeds is the number of seeds that are played; more are played by hand.
+var simSeeds = flag.Int("simseeds", 8, "number of simulated days")
+
+// Times of the simulated fleet, as the product has them.
+const (
+	simStep      = 20 * time.Millisecond
+	simExchange  = 80 * time.Millisecond
+	simAlive     = 1200 * time.Millisecond
+	simForget    = 60 * time.Second
+	simLength    = 60 * time.Second
+	simRouters   = 6
+	simMaxResume = 12 * time.Second
+)
+
+// simRouter is a router of the simulated fleet; it is its own view.
+type simRouter struct {
+	*Tracker
+	sim     *sim
+	index   int
+	started time.Time
+	up      bool
+	// cut routers reach neither the store nor other routers; callers reach them. blind ones don't
+	// reach the store.
+	cutUntil, blindUntil time.Time
+	// set is the list of upstreams at revision rev, which was current at listedAt.
+	set      []string
+	rev      int64
+	listedAt time.Time
+	nextList time.Time
+	heard    [simRouters]heardReport
+}
+
+// heardReport is the newest report of another router.
+type heardReport struct {
+	at  time.Time
+	rev int64
+}
+
+func (r *simRouter) ListRevision() int64                 { return r.rev }
+func (r *simRouter) ListAge(now time.Time) time.Duration { return now.Sub(r.listedAt) }
+
+func (r *simRouter) Peers(now time.Time) PeerView {
+	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
+	for i, h := range r.heard {
+		if i == r.index || h.at.IsZero() && now.Sub(r.started) > simForget || !h.at.IsZero() && now.Sub(h.at) > simForget {
+			continue
+		}
+		if h.at.IsZero() || now.Sub(h.at) > simAlive {
+			view.Complete = false
+		} else {
+			view.Floor, view.Newest = min(view.Floor, h.rev), max(view.Newest, h.rev)
+		}
+		if h.at.Before(view.HeardAt) {
+			view.HeardAt = h.at
+		}
+	}
+	return view
+}
+
+func (r *simRouter) listed(version string) bool {
+	for _, v := range r.set {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// message is a report on its way.
+type message struct {
+	from, to  int
+	life      time.Time
+	sent, due time.Time
+	records   []Record
+	statement Statement
+	rev       int64
+}
+
+// simStream is a stream that a caller has begun to receive.
+type simStream struct {
+	id, version string
+	due         time.Time
+	tries       int
+}
+
+// sim is a fleet on virtual time: releases and rollbacks, kills, cuts and outages of the store at
+// random, and callers that resume streams.
+type sim struct {
+	random  *rand.Rand
+	now     time.Time
+	routers [simRouters]*simRouter
+	flying  []message
+	// versions are the engines' versions at revision rev of the store.
+	versions  []string
+	rev       int64
+	storeDown time.Time
+	streams   []simStream
+	next      int
+	// resumed counts the tries that resumed a stream while its version was listed, wentOn those of
+	// them that found it.
+	resumed, wentOn int
+	mixed           []string
+	// single days have one release at releaseAt, taken back at rollbackAt.
+	single bool
+	// silent days are those on which no records are sent, so that all hangs on sole versions.
+	silent                bool
+	releaseAt, rollbackAt time.Time
+}
+
+func newSim(seed uint64) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), rev: 1, versions: []string{"v0", "v0", "v0", "v0"}}
+	s.single, s.silent, s.releaseAt = seed%2 == 0, seed%4 == 0, s.upTo(simLength)
+	s.rollbackAt = s.releaseAt.Add(time.Duration(s.random.Int64N(int64(simLength))))
+	for i := range s.routers {
+		s.routers[i] = &simRouter{sim: s, index: i}
+		s.start(s.routers[i])
+	}
+	s.routers[0].MarkFounded()
+	return s
+}
+
+func (s *sim) start(r *simRouter) {
+	*r = simRouter{sim: s, index: r.index, started: s.now, up: true}
+	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
+}
+
+// ask asks all other routers that can be reached.
+func (s *sim) ask(from *simRouter, q Question) Reply {
+	var best Reply
+	for _, r := range s.routers {
+		if r == from || !s.connected(from, r) {
+			continue
+		}
+		if reply := r.Reply(q, s.now); reply.Recorded || best.Software == unknownSoftware {
+			best = reply
+			if reply.Recorded {
+				break
+			}
+		}
+	}
+	return best
+}
+
+func (s *sim) connected(a, b *simRouter) bool {
+	return a.up && b.up && !s.now.Before(a.cutUntil) && !s.now.Before(b.cutUntil)
+}
+
+func (s *sim) chance(perSecond float64) bool { return s.random.Float64() < perSecond*simStep.Seconds() }
+
+func (s *sim) upTo(d time.Duration) time.Time {
+	return s.now.Add(time.Duration(s.random.Int64N(int64(d))))
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	s.disturb()
+	for _, r := range s.routers {
+		if r.up {
+			s.readList(r)
+			s.report(r)
+		}
+	}
+	s.deliver()
+	s.begin()
+	s.resume()
+}
+
+// disturb changes the engines' versions and harms routers and store.
+func (s *sim) disturb() {
+	if s.chance(2) { // an engine is replaced by one of the version that is released
+		if i, released := s.random.IntN(len(s.versions)), s.released(); s.versions[i] != released {
+			s.versions[i] = released
+			s.rev++
+		}
+	}
+	if s.chance(0.1) {
+		s.storeDown = s.upTo(12 * time.Second)
+	}
+	if s.chance(0.15) {
+		share := []int{1, simRouters / 2, simRouters}[s.random.IntN(3)]
+		for n := range share {
+			s.routers[(s.next+n)%simRouters].up = false
+		}
+	}
+	for _, r := range s.routers {
+		switch {
+		case !r.up && s.chance(1):
+			s.start(r)
+		case s.chance(0.02):
+			r.cutUntil = s.upTo(10 * time.Second)
+		case s.chance(0.03):
+			r.blindUntil = s.upTo(10 * time.Second)
+		}
+	}
+}
+
+// released is the version that is released: on every other day one release and a rollback, with long
+// times of one version, else one release after the other.
+func (s *sim) released() string {
+	if !s.single {
+		return fmt.Sprintf("v%d", int(s.now.Unix()/9)%3)
+	}
+	if s.now.After(s.releaseAt) && s.now.Before(s.rollbackAt) {
+		return "v1"
+	}
+	return "v0"
+}
+
+// readList gives a router the list of upstreams now and then; one of two looks takes it from a peer,
+// whose own may be old.
+func (s *sim) readList(r *simRouter) {
+	if s.now.Before(r.nextList) || s.now.Before(r.cutUntil) {
+		return
+	}
+	r.nextList = s.upTo(1500 * time.Millisecond)
+	if s.random.IntN(2) == 0 {
+		if p := s.routers[s.random.IntN(simRouters)]; p != r && s.connected(r, p) && p.rev >= r.rev && p.listedAt.After(r.listedAt) {
+			s.setList(r, p.set, p.rev, p.listedAt)
+		}
+		return
+	}
+	if !s.now.Before(s.storeDown) && !s.now.Before(r.blindUntil) {
+		s.setList(r, append([]string(nil), s.versions...), s.rev, s.now)
+	}
+}
+
+func (s *sim) setList(r *simRouter, versions []string, rev int64, asOf time.Time) {
+	known, changed := r.listedAt, rev != r.rev
+	r.set, r.rev, r.listedAt = versions, rev, asOf
+	if !changed {
+		return
+	}
+	var list []upstream.Instance
+	for i, v := range versions {
+		list = append(list, upstream.Instance{ID: upstream.ID(fmt.Sprintf("%d-%s", i, v)), Service: "s", Software: v, State: upstream.Ready})
+	}
+	r.SetUpstreams(upstream.NewSet(list), known, s.now)
+}
+
+// report sends a report to each router in turn.
+func (s *sim) report(r *simRouter) {
+	if s.now.Sub(r.started)%simExchange >= simStep {
+		return
+	}
+	records := r.TakeRecords(s.now)
+	if s.silent {
+		records = nil
+	}
+	statement, _ := r.Statement(s.now)
+	for _, to := range s.routers {
+		if to != r && s.connected(r, to) {
+			s.flying = append(s.flying, message{from: r.index, to: to.index, life: to.started, sent: s.now, due: s.upTo(100 * time.Millisecond), records: records, statement: statement, rev: r.rev})
+		}
+	}
+}
+
+func (s *sim) deliver() {
+	var left []message
+	for _, m := range s.flying {
+		to := s.routers[m.to]
+		switch {
+		case m.due.After(s.now):
+			left = append(left, m)
+		case to.up && to.started.Equal(m.life):
+			to.heard[m.from] = heardReport{at: s.now, rev: m.rev}
+			to.Merge(m.records, s.now)
+			to.MergeStatement(m.statement, m.sent, s.now)
+		}
+	}
+	s.flying = left
+}
+
+// begin lets callers begin streams at engines that their router lists and takes for open.
+func (s *sim) begin() {
+	for _, r := range s.routers {
+		if !r.up || len(r.set) == 0 {
+			continue
+		}
+		in := &upstream.Instance{Service: "s", Software: r.set[s.random.IntN(len(r.set))]}
+		if !r.Open(in, s.now) {
+			continue
+		}
+		s.next++
+		id := fmt.Sprint(s.next)
+		r.Begin("o", id, in, s.now)
+		s.streams = append(s.streams, simStream{id: id, version: in.Software, due: s.upTo(simMaxResume / 2)})
+	}
+}
+
+// resume lets callers resume their streams at any router, up to three times.
+func (s *sim) resume() {
+	var left []simStream
+	for _, one := range s.streams {
+		r := s.routers[s.random.IntN(simRouters)]
+		switch {
+		case one.due.After(s.now):
+			left = append(left, one)
+		case r.up && s.goOn(r, one) && one.tries < 2:
+			one.tries++
+			one.due = s.upTo(simMaxResume / 4)
+			left = append(left, one)
+		}
+	}
+	s.streams = left
+}
+
+func (s *sim) goOn(r *simRouter, one simStream) bool {
+	b, ok := r.Find(context.Background(), Query{Organisation: "o", FirstAttempt: one.id, Services: []string{"s"}, Service: "s"}, s.now)
+	if r.listed(one.version) {
+		s.resumed++
+		if ok {
+			s.wentOn++
+		}
+	}
+	if !ok || !r.listed(b.Version) {
+		return false
+	}
+	if b.Version != one.version {
+		s.mixed = append(s.mixed, fmt.Sprintf("%s began at %s and went on at %s by %s after %v", one.id, one.version, b.Version, b.Source, s.now.Sub(time.Unix(1000, 0))))
+	}
+	r.Begin("o", one.id, &upstream.Instance{Service: "s", Software: b.Version}, s.now)
+	return true
+}
+
+// Guards against any order of releases, rollbacks, kills, cuts and outages in which a stream goes on at
+// another version than the one that began it.
+func TestNoStreamHoldsTwoVersionsInAnyOrderOfEvents(t *testing.T) {
+	resumed, wentOn := 0, 0
+	for seed := range uint64(*simSeeds) {
+		s := newSim(seed + 1)
+		for s.now.Before(time.Unix(1000, 0).Add(simLength)) {
+			s.step()
+		}
+		require.Empty(t, s.mixed, "seed %d", seed+1)
+		resumed, wentOn = resumed+s.resumed, wentOn+s.wentOn
+	}
+	t.Logf("%d of %d streams went on whose version was listed", wentOn, resumed)
+	require.Greater(t, wentOn, resumed/2)
+}
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -32,6 +32,7 @@
 	// own holds the streams that this router began, others those that other routers sent.
 	own, others ledger
 	view        View
+	startedAt   time.Time
 	ask         Asker
 	questions   chan struct{}
 	wake        wakeDetector
@@ -51,9 +52,9 @@
 	service string
 }
 
-// NewTracker returns a tracker that knows nothing yet.
-func NewTracker(v View, ask Asker, l log.Interface) *Tracker {
-	return &Tracker{history: newHistory(l), view: v, ask: ask, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
+// NewTracker returns the tracker of a router that starts now and knows nothing yet.
+func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
+	return &Tracker{history: newHistory(l), view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
 }
 
 // SetUpstreams takes over a new list of upstreams; the one before was current at known.
@@ -178,12 +179,16 @@
 
 // certain reports whether no version can serve unknown to this router: its list of upstreams is
 // recent, or every other router was heard of recently and none has a newer list. What was learned
-// before awakeSince doesn't count.
+// before awakeSince doesn't count, nor a list that was current only before this router started: others
+// may have opened a version meanwhile, as this router's earlier life knew it.
 func (t *Tracker) certain(now, awakeSince time.Time) bool {
 	peers := t.view.Peers(now)
 	if !peers.Current {
 		return false
 	}
+	if awakeSince.Before(t.startedAt) {
+		awakeSince = t.startedAt
+	}
 	listedAt := now.Add(-t.view.ListAge(now))
 	if now.Sub(listedAt) <= maxListAge && !listedAt.Before(awakeSince) {
 		return true
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -36,8 +36,9 @@
 // newFixture returns the tracker of a router that founded its fleet, whose peers are current.
 func newFixture() *fixture {
 	f := &fixture{view: &fakeView{rev: 1, peer: PeerView{Floor: math.MaxInt64, Complete: true, Current: true}}, now: time.Unix(1000, 0)}
-	f.Tracker = NewTracker(f.view, func(context.Context, Question) Reply { f.asked++; return f.reply }, &log.Logger{Handler: discard.New()})
+	f.Tracker = NewTracker(f.view, func(context.Context, Question) Reply { f.asked++; return f.reply }, f.now, &log.Logger{Handler: discard.New()})
 	f.MarkFounded()
+	f.startedAt = f.now.Add(-time.Minute)
 	return f
 }
 
@@ -83,6 +84,7 @@
 		"another router knows another one": func(f *fixture) {
 			f.MergeStatement(Statement{Versions: []SeenVersion{{Service: "s", Version: "v2"}}}, f.now, f.now)
 		},
+		"the list is older than the router":   func(f *fixture) { f.view.age = time.Millisecond; f.startedAt = f.now },
 		"the list is old":                     func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
 		"another router doesn't record":       func(f *fixture) { f.view.peer.Current = false },
 		"the router started a moment ago":     func(f *fixture) { f.history.whole = false; f.history.watchedSince = f.now.Add(time.Second - window) },
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -140,7 +140,7 @@
 
 // newTracker returns the tracker of a router that is the first one of its fleet.
 func (env *testEnv) newTracker(l log.Interface) *affinity.Tracker {
-	env.streams = affinity.NewTracker(aloneView{}, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, l)
+	env.streams = affinity.NewTracker(aloneView{}, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, time.Now(), l)
 	env.streams.MarkFounded()
 	return env.streams
 }
--- a/pkg/gatewayd/fleetmodel_test.go
+++ b/pkg/gatewayd/fleetmodel_test.go
@@ -82,7 +82,7 @@
 	r.fleet.SetSecret([]byte("secret"))
 	r.exchanger = fleet.NewExchanger(r.fleet)
 	r.exchanger.DialWith(f.network.Dial(r.host))
-	r.local.streams = affinity.NewTracker(streamView{r.catalog, r.fleet}, r.exchanger.AskStream, quiet)
+	r.local.streams = affinity.NewTracker(streamView{r.catalog, r.fleet}, r.exchanger.AskStream, time.Now(), quiet)
 	r.catalog.OnInstances(func(set *upstream.Set, known time.Time) { r.local.streams.SetUpstreams(set, known, time.Now()) })
 	r.server = &http.Server{Handler: r.fleet.Handler()}
 	return r
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -113,7 +113,7 @@
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
 	p.fleet = fleet.New(member(s), p.local, l)
 	p.exchange = fleet.NewExchanger(p.fleet)
-	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, l)
+	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, time.Now(), l)
 	p.local.streams = p.streams
 	p.streams.SetLeaveLimit(millis(s.Streams.LeavingUpstreamMs))
 	p.logDrops = logDrops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -14,6 +14,9 @@
 	"github.com/flamingowind/flamingowind/internal/soak"
 )
 
+// herdLength is the length of a run with kills of many routers.
+const herdLength = 24 * time.Second
+
 // herd is the share of the routers that are killed at once; 0 for the faults of each seed.
 var herd float64
 
@@ -71,7 +74,9 @@
 	if routers > 0 {
 		o = o.Grown(routers)
 	}
-	o.Herd = herd
+	if o.Herd = herd; herd > 0 {
+		o.Length = herdLength
+	}
 	v, err := soak.Run(context.Background(), o)
 	if err != nil {
 		fmt.Printf("seed %d: not played: %v\n", o.Seed, err)
@@ -80,8 +85,8 @@
 	fmt.Printf("seed %d: %d routers, %d faults, %d requests, %d served, %d refused, %d stalls, %d findings\n",
 		o.Seed, o.Routers, len(v.Faults), v.Requests, v.Served, v.Refused, v.Stalls, len(v.Findings))
 	s := v.Streams
-	fmt.Printf("  streams resumed %d, went on %d, refused %d; could go on %d, went on %d; new ones at calm routers %d, began %d; with several versions %d\n",
-		s.Resumed, s.WentOn, s.Refused, s.Able, s.AbleWentOn, s.New, s.Begun, s.Mixed)
+	fmt.Printf("  streams resumed %d, went on %d, refused %d; could go on %d, went on %d; of those whose first router was killed %d, went on %d; new ones at calm routers %d, began %d; with several versions %d\n",
+		s.Resumed, s.WentOn, s.Refused, s.Able, s.AbleWentOn, s.Orphaned, s.OrphanedWentOn, s.New, s.Begun, s.Mixed)
 	if len(v.Findings) > 0 {
 		show(v)
 		return false
