--- a/pkg/affinity/key.go
+++ b/pkg/affinity/key.go
@@ -1,10 +1,6 @@
 package affinity
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Key identifies the caller's attempt that began a stream. It is a hash that covers the
 // organisation, so that naming another organisation's attempt finds nothing.
@@ -24,13 +20,8 @@
 	return max(1, Software(hashPair(service, version)))
 }
 
-// hashPair hashes two strings; the length of the first keeps different pairs apart.
-func hashPair(a, b string) uint64 {
-	var length [8]byte
-	binary.LittleEndian.PutUint64(length[:], uint64(len(a)))
-	h := xxhash.New()
-	_, _ = h.Write(length[:]) // never fails
-	_, _ = h.WriteString(a)
-	_, _ = h.WriteString(b)
-	return h.Sum64()
-}
+// pairFactor is odd, so that no bit of the first hash is lost.
+const pairFactor = 0x9e3779b97f4a7c15
+
+// hashPair hashes two strings; it depends on their order.
+func hashPair(a, b string) uint64 { return xxhash.Sum64String(a)*pairFactor + xxhash.Sum64String(b) }
