Model of the opening of versions; two ways in which a sole version was claimed too early

The model's first check found a router that, restarted, takes an old list from a peer and claims a sole version since it has heard of all others, while one of them opens a version on the word of its earlier life. Both need a restart or a full link within seconds of a release.

--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -179,22 +179,21 @@
 
 // certain reports whether no version can serve unknown to this router: its list of upstreams is
 // recent, or every other router was heard of recently and none has a newer list. What was learned
-// before awakeSince doesn't count, nor a list that was current only before this router started: others
-// may have opened a version meanwhile, as this router's earlier life knew it.
+// before awakeSince doesn't count.
+//
+// A list that was current only before this router started never counts: others may have opened a
+// version meanwhile because this router's earlier life knew it.
 func (t *Tracker) certain(now, awakeSince time.Time) bool {
 	peers := t.view.Peers(now)
-	if !peers.Current {
+	listedAt := now.Add(-t.view.ListAge(now))
+	if !peers.Current || listedAt.Before(t.startedAt) {
 		return false
 	}
-	if awakeSince.Before(t.startedAt) {
-		awakeSince = t.startedAt
-	}
-	listedAt := now.Add(-t.view.ListAge(now))
 	if now.Sub(listedAt) <= maxListAge && !listedAt.Before(awakeSince) {
 		return true
 	}
 	return peers.Complete && peers.Newest <= t.view.ListRevision() &&
-		now.Sub(peers.HeardAt) <= maxListAge && !peers.HeardAt.Before(awakeSince)
+		now.Sub(peers.HeardAt) <= maxListAge && !peers.HeardAt.Before(awakeSince) && !peers.HeardAt.Before(t.startedAt)
 }
 
 // Find returns the version at which a stream has to go on. Without one, the binding's source says
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -38,7 +38,7 @@
 	f := &fixture{view: &fakeView{rev: 1, peer: PeerView{Floor: math.MaxInt64, Complete: true, Current: true}}, now: time.Unix(1000, 0)}
 	f.Tracker = NewTracker(f.view, func(context.Context, Question) Reply { f.asked++; return f.reply }, f.now, &log.Logger{Handler: discard.New()})
 	f.MarkFounded()
-	f.startedAt = f.now.Add(-time.Minute)
+	f.startedAt = f.now.Add(-time.Hour)
 	return f
 }
 
@@ -84,11 +84,14 @@
 		"another router knows another one": func(f *fixture) {
 			f.MergeStatement(Statement{Versions: []SeenVersion{{Service: "s", Version: "v2"}}}, f.now, f.now)
 		},
-		"the list is older than the router":   func(f *fixture) { f.view.age = time.Millisecond; f.startedAt = f.now },
-		"the list is old":                     func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
-		"another router doesn't record":       func(f *fixture) { f.view.peer.Current = false },
-		"the router started a moment ago":     func(f *fixture) { f.history.whole = false; f.history.watchedSince = f.now.Add(time.Second - window) },
-		"nothing is listed":                   func(f *fixture) { f.list(); f.now = f.now.Add(window) },
+		"the list is older than the router": func(f *fixture) { f.view.age = time.Millisecond; f.startedAt = f.now },
+		"the list is old":                   func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
+		"another router doesn't record":     func(f *fixture) { f.view.peer.Current = false },
+		"the router started a moment ago":   func(f *fixture) { f.history.whole = false; f.history.watchedSince = f.now.Add(time.Second - window) },
+		"nothing is listed":                 func(f *fixture) { f.list(); f.now = f.now.Add(window) },
+		"all are heard, but the list is older than the router": func(f *fixture) {
+			f.view.age, f.view.peer.HeardAt, f.view.peer.Newest, f.startedAt = time.Second, f.now, 1, f.now.Add(-time.Millisecond)
+		},
 		"a peer is silent and the list old":   func(f *fixture) { f.view.age = time.Minute; f.view.peer.HeardAt = f.now.Add(-maxListAge - time.Second) },
 		"a peer has a newer list, own is old": func(f *fixture) { f.view.age, f.view.peer.HeardAt, f.view.peer.Newest = time.Minute, f.now, 2 },
 	} {
--- a/pkg/affinity/view.go
+++ b/pkg/affinity/view.go
@@ -18,8 +18,8 @@
 	Floor, Newest int64
 	// Complete says that these cover all routers that may be alive.
 	Complete bool
-	// HeardAt is when the router that has been silent longest was last heard of; zero if that isn't
-	// known.
+	// HeardAt is when the router that has been silent longest made its newest report, at the latest;
+	// zero if that isn't known.
 	HeardAt time.Time
 	// Current says that none of them runs a build that doesn't record streams.
 	Current bool
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -134,7 +134,7 @@
 		p.receivedStream, p.ackedStream = 0, 0
 	}
 	p.clock = max(p.clock, r.Clock)
-	p.member, p.reportAt, p.failures = r.From, now, 0
+	p.member, p.reportAt, p.reportMadeAt, p.failures = r.From, now, createdAt, 0
 	p.ready, p.starved, p.config = r.Ready, r.CPUStarved, r.Config
 	p.ackedDigest = r.AckDigest
 	f.storeReport(p, r, now)
--- a/pkg/fleet/peer.go
+++ b/pkg/fleet/peer.go
@@ -15,6 +15,9 @@
 	addedAt time.Time
 	// reportAt is when its newest report arrived; zero before the first.
 	reportAt time.Time
+	// reportMadeAt is a time before which that report cannot have been made: it may have been on its way
+	// for seconds.
+	reportMadeAt time.Time
 	// askedAt is when an exchange was last begun. asking is set while it runs and is not overdue.
 	// inFlight counts all exchanges that run, and failures those in a row that were overdue or
 	// failed.
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -127,8 +127,8 @@
 			view.Complete = false
 			continue
 		}
-		if !p.reportAt.IsZero() && p.reportAt.Before(view.HeardAt) {
-			view.HeardAt = p.reportAt
+		if !p.reportAt.IsZero() && p.reportMadeAt.Before(view.HeardAt) {
+			view.HeardAt = p.reportMadeAt
 		}
 	}
 	return view
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -98,6 +98,20 @@
 	})
 }
 
+// Guards against a router that is taken to know of nothing newer because of a report that was on its way
+// for seconds.
+func TestRoutersAreHeardOfWhenTheirReportsWereMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestFleet(2)
+		c.run(time.Second)
+		f := c.routers["10.0.0.0:1"].fleet
+		sent := time.Now()
+		time.Sleep(4 * time.Second)
+		f.handleReport(&Report{From: c.routers["10.0.0.1:1"].fleet.self, Clock: f.uptimeMs(sent) + 1000, RecordsStreams: true}, sent)
+		require.Equal(t, sent, f.PeerView(time.Now()).HeardAt)
+	})
+}
+
 // Guards against a record that isn't found because the first router to answer has none.
 func TestRecordsCountMoreThanOtherAnswers(t *testing.T) {
 	a, b, c := newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)
--- a/spec/mutants.sh
+++ b/spec/mutants.sh
@@ -28,6 +28,7 @@
 	echo handover progress NO_END
 	for g in NO_WAIT NO_RESERVE ISOLATED_FREE; do echo warmup safety $g; done
 	for g in NO_GRACE OWN_SILENCE BY_CLOCK ANY_CONTACT; do echo departure safety $g; done
+	for g in NO_WAIT ANY_AGE OLD_LIST BY_ARRIVAL; do echo software safety $g; done
 	echo order progress NO_LOOK -DENGINE=PAUSED -DFAULTS=0
 	echo order progress NO_DECLARED -DENGINE=PAUSED -DFAULTS=0
 }
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -16,6 +16,7 @@
 handover progress
 warmup safety
 departure safety
+software safety
 once progress -DN=2
 config progress -DTICKS=0
 order progress -DENGINE=PAUSED -DFAULTS=0
