The soak's relay resets both ends: one of them could see an end in order

TCPRelay.Reset closes one connection after the other, and the copying goroutine passed the first one's end on as an end in order. The router had taken what any router must take for whole.

--- a/internal/devfleet/relay_test.go
+++ b/internal/devfleet/relay_test.go
@@ -44,6 +44,34 @@
 	require.Equal(t, "held", <-got)
 }
 
+// Guards against a reset that one end takes for an end in order, as the relay hears of it from the other
+// end first.
+func TestTCPRelayResetsBothEnds(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer target.Close()
+	relay, err := NewTCPRelay("127.0.0.1:0", target.Addr().String())
+	require.NoError(t, err)
+	defer relay.Close()
+	for range 300 {
+		conn, err := net.Dial("tcp", relay.Addr())
+		require.NoError(t, err)
+		server, err := target.Accept()
+		require.NoError(t, err)
+		_, err = server.Write([]byte("part"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 4))
+		require.NoError(t, err)
+		relay.Reset()
+		for _, end := range []net.Conn{conn, server} {
+			_, err = end.Read(make([]byte, 1))
+			require.Error(t, err)
+			require.NotErrorIs(t, err, io.EOF)
+			end.Close()
+		}
+	}
+}
+
 // A router is cut off from its peers only. Its datagrams must be dropped at the
 // others' relays, which know it by its source address, while theirs still pass.
 func TestUDPRelayBlocksOneSource(t *testing.T) {
--- a/internal/devfleet/tcprelay.go
+++ b/internal/devfleet/tcprelay.go
@@ -1,6 +1,7 @@
 package devfleet
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 type chunk struct {
 	data []byte
 	due  time.Time
+	// broken says that the connection ended otherwise than in order.
+	broken bool
 }
 
 // NewTCPRelay listens on listen and forwards to target.
@@ -126,7 +129,8 @@
 	both.Wait()
 }
 
-// copy forwards one direction until either side ends, then closes dst for writing.
+// copy forwards one direction until either side ends, then closes dst for writing. An end that isn't in
+// order is passed on as a reset: dst would take what it has for whole.
 func (r *TCPRelay) copy(dst, src net.Conn, g *gate) {
 	chunks := make(chan chunk, relayQueue)
 	go r.read(src, chunks, g)
@@ -134,6 +138,11 @@
 		if !r.waitUntil(c.due) || !r.waitOpen(g) {
 			break
 		}
+		if c.broken {
+			_ = dst.(*net.TCPConn).SetLinger(0)
+			_ = dst.Close()
+			break
+		}
 		if _, err := dst.Write(c.data); err != nil {
 			break
 		}
@@ -156,6 +165,9 @@
 			chunks <- chunk{data: buf[:n], due: time.Now().Add(delay)}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				chunks <- chunk{due: time.Now(), broken: true}
+			}
 			return
 		}
 	}
