--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -25,21 +25,6 @@
 	window = StreamLife + openAfter
 )
 
-// version is what is known of a software version of a service.
-type version struct {
-	// since is when this router first knew it, revision a revision of the list at which it was
-	// listed; 0 while that isn't known.
-	since    time.Time
-	revision int64
-	listed   bool
-	// lastListed is when it was last known to be listed.
-	lastListed time.Time
-	// open says that streams may begin there.
-	open bool
-}
-
-func (v *version) recent(now time.Time) bool { return v.listed || now.Sub(v.lastListed) < window }
-
 // history knows which software versions of services served lately.
 type history struct {
 	log log.Interface
@@ -73,15 +58,15 @@
 	}
 	for service, versions := range h.services {
 		for name, v := range versions {
-			if v.listed != listed[v] {
-				h.logListed(service, name, listed[v])
+			isListed := listed[v]
+			if v.listed != isListed {
+				h.logListed(service, name, isListed)
 			}
-			if v.listed {
+			if v.listed || isListed {
 				v.lastListed = now
 			}
-			if v.listed = listed[v]; v.listed {
-				v.lastListed = now
-			} else if v.open = false; !v.recent(now) {
+			v.listed, v.open = isListed, v.open && isListed
+			if !v.recent(now) {
 				delete(versions, name)
 			}
 		}
--- /dev/null
+++ b/pkg/affinity/version.go
@@ -0,0 +1,18 @@
+package affinity
+
+import "time"
+
+// version is what is known of a software version of a service.
+type version struct {
+	// since is when this router first knew it, revision a revision of the list at which it was
+	// listed; 0 while that isn't known.
+	since    time.Time
+	revision int64
+	listed   bool
+	// lastListed is when it was last known to be listed.
+	lastListed time.Time
+	// open says that streams may begin there.
+	open bool
+}
+
+func (v *version) recent(now time.Time) bool { return v.listed || now.Sub(v.lastListed) < window }
