--- a/pkg/gateway/place_bench_test.go
+++ b/pkg/gateway/place_bench_test.go
@@ -21,7 +21,7 @@
 func BenchmarkCandidates(b *testing.B) {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	g := New(Settings{}, Dependencies{Catalog: catalog.New(quiet), Health: upstream.NewHealth(), Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(),
-		Peers: singlePeer{}, Log: quiet})
+		Streams: new(testEnv).newTracker(quiet), Peers: singlePeer{}, Log: quiet})
 	var list []upstream.Instance
 	loads := make(map[upstream.Life]placement.Load)
 	for i := range benchEngines {
@@ -31,7 +31,7 @@
 	}
 	g.catalog.Replace(list, 1, time.Now(), "bench")
 	g.loads.SetOthers(loads)
-	r := &request{service: &routing.Service{Name: "app"}, prefixes: []placement.Prefix{{Key: 1, Tokens: 800}, {Key: 2, Tokens: 1210}}}
+	r := &request{route: &routing.Route{Kind: routing.Stream}, service: &routing.Service{Name: "app"}, prefixes: []placement.Prefix{{Key: 1, Tokens: 800}, {Key: 2, Tokens: 1210}}}
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
