--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"net/http"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
