--- /dev/null
+++ b/pkg/affinity/sim_router_test.go
@@ -0,0 +1,60 @@
+package affinity
+
+import (
+	"math"
+	"time"
+)
+
+// simRouter is a router of the simulated fleet; it is its own view.
+type simRouter struct {
+	*Tracker
+	sim     *sim
+	index   int
+	started time.Time
+	up      bool
+	// cut routers reach neither the store nor other routers; callers reach them. blind ones don't
+	// reach the store.
+	cutUntil, blindUntil time.Time
+	// set is the list of upstreams at revision rev, which was current at listedAt.
+	set      []string
+	rev      int64
+	listedAt time.Time
+	nextList time.Time
+	heard    [simRouters]heardReport
+}
+
+// heardReport is the newest report of another router.
+type heardReport struct {
+	at  time.Time
+	rev int64
+}
+
+func (r *simRouter) ListRevision() int64                 { return r.rev }
+func (r *simRouter) ListAge(now time.Time) time.Duration { return now.Sub(r.listedAt) }
+
+func (r *simRouter) Peers(now time.Time) PeerView {
+	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
+	for i, h := range r.heard {
+		if i == r.index || h.at.IsZero() && now.Sub(r.started) > simForget || !h.at.IsZero() && now.Sub(h.at) > simForget {
+			continue
+		}
+		if h.at.IsZero() || now.Sub(h.at) > simAlive {
+			view.Complete = false
+		} else {
+			view.Floor, view.Newest = min(view.Floor, h.rev), max(view.Newest, h.rev)
+		}
+		if h.at.Before(view.HeardAt) {
+			view.HeardAt = h.at
+		}
+	}
+	return view
+}
+
+func (r *simRouter) listed(version string) bool {
+	for _, v := range r.set {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
