Versions of streams are remembered for as long as the routes' timeouts allow

They were for a constant 30 s, which fits timeouts up to 15 s. With longer ones a version that had left 35 s ago was forgotten, the one that is left counted as the sole one, and a stream that had begun at the first could be resumed at the second. Now twice the longest timeout of the routes that carry streams counts, 30 s at least, and never less than before in a process's life. The test (timeouts of two minutes, resumed after four less a second) got the sole version with the mend taken out and gets unknown with it.

--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -20,14 +20,12 @@
 	// whose list lacks the version claims no sole version any more by then; the second half covers what
 	// a router was told while its report was on its way.
 	openAfter = 2 * maxListAge
-	// window is how long a version that is no longer listed is taken to have streams: routers with an
-	// old list may have begun some after it had left.
-	window = StreamLife + openAfter
 )
 
 // history knows which software versions of services served lately.
 type history struct {
-	log log.Interface
+	log  log.Interface
+	life *streamLife
 
 	mu       sync.Mutex
 	services map[string]map[string]*version
@@ -39,8 +37,8 @@
 	closed atomic.Int32
 }
 
-func newHistory(l log.Interface) *history {
-	return &history{log: l, services: make(map[string]map[string]*version)}
+func newHistory(life *streamLife, l log.Interface) *history {
+	return &history{log: l, life: life, services: make(map[string]map[string]*version)}
 }
 
 // setList takes over a new list of upstreams.
@@ -66,7 +64,7 @@
 				v.lastListed = now
 			}
 			v.listed, v.open = isListed, v.open && isListed
-			if !v.recent(now) {
+			if !h.servedLately(v, now) {
 				delete(versions, name)
 			}
 		}
@@ -157,11 +155,11 @@
 func (h *history) sole(service string, now time.Time) (name string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.whole && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < window) {
+	if !h.whole && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < h.life.window()) {
 		return "", false
 	}
 	for candidate, v := range h.services[service] {
-		if !v.recent(now) {
+		if !h.servedLately(v, now) {
 			continue
 		}
 		if ok {
@@ -204,7 +202,7 @@
 			if v.listed {
 				age = listAge
 			}
-			if v.recent(now) {
+			if h.servedLately(v, now) {
 				s.Versions = append(s.Versions, SeenVersion{Service: service, Version: name, AgeMs: max(0, age.Milliseconds()), Open: v.open})
 			}
 		}
@@ -229,7 +227,7 @@
 	defer h.mu.Unlock()
 	for _, seen := range s.Versions {
 		last := createdAt.Add(-time.Duration(seen.AgeMs) * time.Millisecond)
-		if !seen.valid() || now.Sub(last) >= window {
+		if !seen.valid() || now.Sub(last) >= h.life.window() {
 			continue
 		}
 		v := h.get(seen.Service, seen.Version, now)
@@ -250,22 +248,27 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, versions := range h.services {
-		if countRecent(versions, now) > 1 {
+		if h.countRecent(versions, now) > 1 {
 			return true
 		}
 	}
 	return false
 }
 
+// servedLately reports whether streams that began at a version may still be resumed.
+func (h *history) servedLately(v *version, now time.Time) bool {
+	return v.listed || now.Sub(v.lastListed) < h.life.window()
+}
+
 // recent returns the identities of recent versions, and for each whether its service has several.
 func (h *history) recent(now time.Time) map[Software]bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	all := make(map[Software]bool)
 	for service, versions := range h.services {
-		several := countRecent(versions, now) > 1
+		several := h.countRecent(versions, now) > 1
 		for name, v := range versions {
-			if v.recent(now) {
+			if h.servedLately(v, now) {
 				all[SoftwareOf(service, name)] = several
 			}
 		}
@@ -273,10 +276,10 @@
 	return all
 }
 
-func countRecent(versions map[string]*version, now time.Time) int {
+func (h *history) countRecent(versions map[string]*version, now time.Time) int {
 	n := 0
 	for _, v := range versions {
-		if v.recent(now) {
+		if h.servedLately(v, now) {
 			n++
 		}
 	}
--- a/pkg/affinity/ledger.go
+++ b/pkg/affinity/ledger.go
@@ -6,20 +6,17 @@
 )
 
 const (
-	// StreamLife is how long after its first event a stream may still be resumed: twice the longest
-	// time limit of a caller, which covers all of its tries.
-	StreamLife = 30 * time.Second
 	// generations is the number of maps that a ledger keeps. It drops the oldest one at a time, so a
-	// record lives for StreamLife and up to half as long again, and nothing is searched for old ones.
-	generations   = 3
-	generationAge = StreamLife / (generations - 1)
+	// record lives for streamLife and up to half as long again, and nothing is searched for old ones.
+	generations = 3
 	// maxRecords bounds the records of one generation.
 	maxRecords = 200_000
 )
 
-// ledger keeps records for StreamLife.
+// ledger keeps records for the life of streams.
 type ledger struct {
-	mu sync.Mutex
+	life *streamLife
+	mu   sync.Mutex
 	// records holds the generations, the newest first.
 	records   [generations]map[Key]Software
 	rotatedAt time.Time
@@ -89,6 +86,7 @@
 	if l.records[0] == nil {
 		l.records[0], l.rotatedAt = make(map[Key]Software), now
 	}
+	generationAge := l.life.get() / (generations - 1)
 	for range generations {
 		if now.Sub(l.rotatedAt) < generationAge {
 			return
--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -32,6 +32,8 @@
 func (r *simRouter) ListRevision() int64                 { return r.rev }
 func (r *simRouter) ListAge(now time.Time) time.Duration { return now.Sub(r.listedAt) }
 
+func (r *simRouter) LongestStream() time.Duration { return simMaxResume }
+
 func (r *simRouter) Peers(now time.Time) PeerView {
 	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
 	for i, h := range r.heard {
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -29,6 +29,7 @@
 // began there.
 type Tracker struct {
 	history *history
+	life    streamLife
 	// own holds the streams that this router began, others those that other routers sent.
 	own, others ledger
 	view        View
@@ -54,7 +55,10 @@
 
 // NewTracker returns the tracker of a router that starts now and knows nothing yet.
 func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
-	return &Tracker{history: newHistory(l), view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
+	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
+	t.history = newHistory(&t.life, l)
+	t.own.life, t.others.life = &t.life, &t.life
+	return t
 }
 
 // SetUpstreams takes over a new list of upstreams; the one before was current at known.
@@ -113,6 +117,7 @@
 // TakeRecords returns the records to send to the other routers since the last call: none of services
 // with a sole version. The streams that began before a service had several are sent once it has.
 func (t *Tracker) TakeRecords(now time.Time) []Record {
+	t.life.extend(t.view.LongestStream())
 	t.openKnown(now)
 	t.mu.Lock()
 	unsent := t.unsent
@@ -173,6 +178,7 @@
 
 // sole returns the sole version of a service if that is certain.
 func (t *Tracker) sole(service string, now time.Time) (string, bool) {
+	t.life.extend(t.view.LongestStream())
 	name, ok := t.history.sole(service, now)
 	return name, ok && t.certain(now, t.wake.since(now))
 }
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -18,10 +18,13 @@
 	rev  int64
 	age  time.Duration
 	peer PeerView
+	// longest is the longest timeout of streams.
+	longest time.Duration
 }
 
 func (v *fakeView) ListRevision() int64             { return v.rev }
 func (v *fakeView) ListAge(time.Time) time.Duration { return v.age }
+func (v *fakeView) LongestStream() time.Duration    { return v.longest }
 func (v *fakeView) Peers(time.Time) PeerView        { return v.peer }
 
 // fixture is a tracker at a time that tests advance.
@@ -80,15 +83,18 @@
 func TestSoleVersionMustBeCertain(t *testing.T) {
 	for name, change := range map[string]func(f *fixture){
 		"another version is listed":         func(f *fixture) { f.list("v1", "v2") },
-		"another version left a moment ago": func(f *fixture) { f.list("v1", "v2"); f.list("v1"); f.now = f.now.Add(window - time.Second) },
+		"another version left a moment ago": func(f *fixture) { f.list("v1", "v2"); f.list("v1"); f.now = f.now.Add(f.life.window() - time.Second) },
 		"another router knows another one": func(f *fixture) {
 			f.MergeStatement(Statement{Versions: []SeenVersion{{Service: "s", Version: "v2"}}}, f.now, f.now)
 		},
 		"the list is older than the router": func(f *fixture) { f.view.age = time.Millisecond; f.startedAt = f.now },
 		"the list is old":                   func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
 		"another router doesn't record":     func(f *fixture) { f.view.peer.Current = false },
-		"the router started a moment ago":   func(f *fixture) { f.history.whole = false; f.history.watchedSince = f.now.Add(time.Second - window) },
-		"nothing is listed":                 func(f *fixture) { f.list(); f.now = f.now.Add(window) },
+		"the router started a moment ago": func(f *fixture) {
+			f.history.whole = false
+			f.history.watchedSince = f.now.Add(time.Second - f.life.window())
+		},
+		"nothing is listed": func(f *fixture) { f.list(); f.now = f.now.Add(f.life.window()) },
 		"all are heard, but the list is older than the router": func(f *fixture) {
 			f.view.age, f.view.peer.HeardAt, f.view.peer.Newest, f.startedAt = time.Second, f.now, 1, f.now.Add(-time.Millisecond)
 		},
@@ -120,7 +126,7 @@
 	f := newFixture()
 	f.list("v1", "v2")
 	f.list("v2")
-	f.now = f.now.Add(window)
+	f.now = f.now.Add(f.life.window())
 	require.Equal(t, bound("v2", SoleVersion), f.find("r"))
 }
 
@@ -240,18 +246,18 @@
 	}
 	s, _ := a.Statement(a.now)
 	require.LessOrEqual(t, s.WatchedMs, a.now.Sub(start).Milliseconds())
-	a.now = start.Add(window)
+	a.now = start.Add(a.life.window())
 	require.Equal(t, bound("v1", SoleVersion), a.find(""))
 }
 
 func TestRecordsEndWithTheirStreams(t *testing.T) {
-	var l ledger
+	l := ledger{life: new(streamLife)}
 	now := time.Unix(1000, 0)
 	l.add(Record{Key: 1, Software: 1}, now)
-	_, ok := l.lookup(1, now.Add(StreamLife-time.Millisecond))
+	_, ok := l.lookup(1, now.Add(minStreamLife-time.Millisecond))
 	require.True(t, ok)
-	l.add(Record{Key: 2, Software: 1}, now.Add(StreamLife-time.Millisecond))
-	_, ok = l.lookup(1, now.Add(2*StreamLife))
+	l.add(Record{Key: 2, Software: 1}, now.Add(minStreamLife-time.Millisecond))
+	_, ok = l.lookup(1, now.Add(2*minStreamLife))
 	require.False(t, ok)
 	_, ok = l.lookup(2, now.Add(time.Hour))
 	require.False(t, ok)
@@ -280,3 +286,19 @@
 	list(0)
 	require.False(t, f.MayGoOn(&in, f.now), "it isn't known when it left")
 }
+
+// Guards against routes with long timeouts: a stream that began at a version which left a minute ago went
+// on at the one that was sole since.
+func TestLongStreamsAreRememberedForTheirRoutesTimeout(t *testing.T) {
+	const timeout = 2 * time.Minute
+	f := newFixture()
+	f.view.longest = timeout
+	f.list("v1", "v2")
+	f.Begin("o", "r", f.instance("v1"), f.now)
+	f.TakeRecords(f.now)
+	f.list("v2")
+	f.view.longest = time.Second
+	f.now = f.now.Add(triesFactor*timeout - time.Second)
+	require.Equal(t, unknown, f.find("other"))
+	require.Equal(t, bound("v1", OwnRecord), f.find("r"))
+}
--- a/pkg/affinity/version.go
+++ b/pkg/affinity/version.go
@@ -14,5 +14,3 @@
 	// open says that streams may begin there.
 	open bool
 }
-
-func (v *version) recent(now time.Time) bool { return v.listed || now.Sub(v.lastListed) < window }
--- a/pkg/affinity/view.go
+++ b/pkg/affinity/view.go
@@ -8,6 +8,9 @@
 	ListRevision() int64
 	// ListAge returns the time since the list was last known to be current.
 	ListAge(now time.Time) time.Duration
+	// LongestStream returns the longest timeout of routes that carry streams, in the configuration in
+	// force.
+	LongestStream() time.Duration
 	// Peers describes the other routers.
 	Peers(now time.Time) PeerView
 }
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -134,6 +134,7 @@
 
 func (aloneView) ListRevision() int64             { return 1 }
 func (aloneView) ListAge(time.Time) time.Duration { return 0 }
+func (aloneView) LongestStream() time.Duration    { return 0 }
 func (aloneView) Peers(now time.Time) affinity.PeerView {
 	return affinity.PeerView{Floor: 1, Newest: 1, Complete: true, HeardAt: now, Current: true}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -162,10 +162,10 @@
 		remaining = deadline
 	}
 	if remaining <= 0 {
-		remaining = defaultTimeout
+		remaining = DefaultTimeout
 	}
 	return start.Add(remaining)
 }
 
-// defaultTimeout applies if neither the route nor the caller sets one.
-const defaultTimeout = 60 * time.Second
+// DefaultTimeout applies if neither the route nor the caller sets one.
+const DefaultTimeout = 60 * time.Second
--- a/pkg/gatewayd/streamview.go
+++ b/pkg/gatewayd/streamview.go
@@ -6,6 +6,7 @@
 	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
+	"github.com/flamingowind/flamingowind/pkg/gateway"
 )
 
 // streamView is what the software versions of streams are judged by.
@@ -22,3 +23,12 @@
 
 // Peers describes the other routers.
 func (v streamView) Peers(now time.Time) affinity.PeerView { return v.fleet.PeerView(now) }
+
+// LongestStream returns the longest timeout of routes that carry streams; 0 without a configuration.
+func (v streamView) LongestStream() time.Duration {
+	table := v.catalog.Table()
+	if table == nil {
+		return 0
+	}
+	return table.LongestStream(gateway.DefaultTimeout)
+}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -13,6 +13,10 @@
 	byKey     map[string]*Organisation
 	services  map[string]*Service
 	maxPauses map[string]time.Duration
+	// longestStream is the longest timeout of the routes that carry streams, openEndedStreams whether one
+	// of them has none.
+	longestStream    time.Duration
+	openEndedStreams bool
 }
 
 // NewTable indexes c, which must not change afterwards.
@@ -29,6 +33,7 @@
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 		t.addMaxPause(r)
+		t.addStreamTimeout(r)
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -80,5 +85,22 @@
 // MaxPause returns the smallest MaxPause of the routes to a service; 0 when none sets it.
 func (t *Table) MaxPause(service string) time.Duration { return t.maxPauses[service] }
 
+// addStreamTimeout records the timeout of a route that carries streams.
+func (t *Table) addStreamTimeout(r *Route) {
+	if r.Kind == Stream {
+		t.longestStream = max(t.longestStream, r.Timeout)
+		t.openEndedStreams = t.openEndedStreams || r.Timeout <= 0
+	}
+}
+
+// LongestStream returns the longest timeout of the routes that carry streams; for one without a timeout
+// it is otherwise.
+func (t *Table) LongestStream(otherwise time.Duration) time.Duration {
+	if t.openEndedStreams {
+		return max(t.longestStream, otherwise)
+	}
+	return t.longestStream
+}
+
 // Service returns a service by name; nil for an unknown one.
 func (t *Table) Service(name string) *Service { return t.services[name] }
