affinity: one word for the identity of a version, a plain name for what holds since the fleet was founded

Software stood for a hash in affinity and for the version's name elsewhere, Whole for "since the fleet first started". Names only; the wire format is as before, and the tests of affinity and fleet pass unchanged but for the names.

--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -29,10 +29,10 @@
 
 	mu       sync.Mutex
 	services map[string]map[string]*version
-	// watchedSince is since when no version can have served without being known here; whole says that
+	// watchedSince is since when no version can have served without being known here; sinceFounding says that
 	// this holds since the fleet first started.
-	watchedSince time.Time
-	whole        bool
+	watchedSince  time.Time
+	sinceFounding bool
 	// closed is the number of listed versions that aren't open.
 	closed atomic.Int32
 }
@@ -155,7 +155,7 @@
 func (h *history) sole(service string, now time.Time) (name string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.whole && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < h.life.window()) {
+	if !h.sinceFounding && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < h.life.window()) {
 		return "", false
 	}
 	for candidate, v := range h.services[service] {
@@ -181,18 +181,18 @@
 	return list
 }
 
-// markWhole records that the fleet first started with this router.
-func (h *history) markWhole() {
+// markFounding records that the fleet first started with this router.
+func (h *history) markFounding() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.whole = true
+	h.sinceFounding = true
 }
 
 // statement returns what this router tells others; listAge is the age of its list.
 func (h *history) statement(listAge time.Duration, now time.Time) Statement {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := Statement{Whole: h.whole}
+	s := Statement{SinceFounding: h.sinceFounding}
 	if !h.watchedSince.IsZero() {
 		s.WatchedMs = now.Sub(h.watchedSince).Milliseconds()
 	}
@@ -236,7 +236,7 @@
 		}
 		v.open = v.open || seen.Open && v.listed
 	}
-	h.whole = h.whole || s.Whole
+	h.sinceFounding = h.sinceFounding || s.SinceFounding
 	if since := now.Add(-time.Duration(max(0, s.WatchedMs)) * time.Millisecond); !h.watchedSince.IsZero() && since.Before(h.watchedSince) {
 		h.watchedSince = since
 	}
@@ -261,15 +261,15 @@
 }
 
 // recent returns the identities of recent versions, and for each whether its service has several.
-func (h *history) recent(now time.Time) map[Software]bool {
+func (h *history) recent(now time.Time) map[VersionID]bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	all := make(map[Software]bool)
+	all := make(map[VersionID]bool)
 	for service, versions := range h.services {
 		several := h.countRecent(versions, now) > 1
 		for name, v := range versions {
 			if h.servedLately(v, now) {
-				all[SoftwareOf(service, name)] = several
+				all[VersionIDOf(service, name)] = several
 			}
 		}
 	}
--- a/pkg/affinity/key.go
+++ b/pkg/affinity/key.go
@@ -9,15 +9,15 @@
 // KeyOf returns the key of an attempt.
 func KeyOf(organisation, requestID string) Key { return Key(hashPair(organisation, requestID)) }
 
-// Software identifies a software version of a service.
-type Software uint32
+// VersionID identifies a software version of a service.
+type VersionID uint32
 
-// unknownSoftware is no version.
-const unknownSoftware Software = 0
+// unknownVersion is no version.
+const unknownVersion VersionID = 0
 
-// SoftwareOf returns the identity of a version of a service; it is never 0.
-func SoftwareOf(service, version string) Software {
-	return max(1, Software(hashPair(service, version)))
+// VersionIDOf returns the identity of a version of a service; it is never 0.
+func VersionIDOf(service, version string) VersionID {
+	return max(1, VersionID(hashPair(service, version)))
 }
 
 // pairFactor is odd, so that no bit of the first hash is lost.
--- a/pkg/affinity/ledger.go
+++ b/pkg/affinity/ledger.go
@@ -18,7 +18,7 @@
 	life *streamLife
 	mu   sync.Mutex
 	// records holds the generations, the newest first.
-	records   [generations]map[Key]Software
+	records   [generations]map[Key]VersionID
 	rotatedAt time.Time
 }
 
@@ -29,33 +29,33 @@
 	defer l.mu.Unlock()
 	l.rotate(now)
 	known, found := l.find(r.Key)
-	if found && known != r.Software {
-		r.Software = unknownSoftware
+	if found && known != r.Version {
+		r.Version = unknownVersion
 	}
 	if len(l.records[0]) < maxRecords {
-		l.records[0][r.Key] = r.Software
+		l.records[0][r.Key] = r.Version
 	}
 }
 
 // lookup returns the version that is on record for a key.
-func (l *ledger) lookup(k Key, now time.Time) (Software, bool) {
+func (l *ledger) lookup(k Key, now time.Time) (VersionID, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rotate(now)
 	return l.find(k)
 }
 
-func (l *ledger) find(k Key) (Software, bool) {
+func (l *ledger) find(k Key) (VersionID, bool) {
 	for _, generation := range l.records {
 		if s, ok := generation[k]; ok {
 			return s, true
 		}
 	}
-	return unknownSoftware, false
+	return unknownVersion, false
 }
 
 // all returns the records of a version.
-func (l *ledger) all(s Software, now time.Time) []Record {
+func (l *ledger) all(s VersionID, now time.Time) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rotate(now)
@@ -63,7 +63,7 @@
 	for _, generation := range l.records {
 		for k, software := range generation {
 			if software == s {
-				list = append(list, Record{Key: k, Software: software})
+				list = append(list, Record{Key: k, Version: software})
 			}
 		}
 	}
@@ -84,7 +84,7 @@
 // rotate drops the generations that are too old.
 func (l *ledger) rotate(now time.Time) {
 	if l.records[0] == nil {
-		l.records[0], l.rotatedAt = make(map[Key]Software), now
+		l.records[0], l.rotatedAt = make(map[Key]VersionID), now
 	}
 	generationAge := l.life.get() / (generations - 1)
 	for range generations {
@@ -92,7 +92,7 @@
 			return
 		}
 		copy(l.records[1:], l.records[:generations-1])
-		l.records[0] = make(map[Key]Software)
+		l.records[0] = make(map[Key]VersionID)
 		l.rotatedAt = l.rotatedAt.Add(generationAge)
 	}
 	l.rotatedAt = now // nothing was added for longer than all generations last
--- a/pkg/affinity/query.go
+++ b/pkg/affinity/query.go
@@ -18,9 +18,9 @@
 	Service string `cbor:"2,keyasint,omitempty"`
 }
 
-// Reply answers a question. Software is 0 where the version isn't known; Recorded says that a record
+// Reply answers a question. Version is 0 where the version isn't known; Recorded says that a record
 // names it, otherwise it is the sole version of the service.
 type Reply struct {
-	Software Software `cbor:"1,keyasint,omitempty"`
-	Recorded bool     `cbor:"2,keyasint,omitempty"`
+	Version  VersionID `cbor:"1,keyasint,omitempty"`
+	Recorded bool      `cbor:"2,keyasint,omitempty"`
 }
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -55,7 +55,7 @@
 	mixed           []string
 	// single days have one release at releaseAt, taken back at rollbackAt.
 	single bool
-	// silent days are those on which no records are sent, so that all hangs on sole versions.
+	// silent days are those on which no records are sent, so that all depends on sole versions.
 	silent                bool
 	releaseAt, rollbackAt time.Time
 }
@@ -84,7 +84,7 @@
 		if r == from || !s.connected(from, r) {
 			continue
 		}
-		if reply := r.Reply(q, s.now); reply.Recorded || best.Software == unknownSoftware {
+		if reply := r.Reply(q, s.now); reply.Recorded || best.Version == unknownVersion {
 			best = reply
 			if reply.Recorded {
 				break
--- a/pkg/affinity/statement.go
+++ b/pkg/affinity/statement.go
@@ -4,9 +4,9 @@
 type Statement struct {
 	Versions []SeenVersion `cbor:"1,keyasint,omitempty"`
 	// WatchedMs is for how long, in milliseconds, no version can have served without being known;
-	// Whole says that this holds since the fleet first started.
-	WatchedMs int64 `cbor:"2,keyasint,omitempty"`
-	Whole     bool  `cbor:"3,keyasint,omitempty"`
+	// SinceFounding says that this holds since the fleet first started.
+	WatchedMs     int64 `cbor:"2,keyasint,omitempty"`
+	SinceFounding bool  `cbor:"3,keyasint,omitempty"`
 }
 
 // SeenVersion is a version that served lately.
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -43,7 +43,7 @@
 	// unsent are own records since the last call of TakeRecords.
 	unsent []unsentRecord
 	// sent holds the versions of services whose records are being sent to others.
-	sent map[Software]bool
+	sent map[VersionID]bool
 	// openedAt is when versions were last looked at for being opened.
 	openedAt time.Time
 }
@@ -55,7 +55,7 @@
 
 // NewTracker returns the tracker of a router that starts now and knows nothing yet.
 func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
-	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[Software]bool)}
+	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[VersionID]bool)}
 	t.history = newHistory(&t.life, l)
 	t.own.life, t.others.life = &t.life, &t.life
 	return t
@@ -77,7 +77,7 @@
 }
 
 // MarkFounded records that the fleet first started with this router, so that no stream began before.
-func (t *Tracker) MarkFounded() { t.history.markWhole() }
+func (t *Tracker) MarkFounded() { t.history.markFounding() }
 
 // Open reports whether streams may begin at an instance.
 func (t *Tracker) Open(in *upstream.Instance, now time.Time) bool {
@@ -105,7 +105,7 @@
 
 // Begin records that the stream of an attempt began at an instance.
 func (t *Tracker) Begin(organisation, firstAttempt string, in *upstream.Instance, now time.Time) {
-	r := Record{Key: KeyOf(organisation, firstAttempt), Software: SoftwareOf(in.Service, in.Software)}
+	r := Record{Key: KeyOf(organisation, firstAttempt), Version: VersionIDOf(in.Service, in.Software)}
 	t.own.add(r, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -221,11 +221,11 @@
 	reply := t.askOthers(ctx, q)
 	switch {
 	case reply.Recorded:
-		return t.resolve(q, reply.Software, AskedRecord)
+		return t.resolve(q, reply.Version, AskedRecord)
 	case sole:
 		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
 	}
-	return t.resolve(q, reply.Software, AskedSole)
+	return t.resolve(q, reply.Version, AskedSole)
 }
 
 func (t *Tracker) askOthers(ctx context.Context, q Query) Reply {
@@ -245,13 +245,13 @@
 }
 
 // resolve returns the binding to a version of one of the route's services.
-func (t *Tracker) resolve(q Query, s Software, source Source) (Binding, bool) {
-	if s == unknownSoftware {
+func (t *Tracker) resolve(q Query, s VersionID, source Source) (Binding, bool) {
+	if s == unknownVersion {
 		return Binding{Service: q.Service, Source: Unknown}, false
 	}
 	for _, service := range q.Services {
 		for _, name := range t.history.names(service) {
-			if SoftwareOf(service, name) == s {
+			if VersionIDOf(service, name) == s {
 				return Binding{Service: service, Version: name, Source: source}, true
 			}
 		}
@@ -263,14 +263,14 @@
 func (t *Tracker) Reply(q Question, now time.Time) Reply {
 	if q.Key != 0 {
 		if s, ok := t.own.lookup(q.Key, now); ok {
-			return Reply{Software: s, Recorded: true}
+			return Reply{Version: s, Recorded: true}
 		}
 		if s, ok := t.others.lookup(q.Key, now); ok {
-			return Reply{Software: s, Recorded: true}
+			return Reply{Version: s, Recorded: true}
 		}
 	}
 	if name, ok := t.sole(q.Service, now); ok {
-		return Reply{Software: SoftwareOf(q.Service, name)}
+		return Reply{Version: VersionIDOf(q.Service, name)}
 	}
 	return Reply{}
 }
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -91,7 +91,7 @@
 		"the list is old":                   func(f *fixture) { f.view.age = maxListAge + time.Millisecond },
 		"another router doesn't record":     func(f *fixture) { f.view.peer.Current = false },
 		"the router started a moment ago": func(f *fixture) {
-			f.history.whole = false
+			f.history.sinceFounding = false
 			f.history.watchedSince = f.now.Add(time.Second - f.life.window())
 		},
 		"nothing is listed": func(f *fixture) { f.list(); f.now = f.now.Add(f.life.window()) },
@@ -187,10 +187,10 @@
 	f.Begin("o", "early", f.instance("v1"), f.now)
 	require.Empty(t, f.TakeRecords(f.now))
 	f.list("v1", "v2")
-	early := Record{Key: KeyOf("o", "early"), Software: SoftwareOf("s", "v1")}
+	early := Record{Key: KeyOf("o", "early"), Version: VersionIDOf("s", "v1")}
 	require.Equal(t, []Record{early}, f.TakeRecords(f.now))
 	f.Begin("o", "late", f.instance("v2"), f.now)
-	late := Record{Key: KeyOf("o", "late"), Software: SoftwareOf("s", "v2")}
+	late := Record{Key: KeyOf("o", "late"), Version: VersionIDOf("s", "v2")}
 	require.Equal(t, []Record{late}, f.TakeRecords(f.now))
 	require.Empty(t, f.TakeRecords(f.now))
 
@@ -199,7 +199,7 @@
 	other.Merge([]Record{early, late}, other.now)
 	require.Equal(t, bound("v1", OthersRecord), other.find("early"))
 	require.Equal(t, bound("v2", OthersRecord), other.find("late"))
-	require.Equal(t, Reply{Software: early.Software, Recorded: true}, other.Reply(Question{Key: early.Key, Service: "s"}, other.now))
+	require.Equal(t, Reply{Version: early.Version, Recorded: true}, other.Reply(Question{Key: early.Key, Service: "s"}, other.now))
 }
 
 // Guards against an answer that tells an organisation of another one's attempts, and against one
@@ -217,11 +217,11 @@
 func TestOthersAreAskedForWhatIsNotKnown(t *testing.T) {
 	f := newFixture()
 	f.list("v1", "v2")
-	f.reply = Reply{Software: SoftwareOf("s", "v2"), Recorded: true}
+	f.reply = Reply{Version: VersionIDOf("s", "v2"), Recorded: true}
 	require.Equal(t, bound("v2", AskedRecord), f.find("r"))
 	f.reply.Recorded = false
 	require.Equal(t, bound("v2", AskedSole), f.find("r"))
-	f.reply = Reply{Software: SoftwareOf("t", "v2"), Recorded: true}
+	f.reply = Reply{Version: VersionIDOf("t", "v2"), Recorded: true}
 	require.Equal(t, Binding{Service: "s", Source: Elsewhere}, f.find("r"))
 	f.reply = Reply{}
 	require.Equal(t, unknown, f.find("r"))
@@ -231,7 +231,7 @@
 // watch that grows by being told.
 func TestStatementsDontGrowByBeingTold(t *testing.T) {
 	a, b := newFixture(), newFixture()
-	a.history.whole, b.history.whole = false, false
+	a.history.sinceFounding, b.history.sinceFounding = false, false
 	a.list("v1", "v2")
 	a.list("v1")
 	b.list("v1")
@@ -253,10 +253,10 @@
 func TestRecordsEndWithTheirStreams(t *testing.T) {
 	l := ledger{life: new(streamLife)}
 	now := time.Unix(1000, 0)
-	l.add(Record{Key: 1, Software: 1}, now)
+	l.add(Record{Key: 1, Version: 1}, now)
 	_, ok := l.lookup(1, now.Add(minStreamLife-time.Millisecond))
 	require.True(t, ok)
-	l.add(Record{Key: 2, Software: 1}, now.Add(minStreamLife-time.Millisecond))
+	l.add(Record{Key: 2, Version: 1}, now.Add(minStreamLife-time.Millisecond))
 	_, ok = l.lookup(1, now.Add(2*minStreamLife))
 	require.False(t, ok)
 	_, ok = l.lookup(2, now.Add(time.Hour))
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -45,7 +45,7 @@
 		if r.Recorded {
 			return r
 		}
-		if best.Software == 0 {
+		if best.Version == 0 {
 			best = r
 		}
 	}
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -24,7 +24,7 @@
 				for i, r := range c.alive() {
 					key := affinity.Key(i + 1)
 					begun[key] = true
-					r.newStreams = []affinity.Record{{Key: key, Software: 7}}
+					r.newStreams = []affinity.Record{{Key: key, Version: 7}}
 				}
 				c.run(time.Second)
 				hubs := 0
@@ -36,7 +36,7 @@
 					hubs++
 					got := make(map[affinity.Key]bool)
 					for _, s := range r.streams {
-						require.EqualValues(t, 7, s.Software)
+						require.EqualValues(t, 7, s.Version)
 						got[s.Key] = true
 					}
 					require.GreaterOrEqual(t, len(got), len(begun)-1, "all but its own")
@@ -115,8 +115,8 @@
 // Guards against a record that isn't found because the first router to answer has none.
 func TestRecordsCountMoreThanOtherAnswers(t *testing.T) {
 	a, b, c := newRouter(t, "a", secret), newRouter(t, "b", secret), newRouter(t, "c", secret)
-	b.replies = map[affinity.Key]affinity.Reply{1: {Software: 2}, 2: {Software: 2}}
-	c.replies = map[affinity.Key]affinity.Reply{1: {Software: 3, Recorded: true}}
+	b.replies = map[affinity.Key]affinity.Reply{1: {Version: 2}, 2: {Version: 2}}
+	c.replies = map[affinity.Key]affinity.Reply{1: {Version: 3, Recorded: true}}
 	a.fleet.AddMembers([]Member{b.fleet.self, c.fleet.self, {Peers: "127.0.0.1:1"}})
 	a.run(t)
 	b.run(t)
@@ -124,7 +124,7 @@
 	for a.fleet.Count() < 3 {
 		<-a.reported
 	}
-	require.Equal(t, affinity.Reply{Software: 3, Recorded: true}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 1}))
-	require.Equal(t, affinity.Reply{Software: 2}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 2}))
+	require.Equal(t, affinity.Reply{Version: 3, Recorded: true}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 1}))
+	require.Equal(t, affinity.Reply{Version: 2}, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 2}))
 	require.Zero(t, a.exchanger.AskStream(context.Background(), affinity.Question{Key: 3}))
 }
