--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -105,7 +105,7 @@
 
 // checkLost: a calm router answers what it has passed on, and so does one that leaves.
 func (c *checker) checkLost(a *attempt, runs []ran) {
-	if a.answer.Whole || a.impatient || a.LeaveAfter > 0 || a.answer.Status >= http.StatusMultipleChoices || len(runs) == 0 {
+	if a.served() || a.impatient || a.answer.Status >= http.StatusMultipleChoices || len(runs) == 0 {
 		return
 	}
 	if !c.calm(a, partProcess, partCallers) || !c.upstreamsCalm(a, runs) {
@@ -200,10 +200,13 @@
 func (c *checker) checkEnd(list []*attempt, from time.Time) {
 	served := make(map[*router]int)
 	for _, a := range list {
-		if a.from.Before(from) || a.impatient || a.LeaveAfter > 0 || a.first != nil || a.Key == passingKey {
+		if a.from.Before(from) || a.impatient || a.Key == passingKey {
 			continue
 		}
-		if a.answer.Status == http.StatusOK && a.answer.Whole {
+		if a.answer.Refused && a.truthfullyRefused(from) {
+			continue
+		}
+		if a.answer.Status == http.StatusOK && a.served() {
 			served[a.router]++
 			continue
 		}
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// served reports whether a caller got what it waited for: the whole answer, or the events after which it
+// left by itself.
+func (a *attempt) served() bool {
+	return a.answer.Whole || a.LeaveAfter > 0 && len(a.answer.Events) >= a.LeaveAfter
+}
+
+// truthfullyRefused reports whether a stream that a caller resumes may be refused though all is well since
+// from: it began before, its caller didn't name the attempt that began it, or no two upstreams of its
+// version serve.
+func (a *attempt) truthfullyRefused(from time.Time) bool {
+	return a.first != nil && (a.first.from.Before(from) || a.Resumes == "" || !a.able)
+}
+
 // serving is the number of main upstreams of a software version that serve without a disturbance.
 func (w *world) serving(software string) int {
 	w.mu.Lock()
