A router that has just fallen silent counts as unknown, not as one that knows a new version

All links between routers had been cut for a second; router-03 read of version 2 and opened it 35 ms later, known_to_all, though router-02 had not listed it. In a fleet with hubs the same happened, and while a member changed hubs. Now each remembered router must be covered by a recent report of its own, or by the list that came with the report of its hub, whose floor is of the same moment. The test saw a complete view without the silent router in fleets of 2, 5 and 48 before.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -86,7 +86,6 @@
 	r.Echo = p.clock
 	if scope != ScopeOwn {
 		f.addTotals(r, p, scope, now)
-		r.ListFloor, r.AllRecord = f.listFloor(scope, r.Instances, now)
 		return
 	}
 	if !withOthers || !f.role.direct {
@@ -109,11 +108,12 @@
 	}
 	total.add(r, 1, 0)
 	total.fill(r)
-	list, sum := f.membersOf(scope, MemberState{Member: f.self, Ready: r.Ready, CPUStarved: r.CPUStarved, Config: r.Config}, now)
-	r.Digest = sum
-	if sum != p.ackedDigest {
-		r.Members = list
+	members := f.membersOf(scope, MemberState{Member: f.self, Ready: r.Ready, CPUStarved: r.CPUStarved, Config: r.Config}, now)
+	r.Digest = members.digest
+	if members.digest != p.ackedDigest {
+		r.Members = members.list
 	}
+	r.ListFloor, r.AllRecord = min(members.floor, r.Instances), members.record
 }
 
 // handleReport processes a report that was created at createdAt or later.
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -101,58 +101,84 @@
 }
 
 func (f *Fleet) describePeers(now time.Time) affinity.PeerView {
-	lost := len(f.snapshotAt(now).lost)
 	if f.role.direct {
-		return f.describeDirect(lost, now)
+		return f.describeDirect(now)
 	}
 	view := affinity.PeerView{Current: true}
 	if f.role.hub {
-		view.Floor, view.Current = f.listFloor(ScopeAll, math.MaxInt64, now)
+		view.Floor, view.Current = f.listFloor(ScopeAll, now)
 	} else if p := f.peers[f.role.ownHub]; p != nil && p.report != nil && p.reportedRecently(now) {
 		view.Floor, view.Current = p.report.ListFloor, p.report.AllRecord
 	}
-	view.Complete = view.Floor > 0 && lost == 0
+	view.Complete = view.Floor > 0 && f.allAlive(now)
 	return view
 }
 
+// allAlive reports whether every router that is remembered is alive. Snapshots are too old for that: a
+// router that has just fallen silent would count neither as alive nor as lost.
+func (f *Fleet) allAlive(now time.Time) bool {
+	for _, p := range f.peers {
+		if !p.alive(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // describeDirect describes the other routers of a small fleet, each by its own reports.
-func (f *Fleet) describeDirect(lost int, now time.Time) affinity.PeerView {
-	view := affinity.PeerView{Floor: math.MaxInt64, Complete: lost == 0, Current: true, HeardAt: now}
+func (f *Fleet) describeDirect(now time.Time) affinity.PeerView {
+	view := affinity.PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
 	for _, p := range f.peers {
-		switch {
-		case p.report != nil && p.reportedRecently(now):
-			view.Floor, view.Newest = min(view.Floor, p.report.Instances), max(view.Newest, p.report.Instances)
-			view.Current = view.Current && p.report.RecordsStreams
-		case p.alive(now) || p.presumedAlive(now):
+		if p.report == nil || !p.reportedRecently(now) {
 			view.Complete = false
 			continue
 		}
-		if !p.reportAt.IsZero() && p.reportMadeAt.Before(view.HeardAt) {
+		view.Floor, view.Newest = min(view.Floor, p.report.Instances), max(view.Newest, p.report.Instances)
+		view.Current = view.Current && p.report.RecordsStreams
+		if p.reportMadeAt.Before(view.HeardAt) {
 			view.HeardAt = p.reportMadeAt
 		}
 	}
 	return view
 }
 
-// listFloor returns the lowest revision of the lists of the routers in a scope, own being this
-// router's; 0 while some are not known. record says that all of them record streams.
-func (f *Fleet) listFloor(scope Scope, own int64, now time.Time) (floor int64, record bool) {
-	floor, record = own, true
-	if scope == ScopeAll && len(f.snapshotAt(now).lost) > 0 {
-		floor = 0
+// listFloor returns the lowest revision of the lists of upstreams of the routers in a scope but this one,
+// 0 while some are not known, and whether all of them record streams.
+func (f *Fleet) listFloor(scope Scope, now time.Time) (floor int64, record bool) {
+	floor, record = math.MaxInt64, true
+	var covered map[string]bool
+	if scope == ScopeAll {
+		covered = f.coveredByHubs(now)
 	}
 	for addr, p := range f.peers {
 		switch {
-		case p.report == nil || !p.alive(now):
-		case p.inGroup(now):
+		case p.report != nil && p.inGroup(now):
 			floor, record = min(floor, p.report.Instances), record && p.report.RecordsStreams
-		case scope == ScopeAll && f.role.isHub(addr):
-			groupFloor := p.report.ListFloor
-			if p.report.Scope != ScopeGroup || !p.reportedRecently(now) {
-				groupFloor = 0
-			}
-			floor, record = min(floor, p.report.Instances, groupFloor), record && p.report.AllRecord && p.report.RecordsStreams
+		case scope == ScopeGroup:
+		case f.role.isHub(addr) && p.describesGroup(now):
+			floor, record = min(floor, p.report.Instances, p.report.ListFloor), record && p.report.AllRecord && p.report.RecordsStreams
+		case !covered[addr]:
+			floor = 0
 		}
 	}
 	return floor, record
 }
+
+// coveredByHubs returns the routers that the newest reports of other hubs cover.
+func (f *Fleet) coveredByHubs(now time.Time) map[string]bool {
+	covered := make(map[string]bool)
+	for _, addr := range f.role.hubs {
+		if p := f.peers[addr]; p != nil && p.describesGroup(now) {
+			for _, m := range p.members {
+				covered[m.Member.Peers] = true
+			}
+		}
+	}
+	return covered
+}
+
+// describesGroup reports whether the peer's newest report is that of a hub about its group, and the list
+// of its members is known.
+func (p *peer) describesGroup(now time.Time) bool {
+	return p.report != nil && p.reportedRecently(now) && p.report.Scope == ScopeGroup && p.report.Digest == p.digest
+}
--- a/pkg/fleet/streams_test.go
+++ b/pkg/fleet/streams_test.go
@@ -85,6 +85,34 @@
 	}
 }
 
+// Guards against a router that falls silent with an old list and, for a moment, counts neither as alive nor
+// as lost: the others took its list for known and opened a version that it didn't know.
+func TestASilentRouterIsCoveredAtNoMoment(t *testing.T) {
+	for _, n := range []int{2, 5, 48} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestFleet(n)
+				for _, r := range c.alive() {
+					r.listRevision = 9
+				}
+				behind := c.routers["10.0.0.1:1"]
+				behind.listRevision = 8
+				c.run(2 * time.Second)
+				c.down["10.0.0.1:1"] = true
+				for range 800 {
+					c.run(exchangeInterval / 4)
+					for _, r := range c.alive() {
+						r.fleet.peerViewAt = time.Time{}
+						view := r.fleet.PeerView(time.Now())
+						require.False(t, view.Complete && view.Floor > 8, "%s sees %+v", r.fleet.role.name(), view)
+					}
+					time.Sleep(3 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a fleet in the middle of an upgrade that takes a router which keeps no records for
 // one that does.
 func TestRoutersThatKeepNoRecordsAreNoticed(t *testing.T) {
--- a/pkg/fleet/totals.go
+++ b/pkg/fleet/totals.go
@@ -175,18 +175,22 @@
 	return total
 }
 
-// memberList is a list of routers with its digest, as of one moment.
+// memberList is a list of routers with its digest, as of one moment. floor is the lowest revision of
+// their lists of upstreams, 0 while some are not known; record says that all of them record streams.
 type memberList struct {
 	at     time.Time
 	list   []MemberState
 	digest uint64
+	floor  int64
+	record bool
 }
 
-// membersOf returns the routers of a scope, which must not be changed, and their digest.
-func (f *Fleet) membersOf(scope Scope, self MemberState, now time.Time) ([]MemberState, uint64) {
+// membersOf returns the routers of a scope, which must not be changed. The list and its floor are of the
+// same moment, as a receiver takes the floor for that of all who are listed.
+func (f *Fleet) membersOf(scope Scope, self MemberState, now time.Time) *memberList {
 	cached := &f.memberLists[scope]
 	if age := now.Sub(cached.at); age >= 0 && age < sumMaxAge {
-		return cached.list, cached.digest
+		return cached
 	}
 	list := make([]MemberState, 1, len(cached.list)+1)
 	list[0] = self
@@ -196,5 +200,6 @@
 		}
 	}
 	*cached = memberList{at: now, list: list, digest: digest(list)}
-	return cached.list, cached.digest
+	cached.floor, cached.record = f.listFloor(scope, now)
+	return cached
 }
