Long prompts take turns at engines, booked by a keeper of each zone

Change: pkg/booking, asks for prompts from 0.04 of the longest pause on, hubs as keepers, runs of 0.6 of the pause, holds until the turn.

--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -14,8 +14,9 @@
 	// Step is the time for a token of all its streams, Token that for reading one of a prompt,
 	// and Compared what each token takes besides for each thousand before it.
 	Step, Token, Compared time.Duration
-	// Piece is how many tokens of a prompt are read in a step.
-	Piece int
+	// Piece is how many tokens are read in a step, of one prompt or, if Packed, of as many as fit.
+	Piece  int
+	Packed bool
 	// Event is how many tokens an event of a stream holds.
 	Event int
 	// Keeps is how many tokens of prompts an engine keeps.
@@ -75,17 +76,29 @@
 // step does one step and gives the jobs whose first event or end came with it.
 func (e *engine) step(now time.Duration, began, ended func(*job, time.Duration)) {
 	took := e.model.Step
-	read := e.reading(now)
-	if read != nil {
-		piece := min(e.model.Piece, read.unread)
+	var whole []*job
+	for left := e.model.Piece; left > 0; {
+		read := e.reading(now)
+		if read == nil || len(e.runs)+len(whole) >= e.model.Slots {
+			break
+		}
+		piece := min(left, read.unread)
 		before := read.request.Prompt.Input - read.unread
 		took += time.Duration(piece) * (e.model.Token + e.model.Compared*time.Duration(before)/1000)
 		read.unread -= piece
+		left -= piece
+		if read.unread > 0 {
+			break
+		}
+		e.queue = e.queue[1:]
+		whole = append(whole, read)
+		if !e.model.Packed {
+			break
+		}
 	}
 	e.until = now + e.stretch(took)
 	e.generate(ended)
-	if read != nil && read.unread <= 0 {
-		e.queue = e.queue[1:]
+	for _, read := range whole {
 		e.kept.add(read.request.chain)
 		read.first, read.event = e.until, e.until
 		e.runs = append(e.runs, read)
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/pace"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
@@ -14,6 +15,8 @@
 // Decisions are the mechanisms that are in use.
 type Decisions struct {
 	Speeds, Pauses, Fetch bool
+	// Bookings: long prompts take turns at the engines.
+	Bookings bool
 	// Herds: routers reckon with what others do since their last report.
 	Herds bool
 	// HandOver: a router that has no processor left passes requests on to others.
@@ -42,6 +45,7 @@
 	shares    *placement.Shares
 	book      *pace.Estimator
 	gates     *gates
+	bookings  *booking.Book
 	random    *rand.Rand
 	results   map[string]*Result
 	// overCold is the number of requests to cold engines beyond what those bear.
@@ -64,7 +68,7 @@
 	engineOf := &routing.Engine{Slots: m.Slots, KVCapacity: 1 << 30, EventTokens: m.Event, KVTokenBytes: tokenBytes,
 		LinkBitsPerSecond: tokenBytes * bitsPerByte / m.Copied.Seconds()}
 	w := &world{decisions: d, service: s, model: &m, declared: &routing.Service{Name: "llm", Engine: engineOf},
-		routers: newRouters(s), holdings: placement.NewKVIndex(), shares: placement.NewShares(), book: pace.NewEstimator(),
+		routers: newRouters(s), holdings: placement.NewKVIndex(), shares: placement.NewShares(), book: pace.NewEstimator(), bookings: booking.NewBook(booking.DefaultRunShare),
 		random: rand.New(rand.NewPCG(l.Seed, 2)), results: make(map[string]*Result)}
 	w.gates = newGates(s, w.declared)
 	for i, slow := range s.Slow {
@@ -144,7 +148,7 @@
 	w.sends(at, choice.Candidate.Instance, now)
 	life := choice.Candidate.Instance.Life()
 	w.holdings.RecordUse(life, r.chain, now)
-	j := &job{request: r, left: r.Prompt.MaxOutput, at: r.At}
+	j := &job{request: r, left: r.Prompt.MaxOutput, at: r.At + choice.Hold}
 	j.placed = placed{choice: choice, entry: at.ledger.Begin(life, w.work(r, choice)),
 		reading: w.book.BeginPrefill("llm", life, choice.Wait-choice.Queue, now)}
 	at.inflows.Assign("llm", choice.AddedCost, now)
@@ -192,10 +196,33 @@
 	if w.decisions.Herds {
 		req.Unseen, req.Random = at.inflows.Unseen("llm", now), w.random.Float64()
 	}
+	if w.decisions.Bookings {
+		req.MaxNear = booking.MaxOffers
+	}
 	found := placement.Choose(req, candidates, w.service.Usual)
+	if w.decisions.Bookings && found.OK && booking.IsBooked(found.Choice.Prefill, w.service.MaxPause) {
+		return w.turn(&req, found, now)
+	}
 	return found.Choice, found.OK
 }
 
+// turn has the keeper of all engines book a turn at one of the cheapest.
+func (w *world) turn(req *placement.Request, found placement.Decision, now time.Time) (placement.Choice, bool) {
+	ask := booking.Ask{MaxPauseMs: booking.Millis(w.service.MaxPause), OverShare: req.Limits.OverShare}
+	for _, c := range found.Near {
+		life := c.Candidate.Instance.Life()
+		ask.Offers = append(ask.Offers, booking.Offer{Instance: string(life.ID), Life: life.Start, CostMs: booking.Millis(c.Cost - c.Queue),
+			QueueMs: booking.Millis(c.Queue), MaxWaitMs: booking.Millis(req.Limits.MaxQueue(c)), PrefillMs: booking.Millis(c.Prefill)})
+	}
+	answer := w.bookings.Decide(ask, now)
+	if answer.Offer == booking.None {
+		return found.Choice, !req.Limits.OverShare
+	}
+	choice := found.Near[answer.Offer]
+	choice.Hold = answer.Delay()
+	return choice, true
+}
+
 // send puts a job into its engine's queue, after the copying of what it fetches.
 func (w *world) send(j *job) {
 	e := w.engineOf(j.placed.choice.Candidate.Instance)
--- /dev/null
+++ b/pkg/booking/desk_test.go
@@ -0,0 +1,164 @@
+package booking
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeFleet has the keepers "a" and "b"; "self" is the router that asks.
+type fakeFleet struct {
+	routers []Router
+	asked   []string
+	answer  func(ctx context.Context, addr string) (Answer, error)
+	pending atomic.Int64
+}
+
+func (f *fakeFleet) Keepers(time.Time) ([]Router, string) { return f.routers, "self" }
+
+func (f *fakeFleet) AskKeeper(ctx context.Context, addr string, _ Ask) (Answer, error) {
+	f.pending.Add(1)
+	defer f.pending.Add(-1)
+	f.asked = append(f.asked, addr)
+	return f.answer(ctx, addr)
+}
+
+func two() *fakeFleet {
+	return &fakeFleet{routers: []Router{{"a", "zone"}, {"b", "zone"}},
+		answer: func(context.Context, string) (Answer, error) { return Answer{Offer: 0, DelayMs: 5}, nil }}
+}
+
+const patience = 30 * time.Millisecond
+
+func newDesk(f Fleet) *Desk {
+	return NewDesk(f, NewBook(DefaultRunShare), &log.Logger{Handler: discard.New(), Level: log.InfoLevel})
+}
+
+func TestTheKeeperAnswers(t *testing.T) {
+	f := two()
+	r := newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+	require.True(t, r.Asked)
+	require.Equal(t, Answer{Offer: 0, DelayMs: 5}, r.Answer)
+	require.Equal(t, []string{r.Keeper}, f.asked)
+}
+
+func TestARouterThatKeepsTheCalendarsAsksNobody(t *testing.T) {
+	f := two()
+	f.routers = []Router{{"self", "zone"}}
+	require.Equal(t, Result{Answer: Answer{Offer: 0}, Asked: true, Keeper: "self"}, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
+	require.Empty(t, f.asked)
+}
+
+func TestWithoutKeepersNothingIsBooked(t *testing.T) {
+	f := two()
+	f.routers = nil
+	require.Equal(t, Result{}, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
+}
+
+// Guards against requests that wait for a keeper which was killed, frozen or cut off.
+func TestASilentKeeperDelaysNobodyForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		f.answer = func(ctx context.Context, _ string) (Answer, error) {
+			<-ctx.Done()
+			return Answer{}, ctx.Err()
+		}
+		d := newDesk(f)
+		began := time.Now()
+		first := d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+		require.False(t, first.Asked)
+		require.Equal(t, patience, time.Since(began))
+		second := d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+		require.NotEqual(t, first.Keeper, second.Keeper, "the other router takes its place")
+		require.Equal(t, Result{}, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience), "both are avoided")
+		time.Sleep(avoidFor)
+		require.Equal(t, first.Keeper, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper, "it is tried again")
+		time.Sleep(askTimeout)
+		synctest.Wait()
+		require.Zero(t, f.pending.Load(), "no ask is left")
+	})
+}
+
+// Guards against a late answer that cancels its exchange, as that closes the connection to the keeper.
+func TestALateAnswerIsNotCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		var ended error
+		f.answer = func(ctx context.Context, _ string) (Answer, error) {
+			time.Sleep(2 * patience)
+			ended = ctx.Err()
+			return Answer{Offer: 0}, nil
+		}
+		require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
+		time.Sleep(2 * patience)
+		synctest.Wait()
+		require.NoError(t, ended)
+	})
+}
+
+// Guards against a router of the build before, or a faulty one, whose answer names an engine that wasn't offered.
+func TestAnswersThatMakeNoSenseCountAsNone(t *testing.T) {
+	for _, answer := range []Answer{{Offer: 1}, {Offer: -2}, {Offer: 0, DelayMs: -1}, {Offer: 0, DelayMs: maxMs + 1}} {
+		f := two()
+		f.answer = func(context.Context, string) (Answer, error) { return answer, nil }
+		require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked, "%+v", answer)
+	}
+	f := two()
+	f.answer = func(context.Context, string) (Answer, error) { return Answer{}, errors.New("404 Not Found") }
+	require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
+}
+
+// Guards against a keeper that is avoided although it was the caller who left.
+func TestACallerThatLeavesBlamesNoKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		f.answer = func(context.Context, string) (Answer, error) {
+			time.Sleep(patience)
+			return Answer{Offer: 0}, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDesk(f)
+		time.AfterFunc(time.Millisecond, cancel)
+		require.False(t, d.Book(ctx, "zone", ask(engine("e", 0, 50)), patience).Asked)
+		require.Empty(t, d.avoided)
+		time.Sleep(patience)
+	})
+}
+
+// Guards against slow keepers that gather more and more asks.
+func TestAsksUnderWayAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		f.answer = func(ctx context.Context, _ string) (Answer, error) {
+			<-ctx.Done()
+			return Answer{}, ctx.Err()
+		}
+		d := newDesk(f)
+		d.pending = maxPending
+		began := time.Now()
+		require.False(t, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
+		require.Zero(t, time.Since(began), "nobody waits")
+		require.Empty(t, d.avoided)
+	})
+}
+
+func TestStatsCountWhatBecameOfAsks(t *testing.T) {
+	f := two()
+	d := newDesk(f)
+	d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+	f.answer = func(context.Context, string) (Answer, error) { return Answer{Offer: None}, nil }
+	d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+	f.routers = nil
+	d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+	s := d.Stats()
+	require.Equal(t, []int64{0, 1, 1, 0, 1}, []int64{s.AtOnce, s.Later, s.NoRoom, s.Unanswered, s.Unasked})
+	require.Equal(t, 5*time.Millisecond, s.Delayed)
+	require.EqualValues(t, 3, s.Asks())
+}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -115,6 +116,10 @@
 
 func (r *router) Catalog(CatalogRequest) CatalogUpdate { return CatalogUpdate{Revision: 3} }
 
+func (r *router) Book(booking.Ask) booking.Answer {
+	return booking.Answer{Offer: booking.None, DelayMs: 7}
+}
+
 var discardLog = &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 
 func newRouter(t *testing.T, name string, secret []byte) *router {
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -26,6 +27,8 @@
 	MergeSoftware(s affinity.Statement, createdAt time.Time)
 	// Stream answers another router's question for the version of a stream.
 	Stream(q affinity.Question) affinity.Reply
+	// Book answers another router's ask for a turn at an engine.
+	Book(a booking.Ask) booking.Answer
 	// Founded reports that the fleet first started with this router.
 	Founded()
 	// Suspects returns the suspicions that requests crash upstreams which changed after a number, oldest
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -20,6 +20,7 @@
 	r.HandleFunc(SecretPath, f.serveSecret).Methods(http.MethodGet)
 	r.HandleFunc(CatalogPath, f.serveCatalog).Methods(http.MethodPost)
 	r.HandleFunc(StreamPath, f.serveStream).Methods(http.MethodPost)
+	r.HandleFunc(BookingPath, f.serveBooking).Methods(http.MethodPost)
 	return r
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -34,6 +35,7 @@
 	quarantine  *quarantine.Book
 	lostRuns    *quarantine.Watch
 	streams     *affinity.Tracker
+	bookings    *booking.Desk
 	peers       Peers
 	// callTimes estimates how long calls without a prompt take.
 	callTimes          pace.CallTimes
@@ -81,7 +83,9 @@
 	Quarantine *quarantine.Book
 	// Streams knows at which software version streams began.
 	Streams *affinity.Tracker
-	Peers   Peers
+	// Bookings asks for turns at the engines; nil for none.
+	Bookings *booking.Desk
+	Peers    Peers
 	// ConnectionPressure reports whether the router is short of connections or CPU, so that callers'
 	// connections should not be kept alive.
 	ConnectionPressure func() bool
@@ -99,7 +103,7 @@
 func New(s Settings, d Dependencies) *Gateway {
 	g := &Gateway{
 		catalog: d.Catalog, dialect: d.Dialect, pools: d.Pools, health: d.Health,
-		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, lostRuns: quarantine.NewWatch(), streams: d.Streams, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
+		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, lostRuns: quarantine.NewWatch(), streams: d.Streams, bookings: d.Bookings, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
 		metrics:     newRequestMetrics(d.Metrics),
 		retryBudget: new(placement.RetryBudget),
 
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -23,6 +23,8 @@
 	UncachedTokens int    `json:"unread_tokens"`
 	CachedTokens   int    `json:"kept_tokens"`
 	SharedTokens   int    `json:"shared_tokens"`
+	// HeldMs is how long the request waited for its turn before it was sent.
+	HeldMs int64 `json:"held_ms,omitempty"`
 	// UnseenMs is the work, in milliseconds, that other routers are estimated to have assigned to all
 	// instances of the service since they reported their loads.
 	UnseenMs int64 `json:"unseen_ms,omitempty"`
@@ -72,6 +74,8 @@
 	MaxWaitMs  int64   `json:"limit_ms"`
 	MaxQueueMs int64   `json:"queue_limit_ms"`
 	Occupancy  float64 `json:"occupancy,omitempty"`
+	// Keeper is the router that was asked for a turn at an engine.
+	Keeper string `json:"keeper,omitempty"`
 	// AdmittedFraction is the fraction of the requests over their fair share that there was room for.
 	AdmittedFraction float64 `json:"part,omitempty"`
 }
--- a/pkg/gateway/mechanisms.go
+++ b/pkg/gateway/mechanisms.go
@@ -8,6 +8,8 @@
 	Speeds bool
 	// Pauses: long prompts are placed so that they make few other streams late.
 	Pauses bool
+	// Bookings: long prompts take turns at the engines.
+	Bookings bool
 	// Fetch: cached prefixes are fetched from other engines instead of being recomputed.
 	Fetch bool
 	// Yield: organisations over their fair share are refused at shorter queues.
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/shedding"
@@ -39,11 +40,17 @@
 	if !g.settings.Load().Disabled.Herds {
 		req.Unseen, req.Random = g.inflows.Unseen(r.service.Name, now), rand.Float64()
 	}
+	if g.takesTurns(r) {
+		req.MaxNear = booking.MaxOffers
+	}
 	found := placement.Choose(req, candidates, g.speedFor(r))
 	r.logRecord.placement.recordLimits(req, found)
 	if !found.OK {
 		return placement.Choice{}, errUpstreamsFull(shedding.RetryAfter(found, req.Limits, rand.Float64()))
 	}
+	if req.MaxNear > 0 {
+		return g.book(r, &req, found)
+	}
 	return found.Choice, nil
 }
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -47,7 +47,11 @@
 			return
 		}
 		r.bindCancellation(g.disconnects)
-		last = g.attempt(r, choice, now)
+		if !r.hold(choice.Hold) {
+			g.endExpired(r)
+			return
+		}
+		last = g.attempt(r, choice, time.Now())
 		if last.done {
 			return
 		}
@@ -148,7 +152,7 @@
 	r.logRecord.attempts = append(r.logRecord.attempts, attemptRecord{
 		Instance: inst.ID, Software: inst.Software, OffsetMs: now.Sub(r.start).Milliseconds(), ExpectedWaitMs: choice.Wait.Milliseconds(),
 		Running: choice.Candidate.Load.Running, UncachedTokens: choice.UncachedTokens, CachedTokens: choice.Candidate.Cached, FetchedTokens: choice.FetchedTokens, Risk: math.Round(choice.Risk*100) / 100,
-		SharedTokens: sharedTokens(r), UnseenMs: choice.Unseen.Assigned.Milliseconds(), started: now,
+		SharedTokens: sharedTokens(r), HeldMs: choice.Hold.Milliseconds(), UnseenMs: choice.Unseen.Assigned.Milliseconds(), started: now,
 	})
 	rec := &r.logRecord.attempts[len(r.logRecord.attempts)-1]
 	rec.setBasis(g.catalog.Basis(inst.ID, now))
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -44,6 +44,12 @@
 	return &taggedCounters{scope: scope, metric: "suspicions", firstTag: "step", secondTag: "subject"}
 }
 
+// newBookingCounters returns counters of asks for turns at engines, by what came of them and by the
+// standing of the organisation.
+func newBookingCounters(scope tally.Scope) *taggedCounters {
+	return &taggedCounters{scope: scope, metric: "bookings", firstTag: "outcome", secondTag: "share"}
+}
+
 func (t *taggedCounters) count(first, second string) { t.counter(tagValues{first, second}).Inc(1) }
 
 func (t *taggedCounters) counter(key tagValues) tally.Counter {
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -41,6 +41,7 @@
 	require(s.Warmup.Over >= 0 && s.Warmup.Slack >= 0, "warmup: over and slack must not be negative")
 	require(s.Leaving.GraceSeconds > 0, "leaving.graceSeconds must be positive")
 	require(s.Engines.PrefillTokensPerMs > 0, "engines.prefillTokensPerMs must be positive")
+	require(s.Bookings.RunShare >= 0 && s.Bookings.RunShare <= 1, "bookings.runShare must be between 0 and 1")
 	require(s.Entries.KeepSeconds > 0, "entries.keepSeconds must be positive")
 	for _, name := range s.Trial.Off {
 		require(mechanism(new(gateway.DisabledMechanisms), name) != nil, "trial.off: %q is not a known mechanism", name)
--- a/pkg/gatewayd/gatewaysettings.go
+++ b/pkg/gatewayd/gatewaysettings.go
@@ -7,12 +7,14 @@
 const softMemoryShare = 0.7
 
 func gatewaySettings(s Settings) gateway.Settings {
+	disabled := s.Trial.disabled()
+	disabled.Bookings = disabled.Bookings || s.Bookings.RunShare == 0
 	return gateway.Settings{
 		Router: s.Router.Name, Zone: s.Router.Zone,
 		PrefillTokensPerMs: s.Engines.PrefillTokensPerMs,
 		FirstEvent:         millis(s.Engines.FirstEventMs),
 		SlotTurn:           millis(s.Engines.SlotTurnMs),
-		Disabled:           s.Trial.disabled(),
+		Disabled:           disabled,
 		Cores:              s.Limits.Cores, MaxEventDelay: millis(s.Streams.EventDelayMs),
 		RetryRatio: s.Repeats.Ratio, RetrySlack: s.Repeats.Slack,
 		RetryWindow: seconds(s.Repeats.WindowSeconds),
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -18,11 +18,13 @@
 		case now := <-tick.C:
 			p.streams.Observe(now)
 			p.prefixIndex.Prune(now)
+			p.bookings.Prune(now)
 			p.health.Prune(p.catalog.Instances())
 			p.local.loads.Prune(p.catalog.Instances())
 			p.fleet.Membership(now) // detects when this router sees little of its fleet
 			p.logDrops.report()
 			p.storeCalls.report()
+			p.bookingStats.report()
 			p.linkUsage.report()
 			p.rowFaults.report()
 			p.held.report()
--- a/pkg/gatewayd/localstate.go
+++ b/pkg/gatewayd/localstate.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
@@ -27,6 +28,7 @@
 	estimator   *pace.Estimator
 	quarantine  *quarantine.Book
 	streams     *affinity.Tracker
+	bookings    *booking.Book
 	// demand is nil where connections aren't counted.
 	demand     *demand
 	ready      func() bool
@@ -135,6 +137,9 @@
 	return ls.streams.Reply(q, time.Now())
 }
 
+// Book answers another router's ask for a turn at an engine.
+func (ls *localState) Book(a booking.Ask) booking.Answer { return ls.bookings.Decide(a, time.Now()) }
+
 // Founded records that the fleet first started with this router.
 func (ls *localState) Founded() { ls.streams.MarkFounded() }
 
--- a/pkg/gatewayd/logs_test.go
+++ b/pkg/gatewayd/logs_test.go
@@ -20,7 +20,7 @@
 // that no code writes.
 func TestPageNamesEveryEvent(t *testing.T) {
 	code := make(map[string]bool)
-	for _, dir := range []string{"../affinity", "../catalog", "../fleet", "../gateway", "../reload", "../status", "../warmup", ".", "../../platform", "../../cmd/flamingowind-gateway"} {
+	for _, dir := range []string{"../affinity", "../booking", "../catalog", "../fleet", "../gateway", "../reload", "../status", "../warmup", ".", "../../platform", "../../cmd/flamingowind-gateway"} {
 		require.NoError(t, filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -13,6 +13,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/admission"
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -71,6 +72,8 @@
 	local        *localState
 	fleet        *fleet.Fleet
 	streams      *affinity.Tracker
+	bookings     *booking.Desk
+	bookingStats bookingStats
 	exchange     *fleet.Exchanger
 	// peerTraffic counts the traffic on connections that other routers open.
 	peerTraffic traffic.Meter
@@ -119,6 +122,9 @@
 	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, time.Now(), l)
 	p.local.streams = p.streams
 	p.streams.SetLeaveLimit(millis(s.Streams.LeavingUpstreamMs))
+	p.local.bookings = booking.NewBook(s.Bookings.RunShare)
+	p.bookings = booking.NewDesk(bookingFleet{p.fleet, p.exchange}, p.local.bookings, l)
+	p.bookingStats = bookingStats{desk: p.bookings, book: p.local.bookings, log: l}
 	p.logDrops = logDrops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
 	p.linkUsage = linkUsage{scope: p.metrics.Scope, log: l}
 	p.linkUsage.watch("upstreams", p.pools.Traffic)
@@ -145,7 +151,7 @@
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, storeDuties{ranking: p.fleet, joined: p.joiner.Settled}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
-		Loads: loads, PrefixIndex: p.prefixIndex, Shares: shares, Inflows: inflows, Estimator: estimator, Warmup: p.warmup, Quarantine: suspects, Streams: p.streams, Peers: p.fleet, Log: l,
+		Loads: loads, PrefixIndex: p.prefixIndex, Shares: shares, Inflows: inflows, Estimator: estimator, Warmup: p.warmup, Quarantine: suspects, Streams: p.streams, Bookings: p.bookings, Peers: p.fleet, Log: l,
 		ConnectionPressure: func() bool { return p.conns.overLimit() || p.cpu.starved() || p.callerLink.Busy(time.Now()) }, Overloaded: p.overloaded, CPUStarved: p.cpu.starved, Metrics: p.metrics.Scope,
 	})
 	p.addKnownPeers(s.Entries.Known)
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -33,6 +33,7 @@
 	p.settings.Store(&s)
 	p.gateway.UpdateSettings(gatewaySettings(s))
 	p.updateWarmup(s)
+	p.local.bookings.SetRunShare(s.Bookings.RunShare)
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
 	p.addKnownPeers(s.Entries.Known)
 	if s.Store.Addr != old.Store.Addr && p.setStoreAddr != nil {
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
@@ -39,7 +40,7 @@
 	s := DefaultSettings()
 	s.Router.Name, s.Store.Addr = "r", "127.0.0.1:1"
 	s.Listen = ListenSettings{Callers: "127.0.0.1:2", Readiness: "127.0.0.1:3", Peers: "127.0.0.1:4", Entries: "127.0.0.1:5"}
-	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(),
+	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(), local: &localState{bookings: booking.NewBook(booking.DefaultRunShare)},
 		setStoreAddr: func(addr string) { r.store.Store(addr) }}
 	r.settings.Store(&s)
 	r.fleet = fleet.New(member(s), nil, l)
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/booking"
 )
 
 // Settings are a gateway's start-up settings.
@@ -21,6 +23,7 @@
 	Warmup    WarmupSettings    `yaml:"warmup"`
 	Streams   StreamSettings    `yaml:"streams"`
 	Engines   EngineSettings    `yaml:"engines"`
+	Bookings  BookingSettings   `yaml:"bookings"`
 	Log       LogSettings       `yaml:"log"`
 	Entries   EntrySettings     `yaml:"entries"`
 	Trial     TrialSettings     `yaml:"trial"`
@@ -118,6 +121,14 @@
 	SlotTurnMs         float64 `yaml:"slotTurnMs"`
 }
 
+// BookingSettings configure how long prompts take turns at engines whose streams may not pause for
+// long.
+type BookingSettings struct {
+	// RunShare is the part of the longest pause for which booked prompts are prefilled back to back;
+	// 0 to book none.
+	RunShare float64 `yaml:"runShare"`
+}
+
 // LogSettings configure the log.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -140,9 +151,10 @@
 		Repeats: RepeatSettings{Ratio: 0.2, WindowSeconds: 10},
 		Leaving: LeavingSettings{GraceSeconds: 8},
 		// Typical engines prefill 82 to 85 tokens a millisecond, less while they also generate.
-		Engines: EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
-		Log:     LogSettings{Level: "info"},
-		Entries: EntrySettings{KeepSeconds: 1},
+		Engines:  EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
+		Bookings: BookingSettings{RunShare: booking.DefaultRunShare},
+		Log:      LogSettings{Level: "info"},
+		Entries:  EntrySettings{KeepSeconds: 1},
 	}
 }
 
--- a/pkg/gatewayd/settings_test.go
+++ b/pkg/gatewayd/settings_test.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"math"
 	"os"
 	"reflect"
 	"strings"
@@ -46,6 +47,8 @@
 		"limits.keptConnections": func(s *Settings) { s.Limits.KeptConnections = 0 },
 		"repeats.windowSeconds":  func(s *Settings) { s.Repeats.WindowSeconds = 0 },
 		"leaving.graceSeconds":   func(s *Settings) { s.Leaving.GraceSeconds = 0 },
+		"bookings.runShare":      func(s *Settings) { s.Bookings.RunShare = math.NaN() },
+		"runShare must be":       func(s *Settings) { s.Bookings.RunShare = 1.1 },
 		"entries.keepSeconds":    func(s *Settings) { s.Entries.KeepSeconds = 0 },
 		"log.level":              func(s *Settings) { s.Log.Level = "loud" },
 	} {
--- a/pkg/gatewayd/status.go
+++ b/pkg/gatewayd/status.go
@@ -23,6 +23,7 @@
 	}
 	current.Software, current.Streams = p.software(now), p.streams.Records()
 	current.Suspects = suspects(p.local.quarantine)
+	current.Bookings = p.bookingStats.status()
 	current.Faults = p.rowFaults.total()
 	if p.logDrops.count != nil {
 		current.LinesDropped = p.logDrops.count()
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -50,6 +50,8 @@
 	// random number in [0, 1) that spreads the choices of many routers.
 	Unseen Unseen
 	Random float64
+	// MaxNear is the number of choices that Choose returns besides the chosen one.
+	MaxNear int
 }
 
 // Choice is an instance and the estimates for the request there.
@@ -63,6 +65,8 @@
 	PrefillTokens  int
 	// Base is the time to the first event without a queue on an engine of the usual speed.
 	Base time.Duration
+	// Prefill is the time that the instance needs for the prompt's prefill.
+	Prefill time.Duration
 	// FetchFrom is the engine from which FetchedTokens are fetched; nil for none.
 	FetchFrom     *upstream.Instance
 	FetchedTokens int
@@ -79,6 +83,9 @@
 	AddedCost time.Duration
 	// Unseen is that of the request.
 	Unseen Unseen
+	// Hold is the time to wait before the request is sent, so that the instance's streams get a
+	// break.
+	Hold time.Duration
 
 	// recompute is the prefill time of the tokens that another candidate has cached, as the reserve
 	// counts it.
@@ -88,6 +95,9 @@
 // Decision is the result of Choose.
 type Decision struct {
 	Choice Choice
+	// Near are the cheapest choices within the request's limits in the availability zone of Choice,
+	// Request.MaxNear at most.
+	Near []Choice
 	// OK is false when the request is refused.
 	OK bool
 	// ShortestWait is the shortest expected wait of all candidates, ShortestQueue their shortest
@@ -144,6 +154,7 @@
 	}
 	d.Choice, d.OK = s.fitting[pick(s.fitting, level, random)], true
 	d.Choice.AddedCost, d.Choice.Unseen = addedCost(req, d.Choice, speed), req.Unseen
+	d.Near = req.near(s.fitting, d.Choice, speed)
 	return d
 }
 
@@ -189,6 +200,7 @@
 	choice := Choice{Candidate: c, Queue: engineQueue(req, c, speed)}
 	transfer, recomputeCost := choice.planPrefill(req, holders, speed)
 	prefill := c.slowed(speed.prefillTime(choice.PrefillTokens))
+	choice.Prefill = prefill
 	choice.Base = transfer + speed.FirstEvent + speed.prefillTime(choice.PrefillTokens)
 	choice.Wait = choice.Queue + transfer + speed.FirstEvent + prefill
 	choice.Risk = req.risk(prefill)
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -28,6 +28,8 @@
 	Streams  int        `json:"streams"`
 	// Suspects are requests and parts of prompts under which upstreams crashed, the refused ones first.
 	Suspects []Suspect `json:"suspects"`
+	// Bookings are the turns at engines.
+	Bookings Bookings `json:"bookings"`
 	// Faults counts the changes of the store's rows to ones that can't be used.
 	Faults int64 `json:"faults"`
 	// LinesDropped counts log lines that nobody read in time.
