Callers that are refused unread return while their objective holds

Ruled out: handing over more (it takes more processor than refusing) and booking returns (who returns isn't known before it is read).

--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/flamingowind/flamingowind/internal/nowait"
+	"github.com/flamingowind/flamingowind/pkg/returntime"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 )
 
@@ -56,6 +57,8 @@
 	// response.
 	admittedCount atomic.Int64
 	closedCount   atomic.Int64
+	// objective returns the shortest objective of the requests that arrive; 0 while it isn't known.
+	objective func() time.Duration
 	// link is nil when its speed isn't known, isClosed is set once the listener is closed.
 	link     *Link
 	isClosed atomic.Bool
@@ -78,10 +81,18 @@
 	l.rounds.size = initialRoundSize
 	l.refuser.budget, l.refuser.processCPU, l.refuser.threadCPU = newRefusalBudget(cores), nowait.ProcessorTime, nowait.ThreadTime
 	l.refuser.meter = &l.meter
-	l.refuser.refusal = func(now time.Time) []byte { return refusal(l.arrivals.retryAfter(now)) }
+	l.objective = func() time.Duration { return 0 }
+	l.refuser.refusal = func(now time.Time) []byte {
+		return refusal(returntime.Within(l.objective(), l.arrivals.retryAfter(now)))
+	}
 	return l, nil
 }
 
+// SetObjective sets the function that returns the shortest objective of the requests that arrive: a
+// caller that is refused unread is told to return within it. It must be called before the first
+// Accept.
+func (l *Listener) SetObjective(objective func() time.Duration) { l.objective = objective }
+
 // Accept returns the next admitted connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/pkg/gatewayd/handover.go
+++ b/pkg/gatewayd/handover.go
@@ -49,6 +49,7 @@
 		return errors.Trace(err)
 	}
 	inbound.SetLink(p.callerLink)
+	inbound.SetObjective(p.shortestObjective)
 	p.callerTraffic = append(p.callerTraffic, inbound.Traffic, p.handover.Traffic)
 	p.linkUsage.watch("handover", inbound.Traffic)
 	p.linkUsage.watch("handover", p.handover.Traffic)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -223,6 +223,7 @@
 	p.callerLink = admission.NewLink(limits.LinkMbps, p.bytesFromCallers)
 	p.callerTraffic = append(p.callerTraffic, l.Traffic)
 	l.SetLink(p.callerLink)
+	l.SetObjective(p.shortestObjective)
 	callers := newEndpoint(callersEndpoint, l, p.gateway)
 	callers.server.ConnState = p.conns.observe
 	callers.server.ConnContext = gateway.WithConn
@@ -290,6 +291,15 @@
 	}
 }
 
+// shortestObjective returns the shortest objective of streams; 0 without a configuration.
+func (p *Process) shortestObjective() time.Duration {
+	table := p.catalog.Table()
+	if table == nil {
+		return 0
+	}
+	return table.ShortestStreamObjective()
+}
+
 // capacity returns the declared capacity of all engines together, in tokens a second; 0 without a
 // configuration.
 func (p *Process) capacity() float64 {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -17,6 +17,8 @@
 	// of them has none.
 	longestStream    time.Duration
 	openEndedStreams bool
+	// shortestObjective is the shortest objective of the routes that carry streams; 0 without one.
+	shortestObjective time.Duration
 }
 
 // NewTable indexes c, which must not change afterwards.
@@ -34,6 +36,7 @@
 		t.byHost[host] = append(t.byHost[host], r)
 		t.addMaxPause(r)
 		t.addStreamTimeout(r)
+		t.addStreamObjective(r)
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -93,6 +96,17 @@
 	}
 }
 
+// addStreamObjective records the objective of a route that carries streams.
+func (t *Table) addStreamObjective(r *Route) {
+	if r.Kind == Stream && r.Objective > 0 && (t.shortestObjective == 0 || r.Objective < t.shortestObjective) {
+		t.shortestObjective = r.Objective
+	}
+}
+
+// ShortestStreamObjective returns the shortest objective of the routes that carry streams; 0 without
+// one.
+func (t *Table) ShortestStreamObjective() time.Duration { return t.shortestObjective }
+
 // LongestStream returns the longest timeout of the routes that carry streams; for one without a timeout
 // it is otherwise.
 func (t *Table) LongestStream(otherwise time.Duration) time.Duration {
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -39,6 +40,15 @@
 	require.True(t, table().HasOrganisations())
 }
 
+func TestShortestStreamObjective(t *testing.T) {
+	require.Zero(t, table().ShortestStreamObjective())
+	c := &Config{Routes: []Route{
+		{Name: "call", Kind: Idempotent, Objective: time.Millisecond}, {Name: "open", Kind: Stream},
+		{Name: "long", Kind: Stream, Objective: time.Second}, {Name: "short", Kind: Stream, Objective: 600 * time.Millisecond},
+	}}
+	require.Equal(t, 600*time.Millisecond, NewTable(c).ShortestStreamObjective())
+}
+
 func TestPickFollowsWeights(t *testing.T) {
 	r := &Route{Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
 	require.Equal(t, "a", r.Pick(0))
