--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -204,10 +204,10 @@
 		req.Unseen, req.Random = at.inflows.Unseen("llm", now), w.random.Float64()
 	}
 	if w.decisions.Bookings {
-		req.MaxNear = booking.MaxOffers
+		req.MaxNear, req.NearFrom = booking.MaxOffers, booking.MinPrefill(w.service.MaxPause)
 	}
 	found := placement.Choose(req, candidates, w.service.Usual)
-	if w.decisions.Bookings && found.OK && booking.IsBooked(found.Choice.Prefill, w.service.MaxPause) {
+	if len(found.Near) > 0 {
 		return w.turn(&req, found, now)
 	}
 	return found.Choice, found.OK
--- a/pkg/booking/limits.go
+++ b/pkg/booking/limits.go
@@ -33,8 +33,8 @@
 	return l
 }
 
-// IsBooked reports whether a prompt that is prefilled for that long is booked at engines whose
-// streams may pause for maxPause; 0 where they may pause for any time.
-func IsBooked(prefill, maxPause time.Duration) bool {
-	return maxPause > 0 && float64(prefill) >= minPrefillShare*float64(maxPause)
+// MinPrefill returns the time for its prefill from which on a prompt is booked at engines whose
+// streams may pause for maxPause.
+func MinPrefill(maxPause time.Duration) time.Duration {
+	return time.Duration(minPrefillShare * float64(maxPause))
 }
--- a/pkg/gateway/booking.go
+++ b/pkg/gateway/booking.go
@@ -23,9 +23,6 @@
 // book asks for a turn at one of the engines that are nearly as cheap as the chosen one.
 func (g *Gateway) book(r *request, req *placement.Request, found placement.Decision) (placement.Choice, *verdict.Error) {
 	maxPause := g.catalog.Table().MaxPause(r.service.Name)
-	if !booking.IsBooked(found.Choice.Prefill, maxPause) {
-		return found.Choice, nil
-	}
 	ask := booking.Ask{MaxPauseMs: booking.Millis(maxPause), OverShare: req.Limits.OverShare, Offers: make([]booking.Offer, 0, len(found.Near))}
 	for i := range found.Near {
 		ask.Offers = append(ask.Offers, offer(&req.Limits, found.Near[i]))
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -42,14 +42,14 @@
 		req.Unseen, req.Random = g.inflows.Unseen(r.service.Name, now), rand.Float64()
 	}
 	if g.takesTurns(r) {
-		req.MaxNear = booking.MaxOffers
+		req.MaxNear, req.NearFrom = booking.MaxOffers, booking.MinPrefill(g.catalog.Table().MaxPause(r.service.Name))
 	}
 	found := placement.Choose(req, candidates, g.speedFor(r))
 	r.logRecord.placement.recordLimits(req, found)
 	if !found.OK {
 		return placement.Choice{}, errUpstreamsFull(shedding.RetryAfter(found, req.Limits, rand.Float64()))
 	}
-	if req.MaxNear > 0 {
+	if len(found.Near) > 0 {
 		return g.book(r, &req, found)
 	}
 	return found.Choice, nil
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -50,8 +50,10 @@
 	// random number in [0, 1) that spreads the choices of many routers.
 	Unseen Unseen
 	Random float64
-	// MaxNear is the number of choices that Choose returns besides the chosen one.
-	MaxNear int
+	// MaxNear is the number of choices that Choose returns besides the chosen one, if its prefill
+	// takes NearFrom or longer.
+	MaxNear  int
+	NearFrom time.Duration
 }
 
 // Choice is an instance and the estimates for the request there.
--- a/pkg/placement/near.go
+++ b/pkg/placement/near.go
@@ -8,7 +8,7 @@
 
 // near returns the cheapest of the fitting choices in the zone of chosen.
 func (r *Request) near(fitting []Choice, chosen Choice, speed Speed) []Choice {
-	if r.MaxNear <= 0 {
+	if r.MaxNear <= 0 || chosen.Prefill < r.NearFrom {
 		return nil
 	}
 	list := make([]Choice, 0, len(fitting))
