Turns: nothing fills a break, holds count as work, keepers aren't blamed for others' faults

Found by a review: a prompt that joined a run still to begin was sent at once into the break before it (delays 0, 0, 250, 0, 0 ms where 250 ms is due); a replay that queued held prompts at the engine hid it; held requests were unseen by their own router; an answer that came while this router was late, a route with no or a short objective and an ask that makes no sense made keepers avoided or refused callers; a keeper with turns switched off made others' prompts wait for each other. Ruled out: a race in the product code (one in a test's fake, mended). The replay sends held prompts when their turn comes.

--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -29,6 +29,8 @@
 type job struct {
 	request *Request
 	placed  placed
+	// sent is when it is sent to the engine.
+	sent time.Duration
 	// unread are the prompt's tokens that are still to be read, at is when it may begin.
 	unread int
 	at     time.Duration
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -1,7 +1,9 @@
 package replay
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/booking"
@@ -50,7 +52,9 @@
 	gates     *gates
 	bookings  *booking.Book
 	random    *rand.Rand
-	results   map[string]*Result
+	// held are jobs that wait for their turn, the earliest first.
+	held    []*job
+	results map[string]*Result
 	// overCold is the number of requests to cold engines beyond what those bear.
 	overCold int
 }
@@ -80,8 +84,11 @@
 	w.release(s.Releases)
 	w.gates.follow(w.engines)
 	requests := l.requests()
-	for len(requests) > 0 || w.busy() {
+	for len(requests) > 0 || len(w.held) > 0 || w.busy() {
 		e := w.next()
+		if w.sendsHeld(requests, e) {
+			continue
+		}
 		if len(requests) > 0 && (e == nil || requests[0].At <= e.until) {
 			w.arrive(requests[0])
 			requests = requests[1:]
@@ -149,15 +156,37 @@
 	}
 	w.shares.AddGot(r.Organisation, r.Prompt.Size(), now)
 	w.sends(at, choice.Candidate.Instance, now)
-	life := choice.Candidate.Instance.Life()
-	w.holdings.RecordUse(life, r.chain, now)
-	j := &job{request: r, left: r.Prompt.MaxOutput, at: r.At + choice.Hold}
-	j.placed = placed{choice: choice, entry: at.ledger.Begin(life, w.work(r, choice)),
-		reading: w.book.BeginPrefill("llm", life, choice.Wait-choice.Queue, now)}
+	j := &job{request: r, left: r.Prompt.MaxOutput, at: r.At + choice.Hold, sent: r.At + choice.Hold}
+	j.placed = placed{choice: choice, entry: at.ledger.Begin(choice.Candidate.Instance.Life(), w.work(r, choice))}
 	at.inflows.Assign("llm", choice.AddedCost, now)
+	if choice.Hold > 0 {
+		w.hold(j)
+		return
+	}
 	w.send(j)
 }
 
+// hold keeps a job until its turn.
+func (w *world) hold(j *job) {
+	i, _ := slices.BinarySearchFunc(w.held, j, func(a, b *job) int { return cmp.Compare(a.sent, b.sent) })
+	w.held = slices.Insert(w.held, i, j)
+}
+
+// sendsHeld sends the first job that is held, if its turn comes before the next request and the next
+// step of engine e.
+func (w *world) sendsHeld(requests []*Request, e *engine) bool {
+	if len(w.held) == 0 {
+		return false
+	}
+	j := w.held[0]
+	if len(requests) > 0 && requests[0].At < j.sent || e != nil && e.until < j.sent {
+		return false
+	}
+	w.held = w.held[1:]
+	w.send(j)
+	return true
+}
+
 func (w *world) work(r *Request, c placement.Choice) placement.Work {
 	return placement.Work{Prompt: r.Prompt, PrefillTokens: c.PrefillTokens, PauseWeight: w.fragile(r), LongPrompt: c.IsLongPrompt()}
 }
@@ -234,6 +263,9 @@
 func (w *world) send(j *job) {
 	e := w.engineOf(j.placed.choice.Candidate.Instance)
 	r := j.request
+	life, now := e.instance.Life(), epoch.Add(j.sent)
+	w.holdings.RecordUse(life, r.chain, now)
+	j.placed.reading = w.book.BeginPrefill("llm", life, j.placed.choice.Wait-j.placed.choice.Queue, now)
 	kept := e.kept.tokens(r.chain)
 	if holder := j.placed.choice.FetchFrom; holder != nil {
 		fetched := w.engineOf(holder).kept.tokens(r.chain)
@@ -243,7 +275,7 @@
 	w.result(r.Organisation).Again += max(0, w.keptAnywhere(r)-kept)
 	j.unread = r.Prompt.Input - kept
 	if len(e.queue)+len(e.runs) == 0 {
-		e.until = max(e.until, r.At)
+		e.until = max(e.until, j.sent)
 	}
 	e.queue = append(e.queue, j)
 }
@@ -274,7 +306,7 @@
 	life := p.choice.Candidate.Instance.Life()
 	w.holdings.Confirm(life, j.request.chain)
 	w.book.Observe(pace.Sample{Service: "llm", Life: life, Context: j.request.Prompt.Input, Base: p.choice.Base,
-		Queue: p.choice.Queue, Measured: at - j.request.At}, now)
+		Queue: p.choice.Queue, Measured: at - j.sent}, now)
 	w.pauses(w.engineOf(p.choice.Candidate.Instance))
 }
 
--- a/pkg/admission/arrivals.go
+++ b/pkg/admission/arrivals.go
@@ -59,7 +59,8 @@
 	return int((a.total - a.shed) * quotaPeriod.Seconds() / arrivalWindow.Seconds())
 }
 
-// retryAfter returns the time after which a caller that is shed now should retry.
+// retryAfter returns the time after which a caller that is shed now should retry, as far as the load
+// is concerned; callers with an objective that leaves time for a second attempt are told less.
 //
 // If every caller were told the same short delay, shed callers would return into the same overload,
 // and shedding them again takes CPU from admitted ones. When n times as many connections arrive as
--- a/pkg/booking/ask.go
+++ b/pkg/booking/ask.go
@@ -35,8 +35,13 @@
 	DelayMs int `cbor:"2,keyasint,omitempty"`
 }
 
-// None says that nothing is booked.
-const None = -1
+const (
+	// None says that nothing is booked.
+	None = -1
+	// notDecided is the offer of an answer to an ask that the keeper doesn't decide; the router that
+	// asked counts it as no answer.
+	notDecided = -2
+)
 
 const (
 	// MaxOffers bounds the offers of an Ask.
@@ -67,9 +72,13 @@
 	return o.Instance != "" && -maxMs <= o.CostMs && o.CostMs <= maxMs
 }
 
-// answers reports whether the answer is one to a.
+// answers reports whether the answer is one to ask: nothing, or an offer with a delay that leaves the
+// prompt in time.
 func (a Answer) answers(ask *Ask) bool {
-	return a.Offer >= None && a.Offer < len(ask.Offers) && a.DelayMs >= 0 && a.DelayMs <= maxMs
+	if a.Offer < None || a.Offer >= len(ask.Offers) || a.DelayMs < 0 || a.DelayMs > maxMs {
+		return false
+	}
+	return a.Offer == None || a.DelayMs <= ask.Offers[a.Offer].MaxWaitMs
 }
 
 // Delay is DelayMs as a duration.
--- a/pkg/booking/book.go
+++ b/pkg/booking/book.go
@@ -30,24 +30,25 @@
 	b.runShare = share
 }
 
-// Decide books the prompt at the engine where it costs least, its wait included. An invalid ask
-// books nothing.
+// Decide books the prompt at the engine where it costs least, its wait included. An invalid ask,
+// and any ask while turns are switched off here, isn't decided: the prompt is placed without a turn.
 //
-// Load answered: many routers each place prompts that take a part of the longest pause, and all see
-// the same engines idle.
+// This answers a load of prompts that many routers place at the same moment, each of which takes a
+// part of the longest pause: all of them see the same engines idle.
 func (b *Book) Decide(a Ask, now time.Time) Answer {
-	if !a.valid() {
-		return Answer{Offer: None}
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !a.valid() || b.runShare <= 0 {
+		return Answer{Offer: notDecided}
+	}
 	b.decided++
 	l := limitsFor(millis(a.MaxPauseMs), b.runShare, a.OverShare)
 	best, bestCost, room := None, time.Duration(0), millis(maxMs)
 	for i := range a.Offers {
 		o := &a.Offers[i]
 		c := b.calendar(o)
-		wait := max(millis(o.QueueMs), c.remaining(now), c.delay(now, millis(o.PrefillMs), l))
+		delay, _ := c.turn(now, millis(o.PrefillMs), l)
+		wait := max(millis(o.QueueMs), c.remaining(now), delay)
 		if excess := wait - millis(o.MaxWaitMs); excess > 0 {
 			room = min(room, excess)
 			continue
--- a/pkg/booking/book_test.go
+++ b/pkg/booking/book_test.go
@@ -61,7 +61,7 @@
 		"endless cost": ask(engine("a", maxMs+1, 1)), "no instance": ask(engine("", 0, 1)),
 		"negative queue": ask(Offer{Instance: "a", QueueMs: -1}), "negative wait": ask(Offer{Instance: "a", MaxWaitMs: -1}),
 	} {
-		require.Equal(t, Answer{Offer: None}, b.Decide(a, start), name)
+		require.Equal(t, Answer{Offer: notDecided}, b.Decide(a, start), name)
 	}
 	require.Zero(t, b.Calendars())
 }
@@ -88,6 +88,13 @@
 	require.Equal(t, Answer{Offer: 0}, b.Decide(ask(next), start))
 }
 
+// Guards against a keeper with turns switched off that makes the prompts of others wait for each other.
+func TestAKeeperWithoutTurnsDecidesNothing(t *testing.T) {
+	a := ask(engine("a", 0, 50))
+	require.Equal(t, Answer{Offer: notDecided}, NewBook(0).Decide(a, start))
+	require.False(t, Answer{Offer: notDecided}.answers(&a))
+}
+
 func TestASettingThatChangesAppliesToTheNextBooking(t *testing.T) {
 	b := NewBook(DefaultRunShare)
 	b.Decide(ask(engine("a", 0, 150)), start)
--- a/pkg/booking/calendar.go
+++ b/pkg/booking/calendar.go
@@ -14,26 +14,32 @@
 // continues reports whether a prompt that is sent at that time still belongs to the run.
 func (c *calendar) continues(at time.Time, l limits) bool { return at.Before(c.end.Add(l.pause)) }
 
-// delay is the time that a prompt has to wait before it is sent, so that it doesn't lengthen the
-// run beyond the limit.
-func (c *calendar) delay(now time.Time, prefill time.Duration, l limits) time.Duration {
+// turn returns the time that a prompt has to wait before it is sent, so that it doesn't lengthen the
+// run beyond the limit, and whether it begins a new run. A prompt that joins a run which is still to
+// begin waits for that: sent sooner, it would fill the break before it.
+func (c *calendar) turn(now time.Time, prefill time.Duration, l limits) (delay time.Duration, begins bool) {
 	if !c.continues(now, l) {
-		return 0
+		return 0, true
 	}
-	end := now.Add(c.remaining(now) + prefill)
-	if end.Sub(c.start) <= l.run {
-		return 0
+	delay = max(0, c.start.Sub(now))
+	if c.endWith(now.Add(delay), prefill).Sub(c.start) <= l.run {
+		return delay, false
 	}
-	return c.end.Add(l.pause).Sub(now)
+	return c.end.Add(l.pause).Sub(now), true
+}
+
+// endWith is the end of the run with a prompt that is sent at that time.
+func (c *calendar) endWith(at time.Time, prefill time.Duration) time.Time {
+	return at.Add(c.remaining(at) + prefill)
 }
 
 // book adds a prompt to the run, or begins a new one with it, and returns its delay.
 func (c *calendar) book(now time.Time, prefill time.Duration, l limits) time.Duration {
-	delay := c.delay(now, prefill, l)
+	delay, begins := c.turn(now, prefill, l)
 	at := now.Add(delay)
-	if delay > 0 || !c.continues(at, l) {
+	if begins {
 		c.start, c.end = at, at
 	}
-	c.end = at.Add(max(0, c.end.Sub(at)) + prefill)
+	c.end = c.endWith(at, prefill)
 	return delay
 }
--- a/pkg/booking/calendar_test.go
+++ b/pkg/booking/calendar_test.go
@@ -14,6 +14,21 @@
 
 func usual() limits { return limitsFor(maxPause, DefaultRunShare, false) }
 
+func delay(c calendar, now time.Time, prefill time.Duration) time.Duration {
+	d, _ := c.turn(now, prefill, usual())
+	return d
+}
+
+// Guards against prompts that fill the break before a run which is still to begin.
+func TestPromptsDoNotOvertakeARunThatIsStillToBegin(t *testing.T) {
+	var c calendar
+	var delays []time.Duration
+	for _, prefill := range []time.Duration{100, 100, 100, 50, 50} {
+		delays = append(delays, c.book(start, prefill*time.Millisecond, usual())/time.Millisecond)
+	}
+	require.Equal(t, []time.Duration{0, 0, 250, 250, 250}, delays)
+}
+
 func TestPromptsBeyondARunWaitForABreak(t *testing.T) {
 	var c calendar
 	l := usual()
@@ -26,15 +41,15 @@
 func TestAPromptLongerThanARunIsPrefilledAtOnceAtAnIdleEngine(t *testing.T) {
 	var c calendar
 	require.Zero(t, c.book(start, time.Second, usual()))
-	require.Equal(t, time.Second+50*time.Millisecond, c.delay(start, 10*time.Millisecond, usual()))
+	require.Equal(t, time.Second+50*time.Millisecond, delay(c, start, 10*time.Millisecond))
 }
 
 func TestABreakEndsARun(t *testing.T) {
 	var c calendar
 	l := usual()
 	c.book(start, 200*time.Millisecond, l)
-	require.Equal(t, 10*time.Millisecond, c.delay(start.Add(240*time.Millisecond), 100*time.Millisecond, l), "the streams had 40 ms of 50")
-	require.Zero(t, c.delay(start.Add(250*time.Millisecond), 100*time.Millisecond, l))
+	require.Equal(t, 10*time.Millisecond, delay(c, start.Add(240*time.Millisecond), 100*time.Millisecond), "the streams had 40 ms of 50")
+	require.Zero(t, delay(c, start.Add(250*time.Millisecond), 100*time.Millisecond))
 }
 
 // Runs never overlap, no run exceeds its limit by more than one prompt that is longer than it, and
@@ -53,6 +68,7 @@
 			require.GreaterOrEqual(t, delay, time.Duration(0))
 			require.False(t, c.end.Before(before.end), "no booked time is lost")
 			require.False(t, c.end.Before(at.Add(prefill)), "the whole prefill is booked")
+			require.False(t, at.Before(c.start), "nothing is sent before its run begins")
 			if c.start.Equal(before.start) {
 				require.LessOrEqual(t, c.end.Sub(c.start), l.run)
 			} else {
--- a/pkg/booking/desk.go
+++ b/pkg/booking/desk.go
@@ -12,16 +12,23 @@
 // Fleet is what a Desk needs of the other routers.
 type Fleet interface {
 	// Keepers returns the routers that may keep calendars, and the address of this one; none where
-	// the fleet is so small that all routers tell each other of their work.
+	// HasKeepers is false.
 	Keepers(now time.Time) (routers []Router, self string)
+	// HasKeepers is false where the fleet is so small that all routers tell each other of their work.
+	HasKeepers() bool
 	// AskKeeper sends an ask to a router.
 	AskKeeper(ctx context.Context, addr string, a Ask) (Answer, error)
 }
 
 const (
 	// avoidFor is how long a keeper that didn't answer in time is avoided. Another router takes its
-	// place meanwhile, with empty calendars.
-	avoidFor = time.Second
+	// place meanwhile, with empty calendars. avoidFailedFor applies to one that refused the connection
+	// or the ask: it has ended, or keeps no calendars.
+	avoidFor       = time.Second
+	avoidFailedFor = 5 * time.Second
+	// minPatience is the shortest time that a router waits for an answer: less would blame keepers
+	// for the way to them.
+	minPatience = 20 * time.Millisecond
 	// askTimeout bounds an ask; a router waits for the answer for a shorter time.
 	askTimeout = time.Second
 	// maxPending bounds the asks that are under way: beyond it keepers are slow, and asking more
@@ -63,7 +70,10 @@
 	Keeper string
 }
 
-// Book asks the keeper of a zone, and waits for its answer for patience at most.
+// HasKeepers reports whether there is anybody to ask.
+func (d *Desk) HasKeepers() bool { return d.fleet.HasKeepers() }
+
+// Book asks the keeper of a zone, and waits for its answer for patience, at least minPatience.
 func (d *Desk) Book(ctx context.Context, zone string, a Ask, patience time.Duration) Result {
 	now := time.Now()
 	result := d.decide(ctx, zone, a, patience, now)
@@ -80,7 +90,8 @@
 	case "":
 		return Result{}
 	case self:
-		return Result{Answer: d.book.Decide(a, now), Asked: true, Keeper: self}
+		answer := d.book.Decide(a, now)
+		return Result{Answer: answer, Asked: answer.answers(&a), Keeper: self}
 	}
 	answer, err := d.ask(ctx, keeper, a, patience)
 	if err != nil {
@@ -112,18 +123,28 @@
 		}
 		replies <- reply{answer, err}
 	}()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(max(patience, minPatience))
 	defer timer.Stop()
 	select {
 	case r := <-replies:
 		return r.answer, r.err
 	case <-timer.C:
-		return Answer{}, errNoAnswer
+		return lastLook(replies)
 	case <-ctx.Done():
 		return Answer{}, errors.Trace(ctx.Err())
 	}
 }
 
+// lastLook returns an answer that arrived while this router itself was late.
+func lastLook(replies <-chan reply) (Answer, error) {
+	select {
+	case r := <-replies:
+		return r.answer, r.err
+	default:
+		return Answer{}, errNoAnswer
+	}
+}
+
 func (d *Desk) begin() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -151,13 +172,17 @@
 	if ctx.Err() != nil || errors.Is(err, errTooPending) {
 		return
 	}
+	span := avoidFailedFor
+	if errors.Is(err, errNoAnswer) {
+		span = avoidFor
+	}
 	now := time.Now()
 	d.mu.Lock()
 	first := !now.Before(d.avoided[keeper])
-	d.avoided[keeper] = now.Add(avoidFor)
+	d.avoided[keeper] = now.Add(span)
 	d.mu.Unlock()
 	if first {
-		d.log.WithError(err).WithFields(log.Fields{"event": "keeper_avoided", "keeper": keeper, "for_ms": avoidFor.Milliseconds()}).Warn("keeper of bookings does not answer")
+		d.log.WithError(err).WithFields(log.Fields{"event": "keeper_avoided", "keeper": keeper, "for_ms": span.Milliseconds()}).Warn("keeper of bookings does not answer")
 	}
 }
 
--- a/pkg/booking/desk_test.go
+++ b/pkg/booking/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,17 +17,23 @@
 // fakeFleet has the keepers "a" and "b"; "self" is the router that asks.
 type fakeFleet struct {
 	routers []Router
-	asked   []string
 	answer  func(ctx context.Context, addr string) (Answer, error)
 	pending atomic.Int64
+
+	mu    sync.Mutex
+	asked []string
 }
 
+func (f *fakeFleet) HasKeepers() bool { return len(f.routers) > 0 }
+
 func (f *fakeFleet) Keepers(time.Time) ([]Router, string) { return f.routers, "self" }
 
 func (f *fakeFleet) AskKeeper(ctx context.Context, addr string, _ Ask) (Answer, error) {
 	f.pending.Add(1)
 	defer f.pending.Add(-1)
+	f.mu.Lock()
 	f.asked = append(f.asked, addr)
+	f.mu.Unlock()
 	return f.answer(ctx, addr)
 }
 
@@ -105,7 +112,7 @@
 
 // Guards against a router of the build before, or a faulty one, whose answer names an engine that wasn't offered.
 func TestAnswersThatMakeNoSenseCountAsNone(t *testing.T) {
-	for _, answer := range []Answer{{Offer: 1}, {Offer: -2}, {Offer: 0, DelayMs: -1}, {Offer: 0, DelayMs: maxMs + 1}} {
+	for _, answer := range []Answer{{Offer: 1}, {Offer: -2}, {Offer: 0, DelayMs: -1}, {Offer: 0, DelayMs: maxMs + 1}, {Offer: 0, DelayMs: 501}, {Offer: notDecided}} {
 		f := two()
 		f.answer = func(context.Context, string) (Answer, error) { return answer, nil }
 		require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked, "%+v", answer)
@@ -115,6 +122,43 @@
 	require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
 }
 
+// Guards against blaming a keeper whose answer came while this router had no processor.
+func TestAnAnswerThatIsThereCountsHoweverLateThisRouterIs(t *testing.T) {
+	replies := make(chan reply, 1)
+	_, err := lastLook(replies)
+	require.ErrorIs(t, err, errNoAnswer)
+	replies <- reply{answer: Answer{Offer: 1}}
+	answer, err := lastLook(replies)
+	require.NoError(t, err)
+	require.Equal(t, 1, answer.Offer)
+}
+
+// Guards against asking a router of the build before, or one that has ended, again each second.
+func TestAKeeperThatRefusesIsAvoidedForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		f.answer = func(context.Context, string) (Answer, error) { return Answer{}, errors.New("404 Not Found") }
+		d := newDesk(f)
+		keeper := d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper
+		time.Sleep(avoidFor)
+		require.NotEqual(t, keeper, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper)
+		time.Sleep(avoidFailedFor)
+		require.Equal(t, keeper, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper)
+	})
+}
+
+// Guards against a route with a short objective, whose patience blames keepers for the way to them.
+func TestKeepersHaveTheTimeOfTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := two()
+		f.answer = func(context.Context, string) (Answer, error) {
+			time.Sleep(minPatience / 2)
+			return Answer{Offer: 0}, nil
+		}
+		require.True(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), time.Millisecond).Asked)
+	})
+}
+
 // Guards against a keeper that is avoided although it was the caller who left.
 func TestACallerThatLeavesBlamesNoKeeper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fleet/booking.go
+++ b/pkg/fleet/booking.go
@@ -33,6 +33,13 @@
 	return routers, f.self.Peers
 }
 
+// HasKeepers reports whether the fleet has hubs.
+func (f *Fleet) HasKeepers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.role.direct && len(f.role.hubs) > 0
+}
+
 func (f *Fleet) serveBooking(w http.ResponseWriter, in *http.Request) {
 	ask := new(booking.Ask)
 	if f.readMessage(w, in, ask) {
--- a/pkg/fleet/booking_test.go
+++ b/pkg/fleet/booking_test.go
@@ -58,6 +58,7 @@
 				change(p)
 			}
 		})
+		require.LessOrEqual(t, len(routers), 1, name)
 		for _, r := range routers {
 			require.Equal(t, "one", r.Zone, "%s: only the router itself is left", name)
 		}
--- a/pkg/gateway/booking.go
+++ b/pkg/gateway/booking.go
@@ -17,7 +17,7 @@
 	if g.bookings == nil || r.isCall() || r.bound || g.settings.Load().Disabled.Bookings || g.cpuStarved() {
 		return false
 	}
-	return g.catalog.Table().MaxPause(r.service.Name) > 0
+	return r.route.Objective > 0 && g.catalog.Table().MaxPause(r.service.Name) > 0 && g.bookings.HasKeepers()
 }
 
 // book asks for a turn at one of the engines that are nearly as cheap as the chosen one.
--- a/pkg/gateway/booking_test.go
+++ b/pkg/gateway/booking_test.go
@@ -24,6 +24,8 @@
 	return []booking.Router{{Addr: "keeper", Zone: ""}}, "self"
 }
 
+func (k *fakeKeeper) HasKeepers() bool { return true }
+
 func (k *fakeKeeper) AskKeeper(_ context.Context, _ string, a booking.Ask) (booking.Answer, error) {
 	k.asks = append(k.asks, a)
 	return k.answer(a)
@@ -37,6 +39,7 @@
 	cfg.Services[0].Engine.KVCapacity = 1 << 20
 	for i := range cfg.Routes {
 		cfg.Routes[i].MaxPause = 400 * time.Millisecond
+		cfg.Routes[i].Objective = time.Minute // keepers have 3 s to answer
 	}
 	env.catalog.Adopt(cfg, "test")
 	k := &fakeKeeper{answer: answer}
@@ -53,12 +56,10 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Len(t, k.asks, 1)
 	require.Equal(t, 400, k.asks[0].MaxPauseMs)
-	require.Equal(t, booking.Offer{Instance: "i0", PrefillMs: 100, MaxWaitMs: 699}, withoutCost(k.asks[0].Offers[0]))
-}
-
-func withoutCost(o booking.Offer) booking.Offer {
-	o.CostMs = 0
-	return o
+	offer := k.asks[0].Offers[0]
+	require.Equal(t, "i0", offer.Instance)
+	require.Equal(t, 100, offer.PrefillMs)
+	require.InDelta(t, 48_000, offer.MaxWaitMs, 2000, "0.8 of the objective less the prefill")
 }
 
 func TestShortPromptsAndCallsAreNotBooked(t *testing.T) {
@@ -100,20 +101,22 @@
 
 // Guards against running a request whose caller left while it was held.
 func TestAHeldRequestIsNotSentForACallerThatLeft(t *testing.T) {
-	env, _ := bookedEnv(t, func(booking.Ask) (booking.Answer, error) { return booking.Answer{Offer: 0, DelayMs: 500}, nil })
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	env, k := bookedEnv(t, func(booking.Ask) (booking.Answer, error) { return booking.Answer{Offer: 0, DelayMs: 2000}, nil })
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
 	_, err := env.client.Do(env.newRequest("/safe/", "X-Tokens", "5000").WithContext(ctx))
 	require.Error(t, err)
 	env.server.Close() // waits for the handler
+	require.Len(t, k.asks, 1)
 	require.Zero(t, env.upstreamRequests())
 }
 
 // Guards against a held request that is answered as if it had run when its deadline passes.
 func TestAHeldRequestThatExpiresHasNotRun(t *testing.T) {
-	env, _ := bookedEnv(t, func(booking.Ask) (booking.Answer, error) { return booking.Answer{Offer: 0, DelayMs: 500}, nil })
-	status, _, _ := env.get("/once/", "X-Tokens", "5000", "X-Deadline", "50")
+	env, k := bookedEnv(t, func(booking.Ask) (booking.Answer, error) { return booking.Answer{Offer: 0, DelayMs: 2000}, nil })
+	status, _, _ := env.get("/once/", "X-Tokens", "5000", "X-Deadline", "500")
 	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Len(t, k.asks, 1)
 	require.Zero(t, env.upstreamRequests())
 }
 
@@ -131,6 +134,9 @@
 	})
 	status, _, _ := env.get("/safe/", "X-Tokens", "5000")
 	require.Equal(t, http.StatusOK, status)
+	s := *env.gateway.settings.Load()
+	s.Disabled.Entitlement = true // it draws
+	env.gateway.UpdateSettings(s)
 	env.gateway.shares.SetOthers(map[string]placement.Use{"org": {Asked: 5e6, Got: 5.5e5}, "other": {Asked: 5e6, Got: 4e5}})
 	status, _, header := env.get("/safe/", "X-Tokens", "5000")
 	require.Equal(t, http.StatusServiceUnavailable, status)
@@ -141,7 +147,7 @@
 // Guards against moving a stream to another software version for the sake of a turn.
 func TestStreamsThatGoOnAreNotBooked(t *testing.T) {
 	env, _ := bookedEnv(t, atOnce)
-	r := &request{bound: true, service: &routing.Service{Name: "app", Engine: newEngine(10)}}
+	r := &request{bound: true, route: &routing.Route{Objective: time.Second}, service: &routing.Service{Name: "app", Engine: newEngine(10)}}
 	r.meta = testDialect{}.DecodeRequest(http.Header{"X-Tokens": {"5000"}})
 	require.False(t, env.gateway.takesTurns(r))
 	r.bound = false
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -161,6 +161,7 @@
 
 // limitedStanding returns the standing by which the request is limited.
 func (g *Gateway) limitedStanding(r *request) placement.Standing {
+	r.entitled = false
 	if r.standing.ShareRatio <= 1 || g.settings.Load().Disabled.Entitlement {
 		return r.standing
 	}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -47,11 +47,7 @@
 			return
 		}
 		r.bindCancellation(g.disconnects)
-		if !r.hold(choice.Hold) {
-			g.endExpired(r)
-			return
-		}
-		last = g.attempt(r, choice, time.Now())
+		last = g.attempt(r, choice, now)
 		if last.done {
 			return
 		}
@@ -158,9 +154,18 @@
 	rec.setBasis(g.catalog.Basis(inst.ID, now))
 	entry := g.loads.Begin(inst.Life(), g.workOf(r, choice))
 	defer entry.End()
+	g.inflows.Assign(r.service.Name, choice.AddedCost, now)
+	if !r.hold(choice.Hold) {
+		rec.Outcome = outcomeUnsent
+		g.endExpired(r)
+		return attemptResult{done: true}
+	}
+	if choice.Hold > 0 {
+		now = time.Now()
+		rec.started, rec.OffsetMs = now, now.Sub(r.start).Milliseconds()
+	}
 	prefill := g.beginPrefill(r, choice, now)
 	defer prefill.End()
-	g.inflows.Assign(r.service.Name, choice.AddedCost, now)
 	g.prefixIndex.RecordUse(inst.Life(), r.prefixes, now)
 	g.countAssigned(r, now)
 	state := &attemptState{choice: choice, loadEntry: entry, prefill: prefill, sentAt: now}
--- a/pkg/returntime/replay_test.go
+++ b/pkg/returntime/replay_test.go
@@ -8,21 +8,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// door is a router that reads so many connections in each millisecond and refuses the others.
-type door struct {
+// router is a router that reads so many connections in each millisecond and refuses the others.
+type router struct {
 	perMs, credit float64
 	// total and refused are counts of the last second.
 	total, refused float64
 }
 
-func (d *door) tick() {
+func (d *router) tick() {
 	d.credit = min(d.credit+d.perMs, 20*d.perMs)
 	const decay = 0.999
 	d.total *= decay
 	d.refused *= decay
 }
 
-func (d *door) admit() bool {
+func (d *router) admit() bool {
 	d.total++
 	if d.credit >= 1 {
 		d.credit--
@@ -33,28 +33,31 @@
 }
 
 // byLoad is the delay that follows from the load alone.
-func (d *door) byLoad() time.Duration {
+func (d *router) byLoad() time.Duration {
 	return min(4*time.Second, time.Duration(400*d.total/max(1, d.total-d.refused))*time.Millisecond)
 }
 
 type outcome struct{ inTime, late, refused int }
 
-// overload plays callers that arrive at five times the rate that the door reads, for ten seconds. Each
-// returns once, and waits for no more than a third of its time limit.
-func overload(objective, limit time.Duration, within bool) outcome {
-	d, random := door{perMs: 0.2}, rand.New(rand.NewPCG(1, 1))
-	returns := make(map[int][]int)
+// attempt is an attempt of a caller that began at first and may return so many times more.
+type attempt struct{ first, returns int }
+
+// overload plays callers that arrive at five times the rate that the router reads, for ten seconds. Each
+// returns so many times, and waits for no more than a third of its time limit.
+func overload(objective, limit time.Duration, returns int, within bool) outcome {
+	d, random := router{perMs: 0.2}, rand.New(rand.NewPCG(1, 1))
+	due := make(map[int][]attempt)
 	var o outcome
-	attempt := func(ms, first int) {
+	try := func(ms int, a attempt) {
 		if d.admit() {
-			if time.Duration(ms-first)*time.Millisecond < objective {
+			if time.Duration(ms-a.first)*time.Millisecond < objective {
 				o.inTime++
 			} else {
 				o.late++
 			}
 			return
 		}
-		if ms > first {
+		if a.returns == 0 {
 			o.refused++
 			return
 		}
@@ -63,17 +66,17 @@
 			delay = Within(objective, delay)
 		}
 		at := ms + int(min(delay, limit/3).Milliseconds())
-		returns[at] = append(returns[at], first)
+		due[at] = append(due[at], attempt{a.first, a.returns - 1})
 	}
 	for ms := range 15_000 {
 		d.tick()
-		arriving := returns[ms]
+		arriving := due[ms]
 		if ms < 10_000 {
-			arriving = append(arriving, ms)
+			arriving = append(arriving, attempt{ms, returns})
 		}
 		random.Shuffle(len(arriving), func(i, j int) { arriving[i], arriving[j] = arriving[j], arriving[i] })
-		for _, first := range arriving {
-			attempt(ms, first)
+		for _, a := range arriving {
+			try(ms, a)
 		}
 	}
 	return o
@@ -83,9 +86,11 @@
 // and then are served in place of others.
 func TestCallersReturnWhileTheirObjectiveHolds(t *testing.T) {
 	for _, c := range []struct{ objective, limit time.Duration }{{600 * time.Millisecond, 10 * time.Second}, {time.Second, 12 * time.Second}} {
-		without, with := overload(c.objective, c.limit, false), overload(c.objective, c.limit, true)
-		t.Logf("objective %v, by the load: %+v, within the objective: %+v", c.objective, without, with)
-		require.Greater(t, float64(with.inTime), 1.25*float64(without.inTime), "a quarter more are served in time")
-		require.Zero(t, with.late)
+		for _, returns := range []int{1, 3} {
+			without, with := overload(c.objective, c.limit, returns, false), overload(c.objective, c.limit, returns, true)
+			t.Logf("objective %v, %d returns, by the load: %+v, within the objective: %+v", c.objective, returns, without, with)
+			require.Greater(t, float64(with.inTime), 1.25*float64(without.inTime), "a quarter more are served in time")
+			require.Less(t, with.late, without.late/10)
+		}
 	}
 }
