Connections to upstreams are counted by why they open and close

Ruled out: a log line for each connection, which grows with requests. Change: forward counts each opening, reuse and closing by reason in atomic counters, without a further lock; housekeeping reports them as a counter by event and reason and as one line with the sums each two seconds.

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -59,6 +59,9 @@
 	openedAt time.Time
 	// idleDeadline is the time from which an idle connection must not be used.
 	idleDeadline time.Time
+	// unlisted says that the connection was closed because its upstream's life has ended. It is
+	// guarded by the pool's mutex.
+	unlisted bool
 }
 
 func dial(ctx context.Context, addr string, m *traffic.Meter) (*conn, error) {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -13,53 +13,62 @@
 type pool struct {
 	addr  string
 	meter *traffic.Meter
+	stats *connStats
 
 	mu   sync.Mutex
 	idle []*conn
 	// busy holds the connections that calls are using.
 	busy          map[*conn]struct{}
 	reuseDisabled bool
+	// used says that a connection was opened before.
+	used bool
 	// draining says that the instance is about to terminate or is no longer listed.
 	draining bool
 }
 
-func newPool(addr string, m *traffic.Meter) *pool {
-	return &pool{addr: addr, meter: m, busy: make(map[*conn]struct{})}
+func newPool(addr string, m *traffic.Meter, s *connStats) *pool {
+	return &pool{addr: addr, meter: m, stats: s, busy: make(map[*conn]struct{})}
 }
 
 // acquire returns an idle connection or else a new one. It is busy until release or discard.
 func (p *pool) acquire(ctx context.Context, now time.Time) (*conn, error) {
 	for {
 		c := p.popIdle()
-		if c == nil {
-			return p.dial(ctx)
-		}
-		if now.Before(c.idleDeadline) && c.healthy() {
+		switch {
+		case c == nil:
+			return p.dial(ctx, p.whyNoneIdle())
+		case !now.Before(c.idleDeadline):
+			p.discard(c, closedIdle)
+		case !c.healthy():
+			p.discard(c, closedStale)
+		default:
+			p.stats.add(reusedIdle)
 			return c, nil
 		}
-		p.discard(c)
 	}
 }
 
-// dial opens a connection.
-func (p *pool) dial(ctx context.Context) (*conn, error) {
+// dial opens a connection for a reason.
+func (p *pool) dial(ctx context.Context, reason connEvent) (*conn, error) {
 	// Guard: if the time were taken after the dial, it could be later than the start of a new life,
 	// and abortOpenedBefore would spare a connection to the old life.
 	opened := time.Now()
 	c, err := dial(ctx, p.addr, p.meter)
 	if err != nil {
+		p.stats.add(openFailed)
 		return nil, err
 	}
+	p.stats.add(reason)
 	c.openedAt = opened
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.busy[c] = struct{}{}
+	p.busy[c], p.used = struct{}{}, true
 	return c, nil
 }
 
 // probe returns an error if no connection can be opened. One that was opened is kept for reuse.
 func (p *pool) probe(ctx context.Context) error {
-	c, err := p.dial(ctx)
+	c, err := p.dial(ctx, openedProbe)
 	if err != nil {
 		return err
 	}
@@ -82,23 +91,41 @@
 	return c
 }
 
+// whyNoneIdle is why a connection has to be opened.
+func (p *pool) whyNoneIdle() connEvent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case len(p.busy) > 0:
+		return openedBusy
+	case p.used:
+		return openedNoneIdle
+	}
+	return openedFirst
+}
+
 // release returns a busy connection to the pool for reuse.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.busy, c)
 	if p.reuseDisabled {
+		p.stats.add(closedList)
 		c.Close()
 		return
 	}
 	p.idle = append(p.idle, c)
 }
 
-// discard closes a busy connection.
-func (p *pool) discard(c *conn) {
+// discard closes a busy connection for a reason.
+func (p *pool) discard(c *conn, reason connEvent) {
 	c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.unlisted {
+		reason = closedList
+	}
+	p.stats.add(reason)
 	delete(p.busy, c)
 }
 
@@ -112,6 +139,7 @@
 			kept = append(kept, c)
 			continue
 		}
+		p.stats.add(closedIdle)
 		c.Close()
 	}
 	for i := len(kept); i < len(p.idle); i++ {
@@ -126,6 +154,7 @@
 	defer p.mu.Unlock()
 	p.reuseDisabled, p.draining = true, true
 	for _, c := range p.idle {
+		p.stats.add(closedList)
 		c.Close()
 	}
 	p.idle = nil
@@ -150,6 +179,7 @@
 	defer p.mu.Unlock()
 	for c := range p.busy {
 		if c.openedAt.Before(before) {
+			c.unlisted = true
 			c.Close()
 		}
 	}
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -38,6 +38,8 @@
 	idHeader string
 	// meter counts the bytes on all connections.
 	meter traffic.Meter
+	// stats counts why connections were opened and closed.
+	stats connStats
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
@@ -63,7 +65,7 @@
 	key := keyOf(in)
 	p := ps.pools[key]
 	if p == nil {
-		p = newPool(in.Addr, &ps.meter)
+		p = newPool(in.Addr, &ps.meter, &ps.stats)
 		p.draining = in.State == upstream.Draining || ps.current != nil && !isReady(ps.current, key)
 		ps.pools[key] = p
 		if ps.current != nil && !isListed(ps.current, key) {
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -38,6 +38,8 @@
 	body          io.ReadCloser
 	idleTimeout   time.Duration
 	atEOF         bool
+	// contradictory says that the body contradicts the framing.
+	contradictory bool
 	bodySent      chan error
 }
 
@@ -119,11 +121,11 @@
 	}
 	if !r.stopAfterFunc() {
 		r.abort.detach()
-		r.pool.discard(r.conn) // the context has ended, which closed the connection
+		r.pool.discard(r.conn, closedAborted) // the context has ended, which closed the connection
 		return
 	}
 	if !r.abort.detach() {
-		r.pool.discard(r.conn)
+		r.pool.discard(r.conn, closedAborted)
 		return
 	}
 	r.conn.idleDeadline = time.Now().Add(r.idleTimeout)
@@ -131,10 +133,10 @@
 }
 
 // DisableReuse makes Close close the connection, because its bytes contradict the response's framing.
-func (r *Response) DisableReuse() { r.idleTimeout = 0 }
+func (r *Response) DisableReuse() { r.contradictory = true }
 
 func (r *Response) reusable() bool {
-	if !r.atEOF || r.idleTimeout <= 0 || r.conn.reader.Buffered() > 0 {
+	if !r.atEOF || r.contradictory || r.idleTimeout <= 0 || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.bodySent == nil {
@@ -152,7 +154,25 @@
 
 // Discard closes the connection.
 func (r *Response) Discard() {
+	reason := r.discardReason()
 	r.stopAfterFunc()
 	r.abort.detach()
-	r.pool.discard(r.conn)
+	r.pool.discard(r.conn, reason)
+}
+
+// discardReason is why the connection isn't kept.
+func (r *Response) discardReason() connEvent {
+	switch {
+	case r.abort.isTriggered(), r.ctx.Err() != nil, r.Ending == EndedByAbort:
+		return closedAborted
+	case r.body == nil, r.contradictory, r.Ending != "" && !r.atEOF:
+		return closedError
+	case !r.atEOF:
+		return closedUnread
+	case r.idleTimeout <= 0, r.Framing == FramedByClose:
+		return closedByUpstream
+	case r.conn.reader.Buffered() > 0:
+		return closedError
+	}
+	return closedUnsent
 }
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -23,6 +23,7 @@
 			p.fleet.Membership(now) // detects when this router sees little of its fleet
 			p.logDrops.report()
 			p.storeCalls.report()
+			p.upstreamConns.report()
 			p.linkUsage.report()
 			p.rowFaults.report()
 			p.held.report()
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -80,8 +80,10 @@
 	// refusals keeps refusals in the store; nil where that has no place for them.
 	refusals   *refusalKeeper
 	storeCalls storeCalls
-	linkUsage  linkUsage
-	rowFaults  *rowFaults
+	// upstreamConns reports why connections to upstreams were opened and closed.
+	upstreamConns upstreamConns
+	linkUsage     linkUsage
+	rowFaults     *rowFaults
 	// held counts upstreams that stayed in use although the list lacked them.
 	held heldUpstreams
 	// rejections reports callers' connections that were rejected.
@@ -126,6 +128,7 @@
 	p.linkUsage.watch("peers", p.peerTraffic.Total)
 	p.linkUsage.watch("store", d.StoreTraffic)
 	p.storeCalls = storeCalls{counts: d.StoreCalls, scope: p.metrics.Scope, log: l}
+	p.upstreamConns = upstreamConns{each: p.pools.EachConnectionCount, scope: p.metrics.Scope, log: l}
 	p.shareUsage = shareUsage{shares: shares, capacity: p.capacity, log: l}
 	p.rowFaults = newRowFaults(p.catalog, d.RowFaults, l, p.metrics.Scope)
 	p.held = heldUpstreams{count: p.catalog.HeldTotal, counter: p.metrics.Scope.Counter("upstreams_held")}
@@ -266,6 +269,7 @@
 	cancel()
 	p.background.Wait()
 	p.storeCalls.writeLog()
+	p.upstreamConns.report()
 	p.log.WithField("event", "stop").Info("router stopped")
 	return nil
 }
