Among nearly equal upstreams one is preferred that the router is connected to

Change: after the choice that spreads the work, a choice takes its place that is connected and whose cost differs by at most the cost of a connection and what one upstream is expected to have got unseen, 30 ms at most. Setting upstreams.connectMs, switch connected.

--- a/internal/replay/calls.go
+++ b/internal/replay/calls.go
@@ -29,15 +29,22 @@
 	Exchange time.Duration
 	// Objective is the time in which an answer is on time.
 	Objective time.Duration
+	// KeepsIdle is how long an instance keeps an idle connection, Opening how long a new one takes; both
+	// 0 where connections aren't played. Connected: instances to which a router is connected are
+	// preferred.
+	KeepsIdle, Opening time.Duration
+	Connected          bool
 }
 
-// CallResult counts how calls ended; Repeats are those that an instance refused.
+// CallResult counts how calls ended; Repeats are those that an instance refused, Opened those that
+// opened a connection.
 type CallResult struct {
-	Asked, OnTime, Late, Refused, Repeats int
+	Asked, OnTime, Late, Refused, Repeats, Opened int
 }
 
 // callRouter is one router with what it knows.
 type callRouter struct {
+	index   int
 	calls   pace.CallTimes
 	inflows *placement.Inflows
 	own     map[upstream.ID]int
@@ -100,6 +107,7 @@
 	pending []callEnd
 	next    int
 	told    time.Duration
+	conns   *connections
 }
 
 type callEnd struct {
@@ -111,14 +119,15 @@
 }
 
 func newCallWorld(l CallLoad, learn bool, fixed time.Duration) *callWorld {
-	w := &callWorld{load: l, learn: learn, pace: placement.Speed{TokensPerMs: 1, SlotTurn: fixed}, instances: make(map[upstream.ID]*callInstance)}
+	w := &callWorld{load: l, learn: learn, pace: placement.Speed{TokensPerMs: 1, SlotTurn: fixed}, instances: make(map[upstream.ID]*callInstance),
+		conns: newConnections(Service{KeepsIdle: l.KeepsIdle, Opening: l.Opening})}
 	for i := range l.Instances {
 		in := &upstream.Instance{ID: upstream.ID(fmt.Sprint("i-", i)), Service: "s", Slots: l.Slots}
 		w.list = append(w.list, in)
 		w.instances[in.ID] = &callInstance{in: in, free: make([]time.Duration, l.Slots)}
 	}
-	for range l.Routers {
-		w.routers = append(w.routers, &callRouter{inflows: placement.NewInflows(), own: make(map[upstream.ID]int), others: make(map[upstream.ID]int)})
+	for i := range l.Routers {
+		w.routers = append(w.routers, &callRouter{index: i, inflows: placement.NewInflows(), own: make(map[upstream.ID]int), others: make(map[upstream.ID]int)})
 	}
 	return w
 }
@@ -137,11 +146,15 @@
 		in := c.Candidate.Instance
 		tried[in.ID] = true
 		waiting := placement.QueueLength(c.Candidate.Load, in.Slots)
-		end, taken := w.instances[in.ID].take(at, time.Duration((0.5+random.Float64())*float64(w.load.Call)), w.load.Room)
+		opened := w.opens(r, in, at)
+		end, taken := w.instances[in.ID].take(at+opened, time.Duration((0.5+random.Float64())*float64(w.load.Call)), w.load.Room)
 		if !taken {
 			result.Repeats++
 			continue
 		}
+		if opened > 0 {
+			result.Opened++
+		}
 		r.own[in.ID]++
 		r.inflows.Assign("s", c.AddedCost, w.clock(at))
 		w.pending = append(w.pending, callEnd{at: end, router: r, instance: in.ID, took: end - at, waiting: waiting})
@@ -155,6 +168,14 @@
 	result.Refused++
 }
 
+// opens is how long a router takes for a connection to an instance, 0 when it has one.
+func (w *callWorld) opens(r *callRouter, in *upstream.Instance, at time.Duration) time.Duration {
+	if w.conns.use(connectionEnds{router: r.index, engine: in.ID}, at) {
+		return 0
+	}
+	return w.load.Opening
+}
+
 func (w *callWorld) clock(at time.Duration) time.Time { return time.Unix(1, 0).Add(at) }
 
 // settle ends calls that are over, and exchanges reports that are due.
@@ -164,6 +185,7 @@
 		e := w.pending[0]
 		w.pending = w.pending[1:]
 		e.router.own[e.instance]--
+		w.conns.release(connectionEnds{router: e.router.index, engine: e.instance}, e.at)
 		if w.learn {
 			e.router.calls.Observe("s", e.took, e.waiting, w.load.Slots)
 		}
@@ -200,7 +222,8 @@
 	var candidates []placement.Candidate
 	for _, in := range w.list {
 		if !tried[in.ID] {
-			candidates = append(candidates, placement.Candidate{Instance: in, Load: placement.Load{Running: r.own[in.ID] + r.others[in.ID]}})
+			candidates = append(candidates, placement.Candidate{Instance: in, Load: placement.Load{Running: r.own[in.ID] + r.others[in.ID]},
+				Connected: w.conns.connected(connectionEnds{router: r.index, engine: in.ID}, at)})
 		}
 	}
 	p := w.pace
@@ -208,7 +231,11 @@
 	if w.learn {
 		p.CallTime = long
 	}
-	v := placement.Choose(placement.Request{Service: &routing.Service{Name: "s"}, Limits: shedding.CallLimits(w.load.Objective, 0, long),
+	cost := time.Duration(0)
+	if w.load.Connected {
+		cost = w.load.Opening
+	}
+	v := placement.Choose(placement.Request{ConnectCost: cost, Service: &routing.Service{Name: "s"}, Limits: shedding.CallLimits(w.load.Objective, 0, long),
 		Unseen: r.inflows.Unseen("s", w.clock(at)), Random: random.Float64()}, candidates, p)
 	return v.Choice, v.OK
 }
--- a/internal/replay/calls_test.go
+++ b/internal/replay/calls_test.go
@@ -29,6 +29,7 @@
 	for seed := range uint64(8) {
 		r := RunCalls(load(seed), learn, usual)
 		all.Asked, all.OnTime, all.Late, all.Refused, all.Repeats = all.Asked+r.Asked, all.OnTime+r.OnTime, all.Late+r.Late, all.Refused+r.Refused, all.Repeats+r.Repeats
+		all.Opened += r.Opened
 	}
 	return all
 }
--- a/internal/replay/load.go
+++ b/internal/replay/load.go
@@ -19,6 +19,8 @@
 	chain        []placement.Prefix
 	// crowd is whether it comes to the first router, whatever the others do.
 	crowd bool
+	// caller is which router it comes to, in [0, 1) of what all get; negative for turns.
+	caller float64
 }
 
 // Kind is a kind of requests.
@@ -44,6 +46,9 @@
 	Organisations map[string]float64
 	// Crowd is the organisation whose callers all come to the first router; empty for none.
 	Crowd string
+	// Skew makes routers get uneven parts of the requests, the first one most: by its number to the
+	// power of -Skew; 0 for turns.
+	Skew float64
 }
 
 // requests draws the load.
@@ -74,7 +79,11 @@
 	p := &prompt.Prompt{Model: "m", Input: shared + int(own), MaxOutput: output,
 		Parts: []prompt.Part{{ID: id("document", document), Tokens: shared}, {ID: id("own", random.Int()), Tokens: int(own)}}}
 	org := l.organisation(random)
-	return &Request{At: at, Organisation: org, Prompt: p, chain: placement.Prefixes(p), crowd: org == l.Crowd}
+	caller := -1.0
+	if l.Skew > 0 {
+		caller = random.Float64()
+	}
+	return &Request{caller: caller, At: at, Organisation: org, Prompt: p, chain: placement.Prefixes(p), crowd: org == l.Crowd}
 }
 
 func (l Load) organisation(random *rand.Rand) string {
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -7,6 +7,8 @@
 	Paused int
 	// Again is how many tokens of shared parts were read that some engine kept.
 	Again int
+	// Opened is how many of the requests opened a connection.
+	Opened int
 }
 
 func (r *Result) add(o Result) {
@@ -15,4 +17,5 @@
 	r.Refused += o.Refused
 	r.Paused += o.Paused
 	r.Again += o.Again
+	r.Opened += o.Opened
 }
--- a/internal/replay/routers.go
+++ b/internal/replay/routers.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -25,6 +26,8 @@
 	told  time.Time
 	// serves is how many requests a router can serve in a second, 0 for any number.
 	serves float64
+	// skew is that of the load.
+	skew float64
 }
 
 func newRouters(s Service) *routers {
@@ -35,6 +38,22 @@
 	return r
 }
 
+// uneven is the index in [0, n) at which a part of all that n get is reached, where each gets by its
+// number to the power of -skew.
+func uneven(n int, skew, part float64) int {
+	total := 0.0
+	for i := range n {
+		total += math.Pow(float64(i+1), -skew)
+	}
+	left := part * total
+	for i := range n {
+		if left -= math.Pow(float64(i+1), -skew); left < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
 const (
 	// passingCost is what passing a request on takes of serving one.
 	passingCost = 0.25
@@ -64,8 +83,11 @@
 // has no processor left and requests are handed over; nil for none.
 func (r *routers) take(req *Request, handOver bool, now time.Time) *router {
 	at := r.next(now)
-	if req.crowd {
+	switch {
+	case req.crowd:
 		at = r.list[0]
+	case req.caller >= 0:
+		at = r.list[uneven(len(r.list), r.skew, req.caller)]
 	}
 	if r.spend(at, 1, now) {
 		return at
--- a/internal/replay/service.go
+++ b/internal/replay/service.go
@@ -22,6 +22,8 @@
 	// Serves is how many requests a router can serve in a second, 0 for any number. Passing one on
 	// takes passingCost of that.
 	Serves float64
+	// KeepsIdle is how long an engine keeps an idle connection, Opening how long a new one takes.
+	KeepsIdle, Opening time.Duration
 	// Evacuations are of engines, which come back cold.
 	Evacuations []Evacuation
 	// Releases are of other software versions.
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -20,6 +20,8 @@
 	HandOver bool
 	// Warmup: what cold engines get is bounded.
 	Warmup bool
+	// Connected: engines to which a router is connected are preferred.
+	Connected bool
 }
 
 // placed is what a router knows of a request that it has placed.
@@ -27,6 +29,7 @@
 	choice  placement.Choice
 	entry   *placement.InFlight
 	reading *pace.Prefill
+	ends    connectionEnds
 }
 
 // world is the routers before the engines. They hear late of each other's work in progress; what
@@ -42,6 +45,7 @@
 	shares    *placement.Shares
 	book      *pace.Estimator
 	gates     *gates
+	conns     *connections
 	random    *rand.Rand
 	results   map[string]*Result
 	// overCold is the number of requests to cold engines beyond what those bear.
@@ -66,10 +70,11 @@
 	w := &world{decisions: d, service: s, model: &m, declared: &routing.Service{Name: "llm", Engine: engineOf},
 		routers: newRouters(s), holdings: placement.NewKVIndex(), shares: placement.NewShares(), book: pace.NewEstimator(),
 		random: rand.New(rand.NewPCG(l.Seed, 2)), results: make(map[string]*Result)}
-	w.gates = newGates(s, w.declared)
+	w.gates, w.conns = newGates(s, w.declared), newConnections(s)
 	for i, slow := range s.Slow {
 		w.engines = append(w.engines, newEngine(&m, i, slow))
 	}
+	w.routers.skew = l.Skew
 	w.release(s.Releases)
 	w.gates.follow(w.engines)
 	requests := l.requests()
@@ -148,9 +153,21 @@
 	j.placed = placed{choice: choice, entry: at.ledger.Begin(life, w.work(r, choice)),
 		reading: w.book.BeginPrefill("llm", life, choice.Wait-choice.Queue, now)}
 	at.inflows.Assign("llm", choice.AddedCost, now)
+	w.connect(at, j)
 	w.send(j)
 }
 
+// connect gives a job a connection, which it waits for if it is new.
+func (w *world) connect(at *router, j *job) {
+	ends := connectionEnds{router: at.index, engine: j.placed.choice.Candidate.Instance.ID}
+	j.placed.ends = ends
+	if w.conns.keeps == 0 || w.conns.use(ends, j.request.At) {
+		return
+	}
+	j.at += w.conns.opening
+	w.result(j.request.Organisation).Opened++
+}
+
 func (w *world) work(r *Request, c placement.Choice) placement.Work {
 	return placement.Work{Prompt: r.Prompt, PrefillTokens: c.PrefillTokens, PauseWeight: w.fragile(r), LongPrompt: c.IsLongPrompt()}
 }
@@ -171,6 +188,9 @@
 		}
 		of := kept[e.instance.Life()]
 		c := placement.Candidate{Instance: e.instance, Cached: of.Sent, Confirmed: of.Confirmed}
+		if w.decisions.Connected {
+			c.Connected = w.conns.connected(connectionEnds{router: at.index, engine: e.instance.ID}, now.Sub(epoch))
+		}
 		if w.decisions.Speeds {
 			c.Slowness = w.book.Slowness(e.instance.Life(), now)
 		}
@@ -192,6 +212,9 @@
 	if w.decisions.Herds {
 		req.Unseen, req.Random = at.inflows.Unseen("llm", now), w.random.Float64()
 	}
+	if w.decisions.Connected {
+		req.ConnectCost = w.service.Opening
+	}
 	found := placement.Choose(req, candidates, w.service.Usual)
 	return found.Choice, found.OK
 }
@@ -256,7 +279,8 @@
 	}
 }
 
-func (w *world) ended(j *job, _ time.Duration) {
+func (w *world) ended(j *job, at time.Duration) {
+	w.conns.release(j.placed.ends, at)
 	j.placed.entry.End()
 	j.placed.reading.End()
 	result := w.result(j.request.Organisation)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/traffic"
@@ -14,6 +15,10 @@
 	addr  string
 	meter *traffic.Meter
 	stats *connStats
+	// created is that of the Pools. idleUntil is the time since then until which the connection that
+	// is used next may be used; 0 if none is idle.
+	created   time.Time
+	idleUntil atomic.Int64
 
 	mu   sync.Mutex
 	idle []*conn
@@ -26,8 +31,8 @@
 	draining bool
 }
 
-func newPool(addr string, m *traffic.Meter, s *connStats) *pool {
-	return &pool{addr: addr, meter: m, stats: s, busy: make(map[*conn]struct{})}
+func newPool(addr string, m *traffic.Meter, s *connStats, created time.Time) *pool {
+	return &pool{addr: addr, meter: m, stats: s, created: created, busy: make(map[*conn]struct{})}
 }
 
 // acquire returns an idle connection or else a new one. It is busy until release or discard.
@@ -87,6 +92,7 @@
 	c := p.idle[n-1]
 	p.idle[n-1] = nil
 	p.idle = p.idle[:n-1]
+	p.updateIdleUntil()
 	p.busy[c] = struct{}{}
 	return c
 }
@@ -104,6 +110,15 @@
 	return openedFirst
 }
 
+// updateIdleUntil is called with the mutex held after each change of idle.
+func (p *pool) updateIdleUntil() {
+	until := int64(0)
+	if n := len(p.idle); n > 0 {
+		until = int64(p.idle[n-1].idleDeadline.Sub(p.created))
+	}
+	p.idleUntil.Store(until)
+}
+
 // release returns a busy connection to the pool for reuse.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
@@ -115,6 +130,7 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	p.updateIdleUntil()
 }
 
 // discard closes a busy connection for a reason.
@@ -146,6 +162,7 @@
 		p.idle[i] = nil
 	}
 	p.idle = kept
+	p.updateIdleUntil()
 }
 
 // disableReuse closes the idle connections, and makes release close the busy ones.
@@ -158,6 +175,7 @@
 		c.Close()
 	}
 	p.idle = nil
+	p.updateIdleUntil()
 }
 
 // enableReuse makes the pool keep connections again, because its life is listed.
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -40,9 +41,13 @@
 	meter traffic.Meter
 	// stats counts why connections were opened and closed.
 	stats connStats
+	// created is the time from which deadlines of idle connections are counted.
+	created time.Time
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
+	// byInstance holds the pools of the current list's instances, by their entries.
+	byInstance map[*upstream.Instance]*pool
 	// current is the newest list that UpdateList was given; nil before the first one.
 	current *upstream.Set
 	// listedUntil holds, for each life that is no longer listed, a time until which it was
@@ -52,7 +57,7 @@
 
 // NewPools returns pools for upstreams that echo a request's ID in idHeader.
 func NewPools(idHeader string) *Pools {
-	return &Pools{idHeader: idHeader, pools: make(map[poolKey]*pool), listedUntil: make(map[poolKey]time.Time)}
+	return &Pools{idHeader: idHeader, created: time.Now(), pools: make(map[poolKey]*pool), byInstance: make(map[*upstream.Instance]*pool), listedUntil: make(map[poolKey]time.Time)}
 }
 
 // Traffic returns the number of bytes that connections to upstreams have carried.
@@ -65,7 +70,7 @@
 	key := keyOf(in)
 	p := ps.pools[key]
 	if p == nil {
-		p = newPool(in.Addr, &ps.meter, &ps.stats)
+		p = newPool(in.Addr, &ps.meter, &ps.stats, ps.created)
 		p.draining = in.State == upstream.Draining || ps.current != nil && !isReady(ps.current, key)
 		ps.pools[key] = p
 		if ps.current != nil && !isListed(ps.current, key) {
@@ -74,6 +79,7 @@
 			ps.listedUntil[key] = time.Time{}
 		}
 	}
+	ps.byInstance[in] = p
 	return p
 }
 
@@ -94,8 +100,10 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	ps.current = set
+	clear(ps.byInstance)
 	for key, p := range ps.pools {
 		if isListed(set, key) {
+			ps.byInstance[set.Get(key.life.ID)] = p
 			delete(ps.listedUntil, key)
 			p.enableReuse(!isReady(set, key))
 			continue
@@ -141,6 +149,7 @@
 	for key, p := range ps.pools {
 		p.disableReuse()
 		delete(ps.pools, key)
+		clear(ps.byInstance)
 	}
 }
 
@@ -156,6 +165,7 @@
 		if p.isEmpty() {
 			delete(ps.pools, key)
 			delete(ps.listedUntil, key)
+			maps.DeleteFunc(ps.byInstance, func(_ *upstream.Instance, of *pool) bool { return of == p })
 		}
 	}
 }
--- a/pkg/gateway/mechanisms.go
+++ b/pkg/gateway/mechanisms.go
@@ -20,6 +20,8 @@
 	Harm bool
 	// Herds: work that other routers have probably assigned since their last report is counted.
 	Herds bool
+	// Connected: among nearly equal instances one is preferred to which this router is connected.
+	Connected bool
 }
 
 // liftLimits removes from l the limits of the mechanisms that are switched off.
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -30,7 +30,7 @@
 	if len(candidates) == 0 {
 		return placement.Choice{}, g.errNoCandidate(r)
 	}
-	req := placement.Request{Work: placement.Work{Prompt: r.meta.Prompt, PauseWeight: r.pauseWeight()}, Prefixes: r.prefixes, Service: r.service, Zone: g.settings.Load().Zone}
+	req := placement.Request{Work: placement.Work{Prompt: r.meta.Prompt, PauseWeight: r.pauseWeight()}, Prefixes: r.prefixes, Service: r.service, Zone: g.settings.Load().Zone, ConnectCost: g.connectCost()}
 	g.applyLearnedSpeeds(r, &req)
 	g.setLimits(r, &req, now)
 	if req.Limits.OverShare {
@@ -115,6 +115,7 @@
 		}
 	}
 	g.loads.FillLoads(list, now)
+	g.markConnected(list, now)
 	return list, cold
 }
 
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -14,6 +14,9 @@
 	FirstEvent time.Duration
 	// SlotTurn is the time after which one of a full engine's slots becomes free.
 	SlotTurn time.Duration
+	// ConnectCost is the time that a new connection to an instance costs a request; 0 for no preference
+	// for instances that this router is connected to.
+	ConnectCost time.Duration
 	// Disabled are the mechanisms that are switched off, to measure what they are worth.
 	Disabled DisabledMechanisms
 	// Cores is the number of CPU cores of the router, MaxEventDelay how long an event of a stream may
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -11,6 +11,9 @@
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 )
 
+// maxConnectMs bounds the time of a new connection: one that takes a second has failed.
+const maxConnectMs = 1000
+
 // Check returns all faults of the settings in one error.
 func (s Settings) Check() error {
 	var faults []string
@@ -41,6 +44,7 @@
 	require(s.Warmup.Over >= 0 && s.Warmup.Slack >= 0, "warmup: over and slack must not be negative")
 	require(s.Leaving.GraceSeconds > 0, "leaving.graceSeconds must be positive")
 	require(s.Engines.PrefillTokensPerMs > 0, "engines.prefillTokensPerMs must be positive")
+	require(s.Upstreams.ConnectMs >= 0 && s.Upstreams.ConnectMs <= maxConnectMs, "upstreams.connectMs must be from 0 to %d", maxConnectMs)
 	require(s.Entries.KeepSeconds > 0, "entries.keepSeconds must be positive")
 	for _, name := range s.Trial.Off {
 		require(mechanism(new(gateway.DisabledMechanisms), name) != nil, "trial.off: %q is not a known mechanism", name)
--- a/pkg/gatewayd/gatewaysettings.go
+++ b/pkg/gatewayd/gatewaysettings.go
@@ -12,6 +12,7 @@
 		PrefillTokensPerMs: s.Engines.PrefillTokensPerMs,
 		FirstEvent:         millis(s.Engines.FirstEventMs),
 		SlotTurn:           millis(s.Engines.SlotTurnMs),
+		ConnectCost:        millis(s.Upstreams.ConnectMs),
 		Disabled:           s.Trial.disabled(),
 		Cores:              s.Limits.Cores, MaxEventDelay: millis(s.Streams.EventDelayMs),
 		RetryRatio: s.Repeats.Ratio, RetrySlack: s.Repeats.Slack,
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -21,6 +21,7 @@
 	Warmup    WarmupSettings    `yaml:"warmup"`
 	Streams   StreamSettings    `yaml:"streams"`
 	Engines   EngineSettings    `yaml:"engines"`
+	Upstreams UpstreamSettings  `yaml:"upstreams"`
 	Log       LogSettings       `yaml:"log"`
 	Entries   EntrySettings     `yaml:"entries"`
 	Trial     TrialSettings     `yaml:"trial"`
@@ -118,6 +119,13 @@
 	SlotTurnMs         float64 `yaml:"slotTurnMs"`
 }
 
+// UpstreamSettings describe connections to upstreams.
+type UpstreamSettings struct {
+	// ConnectMs is the time that a new connection costs a request, in milliseconds; 0 for no
+	// preference for upstreams that the router is connected to.
+	ConnectMs float64 `yaml:"connectMs"`
+}
+
 // LogSettings configure the log.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -141,8 +149,10 @@
 		Leaving: LeavingSettings{GraceSeconds: 8},
 		// Typical engines prefill 82 to 85 tokens a millisecond, less while they also generate.
 		Engines: EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
-		Log:     LogSettings{Level: "info"},
-		Entries: EntrySettings{KeepSeconds: 1},
+		// A round trip within a region, and the time until the upstream accepts.
+		Upstreams: UpstreamSettings{ConnectMs: 3},
+		Log:       LogSettings{Level: "info"},
+		Entries:   EntrySettings{KeepSeconds: 1},
 	}
 }
 
--- a/pkg/gatewayd/settings_test.go
+++ b/pkg/gatewayd/settings_test.go
@@ -1,10 +1,12 @@
 package gatewayd
 
 import (
+	"math"
 	"os"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -47,6 +49,10 @@
 		"repeats.windowSeconds":  func(s *Settings) { s.Repeats.WindowSeconds = 0 },
 		"leaving.graceSeconds":   func(s *Settings) { s.Leaving.GraceSeconds = 0 },
 		"entries.keepSeconds":    func(s *Settings) { s.Entries.KeepSeconds = 0 },
+		"upstreams.connectMs":    func(s *Settings) { s.Upstreams.ConnectMs = math.NaN() },
+		"from 0 to 1000":         func(s *Settings) { s.Upstreams.ConnectMs = 1001 },
+		"connectMs must":         func(s *Settings) { s.Upstreams.ConnectMs = -1 },
+		"trial.off":              func(s *Settings) { s.Trial.Off = []string{"connections"} },
 		"log.level":              func(s *Settings) { s.Log.Level = "loud" },
 	} {
 		faulty := s
@@ -54,3 +60,12 @@
 		require.ErrorContains(t, faulty.Check(), key)
 	}
 }
+
+// Guards against a switch or a setting of connections that is read and never reaches placement.
+func TestConnectionSettingsReachPlacement(t *testing.T) {
+	s := DefaultSettings()
+	require.Equal(t, 3*time.Millisecond, gatewaySettings(s).ConnectCost)
+	s.Upstreams.ConnectMs, s.Trial.Off = 0, []string{"connected"}
+	require.Zero(t, gatewaySettings(s).ConnectCost)
+	require.True(t, gatewaySettings(s).Disabled.Connected)
+}
--- a/pkg/gatewayd/trial.go
+++ b/pkg/gatewayd/trial.go
@@ -5,7 +5,7 @@
 // TrialSettings disable parts of placement for experiments.
 type TrialSettings struct {
 	// Off names the disabled mechanisms: speeds, pauses, fetch, yield,
-	// occupancy, reserve, harm, herds.
+	// occupancy, reserve, harm, herds, connected.
 	Off []string `yaml:"off"`
 }
 
@@ -28,6 +28,8 @@
 		return &m.Harm
 	case "herds":
 		return &m.Herds
+	case "connected":
+		return &m.Connected
 	}
 	return nil
 }
--- a/pkg/placement/candidate.go
+++ b/pkg/placement/candidate.go
@@ -21,6 +21,8 @@
 	LongPromptShare float64
 	// Slowness is the instance's prefill time over the usual one; 0 counts as 1.
 	Slowness float64
+	// Connected is whether this router has an idle connection to the instance.
+	Connected bool
 	// Handicap is added to the cost of an instance that fails or is slow.
 	Handicap time.Duration
 }
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -50,6 +50,9 @@
 	// random number in [0, 1) that spreads the choices of many routers.
 	Unseen Unseen
 	Random float64
+	// ConnectCost is the time that a new connection costs; 0 for no preference for instances that
+	// this router is connected to.
+	ConnectCost time.Duration
 }
 
 // Choice is an instance and the estimates for the request there.
@@ -142,7 +145,8 @@
 		d.ShortestQueue = req.Limits.Queue + excess
 		return d
 	}
-	d.Choice, d.OK = s.fitting[pick(s.fitting, level, random)], true
+	picked := req.preferConnected(s.fitting, pick(s.fitting, level, random), random)
+	d.Choice, d.OK = s.fitting[picked], true
 	d.Choice.AddedCost, d.Choice.Unseen = addedCost(req, d.Choice, speed), req.Unseen
 	return d
 }
--- /dev/null
+++ b/pkg/placement/connected.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxConnectedTie bounds the difference of costs that counts as a tie: beyond it a caller would
+	// wait longer than its connection saves, however little is known of the engines.
+	maxConnectedTie = 30 * time.Millisecond
+	// connectedDraws separates the draw among connected choices from the one among all: both come
+	// from one random number, which is far finer than a service has instances.
+	connectedDraws = 1 << 16
+)
+
+// preferConnected returns the index of a choice that is nearly equal to the picked one and to which
+// this router is connected; picked if there is none. random is in [0, 1).
+//
+// Many routers spread their requests over many engines, so each uses a connection to any one of them
+// seldom, and finds it closed. Costs that differ by less than a new connection, and what each engine
+// is expected to have got since the reports, say nothing about which engine is better. The tie holds
+// in both directions: if only cheaper choices counted, all routers would move to the same few.
+func (r *Request) preferConnected(choices []Choice, picked int, random float64) int {
+	if r.ConnectCost <= 0 || choices[picked].Candidate.Connected {
+		return picked
+	}
+	tie := min(maxConnectedTie, r.ConnectCost+r.Unseen.Assigned/time.Duration(len(choices)))
+	count := 0
+	for i := range choices {
+		if choices[i].isConnectedTie(choices[picked].Cost, tie) {
+			count++
+		}
+	}
+	if count == 0 {
+		return picked
+	}
+	_, draw := math.Modf(random * connectedDraws)
+	nth := int(draw * float64(count))
+	for i := range choices {
+		if !choices[i].isConnectedTie(choices[picked].Cost, tie) {
+			continue
+		}
+		if nth == 0 {
+			return i
+		}
+		nth--
+	}
+	return picked
+}
+
+// isConnectedTie reports whether a choice is connected and its cost differs from cost by at most
+// tie. An instance that failed recently is never preferred.
+func (c *Choice) isConnectedTie(cost, tie time.Duration) bool {
+	return c.Candidate.Connected && c.Candidate.Handicap < maxSpreadHandicap && (c.Cost-cost).Abs() <= tie
+}
