A connected engine isn't preferred if it prefills more or is in another zone

Ruled out: a narrower tie, which saves fewer connections. Change: the other choice must not prefill more, nor leave the router's zone.

--- a/pkg/placement/connected.go
+++ b/pkg/placement/connected.go
@@ -28,7 +28,7 @@
 	tie := min(maxConnectedTie, r.ConnectCost+r.Unseen.Assigned/time.Duration(len(choices)))
 	count := 0
 	for i := range choices {
-		if choices[i].isConnectedTie(choices[picked].Cost, tie) {
+		if r.isConnectedTie(&choices[i], &choices[picked], tie) {
 			count++
 		}
 	}
@@ -38,7 +38,7 @@
 	_, draw := math.Modf(random * connectedDraws)
 	nth := int(draw * float64(count))
 	for i := range choices {
-		if !choices[i].isConnectedTie(choices[picked].Cost, tie) {
+		if !r.isConnectedTie(&choices[i], &choices[picked], tie) {
 			continue
 		}
 		if nth == 0 {
@@ -49,8 +49,12 @@
 	return picked
 }
 
-// isConnectedTie reports whether a choice is connected and its cost differs from cost by at most
-// tie. An instance that failed recently is never preferred.
-func (c *Choice) isConnectedTie(cost, tie time.Duration) bool {
-	return c.Candidate.Connected && c.Candidate.Handicap < maxSpreadHandicap && (c.Cost-cost).Abs() <= tie
+// isConnectedTie reports whether a choice is connected and its cost differs from that of picked by at
+// most tie. It must not prefill more, or be in another zone if picked isn't: those costs are certain.
+// An instance that failed recently is never preferred.
+func (r *Request) isConnectedTie(c, picked *Choice, tie time.Duration) bool {
+	if !c.Candidate.Connected || c.Candidate.Handicap >= maxSpreadHandicap || (c.Cost-picked.Cost).Abs() > tie {
+		return false
+	}
+	return c.UncachedTokens <= picked.UncachedTokens && zoneCost(*r, c.Candidate) <= zoneCost(*r, picked.Candidate)
 }
--- a/pkg/placement/connected_test.go
+++ b/pkg/placement/connected_test.go
@@ -20,9 +20,9 @@
 		}
 		choices := make([]Choice, rapid.IntRange(1, 30).Draw(t, "choices"))
 		for i := range choices {
-			choices[i] = Choice{Cost: ms("cost", 200), Candidate: Candidate{Connected: rapid.Bool().Draw(t, "connected"), Handicap: ms("handicap", 100)}}
+			choices[i] = Choice{Cost: ms("cost", 200), UncachedTokens: rapid.IntRange(0, 2).Draw(t, "uncached"), Candidate: Candidate{Instance: &upstream.Instance{Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")}, Connected: rapid.Bool().Draw(t, "connected"), Handicap: ms("handicap", 100)}}
 		}
-		r := Request{ConnectCost: ms("connect", 10), Unseen: Unseen{Assigned: ms("unseen", 3000)}}
+		r := Request{Zone: "a", ConnectCost: ms("connect", 10), Unseen: Unseen{Assigned: ms("unseen", 3000)}}
 		picked := rapid.IntRange(0, len(choices)-1).Draw(t, "picked")
 		got := r.preferConnected(choices, picked, rapid.Float64Range(0, 0.999999).Draw(t, "random"))
 		switch tie := min(maxConnectedTie, r.ConnectCost+r.Unseen.Assigned/time.Duration(len(choices))); {
@@ -31,6 +31,10 @@
 			t.Fatal("there is nothing to save")
 		case !choices[got].Candidate.Connected, choices[got].Candidate.Handicap >= maxSpreadHandicap, (choices[got].Cost - choices[picked].Cost).Abs() > tie:
 			t.Fatalf("%+v is preferred to %+v", choices[got], choices[picked])
+		case choices[got].UncachedTokens > choices[picked].UncachedTokens:
+			t.Fatal("more is prefilled")
+		case choices[got].Candidate.Instance.Zone != r.Zone && choices[picked].Candidate.Instance.Zone == r.Zone:
+			t.Fatal("the request leaves its zone")
 		}
 	})
 }
@@ -38,8 +42,8 @@
 // Guards against a preference for the same few of the connected engines, which would get all of a router's requests.
 func TestConnectedTiesAreChosenAlike(t *testing.T) {
 	choices := make([]Choice, 8)
-	for i := range choices[:4] {
-		choices[i].Candidate.Connected = true
+	for i := range choices {
+		choices[i].Candidate = Candidate{Instance: &upstream.Instance{}, Connected: i < 4}
 	}
 	r, random := Request{ConnectCost: time.Millisecond}, rand.New(rand.NewPCG(1, 1))
 	var got [8]int
