Choosing copies no request for each candidate

Change: the steps of an evaluation take pointers; TestInstancesInTheOwnZoneCostLess passes them, its assertions are the same. BenchmarkCandidatesConnected is new.

--- a/pkg/gateway/place_bench_test.go
+++ b/pkg/gateway/place_bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -18,9 +19,16 @@
 const benchEngines = 64
 
 // BenchmarkCandidates finds the candidates for a prompt that no engine has cached.
-func BenchmarkCandidates(b *testing.B) {
+func BenchmarkCandidates(b *testing.B) { runCandidates(b, Settings{}) }
+
+// BenchmarkCandidatesConnected also tells to which of them the router is connected.
+func BenchmarkCandidatesConnected(b *testing.B) {
+	runCandidates(b, Settings{ConnectCost: time.Millisecond})
+}
+
+func runCandidates(b *testing.B, s Settings) {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	g := New(Settings{}, Dependencies{Catalog: catalog.New(quiet), Health: upstream.NewHealth(), Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(),
+	g := New(s, Dependencies{Catalog: catalog.New(quiet), Pools: forward.NewPools("Id"), Health: upstream.NewHealth(), Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(),
 		Streams: new(testEnv).newTracker(quiet), Peers: singlePeer{}, Log: quiet})
 	var list []upstream.Instance
 	loads := make(map[upstream.Life]placement.Load)
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -114,8 +114,9 @@
 	s := scratchPool.Get().(*scratch)
 	defer scratchPool.Put(s)
 	s.reset()
-	for _, c := range candidates {
-		choice := evaluate(req, c, holders, speed)
+	for i := range candidates {
+		c := &candidates[i]
+		choice := evaluate(&req, c, holders, speed)
 		d.ShortestWait = min(d.ShortestWait, choice.Wait)
 		d.ShortestQueue = min(d.ShortestQueue, choice.Queue)
 		if len(req.Prefixes) > 0 {
@@ -123,8 +124,8 @@
 			choice.Cost += time.Duration(float64(tieBreakCost) * (1 - rank))
 		}
 		s.costs = append(s.costs, choice.Cost)
-		s.work = append(s.work, choice.Cost-c.Handicap-zoneCost(req, c))
-		if req.fits(choice) {
+		s.work = append(s.work, choice.Cost-c.Handicap-zoneCost(&req, c))
+		if req.fits(&choice) {
 			s.fitting = append(s.fitting, choice)
 		}
 	}
@@ -147,7 +148,7 @@
 	}
 	picked := req.preferConnected(s.fitting, pick(s.fitting, level, random), random)
 	d.Choice, d.OK = s.fitting[picked], true
-	d.Choice.AddedCost, d.Choice.Unseen = addedCost(req, d.Choice, speed), req.Unseen
+	d.Choice.AddedCost, d.Choice.Unseen = addedCost(&req, &d.Choice, speed), req.Unseen
 	return d
 }
 
@@ -165,7 +166,7 @@
 func (s *scratch) reset() { s.costs, s.work, s.fitting = s.costs[:0], s.work[:0], s.fitting[:0] }
 
 // addedCost is the amount by which a choice raises the cost of its instance for later requests.
-func addedCost(req Request, c Choice, speed Speed) time.Duration {
+func addedCost(req *Request, c *Choice, speed Speed) time.Duration {
 	if !req.isCall() {
 		return speed.prefillTime(c.PrefillTokens) + batchCost(Load{Running: 1}, req.Service.Engine.Slots)
 	}
@@ -175,7 +176,7 @@
 }
 
 // overOccupied reports whether the request would take more of an engine's slots than its limit.
-func overOccupied(req Request, c Candidate) bool {
+func overOccupied(req *Request, c *Candidate) bool {
 	if req.Limits.Occupancy <= 0 || req.Service.Engine == nil {
 		return false
 	}
@@ -186,11 +187,11 @@
 func (r *Request) isCall() bool { return r.Service.Engine == nil || r.Work.Prompt == nil }
 
 // evaluate estimates the wait and the cost of a request at a candidate.
-func evaluate(req Request, c Candidate, holders holders, speed Speed) Choice {
+func evaluate(req *Request, c *Candidate, holders holders, speed Speed) Choice {
 	if req.isCall() {
-		return evaluateCall(req, c, speed)
+		return evaluateCall(req, *c, speed)
 	}
-	choice := Choice{Candidate: c, Queue: engineQueue(req, c, speed)}
+	choice := Choice{Candidate: *c, Queue: engineQueue(req, c, speed)}
 	transfer, recomputeCost := choice.planPrefill(req, holders, speed)
 	prefill := c.slowed(speed.prefillTime(choice.PrefillTokens))
 	choice.Base = transfer + speed.FirstEvent + speed.prefillTime(choice.PrefillTokens)
@@ -198,12 +199,12 @@
 	choice.Risk = req.risk(prefill)
 	choice.Harm = choice.Risk * weightAtRisk(c.Load)
 	choice.Cost = choice.Wait + c.Handicap + zoneCost(req, c) + batchCost(c.Load, req.Service.Engine.Slots) + recomputeCost
-	choice.Cost += time.Duration((choice.Harm + req.exposure(c)) * float64(lateStreamCost))
+	choice.Cost += time.Duration((choice.Harm + req.exposure(*c)) * float64(lateStreamCost))
 	return choice
 }
 
 // engineQueue is how long other requests delay the prefill of the request's prompt.
-func engineQueue(req Request, c Candidate, speed Speed) time.Duration {
+func engineQueue(req *Request, c *Candidate, speed Speed) time.Duration {
 	engine := req.Service.Engine
 	queue := c.slowed(speed.prefillTime(c.Load.PrefillTokens)) + slotWait(c.Load, engine.Slots, speed)
 	if float64(c.Load.KVTokens+req.Work.KVTokens()) > usableKVShare*float64(engine.KVCapacity) {
@@ -214,13 +215,15 @@
 
 // planPrefill sets the tokens that the candidate prefills and those that it fetches. It returns the
 // duration of the transfer, and the cost of recomputing and of a further copy.
-func (choice *Choice) planPrefill(req Request, holders holders, speed Speed) (transfer, cost time.Duration) {
-	c := choice.Candidate
+func (choice *Choice) planPrefill(req *Request, holders holders, speed Speed) (transfer, cost time.Duration) {
+	c := &choice.Candidate
 	cached := c.Cached
-	transfer, holder := holders.bestFetch(req, c, speed)
-	if holder != nil {
-		cached = holder.Confirmed
-		choice.FetchFrom, choice.FetchedTokens = holder.Instance, cached-c.Cached
+	if req.AllowFetch {
+		var holder *Candidate
+		if transfer, holder = holders.bestFetch(*req, *c, speed); holder != nil {
+			cached = holder.Confirmed
+			choice.FetchFrom, choice.FetchedTokens = holder.Instance, cached-c.Cached
+		}
 	}
 	choice.UncachedTokens = max(0, req.Work.Prompt.Input-cached)
 	choice.PrefillTokens = scaleTokens(choice.UncachedTokens, req.Scale)
@@ -234,12 +237,12 @@
 }
 
 // fits reports whether a choice is within the request's limits.
-func (r *Request) fits(c Choice) bool {
+func (r *Request) fits(c *Choice) bool {
 	reserve := time.Duration(r.Limits.RecomputeReserve * float64(c.recompute))
 	if c.Wait+reserve > r.Limits.Wait || c.Queue > r.Limits.ChosenQueue {
 		return false
 	}
-	return !overOccupied(*r, c.Candidate) && !r.tooHarmful(c)
+	return !overOccupied(r, &c.Candidate) && !r.tooHarmful(*c)
 }
 
 // scaleTokens converts a number of prompt tokens into tokens of a short prompt.
@@ -250,10 +253,10 @@
 	return int(float64(tokens) * scale)
 }
 
-func evaluateCall(req Request, c Candidate, speed Speed) Choice {
+func evaluateCall(req *Request, c Candidate, speed Speed) Choice {
 	c.Load.Running -= req.callsEnded(c, speed)
 	wait := callWait(c.Load, c.Instance.Slots, speed)
-	cost := wait + c.Handicap + zoneCost(req, c) + batchCost(c.Load, c.Instance.Slots)
+	cost := wait + c.Handicap + zoneCost(req, &c) + batchCost(c.Load, c.Instance.Slots)
 	return Choice{Candidate: c, Wait: wait, Cost: cost, Queue: wait}
 }
 
@@ -286,7 +289,7 @@
 	return time.Duration(float64(fullBatchCost) * float64(l.Running) / float64(max(1, slots)))
 }
 
-func zoneCost(req Request, c Candidate) time.Duration {
+func zoneCost(req *Request, c *Candidate) time.Duration {
 	if c.Instance.Zone == req.Zone {
 		return 0
 	}
--- a/pkg/placement/connected.go
+++ b/pkg/placement/connected.go
@@ -56,5 +56,5 @@
 	if !c.Candidate.Connected || c.Candidate.Handicap >= maxSpreadHandicap || (c.Cost-picked.Cost).Abs() > tie {
 		return false
 	}
-	return c.UncachedTokens <= picked.UncachedTokens && zoneCost(*r, c.Candidate) <= zoneCost(*r, picked.Candidate)
+	return c.UncachedTokens <= picked.UncachedTokens && zoneCost(r, &c.Candidate) <= zoneCost(r, &picked.Candidate)
 }
--- a/pkg/placement/over_share.go
+++ b/pkg/placement/over_share.go
@@ -18,8 +18,8 @@
 	headroom, work := 0.0, time.Duration(0)
 	s.costs = s.costs[:0]
 	for i := range s.fitting {
-		headroom += r.headroom(s.fitting[i], speed)
-		work += addedCost(*r, s.fitting[i], speed)
+		headroom += r.headroom(&s.fitting[i], speed)
+		work += addedCost(r, &s.fitting[i], speed)
 		s.costs = append(s.costs, s.fitting[i].Cost)
 	}
 	competing := min(headroom, r.Unseen.OverShare)
@@ -29,13 +29,13 @@
 
 // headroom is the number of requests like this one that a candidate can take before they no longer
 // fit; at least one, as this one fits.
-func (r *Request) headroom(c Choice, speed Speed) float64 {
+func (r *Request) headroom(c *Choice, speed Speed) float64 {
 	headroom := float64(r.Service.Engine.Slots)
 	if r.Limits.Occupancy > 0 {
 		headroom *= r.Limits.Occupancy
 	}
 	headroom -= float64(c.Candidate.Load.Running)
-	if cost := addedCost(*r, c, speed); cost > 0 {
+	if cost := addedCost(r, c, speed); cost > 0 {
 		headroom = min(headroom, float64(max(0, r.Limits.ChosenQueue-c.Queue))/float64(cost))
 	}
 	return max(1, headroom)
--- a/pkg/placement/zone_test.go
+++ b/pkg/placement/zone_test.go
@@ -16,9 +16,9 @@
 	req := Request{Service: &routing.Service{Name: "app"}, Zone: "a"}
 	sameZone := Candidate{Instance: &upstream.Instance{ID: "x", Zone: "a", Slots: 4}}
 	otherZone := Candidate{Instance: &upstream.Instance{ID: "x", Zone: "b", Slots: 4}}
-	require.Equal(t, crossZoneCost, evaluate(req, otherZone, holders{}, usualSpeed).Cost-evaluate(req, sameZone, holders{}, usualSpeed).Cost)
+	require.Equal(t, crossZoneCost, evaluate(&req, &otherZone, holders{}, usualSpeed).Cost-evaluate(&req, &sameZone, holders{}, usualSpeed).Cost)
 	busy := sameZone
 	busy.Load.Running = 4
-	require.Greater(t, evaluate(req, busy, holders{}, usualSpeed).Cost, evaluate(req, otherZone, holders{}, usualSpeed).Cost)
+	require.Greater(t, evaluate(&req, &busy, holders{}, usualSpeed).Cost, evaluate(&req, &otherZone, holders{}, usualSpeed).Cost)
 	require.Less(t, crossZoneCost, 100*time.Millisecond)
 }
