--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -12,6 +12,8 @@
 	Again int
 	// Long is how many of those in time had a prompt of longPrompt tokens or more.
 	Long int
+	// Opened is how many of the requests opened a connection.
+	Opened int
 }
 
 func (r *Result) add(o Result) {
@@ -21,4 +23,5 @@
 	r.Paused += o.Paused
 	r.Again += o.Again
 	r.Long += o.Long
+	r.Opened += o.Opened
 }
--- a/pkg/gateway/booking.go
+++ b/pkg/gateway/booking.go
@@ -25,7 +25,7 @@
 	maxPause := g.catalog.Table().MaxPause(r.service.Name)
 	ask := booking.Ask{MaxPauseMs: booking.Millis(maxPause), OverShare: req.Limits.OverShare, Offers: make([]booking.Offer, 0, len(found.Near))}
 	for i := range found.Near {
-		ask.Offers = append(ask.Offers, offer(&req.Limits, found.Near[i]))
+		ask.Offers = append(ask.Offers, offer(req, found.Near[i]))
 	}
 	patience := time.Duration(patienceShare * float64(r.route.Objective))
 	result := g.bookings.Book(r.ctx, found.Choice.Candidate.Instance.Zone, ask, patience)
@@ -44,10 +44,13 @@
 	return choice, nil
 }
 
-func offer(l *placement.Limits, c placement.Choice) booking.Offer {
-	life := c.Candidate.Instance.Life()
-	return booking.Offer{Instance: string(life.ID), Life: life.Start, CostMs: booking.Millis(c.Cost - c.Queue), QueueMs: booking.Millis(c.Queue),
-		MaxWaitMs: booking.Millis(l.MaxQueue(c)), PrefillMs: booking.Millis(c.Prefill)}
+func offer(req *placement.Request, c placement.Choice) booking.Offer {
+	life, cost := c.Candidate.Instance.Life(), c.Cost-c.Queue
+	if !c.Candidate.Connected {
+		cost += req.ConnectCost
+	}
+	return booking.Offer{Instance: string(life.ID), Life: life.Start, CostMs: booking.Millis(cost), QueueMs: booking.Millis(c.Queue),
+		MaxWaitMs: booking.Millis(req.Limits.MaxQueue(c)), PrefillMs: booking.Millis(c.Prefill)}
 }
 
 // bookedRetryAfter is the time after which a request that no engine has room for may find some.
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -25,6 +25,7 @@
 			p.logDrops.report()
 			p.storeCalls.report()
 			p.bookingStats.report()
+			p.upstreamConns.report()
 			p.linkUsage.report()
 			p.rowFaults.report()
 			p.held.report()
--- a/pkg/placement/near.go
+++ b/pkg/placement/near.go
@@ -7,7 +7,7 @@
 )
 
 // near returns the cheapest of the fitting choices in the zone of chosen.
-func (r *Request) near(fitting []Choice, chosen Choice, speed Speed) []Choice {
+func (r *Request) near(fitting []Choice, chosen *Choice, speed Speed) []Choice {
 	if r.MaxNear <= 0 || chosen.Prefill < r.NearFrom {
 		return nil
 	}
@@ -20,7 +20,7 @@
 	slices.SortFunc(list, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
 	list = list[:min(len(list), r.MaxNear)]
 	for i := range list {
-		list[i].AddedCost, list[i].Unseen = addedCost(*r, list[i], speed), r.Unseen
+		list[i].AddedCost, list[i].Unseen = addedCost(r, &list[i], speed), r.Unseen
 	}
 	return list
 }
