A connected engine isn't preferred if it fails or fetches more; ties count all engines

Ruled out: replacing the bound of handicaps (its test broke, rightly). Change: handicap and fetched tokens are part of a tie, and unseen is what the choice itself spreads over.

--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -158,7 +158,7 @@
 		d.ShortestQueue = req.Limits.Queue + excess
 		return d
 	}
-	picked := req.preferConnected(s.fitting, pick(s.fitting, level, random), random)
+	picked := req.preferConnected(s.fitting, pick(s.fitting, level, random), unseen/time.Duration(len(s.costs)), random)
 	d.Choice, d.OK = s.fitting[picked], true
 	d.Choice.AddedCost, d.Choice.Unseen = addedCost(&req, &d.Choice, speed), req.Unseen
 	d.Near = req.near(s.fitting, &d.Choice, speed)
--- a/pkg/placement/connected.go
+++ b/pkg/placement/connected.go
@@ -18,14 +18,15 @@
 // this router is connected; picked if there is none. random is in [0, 1).
 //
 // Many routers spread their requests over many engines, so each uses a connection to any one of them
-// seldom, and finds it closed. Costs that differ by less than a new connection, and what each engine
-// is expected to have got since the reports, say nothing about which engine is better. The tie holds
-// in both directions: if only cheaper choices counted, all routers would move to the same few.
-func (r *Request) preferConnected(choices []Choice, picked int, random float64) int {
+// seldom, and finds it closed. Costs that differ by less than a new connection and unseen, the work
+// that other routers have probably sent to each engine since the last reports, say nothing about which
+// engine is better. The tie holds in both directions: if only cheaper choices counted, all routers
+// would move to the same few.
+func (r *Request) preferConnected(choices []Choice, picked int, unseen time.Duration, random float64) int {
 	if r.ConnectCost <= 0 || choices[picked].Candidate.Connected {
 		return picked
 	}
-	tie := min(maxConnectedTie, r.ConnectCost+r.Unseen.Assigned/time.Duration(len(choices)))
+	tie := min(maxConnectedTie, r.ConnectCost+unseen)
 	count := 0
 	for i := range choices {
 		if r.isConnectedTie(&choices[i], &choices[picked], tie) {
@@ -50,11 +51,14 @@
 }
 
 // isConnectedTie reports whether a choice is connected and its cost differs from that of picked by at
-// most tie. It must not prefill more, or be in another zone if picked isn't: those costs are certain.
-// An instance that failed recently is never preferred.
+// most tie. It must not prefill or fetch more, or be in another zone if picked isn't: those costs are
+// certain. An instance that failed more often of late is never preferred.
 func (r *Request) isConnectedTie(c, picked *Choice, tie time.Duration) bool {
-	if !c.Candidate.Connected || c.Candidate.Handicap >= maxSpreadHandicap || (c.Cost-picked.Cost).Abs() > tie {
+	if !c.Candidate.Connected || c.Candidate.Handicap >= maxSpreadHandicap || c.Candidate.Handicap > picked.Candidate.Handicap {
 		return false
 	}
-	return c.UncachedTokens <= picked.UncachedTokens && zoneCost(r, &c.Candidate) <= zoneCost(r, &picked.Candidate)
+	if (c.Cost - picked.Cost).Abs() > tie {
+		return false
+	}
+	return c.UncachedTokens <= picked.UncachedTokens && c.FetchedTokens <= picked.FetchedTokens && zoneCost(r, &c.Candidate) <= zoneCost(r, &picked.Candidate)
 }
