The bench of connected candidates has connections

Cause: BenchmarkCandidatesConnected asked an empty index, so it left out what a lookup costs. Ruled out: filling the index by hand, which is private to pkg/forward. Change: it probes one listener for each of 64 instances.

--- a/pkg/gateway/place_bench_test.go
+++ b/pkg/gateway/place_bench_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -39,6 +41,9 @@
 	}
 	g.catalog.Replace(list, 1, time.Now(), "bench")
 	g.loads.SetOthers(loads)
+	if s.ConnectCost > 0 {
+		connectEach(b, g, list)
+	}
 	r := &request{route: &routing.Route{Kind: routing.Stream}, service: &routing.Service{Name: "app"}, prefixes: []placement.Prefix{{Key: 1, Tokens: 800}, {Key: 2, Tokens: 1210}}}
 	now := time.Now()
 	b.ReportAllocs()
@@ -47,6 +52,20 @@
 	}
 }
 
+// connectEach opens a connection to each instance of the list, at one address.
+func connectEach(b *testing.B, g *Gateway, list []upstream.Instance) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { l.Close() })
+	for i := range list {
+		list[i].Addr = l.Addr().String()
+	}
+	g.catalog.Replace(list, 2, time.Now(), "bench")
+	for i := range list {
+		require.NoError(b, g.pools.Probe(b.Context(), g.catalog.Instances().Get(list[i].ID)))
+	}
+}
+
 func benchCandidates(g *Gateway, r *request, now time.Time) {
 	list := candidateSlices.Get().(*[]placement.Candidate)
 	*list, _ = g.candidates((*list)[:0], r, now)
