Replays of connections and bookings in files of their own, calls beside choices; a reload switches the preference off

Ruled out: a file for each method, which would separate them from their state. Change: moved, nothing else; a test reloads upstreams.connectMs and trial.off.

--- a/internal/replay/connections.go
+++ b/internal/replay/connections.go
@@ -46,3 +46,14 @@
 func (c *connections) release(ends connectionEnds, now time.Duration) {
 	c.idle[ends] = append(c.idle[ends], now+c.keeps)
 }
+
+// connect gives a job a connection, which it waits for if it is new.
+func (w *world) connect(at *router, j *job) {
+	ends := connectionEnds{router: at.index, engine: j.placed.choice.Candidate.Instance.ID}
+	j.placed.ends = ends
+	if w.conns.keeps == 0 || w.conns.use(ends, j.request.At) {
+		return
+	}
+	j.at += w.conns.opening
+	w.result(j.request.Organisation).Opened++
+}
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -99,6 +99,16 @@
 	})
 }
 
+// Guards against a preference for connected upstreams that only a restart switches off.
+func TestReloadSwitchesThePreferenceForConnectionsOff(t *testing.T) {
+	r := newTestProcess(t)
+	s := *r.settings.Load()
+	s.Upstreams.ConnectMs, s.Trial.Off = 0, []string{"connected"}
+	r.Reload(s)
+	require.Zero(t, r.settings.Load().Upstreams.ConnectMs)
+	require.Empty(t, r.lines.Entries[0].Fields.Get("needs_restart"))
+}
+
 // Guards against changes that are ignored silently: a listen address needs a restart, which must be
 // logged, and all other changes must be applied.
 func TestReloadLogsWhatNeedsARestart(t *testing.T) {
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"sync"
 	"time"
 
@@ -267,32 +266,10 @@
 	return int(float64(tokens) * scale)
 }
 
-func evaluateCall(req *Request, c Candidate, speed Speed) Choice {
-	c.Load.Running -= req.callsEnded(c, speed)
-	wait := callWait(c.Load, c.Instance.Slots, speed)
-	cost := wait + c.Handicap + zoneCost(req, &c) + batchCost(c.Load, c.Instance.Slots)
-	return Choice{Candidate: c, Wait: wait, Cost: cost, Queue: wait}
-}
-
 // QueueLength is the number of requests that would wait for one of an instance's slots, with one
 // more than its load.
 func QueueLength(l Load, slots int) int { return max(0, l.Running+1-slots) }
 
-// callWait is how long a call waits for a slot: for each waiting request the duration of a call
-// divided by the number of slots. Until that duration is known, a slot's turn takes its place.
-func callWait(l Load, slots int, speed Speed) time.Duration {
-	return time.Duration(QueueLength(l, slots)) * cmp.Or(speed.CallTime, speed.SlotTurn) / time.Duration(max(1, slots))
-}
-
-// callsEnded estimates the calls that have ended at an instance since its load was counted.
-func (r *Request) callsEnded(c Candidate, speed Speed) int {
-	if speed.CallTime <= 0 {
-		return 0
-	}
-	busy := min(c.Load.Running, c.Instance.Slots)
-	return min(c.Load.Running, int(float64(busy)*float64(r.Unseen.Age)/float64(speed.CallTime)))
-}
-
 // slotWait is how long a request waits for one of an instance's slots.
 func slotWait(l Load, slots int, speed Speed) time.Duration {
 	return time.Duration(QueueLength(l, slots)) * speed.SlotTurn
