--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -1,8 +1,5 @@
 package replay
 
-// longPrompt is the number of tokens from which on a prompt counts as long.
-const longPrompt = 12_000
-
 // Result is how the requests of one organisation went.
 type Result struct {
 	InTime, Late, Refused int
@@ -10,8 +7,6 @@
 	Paused int
 	// Again is how many tokens of shared parts were read that some engine kept.
 	Again int
-	// Long is how many of those in time had a prompt of longPrompt tokens or more.
-	Long int
 	// Opened is how many of the requests opened a connection.
 	Opened int
 }
@@ -22,6 +17,5 @@
 	r.Refused += o.Refused
 	r.Paused += o.Paused
 	r.Again += o.Again
-	r.Long += o.Long
 	r.Opened += o.Opened
 }
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/booking"
-	"github.com/flamingowind/flamingowind/pkg/entitlement"
 	"github.com/flamingowind/flamingowind/pkg/pace"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
@@ -16,8 +15,6 @@
 // Decisions are the mechanisms that are in use.
 type Decisions struct {
 	Speeds, Pauses, Fetch bool
-	// Entitlement: what an organisation over its share is due is served like work within a share.
-	Entitlement bool
 	// Bookings: long prompts take turns at the engines.
 	Bookings bool
 	// Herds: routers reckon with what others do since their last report.
@@ -207,11 +204,7 @@
 		req.MaxPause, req.PauseCurve = w.service.MaxPause, w.book.Curve("llm")
 	}
 	own := time.Duration(max(1, req.Scale) * float64(r.Prompt.Input) / w.service.Usual.TokensPerMs * float64(time.Millisecond))
-	standing := w.shares.Standing(r.Organisation, w.service.Capacity, now)
-	if w.decisions.Entitlement && standing.ShareRatio > 1 && entitlement.Entitled(standing.Asked, standing.Due, w.random.Float64()) {
-		standing = standing.Entitled()
-	}
-	req.Limits = shedding.PromptLimits(shedding.Request{Objective: w.service.Objective, Prefill: own, Standing: standing})
+	req.Limits = shedding.PromptLimits(shedding.Request{Objective: w.service.Objective, Prefill: own, Standing: w.shares.Standing(r.Organisation, w.service.Capacity, now)})
 	if req.Limits.OverShare {
 		at.inflows.CountOverShare("llm", now)
 	}
@@ -308,8 +301,5 @@
 		result.Late++
 	default:
 		result.InTime++
-		if j.request.Prompt.Input >= longPrompt {
-			result.Long++
-		}
 	}
 }
--- a/pkg/gateway/booking_test.go
+++ b/pkg/gateway/booking_test.go
@@ -134,9 +134,6 @@
 	})
 	status, _, _ := env.get("/safe/", "X-Tokens", "5000")
 	require.Equal(t, http.StatusOK, status)
-	s := *env.gateway.settings.Load()
-	s.Disabled.Entitlement = true // it draws
-	env.gateway.UpdateSettings(s)
 	env.gateway.shares.SetOthers(map[string]placement.Use{"org": {Asked: 5e6, Got: 5.5e5}, "other": {Asked: 5e6, Got: 4e5}})
 	status, _, header := env.get("/safe/", "X-Tokens", "5000")
 	require.Equal(t, http.StatusServiceUnavailable, status)
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -100,7 +100,7 @@
 
 // logFieldCapacity is the maximum number of fields of a request's log line. Growing the map to that
 // size would cost a tenth of the line.
-const logFieldCapacity = 24
+const logFieldCapacity = 23
 
 func (r *request) logFields(now time.Time) log.Fields {
 	f := make(log.Fields, logFieldCapacity)
@@ -134,9 +134,6 @@
 	if r.standing.ShareRatio > 0 {
 		f["standing"] = math.Round(r.standing.ShareRatio*100) / 100
 	}
-	if r.entitled {
-		f["entitled"] = true
-	}
 	if r.standing.Ahead > 1 {
 		f["ahead"] = math.Round(r.standing.Ahead*100) / 100
 	}
--- a/pkg/gateway/mechanisms.go
+++ b/pkg/gateway/mechanisms.go
@@ -8,8 +8,6 @@
 	Speeds bool
 	// Pauses: long prompts are placed so that they make few other streams late.
 	Pauses bool
-	// Entitlement: what an organisation over its share is due is served like work within a share.
-	Entitlement bool
 	// Bookings: long prompts take turns at the engines.
 	Bookings bool
 	// Fetch: cached prefixes are fetched from other engines instead of being recomputed.
--- a/pkg/gateway/place.go
+++ b/pkg/gateway/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/booking"
-	"github.com/flamingowind/flamingowind/pkg/entitlement"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/shedding"
@@ -151,7 +150,7 @@
 	}
 	prefillTime := max(1, req.Scale) * float64(r.meta.Prompt.Input) / g.settings.Load().PrefillTokensPerMs * float64(time.Millisecond)
 	r.standing = g.shares.Standing(r.org, g.capacity(), now)
-	limited := shedding.Request{Objective: r.route.Objective, Waited: now.Sub(r.start), Prefill: time.Duration(prefillTime), Standing: g.limitedStanding(r)}
+	limited := shedding.Request{Objective: r.route.Objective, Waited: now.Sub(r.start), Prefill: time.Duration(prefillTime), Standing: r.standing}
 	if r.bound {
 		req.Limits = shedding.ResumeLimits(limited)
 		return
@@ -160,17 +159,5 @@
 	g.settings.Load().Disabled.liftLimits(&req.Limits)
 }
 
-// limitedStanding returns the standing by which the request is limited.
-func (g *Gateway) limitedStanding(r *request) placement.Standing {
-	r.entitled = false
-	if r.standing.ShareRatio <= 1 || g.settings.Load().Disabled.Entitlement {
-		return r.standing
-	}
-	if r.entitled = entitlement.Entitled(r.standing.Asked, r.standing.Due, rand.Float64()); r.entitled {
-		return r.standing.Entitled()
-	}
-	return r.standing
-}
-
 // capacity returns the configured capacity of all engines together, in tokens per second.
 func (g *Gateway) capacity() float64 { return g.catalog.Table().Config.Limits.TokensPerSecond }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -45,9 +45,7 @@
 	software string
 	bound    bool
 	// standing compares what the organisation gets with its fair share.
-	standing placement.Standing
-	// entitled is whether the request belongs to what an organisation over its share is due.
-	entitled  bool
+	standing  placement.Standing
 	logRecord logRecord
 	canceler  canceler
 	// unwatch ends the watch for the caller's disconnect; it is set by bindCancellation.
--- a/pkg/gatewayd/trial.go
+++ b/pkg/gatewayd/trial.go
@@ -4,7 +4,7 @@
 
 // TrialSettings disable parts of placement for experiments.
 type TrialSettings struct {
-	// Off names the disabled mechanisms: speeds, pauses, entitlement, bookings, fetch, yield,
+	// Off names the disabled mechanisms: speeds, pauses, bookings, fetch, yield,
 	// occupancy, reserve, harm, herds, connected.
 	Off []string `yaml:"off"`
 }
@@ -16,8 +16,6 @@
 		return &m.Speeds
 	case "pauses":
 		return &m.Pauses
-	case "entitlement":
-		return &m.Entitlement
 	case "bookings":
 		return &m.Bookings
 	case "fetch":
--- a/pkg/placement/shares.go
+++ b/pkg/placement/shares.go
@@ -133,9 +133,6 @@
 	// Ahead is what it gets over the least that any organisation asking for as much gets; 0 for an
 	// organisation within its share.
 	Ahead float64
-	// Asked is what it asks for and Due what it is due, in tokens a second; Due is infinite where
-	// everybody can have what it asks for.
-	Asked, Due float64
 }
 
 // Standing returns an organisation's standing at a capacity in tokens a second.
@@ -156,8 +153,8 @@
 			mine = use
 		}
 	})
+	standing := Standing{AtCapacity: got >= capacity}
 	due := waterLevel(s.askedBuffer, sharedCapacity(s.recentPeak(got, now), asked, capacity))
-	standing := Standing{AtCapacity: got >= capacity, Asked: mine.Asked, Due: due}
 	if due <= 0 {
 		return standing
 	}
