Heads of upstreams' responses are read with a bound

Cause: http.ReadResponse read from the connection without a bound, so an upstream that sends a status line, headers or interim responses without end filled the router's memory until the request's deadline. The deadline alone doesn't help: it comes after the memory is gone.

Ruled out: net/http's Transport, which has such a bound, since the router needs its own connections (checks just before use, abort, responses to other requests); a parser of our own.

Change: the connection's reader has a budget of 64 KiB and 512 lines while a head is read, interim responses included, of which there may be 16. A parsed line takes far more than its bytes, therefore the bound on lines. Beyond 16 KiB a head also takes from a budget that all requests of the router share (package buffers); one that finds no room ends with ErrNoBuffer. The errors name their bound (ExcessError); the connection is closed.

--- /dev/null
+++ b/pkg/buffers/budget.go
@@ -0,0 +1,52 @@
+package buffers
+
+import "sync/atomic"
+
+// Limits of a Budget.
+const (
+	// memoryShare is the part of a router's memory that its requests may use for buffers. The rest is
+	// for connections, the configuration and the kernel.
+	memoryShare = 1.0 / 16
+	// minLimit, in bytes, fits some events of the largest size.
+	minLimit = 4 << 20
+	// DefaultLimit applies where the router's memory isn't known, in bytes.
+	DefaultLimit = 32 << 20
+)
+
+// LimitFor returns the limit, in bytes, for a router with that much memory; 0 if that isn't known.
+func LimitFor(memory int64) int64 {
+	if memory <= 0 {
+		return DefaultLimit
+	}
+	return max(minLimit, int64(float64(memory)*memoryShare))
+}
+
+// Budget bounds the bytes that all leases hold together. It has no lock, since every request uses it.
+type Budget struct {
+	limit, used atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget {
+	b := new(Budget)
+	b.SetLimit(limit)
+	return b
+}
+
+// SetLimit changes the limit. What leases hold already stays.
+func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
+
+// Limit returns the limit in bytes, Used what is taken of it.
+func (b *Budget) Limit() int64 { return b.limit.Load() }
+
+// Used returns the bytes that all leases hold.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// take takes n bytes if there is room for them.
+func (b *Budget) take(n int64) bool {
+	if b.used.Add(n) <= b.limit.Load() {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -52,6 +52,7 @@
 	net.Conn
 	raw    syscall.RawConn
 	meter  *traffic.Meter
+	head   headReader
 	reader *bufio.Reader
 	// fresh is true until the first response has been read.
 	fresh bool
@@ -72,7 +73,8 @@
 		return nil, err
 	}
 	cn := &conn{Conn: c, raw: raw, meter: m, fresh: true}
-	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
+	cn.head.from = cn
+	cn.reader = bufio.NewReaderSize(&cn.head, readBufferSize)
 	return cn, nil
 }
 
--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -28,6 +27,7 @@
 	if err != nil {
 		return nil, &Error{Stage: "connect", cause: err}
 	}
+	cn.head.lease = ps.buffers.Lease()
 	stopAfterFunc := context.AfterFunc(ctx, func() { cn.Close() })
 	r := &Response{ctx: ctx, pool: p, conn: cn, stopAfterFunc: stopAfterFunc, abort: c.Abort}
 	if !c.Abort.attach(cn) {
@@ -38,7 +38,7 @@
 		r.Discard()
 		return nil, err
 	}
-	if err := r.readHeader(c, ps.idHeader); err != nil {
+	if err := r.readHeader(c, ps.idHeader, ps.maxHead.Load()); err != nil {
 		r.Discard()
 		return nil, err
 	}
@@ -66,10 +66,10 @@
 // Guard: an upstream may send a second or a late response to an earlier request where the response
 // to this one is expected. If that were taken for this one, a caller would get another caller's
 // data. Responses carry the ID of their request, so any other one is skipped.
-func (r *Response) readHeader(c *Call, idHeader string) error {
+func (r *Response) readHeader(c *Call, idHeader string, maxHead int64) error {
 	request := &http.Request{Method: c.Method}
 	for stray := 0; stray <= maxStrayResponses; stray++ {
-		resp, err := readResponse(r.conn.reader, request)
+		resp, err := r.conn.head.readResponse(r.conn.reader, maxHead, request)
 		if err != nil {
 			return &Error{Sent: true, Stage: "head", cause: err}
 		}
@@ -85,7 +85,7 @@
 			return &Error{Sent: true, Stage: "head", cause: err}
 		}
 	}
-	return &Error{Sent: true, Stage: "head", cause: errors.New("received only responses to other requests")}
+	return &Error{Sent: true, Stage: "head", cause: &ExcessError{Bound: BoundStray, Limit: maxStrayResponses}}
 }
 
 // discardStray reads the body of a stray response to its end. If it stopped earlier, the rest would
@@ -93,20 +93,7 @@
 func discardStray(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBody+1))
 	if err == nil && n > maxStrayBody {
-		err = errors.Errorf("response to another request exceeds %d bytes", maxStrayBody)
+		err = &ExcessError{Bound: BoundStrayBody, Limit: maxStrayBody}
 	}
 	return errors.Trace(err)
 }
-
-// readResponse reads the header of the next response and skips interim (1xx) ones.
-func readResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, request)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
--- a/pkg/forward/error.go
+++ b/pkg/forward/error.go
@@ -14,6 +14,10 @@
 	ErrAborted = errors.New("call aborted")
 )
 
+// ErrNoBuffer is the cause if all requests together hold as much of responses as this router's memory allows.
+// That isn't the upstream's fault either.
+const ErrNoBuffer = errors.ConstError("no memory left for large responses")
+
 // Errors of event streams whose connections ended without an error.
 const (
 	ErrPartialEvent = errors.ConstError("the stream ended inside an event")
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -38,6 +40,10 @@
 	idHeader string
 	// meter counts the bytes on all connections.
 	meter traffic.Meter
+	// maxHead is the size, in bytes, that a response's head may have.
+	maxHead atomic.Int64
+	// buffers bounds the memory for responses.
+	buffers *buffers.Budget
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
@@ -50,9 +56,17 @@
 
 // NewPools returns pools for upstreams that echo a request's ID in idHeader.
 func NewPools(idHeader string) *Pools {
-	return &Pools{idHeader: idHeader, pools: make(map[poolKey]*pool), listedUntil: make(map[poolKey]time.Time)}
+	ps := &Pools{idHeader: idHeader, pools: make(map[poolKey]*pool), listedUntil: make(map[poolKey]time.Time), buffers: buffers.NewBudget(buffers.DefaultLimit)}
+	ps.maxHead.Store(DefaultMaxHead)
+	return ps
 }
 
+// Buffers returns the budget of memory for responses, which callers of Do share.
+func (ps *Pools) Buffers() *buffers.Budget { return ps.buffers }
+
+// SetMaxHead sets the size, in bytes, that a response's head may have.
+func (ps *Pools) SetMaxHead(bytes int64) { ps.maxHead.Store(bytes) }
+
 // Traffic returns the number of bytes that connections to upstreams have carried.
 func (ps *Pools) Traffic() traffic.Bytes { return ps.meter.Total() }
 
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -110,9 +110,22 @@
 	return nil
 }
 
+// DiscardBody reads the body, up to limit bytes and for no longer than timeout, so that the connection can be
+// reused.
+func (r *Response) DiscardBody(limit int64, timeout time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, limit)); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(r.conn.SetReadDeadline(time.Time{}))
+}
+
 // Close keeps the connection for reuse if the response was read to its end and nothing follows it.
 // Otherwise it closes the connection, which makes the upstream drop the request.
 func (r *Response) Close() {
+	r.conn.head.lease.Release()
 	if !r.reusable() {
 		r.Discard()
 		return
@@ -152,6 +165,7 @@
 
 // Discard closes the connection.
 func (r *Response) Discard() {
+	r.conn.head.lease.Release()
 	r.stopAfterFunc()
 	r.abort.detach()
 	r.pool.discard(r.conn)
