Responses that exceed a bound are counted, logged and bounded in sum

Cause: buffered responses (256 KiB each) and unfinished events (1 MiB each) were bounded one by one only, so a hundred upstreams in trouble could take more than a small host has. A declined request waited for the body of the refusal until its deadline. Nothing told an operator that a bound was exceeded.

Ruled out: a smaller bound for each, which would change what usual answers get.

A response that finds no room is relayed as it arrives; an event that finds none ends its stream as broken, without blame on its upstream. Splitters give up large buffers after a large event. A refusal's body is read for 50 ms at most. Metric gateway.responses_exceeding by bound and kind of route, log line response_exceeds_bound at most once a second.

Measured: with these tests on the code before, a head without end gave 504 after 5 s instead of a retry (TestHeadsWithoutEndAreRetriedElsewhere) and 504 for 502 (TestAHeadWithoutEndMayHaveRun), a declined request with a silent body 503 after 3 s instead of 200 from another upstream, and events without end were not counted; all pass now. TestBodiesWithoutEndAreCutAtTheTimeout passed before as well: those bodies were bounded already.

--- a/pkg/forward/events.go
+++ b/pkg/forward/events.go
@@ -9,8 +9,12 @@
 	"github.com/flamingowind/flamingowind/pkg/sse"
 )
 
-// maxEventSize is the maximum size of an incomplete event, in bytes.
-const maxEventSize = 1 << 20
+const (
+	// MaxEventSize is the maximum size of an incomplete event, in bytes.
+	MaxEventSize = 1 << 20
+	// keptCapacity is the size, in bytes, of the buffers that a splitter keeps after a large event.
+	keptCapacity = 32 << 10
+)
 
 // EventSplitter splits a stream of server-sent events into complete events.
 //
@@ -33,10 +37,13 @@
 
 // Push adds bytes of the stream and returns the complete events that are new, with any blank lines
 // between them, and the number of those events. The result is valid until the next call. ok is
-// false if an incomplete event exceeds maxEventSize.
+// false if an incomplete event exceeds MaxEventSize.
 func (e *EventSplitter) Push(data []byte) (whole []byte, count int, ok bool) {
 	e.pending = append(e.pending, data...)
 	e.output = e.output[:0]
+	if cap(e.output) > keptCapacity {
+		e.output = nil
+	}
 	begin := 0
 	for {
 		n, event := e.scanner.Scan(e.pending[begin:])
@@ -53,8 +60,12 @@
 			count++
 		}
 	}
-	e.pending = append(e.pending[:0], e.pending[begin:]...)
-	return e.output, count, len(e.pending) <= maxEventSize
+	if rest := e.pending[begin:]; cap(e.pending) > keptCapacity && len(rest) < keptCapacity/2 {
+		e.pending = bytes.Clone(rest)
+	} else {
+		e.pending = append(e.pending[:0], rest...)
+	}
+	return e.output, count, len(e.pending) <= MaxEventSize
 }
 
 // PendingBytes returns the number of bytes after the last complete event.
@@ -75,7 +86,7 @@
 
 // DiscardPartial drops the bytes after the last complete event, before another upstream resumes the stream.
 func (e *EventSplitter) DiscardPartial() {
-	e.pending = e.pending[:0]
+	e.pending = nil
 	e.scanner = sse.Scanner{}
 }
 
--- a/pkg/forward/events_test.go
+++ b/pkg/forward/events_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestEventsWithoutEndAreRefused(t *testing.T) {
-	_, _, ok := new(EventSplitter).Push(bytes.Repeat([]byte("x"), maxEventSize+1))
+	_, _, ok := new(EventSplitter).Push(bytes.Repeat([]byte("x"), MaxEventSize+1))
 	require.False(t, ok)
 }
 
--- /dev/null
+++ b/pkg/gateway/endless_test.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	endlessHead    = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n"
+	endlessChunked = endlessHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// respondEndless sends start, then part again and again until its connection is closed.
+func respondEndless(start, part string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) {
+		c, _, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		data := []byte(strings.Repeat(part, 1+8<<10/len(part)))
+		for _, err = io.WriteString(c, start); err == nil; {
+			_, err = c.Write(data)
+		}
+	}
+}
+
+// requireCut sends a request, and requires that its caller doesn't take what it gets for complete.
+func (env *testEnv) requireCut(path string, header ...string) (status int, body []byte) {
+	resp, err := env.client.Do(env.newRequest(path, header...))
+	require.NoError(env.t, err)
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	require.Error(env.t, err)
+	return resp.StatusCode, body
+}
+
+// requireNothingHeld requires that the requests that have ended hold no memory of the budget.
+func (env *testEnv) requireNothingHeld() {
+	require.Eventually(env.t, func() bool { return env.gateway.Active() == 0 }, 10*time.Second, time.Millisecond)
+	require.Zero(env.t, env.gateway.pools.Buffers().Used())
+}
+
+// recordLog makes the gateway log to the handler that it returns, and count in the scope.
+func (env *testEnv) recordLog() (*memory.Handler, tally.TestScope) {
+	entries, scope := memory.New(), tally.NewTestScope("", nil)
+	env.gateway.log = &log.Logger{Handler: entries, Level: log.InfoLevel}
+	env.gateway.metrics = newRequestMetrics(scope)
+	return entries, scope
+}
+
+func counted(scope tally.TestScope, metric, bound string) int64 {
+	var n int64
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == metric && c.Tags()["bound"] == bound {
+			n += c.Value()
+		}
+	}
+	return n
+}
+
+// Guards against a head without end that holds a request until its deadline instead of being retried, and whose
+// upstream then gets the next request.
+func TestHeadsWithoutEndAreRetriedElsewhere(t *testing.T) {
+	env := newTestEnv(t)
+	entries, scope := env.recordLog()
+	env.startUpstreams(respondEndless(endlessHead+"X-Fill: ", "f"), respondWith("ok"))
+	for range 3 {
+		status, body, _ := env.get("/safe/")
+		require.Equal(t, 200, status)
+		require.Equal(t, "ok", body)
+		env.resetHealth()
+	}
+	env.get("/safe/")
+	_, usable := env.gateway.health.Usable(env.instances[0].Life(), time.Now())
+	require.False(t, usable)
+	env.requireNothingHeld()
+	require.EqualValues(t, 4, counted(scope, "gateway.responses_exceeding", "head_bytes"))
+	lines := 0
+	for _, e := range entries.Entries {
+		if e.Fields["event"] == "response_exceeds_bound" {
+			lines++
+			require.Equal(t, "head_bytes", e.Fields["bound"])
+			require.Contains(t, e.Fields["error"], "response head exceeds 65536 bytes")
+		}
+	}
+	require.Less(t, lines, 4)
+	require.Positive(t, lines)
+}
+
+// Guards against a head without end that counts as not run, although the request was sent.
+func TestAHeadWithoutEndMayHaveRun(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondEndless(endlessHead+"X-Fill: ", "f"), respondWith("ok"))
+	status, _, _ := env.get("/once/")
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Equal(t, 1, env.upstreamRequests())
+}
+
+// Guards against a body without end that fills the memory, lasts beyond the timeout or looks complete.
+func TestBodiesWithoutEndAreCutAtTheTimeout(t *testing.T) {
+	chunked := func(part string) http.HandlerFunc { return respondEndless(endlessChunked, chunk(part)) }
+	for name, c := range map[string]struct {
+		path    string
+		respond http.HandlerFunc
+	}{
+		"answer":                {"/safe/", chunked(strings.Repeat("x", 1000))},
+		"answer until close":    {"/safe/", respondEndless(endlessHead+"\r\n", "x")},
+		"error":                 {"/safe/", respondEndless(strings.Replace(endlessChunked, "200 OK", "500 Error", 1), chunk("x"))},
+		"error of a stream":     {"/stream/", respondEndless(strings.Replace(endlessChunked, "200 OK", "500 Error", 1), chunk("x"))},
+		"events":                {"/stream/", chunked("data: x\n\n")},
+		"events of a resumable": {"/resume/", chunked("data: x\n\n")},
+		"comments":              {"/stream/", chunked(":\n\n")},
+		"empty events":          {"/stream/", chunked("\n\n")},
+		"data after the last":   {"/stream/", respondEndless(endlessChunked+chunk(events(1, 3)+"data: [DONE]\n\n"), chunk("data: x\n\n"))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.startUpstreams(c.respond, c.respond)
+			env.requireCut(c.path, "X-Deadline", "300")
+			env.requireNothingHeld()
+		})
+	}
+}
+
+// Guards against an unfinished event without end that fills the memory, or is held until the timeout.
+func TestEventsWithoutEndBreakTheStream(t *testing.T) {
+	for name, part := range map[string]string{"field": "data: ", "comment": ": comment\n", "fields": "data: x\n"} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			_, scope := env.recordLog()
+			env.startUpstreams(respondEndless(endlessChunked+chunk(events(1, 2)), chunk(part)), respondWith(events(3, 4)))
+			_, body := env.requireCut("/stream/")
+			require.Equal(t, events(1, 2), string(body))
+			_, usable := env.gateway.health.Usable(env.instances[0].Life(), time.Now())
+			require.False(t, usable)
+			env.resetHealth()
+			status, resumed, _ := env.get("/resume/")
+			require.Equal(t, 200, status)
+			require.Equal(t, events(1, 4), resumed)
+			env.requireNothingHeld()
+			require.EqualValues(t, 2, counted(scope, "gateway.responses_exceeding", "event_bytes"))
+		})
+	}
+}
+
+// Guards against a body of a declined request that arrives slowly or without end, while the request waits.
+func TestDeclinedRequestsDontWaitForABodyWithoutEnd(t *testing.T) {
+	const declined = "HTTP/1.1 503 Unavailable\r\nX-Id: request-1\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, decline := range map[string]http.HandlerFunc{
+		"endless": respondEndless(declined, chunk("x")),
+		"silent": func(rw http.ResponseWriter, r *http.Request) {
+			c, buffered, err := rw.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, declined)
+			buffered.ReadByte() // until the connection ends
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.startUpstreams(decline, respondWith("ok"))
+			status, body, _ := env.get("/once/", "X-Deadline", "3000")
+			require.Equal(t, 200, status)
+			require.Equal(t, "ok", body)
+		})
+	}
+}
--- a/pkg/gateway/failed.go
+++ b/pkg/gateway/failed.go
@@ -14,6 +14,7 @@
 // attemptFailed handles an attempt that ended without a usable response.
 func (g *Gateway) attemptFailed(r *request, rec *attemptRecord, inst *upstream.Instance, err error) attemptResult {
 	rec.Error = err.Error()
+	g.recordExcess(r, inst, err)
 	var f *forward.Error
 	sent := !errors.As(err, &f) || f.Sent
 	rec.Outcome = outcomeBroken
@@ -28,19 +29,24 @@
 		return attemptResult{done: true}
 	}
 	switch {
+	case errors.Is(err, forward.ErrNoBuffer):
 	case sent:
 		g.recordBrokenRun(r, inst)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		g.recordEnd(inst.Life())
 	}
-	// Running out of file descriptors is the router's own fault, and a call that was no longer wanted
-	// was never sent.
-	if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, forward.ErrUnwanted) {
+	if !isOwnFault(err) {
 		g.observeOutcome(inst, g.failureOutcome(err), err)
 	}
 	return attemptResult{unsent: !sent}
 }
 
+// isOwnFault reports whether an attempt failed for a reason that says nothing about its upstream: the router
+// has run out of file descriptors or memory for responses, or the call was no longer wanted.
+func isOwnFault(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, forward.ErrNoBuffer) || errors.Is(err, forward.ErrUnwanted)
+}
+
 // failureOutcome returns the outcome that an attempt which failed with err counts as.
 //
 // Guard: the timers of a router that gets too little CPU expire although its upstreams are well,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,6 +42,7 @@
 	cpuStarved         func() bool
 	log                log.Interface
 	logBudget          logBudget
+	excessLog          excessLog
 	metrics            *requestMetrics
 	// disconnects cancels the requests of callers that close their connections.
 	disconnects *disconnectWatcher
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -18,7 +18,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header)}
+	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease()}
 	defer r.release()
 	defer g.record(r)
 	g.disconnects.poll(r.start)
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -15,10 +16,9 @@
 )
 
 const (
+	// discardTimeout bounds the time to read a body that nobody needs: the next attempt waits for it.
+	discardTimeout   = 50 * time.Millisecond
 	statusBadRequest = http.StatusBadRequest
-	// maxBufferedResponse is the size, in bytes, up to which a response is read whole before its
-	// first byte is relayed, so that the request can be retried if the upstream breaks off.
-	maxBufferedResponse = 256 << 10
 	// copyBufferSize is the size of the buffers that responses are copied through, in bytes.
 	copyBufferSize = 8 << 10
 )
@@ -43,12 +43,12 @@
 		return // its connection can't be reused
 	}
 	// An error closes the connection, and nothing else is needed then.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedResponse))
+	_ = resp.DiscardBody(maxBufferedResponse, discardTimeout)
 }
 
 // relayBuffered relays a response that is not a stream once it is complete.
 func (g *Gateway) relayBuffered(r *request, rec *attemptRecord, inst *upstream.Instance, resp *forward.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedResponse+1))
+	body, whole, err := r.readStart(resp)
 	if err != nil {
 		return g.attemptFailed(r, rec, inst, err)
 	}
@@ -58,13 +58,14 @@
 		g.abortResponse(r)
 	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
-	if len(body) > maxBufferedResponse {
+	if !whole {
 		g.relayLarge(r, rec, inst, resp, buffered)
 		return attemptResult{done: true}
 	}
 	if resp.Status >= http.StatusInternalServerError {
 		rec.Outcome = outcomeUpstreamFailure
 		g.observeOutcome(inst, upstream.Failed, nil)
+		r.keepResponse(buffered)
 		return attemptResult{response: buffered}
 	}
 	if rec.Outcome == "" {
@@ -97,9 +98,10 @@
 	_, _ = r.w.Write(response.body)
 }
 
-// relayLarge relays a response that is too large to buffer: start, then the rest as it arrives.
+// relayLarge relays a response that can't be buffered: start, then the rest as it arrives.
 func (g *Gateway) relayLarge(r *request, rec *attemptRecord, inst *upstream.Instance, resp *forward.Response, start *bufferedResponse) {
 	g.writeResponse(r, start)
+	r.releaseBuffers()
 	w := &callerWriter{w: r.w}
 	_, err := io.Copy(w, resp)
 	switch {
@@ -118,6 +120,7 @@
 // upstream is at fault unless the request has expired or its caller has left.
 func (g *Gateway) largeResponseBroken(r *request, rec *attemptRecord, inst *upstream.Instance, err error) {
 	rec.Outcome, rec.Error = outcomeBroken, err.Error()
+	g.recordExcess(r, inst, err)
 	if r.expired() || r.callerGone() {
 		g.watchRun(r, inst)
 		rec.Outcome = outcomeTimeout
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
@@ -38,6 +39,10 @@
 	// response header has been sent to the caller.
 	splitter        *forward.EventSplitter
 	responseStarted bool
+	// lease holds the memory of what was read of responses, keptBytes that of a response which is kept for the
+	// case that no retry is possible.
+	lease     buffers.Lease
+	keptBytes int64
 	// software is the software version that wrote the stream's first event. Events of another version
 	// don't fit that one, so once it is known, bound is set and no other version may go on. boundBy says
 	// how it is known of a stream that the caller resumes.
@@ -87,4 +92,5 @@
 		r.canceler.cancel()
 	}
 	r.releaseBody()
+	r.lease.Release()
 }
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -16,6 +16,8 @@
 	resumed  *taggedCounters
 	// suspicions counts the steps of suspicions that requests crash upstreams.
 	suspicions *taggedCounters
+	// excess counts responses that exceeded a bound.
+	excess *taggedCounters
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
@@ -23,7 +25,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), excess: newExcessCounters(sub)}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -19,7 +19,7 @@
 	g.activeStreams.Add(1)
 	defer g.activeStreams.Add(-1)
 	for batched := time.Duration(0); ; {
-		ready, count, err := nextEvents(resp, events, *buf)
+		ready, count, err := r.nextEvents(resp, events, *buf)
 		if len(ready) > 0 {
 			g.relayEvents(r, rec, inst, resp, state, ready, count, batched)
 		}
@@ -47,11 +47,14 @@
 
 // nextEvents reads from the response and returns the complete events. io.EOF means that the stream
 // is complete: the upstream ended it, and not inside an event.
-func nextEvents(resp *forward.Response, events *forward.EventSplitter, buf []byte) (ready []byte, count int, err error) {
+func (r *request) nextEvents(resp *forward.Response, events *forward.EventSplitter, buf []byte) (ready []byte, count int, err error) {
 	n, err := resp.Read(buf)
 	ready, count, ok := events.Push(buf[:n])
 	if !ok {
-		return ready, count, errors.New("event exceeds the size limit")
+		return ready, count, &forward.ExcessError{Bound: forward.BoundEvent, Limit: forward.MaxEventSize}
+	}
+	if err == nil && !r.holdEvents(events, len(ready)) {
+		return ready, count, forward.ErrNoBuffer
 	}
 	if !errors.Is(err, io.EOF) {
 		return ready, count, err
@@ -126,7 +129,9 @@
 // attempt resumes after the last event, else the response to the caller is aborted.
 func (g *Gateway) streamBroken(r *request, rec *attemptRecord, inst *upstream.Instance, state *attemptState, err error) attemptResult {
 	rec.Outcome, rec.Error = outcomeBroken, err.Error()
+	g.recordExcess(r, inst, err)
 	r.eventSplitter().DiscardPartial()
+	r.releaseBuffers()
 	if r.expired() || r.callerGone() {
 		if !state.sound {
 			g.watchRun(r, inst)
@@ -138,10 +143,12 @@
 		g.endExpired(r)
 		return attemptResult{done: true}
 	}
-	if !state.sound {
-		g.recordBrokenRun(r, inst)
+	if !isOwnFault(err) {
+		if !state.sound {
+			g.recordBrokenRun(r, inst)
+		}
+		g.observeOutcome(inst, g.failureOutcome(err), err)
 	}
-	g.observeOutcome(inst, g.failureOutcome(err), err)
 	if !r.route.Resumable {
 		if r.responseStarted {
 			g.abortResponse(r)
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -44,6 +44,12 @@
 	return &taggedCounters{scope: scope, metric: "suspicions", firstTag: "step", secondTag: "subject"}
 }
 
+// newExcessCounters returns counters of responses that were cut off because they exceeded a bound, by the
+// bound and by kind of route.
+func newExcessCounters(scope tally.Scope) *taggedCounters {
+	return &taggedCounters{scope: scope, metric: "responses_exceeding", firstTag: "bound", secondTag: "kind"}
+}
+
 func (t *taggedCounters) count(first, second string) { t.counter(tagValues{first, second}).Inc(1) }
 
 func (t *taggedCounters) counter(key tagValues) tally.Counter {
