The bound of upstreams' heads is a setting

Cause: an operator whose upstreams send long heads could not raise the bound of 64 KiB, nor lower it on a small host.

Change: upstreams.maxHeadKiB, 4 to 1024, checked at the start and applied on reload.

--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -64,7 +64,10 @@
 // Buffers returns the budget of memory for responses, which callers of Do share.
 func (ps *Pools) Buffers() *buffers.Budget { return ps.buffers }
 
-// SetMaxHead sets the size, in bytes, that a response's head may have.
+// MaxHead returns the size, in bytes, that a response's head may have.
+func (ps *Pools) MaxHead() int64 { return ps.maxHead.Load() }
+
+// SetMaxHead changes it; it may be called while requests are served.
 func (ps *Pools) SetMaxHead(bytes int64) { ps.maxHead.Store(bytes) }
 
 // Traffic returns the number of bytes that connections to upstreams have carried.
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 )
 
@@ -41,6 +42,8 @@
 	require(s.Warmup.Over >= 0 && s.Warmup.Slack >= 0, "warmup: over and slack must not be negative")
 	require(s.Leaving.GraceSeconds > 0, "leaving.graceSeconds must be positive")
 	require(s.Engines.PrefillTokensPerMs > 0, "engines.prefillTokensPerMs must be positive")
+	require(s.Upstreams.maxHeadBytes() >= forward.MinMaxHead && s.Upstreams.maxHeadBytes() <= forward.MaxMaxHead,
+		"upstreams.maxHeadKiB must be between %d and %d", forward.MinMaxHead>>10, forward.MaxMaxHead>>10)
 	require(s.Entries.KeepSeconds > 0, "entries.keepSeconds must be positive")
 	for _, name := range s.Trial.Off {
 		require(mechanism(new(gateway.DisabledMechanisms), name) != nil, "trial.off: %q is not a known mechanism", name)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -13,6 +13,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/admission"
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -111,6 +112,8 @@
 	p := &Process{log: l, setStoreAddr: d.Readdress, metrics: telemetry.NewMetrics(), catalog: catalog.New(l), pools: forward.NewPools(d.Dialect.IDHeader()),
 		health: upstream.NewHealth(), prefixIndex: placement.NewKVIndex()}
 	p.settings.Store(&s)
+	p.pools.SetMaxHead(s.Upstreams.maxHeadBytes())
+	p.pools.Buffers().SetLimit(buffers.LimitFor(int64(s.Limits.MemoryMiB) << 20))
 	p.local = &localState{catalog: p.catalog, loads: loads, prefixIndex: p.prefixIndex, shares: shares, inflows: inflows, estimator: estimator, quarantine: suspects, demand: new(demand),
 		ready: func() bool { return p.gateway.Ready() }, cpuStarved: p.cpu.starved, log: l, newerPeers: make(chan newerPeer, 1)}
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -32,6 +32,7 @@
 	s.Router, s.Listen, s.Advertise, s.Limits.MemoryMiB, s.Limits.Cores, s.Log = old.Router, old.Listen, old.Advertise, old.Limits.MemoryMiB, old.Limits.Cores, old.Log
 	p.settings.Store(&s)
 	p.gateway.UpdateSettings(gatewaySettings(s))
+	p.pools.SetMaxHead(s.Upstreams.maxHeadBytes())
 	p.updateWarmup(s)
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
 	p.addKnownPeers(s.Entries.Known)
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
+	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/reload"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -39,7 +40,7 @@
 	s := DefaultSettings()
 	s.Router.Name, s.Store.Addr = "r", "127.0.0.1:1"
 	s.Listen = ListenSettings{Callers: "127.0.0.1:2", Readiness: "127.0.0.1:3", Peers: "127.0.0.1:4", Entries: "127.0.0.1:5"}
-	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(),
+	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(), pools: forward.NewPools("Id"),
 		setStoreAddr: func(addr string) { r.store.Store(addr) }}
 	r.settings.Store(&s)
 	r.fleet = fleet.New(member(s), nil, l)
@@ -103,9 +104,10 @@
 func TestReloadLogsWhatNeedsARestart(t *testing.T) {
 	r := newTestProcess(t)
 	s := *r.settings.Load()
-	s.Listen.Callers, s.Limits.KeptConnections = "127.0.0.1:22", 7
+	s.Listen.Callers, s.Limits.KeptConnections, s.Upstreams.MaxHeadKiB = "127.0.0.1:22", 7, 32
 	r.Reload(s)
 	require.Equal(t, []string{"listen"}, r.lines.Entries[0].Fields.Get("needs_restart"))
 	require.Equal(t, "127.0.0.1:2", r.settings.Load().Listen.Callers)
 	require.EqualValues(t, 7, r.conns.limit.Load())
+	require.EqualValues(t, 32<<10, r.pools.MaxHead())
 }
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
 // Settings are a gateway's start-up settings.
@@ -21,6 +23,7 @@
 	Warmup    WarmupSettings    `yaml:"warmup"`
 	Streams   StreamSettings    `yaml:"streams"`
 	Engines   EngineSettings    `yaml:"engines"`
+	Upstreams UpstreamSettings  `yaml:"upstreams"`
 	Log       LogSettings       `yaml:"log"`
 	Entries   EntrySettings     `yaml:"entries"`
 	Trial     TrialSettings     `yaml:"trial"`
@@ -118,6 +121,15 @@
 	SlotTurnMs         float64 `yaml:"slotTurnMs"`
 }
 
+// UpstreamSettings bound what upstreams may send.
+type UpstreamSettings struct {
+	// MaxHeadKiB bounds the head of a response, with the interim (1xx) responses before it, in KiB.
+	MaxHeadKiB int `yaml:"maxHeadKiB"`
+}
+
+// maxHeadBytes returns the bound of a head in bytes.
+func (s UpstreamSettings) maxHeadBytes() int64 { return int64(s.MaxHeadKiB) << 10 }
+
 // LogSettings configure the log.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -140,9 +152,10 @@
 		Repeats: RepeatSettings{Ratio: 0.2, WindowSeconds: 10},
 		Leaving: LeavingSettings{GraceSeconds: 8},
 		// Typical engines prefill 82 to 85 tokens a millisecond, less while they also generate.
-		Engines: EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
-		Log:     LogSettings{Level: "info"},
-		Entries: EntrySettings{KeepSeconds: 1},
+		Engines:   EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
+		Upstreams: UpstreamSettings{MaxHeadKiB: forward.DefaultMaxHead >> 10},
+		Log:       LogSettings{Level: "info"},
+		Entries:   EntrySettings{KeepSeconds: 1},
 	}
 }
 
--- a/pkg/gatewayd/settings_test.go
+++ b/pkg/gatewayd/settings_test.go
@@ -47,6 +47,8 @@
 		"repeats.windowSeconds":  func(s *Settings) { s.Repeats.WindowSeconds = 0 },
 		"leaving.graceSeconds":   func(s *Settings) { s.Leaving.GraceSeconds = 0 },
 		"entries.keepSeconds":    func(s *Settings) { s.Entries.KeepSeconds = 0 },
+		"upstreams.maxHeadKiB":   func(s *Settings) { s.Upstreams.MaxHeadKiB = 3 },
+		"between 4 and 1024":     func(s *Settings) { s.Upstreams.MaxHeadKiB = 1025 },
 		"log.level":              func(s *Settings) { s.Log.Level = "loud" },
 	} {
 		faulty := s
