--- /dev/null
+++ b/pkg/buffers/read_test.go
@@ -0,0 +1,53 @@
+package buffers
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a part that is taken for the whole, or a whole that is taken for a part.
+func TestReadTellsWholesFromParts(t *testing.T) {
+	const limit = 4 << 10
+	for _, size := range []int{0, 1, minBuffer, minBuffer + 1, limit - 1, limit, limit + 1, 3 * limit} {
+		for name, wrap := range map[string]func(io.Reader) io.Reader{"at once": func(r io.Reader) io.Reader { return r }, "halves": iotest.HalfReader, "end with data": iotest.DataErrReader} {
+			l := NewBudget(0).Lease()
+			text := strings.Repeat("x", size)
+			from := wrap(strings.NewReader(text))
+			data, whole, err := l.Read(from, limit, 0)
+			require.NoError(t, err)
+			require.Equal(t, size <= limit, whole, "%s %d", name, size)
+			rest, err := io.ReadAll(from)
+			require.NoError(t, err)
+			require.Equal(t, text, string(data)+string(rest), "%s %d", name, size)
+			require.LessOrEqual(t, len(data), limit+1)
+		}
+	}
+}
+
+// Guards against a reader that holds more than the budget has.
+func TestReadStopsWhereTheBudgetEnds(t *testing.T) {
+	b := NewBudget(64 << 10)
+	l := b.Lease()
+	data, whole, err := l.Read(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 0)
+	require.NoError(t, err)
+	require.False(t, whole)
+	require.LessOrEqual(t, len(data), FreeBytes+64<<10)
+	require.LessOrEqual(t, b.Used(), b.Limit())
+	l.Release()
+	require.Zero(t, b.Used())
+}
+
+// Guards against memory that stays taken after a response broke off.
+func TestReadGivesBackAfterAnError(t *testing.T) {
+	b := NewBudget(1 << 20)
+	l := b.Lease()
+	_, _, err := l.Read(io.MultiReader(bytes.NewReader(make([]byte, 100<<10)), iotest.ErrReader(errors.New("broken"))), 1<<20, 0)
+	require.EqualError(t, err, "broken")
+	require.Zero(t, b.Used())
+}
--- a/pkg/fleet/catchup.go
+++ b/pkg/fleet/catchup.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/juju/errors"
@@ -56,7 +55,7 @@
 }
 
 // post sends an authenticated message and decodes the authenticated answer.
-func (e *Exchanger) post(ctx context.Context, addr, path string, message, answer any, limit int64) error {
+func (e *Exchanger) post(ctx context.Context, addr, path string, message, answer any, limit int) error {
 	secret := e.fleet.Secret()
 	if secret == nil {
 		return errors.New("the fleet's secret is not known")
@@ -74,10 +73,15 @@
 		return errors.Trace(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	lease := e.fleet.buffers.Lease()
+	defer lease.Release()
+	body, whole, err := lease.Read(resp.Body, limit, 0)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if !whole {
+		return errors.Errorf("the peer's answer exceeds %d bytes, or there is no memory left for it", limit)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("peer answered status %d", resp.StatusCode)
 	}
--- a/pkg/fleet/codec.go
+++ b/pkg/fleet/codec.go
@@ -10,7 +10,10 @@
 
 // Limits on what a message from another router may make this one allocate.
 const (
-	maxMessageBytes  = 1 << 20 // bytes
+	maxMessageBytes = 1 << 20 // bytes
+	// maxUnread bounds what all messages that are being read take together, in bytes: one catalog of the
+	// largest size beside reports.
+	maxUnread        = 10 << 20
 	maxArrayElements = 20_000
 	maxNestedLevels  = 8
 )
--- a/pkg/fleet/exchanger.go
+++ b/pkg/fleet/exchanger.go
@@ -27,6 +27,9 @@
 // peerBuffer is the size of a connection's buffers in bytes; a report fits.
 const peerBuffer = 2 << 10
 
+// maxAnswerHead bounds the head of a peer's answer, in bytes.
+const maxAnswerHead = 16 << 10
+
 // idleConnTimeout is how long an unused connection to a peer stays open.
 const idleConnTimeout = 20 * time.Second
 
@@ -41,7 +44,7 @@
 func (e *Exchanger) DialWith(dial traffic.DialFunc) {
 	e.http = &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
 		DialContext: e.meter.Dial(dial), MaxIdleConnsPerHost: maxInFlight, IdleConnTimeout: idleConnTimeout,
-		DisableCompression: true, ReadBufferSize: peerBuffer, WriteBufferSize: peerBuffer,
+		DisableCompression: true, ReadBufferSize: peerBuffer, WriteBufferSize: peerBuffer, MaxResponseHeaderBytes: maxAnswerHead,
 	}}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // Intervals and timeouts of the exchange.
@@ -43,6 +44,8 @@
 	self  Member
 	local Local
 	log   log.Interface
+	// buffers bounds the memory for messages that are being read. Their senders aren't known yet.
+	buffers *buffers.Budget
 
 	mu     sync.Mutex
 	secret []byte
@@ -98,7 +101,7 @@
 // New returns a fleet that consists of this router alone.
 func New(self Member, local Local, l log.Interface) *Fleet {
 	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), role: role{direct: true},
-		rankKey: rankKeyOf(self), startedAt: time.Now(), wake: make(chan struct{}, 1)}
+		buffers: buffers.NewBudget(maxUnread), rankKey: rankKeyOf(self), startedAt: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 // SetSecret sets the secret that authenticates messages; without one nothing is exchanged.
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -84,10 +83,18 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
-	data, err := io.ReadAll(io.LimitReader(in.Body, maxMessageBytes))
+	// A writer without deadlines is one of a test.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(requestTimeout))
+	lease := f.buffers.Lease()
+	defer lease.Release()
+	data, whole, err := lease.Read(in.Body, maxMessageBytes, 0)
 	if err != nil {
 		return false // the peer disconnected; it sends its next report anyway
 	}
+	if !whole {
+		f.refuseUnread(w, in)
+		return false
+	}
 	if err := decode(data, secret, v); err != nil {
 		f.log.WithError(err).WithField("event", "report_refused").WithField("from", in.RemoteAddr).Warn("refused a message that can't be authenticated or decoded")
 		w.WriteHeader(http.StatusForbidden)
@@ -96,6 +103,13 @@
 	return true
 }
 
+// refuseUnread refuses a message that is too large, or for which there is no memory, and closes its connection.
+func (f *Fleet) refuseUnread(w http.ResponseWriter, in *http.Request) {
+	f.log.WithField("event", "report_refused").WithField("from", in.RemoteAddr).WithField("error", "message too large, or no memory left for it").Warn("refused a message unread")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusRequestEntityTooLarge)
+}
+
 func (f *Fleet) writeMessage(w http.ResponseWriter, v any) {
 	data, err := encode(v, f.Secret())
 	if err != nil {
--- a/pkg/gateway/buffering.go
+++ b/pkg/gateway/buffering.go
@@ -1,10 +1,6 @@
 package gateway
 
 import (
-	"io"
-
-	"github.com/juju/errors"
-
 	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
@@ -12,8 +8,6 @@
 	// maxBufferedResponse is the size, in bytes, up to which a response is read whole before its
 	// first byte is relayed, so that the request can be retried if the upstream breaks off.
 	maxBufferedResponse = 256 << 10
-	// minResponseBuffer is the size, in bytes, of the buffer that a response is first read into.
-	minResponseBuffer = 512
 	// eventCopies is how many times the bytes of an unfinished event are in memory while it grows.
 	eventCopies = 2
 )
@@ -21,26 +15,7 @@
 // readStart reads a response until it ends, exceeds maxBufferedResponse or finds no memory in the budget of
 // all requests. whole is true if it has ended.
 func (r *request) readStart(resp *forward.Response) (body []byte, whole bool, err error) {
-	body = make([]byte, 0, minResponseBuffer)
-	for {
-		n, err := resp.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, len(body) <= maxBufferedResponse, nil
-		}
-		if err != nil {
-			r.releaseBuffers()
-			return nil, false, err
-		}
-		if len(body) < cap(body) {
-			continue
-		}
-		grown := min(2*cap(body), maxBufferedResponse+1)
-		if len(body) > maxBufferedResponse || !r.lease.Hold(r.keptBytes+int64(grown)) {
-			return body, false, nil
-		}
-		body = append(make([]byte, 0, grown), body...)
-	}
+	return r.lease.Read(resp, maxBufferedResponse, r.keptBytes)
 }
 
 // holdEvents holds the memory of the events that were read but not relayed. It returns false if the budget
--- a/pkg/order/httpengine.go
+++ b/pkg/order/httpengine.go
@@ -15,6 +15,8 @@
 	ordersPath = "/v1/orders"
 	// maxState bounds an engine's answer, in bytes.
 	maxState = 64 << 10
+	// maxHead bounds the head of an engine's answer, in bytes.
+	maxHead = 64 << 10
 )
 
 // HTTPEngine is the Engine over HTTP.
@@ -30,8 +32,8 @@
 func NewHTTPEngine() *HTTPEngine {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &HTTPEngine{
-		states: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
-		orders: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{DisableKeepAlives: true}},
+		states: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHead}},
+		orders: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}},
 	}
 }
 
