A sender without end no longer holds up all handed-over connections

Cause: one goroutine relays all connections that were handed over, and copied from one as long as each read filled its buffer. A router or caller that sends without end, as fast as it is read, kept all others waiting.

Ruled out: memory; each direction holds one buffer of 64 KiB at most, and reads nothing while that isn't sent.

Change: a transfer takes 16 reads (1 MiB) a turn and goes on in the next poll, without an event, as these are edge-triggered.

--- a/pkg/handover/pair.go
+++ b/pkg/handover/pair.go
@@ -26,6 +26,8 @@
 	// pendingUp holds bytes that the router's socket has not accepted yet, pendingDown those for
 	// the caller's.
 	pendingUp, pendingDown []byte
+	// interrupted is whether the next poll goes on with the transfer without an event.
+	interrupted bool
 	// callerClosed and peerClosed are whether the kernel reported a hangup of that side. It reports
 	// it once, possibly together with the last bytes.
 	callerClosed, peerClosed bool
@@ -53,14 +55,20 @@
 	closed
 	// broken: one of the two connections failed.
 	broken
+	// interrupted: the transfer has taken its turn, and there may be more to read.
+	interrupted
 )
 
+// maxPasses is the number of reads after which a transfer lets other connections take their turn. A sender
+// without end would otherwise keep them waiting.
+const maxPasses = 16
+
 // copyAvailable copies the available bytes from one socket to the other, through buf. Bytes that
 // the receiver doesn't accept at once are returned as left, to be passed as rest in the next call,
 // and nothing more is read until they are gone. If hungUp is set, it reads up to the end of the
-// stream; otherwise a short read means that nothing more has arrived.
+// stream; otherwise a short read means that nothing more has arrived. It is interrupted after maxPasses reads.
 func copyAvailable(from, to int, rest, buf []byte, hungUp bool) (left []byte, moved int, state transferState) {
-	for {
+	for range maxPasses {
 		if len(rest) > 0 {
 			n, ok := write(to, rest)
 			if !ok {
@@ -91,6 +99,7 @@
 			return nil, moved, flowing
 		}
 	}
+	return nil, moved, interrupted
 }
 
 // write writes as much of data as the socket accepts without blocking; ok is false when the
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -53,6 +53,8 @@
 	mu sync.Mutex
 	// pairs holds each pair under the descriptors of both of its sockets.
 	pairs map[int32]*pair
+	// interrupted holds the pairs whose transfer goes on in the next poll without an event.
+	interrupted []*pair
 	// targetStates is keyed by the router's address.
 	targetStates map[string]*targetState
 	// minConfig is the newest configuration version of any router that connections were relayed to.
@@ -163,11 +165,19 @@
 	if r.buf == nil {
 		r.buf, r.events = make([]byte, bufferSize), make([]unix.EpollEvent, maxEvents)
 	}
+	resumed := r.interrupted
+	r.interrupted = nil
 	for _, e := range r.drainEvents() {
 		if r.pairs[e.event.Fd] == e.pair {
 			r.handleEvent(e.pair, e.event, time.Now())
 		}
 	}
+	for _, p := range resumed {
+		p.interrupted = false
+		if r.pairs[int32(p.caller)] == p && p.connected {
+			r.transfer(p, time.Now())
+		}
+	}
 	now := time.Now()
 	if now.Sub(r.lastSweep) >= sweepInterval {
 		r.lastSweep = now
@@ -247,11 +257,17 @@
 	p.requestSent = true
 	var state transferState
 	var sent, moved int
-	if p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.buf, p.callerClosed); state != flowing {
+	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.buf, p.callerClosed)
+	if state == closed || state == broken {
 		r.finish(p, state) // the caller has disconnected, or the router failed
 		return
 	}
+	more := state == interrupted
 	p.pendingDown, moved, state = copyAvailable(p.peer, p.caller, p.pendingDown, r.buf, p.peerClosed)
+	if (more || state == interrupted) && !p.interrupted {
+		p.interrupted = true
+		r.interrupted = append(r.interrupted, p)
+	}
 	p.answered = p.answered || moved > 0
 	r.targetStates[p.target].recordTransfer(sent, moved, now)
 	r.meter.Received(sent + moved)
