--- a/pkg/standin/engine/completions.go
+++ b/pkg/standin/engine/completions.go
@@ -43,6 +43,10 @@
 	}
 	defer e.leave(a, watcher)
 	setAttempt(w, a)
+	if faults.Endless != "" {
+		sendEndless(r.Context(), w, faults.Endless)
+		return
+	}
 	if !a.stream {
 		sendWhole(w, r, a, watcher)
 		return
--- a/pkg/standin/engine/control_test.go
+++ b/pkg/standin/engine/control_test.go
@@ -110,6 +110,7 @@
 		`{"crashon2":"x"}`:         http.StatusBadRequest,
 		`{"hangMs":-1}`:            http.StatusBadRequest,
 		`{"slots":1000000}`:        http.StatusBadRequest,
+		`{"endless":"tail"}`:       http.StatusBadRequest,
 	} {
 		w := httptest.NewRecorder()
 		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/admin/faults", strings.NewReader(body)))
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -41,6 +41,9 @@
 	// them is looked at until the switches are set anew, and they don't end with their
 	// sender's connection. Empty: none.
 	HoldOrders string `json:"holdOrders"`
+	// Endless is the part of each answer that has no end: "head", "body", or "events" for comments without
+	// end. Empty: none.
+	Endless string `json:"endless"`
 }
 
 // Check names a value that is out of range.
@@ -52,7 +55,11 @@
 	if f.Slots > maxSlots {
 		return errors.NotValidf("slots over %d", maxSlots)
 	}
-	return nil
+	switch f.Endless {
+	case "", endlessHead, endlessBody, endlessEvents:
+		return nil
+	}
+	return errors.NotValidf("endless %q", f.Endless)
 }
 
 func (f Faults) revive() time.Duration { return millis(f.ReviveMs, defaultRevive) }
