--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -4,8 +4,10 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -43,6 +45,10 @@
 	stats connStats
 	// created is the time from which deadlines of idle connections are counted.
 	created time.Time
+	// maxHead is the size, in bytes, that a response's head may have.
+	maxHead atomic.Int64
+	// buffers bounds the memory for responses.
+	buffers *buffers.Budget
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
@@ -57,9 +63,20 @@
 
 // NewPools returns pools for upstreams that echo a request's ID in idHeader.
 func NewPools(idHeader string) *Pools {
-	return &Pools{idHeader: idHeader, created: time.Now(), pools: make(map[poolKey]*pool), byInstance: make(map[*upstream.Instance]*pool), listedUntil: make(map[poolKey]time.Time)}
+	ps := &Pools{idHeader: idHeader, created: time.Now(), pools: make(map[poolKey]*pool), byInstance: make(map[*upstream.Instance]*pool), listedUntil: make(map[poolKey]time.Time), buffers: buffers.NewBudget(buffers.DefaultLimit)}
+	ps.maxHead.Store(DefaultMaxHead)
+	return ps
 }
 
+// Buffers returns the budget of memory for responses, which callers of Do share.
+func (ps *Pools) Buffers() *buffers.Budget { return ps.buffers }
+
+// MaxHead returns the size, in bytes, that a response's head may have.
+func (ps *Pools) MaxHead() int64 { return ps.maxHead.Load() }
+
+// SetMaxHead changes it; it may be called while requests are served.
+func (ps *Pools) SetMaxHead(bytes int64) { ps.maxHead.Store(bytes) }
+
 // Traffic returns the number of bytes that connections to upstreams have carried.
 func (ps *Pools) Traffic() traffic.Bytes { return ps.meter.Total() }
 
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -18,6 +18,8 @@
 	suspicions *taggedCounters
 	// bookings counts asks for turns at engines.
 	bookings *taggedCounters
+	// excess counts responses that exceeded a bound.
+	excess *taggedCounters
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
@@ -25,7 +27,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub)}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/booking"
+	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
 // Settings are a gateway's start-up settings.
@@ -130,13 +131,18 @@
 	RunShare float64 `yaml:"runShare"`
 }
 
-// UpstreamSettings describe connections to upstreams.
+// UpstreamSettings describe connections to upstreams, and bound what upstreams may send.
 type UpstreamSettings struct {
 	// ConnectMs is the time that a new connection costs a request, in milliseconds; 0 for no
 	// preference for upstreams that the router is connected to.
 	ConnectMs float64 `yaml:"connectMs"`
+	// MaxHeadKiB bounds the head of a response, with the interim (1xx) responses before it, in KiB.
+	MaxHeadKiB int `yaml:"maxHeadKiB"`
 }
 
+// maxHeadBytes returns the bound of a head in bytes.
+func (s UpstreamSettings) maxHeadBytes() int64 { return int64(s.MaxHeadKiB) << 10 }
+
 // LogSettings configure the log.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -162,7 +168,7 @@
 		Engines:  EngineSettings{PrefillTokensPerMs: 60, FirstEventMs: 45, SlotTurnMs: 120},
 		Bookings: BookingSettings{RunShare: booking.DefaultRunShare},
 		// A round trip within a region, and the time until the upstream accepts.
-		Upstreams: UpstreamSettings{ConnectMs: 3},
+		Upstreams: UpstreamSettings{ConnectMs: 3, MaxHeadKiB: forward.DefaultMaxHead >> 10},
 		Log:       LogSettings{Level: "info"},
 		Entries:   EntrySettings{KeepSeconds: 1},
 	}
--- a/pkg/gatewayd/settings_test.go
+++ b/pkg/gatewayd/settings_test.go
@@ -55,6 +55,8 @@
 		"from 0 to 1000":         func(s *Settings) { s.Upstreams.ConnectMs = 1001 },
 		"connectMs must":         func(s *Settings) { s.Upstreams.ConnectMs = -1 },
 		"trial.off":              func(s *Settings) { s.Trial.Off = []string{"connections"} },
+		"upstreams.maxHeadKiB":   func(s *Settings) { s.Upstreams.MaxHeadKiB = 3 },
+		"between 4 and 1024":     func(s *Settings) { s.Upstreams.MaxHeadKiB = 1025 },
 		"log.level":              func(s *Settings) { s.Log.Level = "loud" },
 	} {
 		faulty := s
