Errors that find no memory are retried instead of relayed

Ruled out: keeping the start of such an error for the caller, since it is a part without its end. Change: Read returns an extent (whole, too large, no room). A 5xx without room is dropped, observed as a failure and left to mayRetry; answers relayed unbuffered for lack of memory are counted under memory_unbuffered. Only io.EOF itself ends a source. keepResponse gives back what it replaces. The count of excess in largeResponseBroken is gone: no error after the head is one.

--- a/pkg/buffers/read_test.go
+++ b/pkg/buffers/read_test.go
@@ -19,9 +19,13 @@
 			l := NewBudget(0).Lease()
 			text := strings.Repeat("x", size)
 			from := wrap(strings.NewReader(text))
-			data, whole, err := l.Read(from, limit, 0)
+			data, extent, err := l.Read(from, limit, 0)
 			require.NoError(t, err)
-			require.Equal(t, size <= limit, whole, "%s %d", name, size)
+			want := Whole
+			if size > limit {
+				want = TooLarge
+			}
+			require.Equal(t, want, extent, "%s %d", name, size)
 			rest, err := io.ReadAll(from)
 			require.NoError(t, err)
 			require.Equal(t, text, string(data)+string(rest), "%s %d", name, size)
@@ -34,9 +38,9 @@
 func TestReadStopsWhereTheBudgetEnds(t *testing.T) {
 	b := NewBudget(64 << 10)
 	l := b.Lease()
-	data, whole, err := l.Read(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 0)
+	data, extent, err := l.Read(bytes.NewReader(make([]byte, 1<<20)), 1<<20, 0)
 	require.NoError(t, err)
-	require.False(t, whole)
+	require.Equal(t, NoRoom, extent)
 	require.LessOrEqual(t, len(data), FreeBytes+64<<10)
 	require.LessOrEqual(t, b.Used(), b.Limit())
 	l.Release()
@@ -50,4 +54,6 @@
 	_, _, err := l.Read(io.MultiReader(bytes.NewReader(make([]byte, 100<<10)), iotest.ErrReader(errors.New("broken"))), 1<<20, 0)
 	require.EqualError(t, err, "broken")
 	require.Zero(t, b.Used())
+	_, _, err = l.Read(iotest.ErrReader(errors.Annotate(io.EOF, "broken")), 1<<20, 0)
+	require.EqualError(t, err, "broken: EOF", "a wrapped end is no end")
 }
--- a/pkg/fleet/catchup.go
+++ b/pkg/fleet/catchup.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -75,11 +76,11 @@
 	defer resp.Body.Close()
 	lease := e.fleet.buffers.Lease()
 	defer lease.Release()
-	body, whole, err := lease.Read(resp.Body, limit, 0)
+	body, extent, err := lease.Read(resp.Body, limit, 0)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if !whole {
+	if extent != buffers.Whole {
 		return errors.Errorf("the peer's answer exceeds %d bytes, or there is no memory left for it", limit)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // maxRequestDelay is how long a request usually is in flight at most: links take a few
@@ -87,11 +89,11 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(requestTimeout))
 	lease := f.buffers.Lease()
 	defer lease.Release()
-	data, whole, err := lease.Read(in.Body, maxMessageBytes, 0)
+	data, extent, err := lease.Read(in.Body, maxMessageBytes, 0)
 	if err != nil {
 		return false // the peer disconnected; it sends its next report anyway
 	}
-	if !whole {
+	if extent != buffers.Whole {
 		f.refuseUnread(w, in)
 		return false
 	}
--- a/pkg/gateway/buffering.go
+++ b/pkg/gateway/buffering.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 )
 
@@ -13,8 +14,8 @@
 )
 
 // readStart reads a response until it ends, exceeds maxBufferedResponse or finds no memory in the budget of
-// all requests. whole is true if it has ended.
-func (r *request) readStart(resp *forward.Response) (body []byte, whole bool, err error) {
+// all requests.
+func (r *request) readStart(resp *forward.Response) (body []byte, extent buffers.Extent, err error) {
 	return r.lease.Read(resp, maxBufferedResponse, r.keptBytes)
 }
 
@@ -25,8 +26,18 @@
 	return r.lease.Hold(r.keptBytes+unfinished+int64(ready)) || r.lease.Hold(r.keptBytes+unfinished)
 }
 
-// keepResponse keeps the memory of a response for the case that no retry is possible.
-func (r *request) keepResponse(buffered *bufferedResponse) { r.keptBytes = int64(cap(buffered.body)) }
+// keepResponse keeps the memory of a response for the case that no retry is possible, and gives back that of the
+// one that it replaces.
+func (r *request) keepResponse(buffered *bufferedResponse) {
+	r.keptBytes = int64(cap(buffered.body))
+	r.releaseBuffers()
+}
+
+// dropResponse gives back the memory of the attempt and of the response that was kept.
+func (r *request) dropResponse() {
+	r.keptBytes = 0
+	r.releaseBuffers()
+}
 
 // releaseBuffers gives back the memory of an attempt that has ended, but not that of a response that is kept.
 func (r *request) releaseBuffers() { r.lease.Hold(r.keptBytes) }
--- a/pkg/gateway/endlesssum_test.go
+++ b/pkg/gateway/endlesssum_test.go
@@ -20,6 +20,7 @@
 // Guards against a large answer that is lost, or cut, because others hold the memory for buffers.
 func TestAnswersWithoutMemoryAreRelayedAsTheyArrive(t *testing.T) {
 	env := newTestEnv(t)
+	_, scope := env.recordLog()
 	env.gateway.pools.Buffers().SetLimit(0)
 	answer := strings.Repeat("x", 100<<10)
 	env.startUpstreams(respondWith(answer))
@@ -30,9 +31,68 @@
 	require.Equal(t, 200, status)
 	require.Equal(t, answer, body)
 	require.Empty(t, header.Get("Content-Length"), "buffered")
+	require.EqualValues(t, 2, counted(scope, "gateway.responses_exceeding", boundUnbuffered))
+	require.Zero(t, counted(scope, "gateway.responses_exceeding", boundMemory), "cut off")
+	env.requireNothingHeld()
+}
+
+// Guards against an upstream's error that is relayed instead of retried, because others hold the memory for buffers.
+func TestErrorsWithoutMemoryAreRetried(t *testing.T) {
+	env := newTestEnv(t)
+	_, scope := env.recordLog()
+	env.gateway.pools.Buffers().SetLimit(0)
+	fail := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(rw, strings.Repeat("x", 100<<10))
+	}
+	env.startUpstreams(fail, respondWith("ok"))
+	status, body, _ := env.get("/safe/")
+	require.Equal(t, 200, status)
+	require.Equal(t, "ok", body)
+	require.Equal(t, 2, env.upstreamRequests())
+	env.resetHealth()
+	status, body, _ = env.get("/once/")
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Contains(t, body, errUpstreamFailed().Message)
+	require.Equal(t, 3, env.upstreamRequests(), "run twice")
+	require.EqualValues(t, 2, counted(scope, "gateway.responses_exceeding", boundMemory))
+	require.Zero(t, counted(scope, "gateway.responses_exceeding", boundUnbuffered))
 	env.requireNothingHeld()
 }
 
+// Guards against an upstream's error that is lost, although nothing but its own size kept it from being buffered.
+func TestErrorsTooLargeToBufferAreRelayed(t *testing.T) {
+	env := newTestEnv(t)
+	_, scope := env.recordLog()
+	failure := strings.Repeat("x", 2*maxBufferedResponse)
+	env.startUpstreams(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.WriteHeader(http.StatusInternalServerError)
+		io.WriteString(rw, failure)
+	})
+	status, body, _ := env.get("/safe/")
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, failure, body)
+	for _, bound := range []string{boundMemory, boundUnbuffered} {
+		require.Zero(t, counted(scope, "gateway.responses_exceeding", bound))
+	}
+	env.requireNothingHeld()
+}
+
+// Guards against the memory of a kept response that stays taken once another one replaces it.
+func TestAKeptResponseReplacesTheOneBefore(t *testing.T) {
+	budget := buffers.NewBudget(1 << 20)
+	r := &request{lease: budget.Lease()}
+	for range 3 {
+		body, extent, err := r.lease.Read(strings.NewReader(strings.Repeat("x", 100<<10)), maxBufferedResponse, r.keptBytes)
+		require.NoError(t, err)
+		require.Equal(t, buffers.Whole, extent)
+		r.keepResponse(&bufferedResponse{body: body})
+		require.EqualValues(t, cap(body)-buffers.FreeBytes, budget.Used())
+	}
+	r.dropResponse()
+	require.Zero(t, budget.Used())
+}
+
 // Guards against usual answers and events that change because others hold the memory for buffers.
 func TestUsualAnswersNeedNoSharedMemory(t *testing.T) {
 	env := newTestEnv(t)
--- a/pkg/gateway/excess.go
+++ b/pkg/gateway/excess.go
@@ -32,8 +32,13 @@
 	return true, l.left.Swap(0)
 }
 
-// boundMemory is the bound of all responses together, as metrics and logs name it.
-const boundMemory = "memory"
+// Bounds of all responses together, as metrics and logs name them.
+const (
+	// boundMemory counts the responses that were cut off or dropped for lack of memory.
+	boundMemory = "memory"
+	// boundUnbuffered counts those that were relayed as they arrived for lack of memory, and so weren't retried.
+	boundUnbuffered = "memory_unbuffered"
+)
 
 // recordExcess counts and logs a response that ended because it exceeded a bound.
 func (g *Gateway) recordExcess(r *request, inst *upstream.Instance, err error) {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -48,7 +49,7 @@
 
 // relayBuffered relays a response that is not a stream once it is complete.
 func (g *Gateway) relayBuffered(r *request, rec *attemptRecord, inst *upstream.Instance, resp *forward.Response) attemptResult {
-	body, whole, err := r.readStart(resp)
+	body, extent, err := r.readStart(resp)
 	if err != nil {
 		return g.attemptFailed(r, rec, inst, err)
 	}
@@ -58,7 +59,13 @@
 		g.abortResponse(r)
 	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
-	if !whole {
+	if extent == buffers.NoRoom && resp.Status >= http.StatusInternalServerError {
+		return g.errorUnread(r, rec, inst)
+	}
+	if extent != buffers.Whole {
+		if extent == buffers.NoRoom {
+			g.metrics.excess.count(boundUnbuffered, string(r.route.Kind))
+		}
 		g.relayLarge(r, rec, inst, resp, buffered)
 		return attemptResult{done: true}
 	}
@@ -77,6 +84,16 @@
 	return attemptResult{done: true}
 }
 
+// errorUnread handles an upstream's error that is too large for the memory that is left. Once relayed, it
+// couldn't be retried.
+func (g *Gateway) errorUnread(r *request, rec *attemptRecord, inst *upstream.Instance) attemptResult {
+	r.dropResponse()
+	rec.Outcome, rec.Error = outcomeUpstreamFailure, forward.ErrNoBuffer.Error()
+	g.recordExcess(r, inst, forward.ErrNoBuffer)
+	g.observeOutcome(inst, upstream.Failed, nil)
+	return attemptResult{}
+}
+
 // writeBuffered writes a complete response with its Content-Length: without one, a response to an
 // HTTP/1.0 caller ends with its connection, and would look complete wherever the router stops.
 func (g *Gateway) writeBuffered(r *request, buffered *bufferedResponse) {
@@ -120,7 +137,6 @@
 // upstream is at fault unless the request has expired or its caller has left.
 func (g *Gateway) largeResponseBroken(r *request, rec *attemptRecord, inst *upstream.Instance, err error) {
 	rec.Outcome, rec.Error = outcomeBroken, err.Error()
-	g.recordExcess(r, inst, err)
 	if r.expired() || r.callerGone() {
 		g.watchRun(r, inst)
 		rec.Outcome = outcomeTimeout
