Messages that arrive too slowly get 408 instead of an empty 200

Cause: readMessage took a read that ended at its deadline for a peer that had left and wrote nothing, which the server sends as 200 with an empty body. Change: a timeout is answered with 408 and a close, the timeout is a field, and the deadline is taken back once the message has arrived, so that the server doesn't take the sender for gone while it is answered.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -46,6 +46,8 @@
 	log   log.Interface
 	// buffers bounds the memory for messages that are being read. Their senders aren't known yet.
 	buffers *buffers.Budget
+	// readTimeout bounds the time to read one message.
+	readTimeout time.Duration
 
 	mu     sync.Mutex
 	secret []byte
@@ -101,7 +103,7 @@
 // New returns a fleet that consists of this router alone.
 func New(self Member, local Local, l log.Interface) *Fleet {
 	return &Fleet{self: self, local: local, log: l, peers: make(map[string]*peer), role: role{direct: true},
-		buffers: buffers.NewBudget(maxUnread), rankKey: rankKeyOf(self), startedAt: time.Now(), wake: make(chan struct{}, 1)}
+		buffers: buffers.NewBudget(maxUnread), readTimeout: requestTimeout, rankKey: rankKeyOf(self), startedAt: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 // SetSecret sets the secret that authenticates messages; without one nothing is exchanged.
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
@@ -85,16 +87,23 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
-	// A writer without deadlines is one of a test.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(requestTimeout))
+	control := http.NewResponseController(w)
+	// Only writers in tests lack deadlines, so the error is ignored.
+	_ = control.SetReadDeadline(time.Now().Add(f.readTimeout))
 	lease := f.buffers.Lease()
 	defer lease.Release()
 	data, extent, err := lease.Read(in.Body, maxMessageBytes, 0)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		f.refuseUnread(w, in, http.StatusRequestTimeout, "message not received in time")
+		return false
+	}
 	if err != nil {
 		return false // the peer disconnected; it sends its next report anyway
 	}
+	// With the deadline left in place, the server would take the sender for gone while it is being answered.
+	_ = control.SetReadDeadline(time.Time{})
 	if extent != buffers.Whole {
-		f.refuseUnread(w, in)
+		f.refuseUnread(w, in, http.StatusRequestEntityTooLarge, "message too large, or no memory left for it")
 		return false
 	}
 	if err := decode(data, secret, v); err != nil {
@@ -105,11 +114,11 @@
 	return true
 }
 
-// refuseUnread refuses a message that is too large, or for which there is no memory, and closes its connection.
-func (f *Fleet) refuseUnread(w http.ResponseWriter, in *http.Request) {
-	f.log.WithField("event", "report_refused").WithField("from", in.RemoteAddr).WithField("error", "message too large, or no memory left for it").Warn("refused a message unread")
+// refuseUnread refuses a message that was not read to its end, and closes its connection.
+func (f *Fleet) refuseUnread(w http.ResponseWriter, in *http.Request, status int, reason string) {
+	f.log.WithField("event", "report_refused").WithField("from", in.RemoteAddr).WithField("error", reason).Warn("refused a message unread")
 	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusRequestEntityTooLarge)
+	w.WriteHeader(status)
 }
 
 func (f *Fleet) writeMessage(w http.ResponseWriter, v any) {
