The test of unfinished events shows that the budget refuses some

Cause: the deadline of 2 s could pass before the upstreams began, and then all streams ended without a refusal and the test passed; the budget was sampled only after each stream had ended. Ruled out: a longer deadline alone, since the route's timeout of 5 s bounds it. Change: the route's timeout is a minute, upstreams hold their events until some stream was refused, the count of refusals must be positive, and the peak is sampled with each part sent. Budget.take no longer adds what it then gives back: that was over the limit for a moment, and refused others.

--- a/pkg/buffers/budget.go
+++ b/pkg/buffers/budget.go
@@ -42,11 +42,16 @@
 // Used returns the bytes that all leases hold.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// take takes n bytes if there is room for them.
+// take takes n bytes if there is room for them. It never takes them only to give them back, which would refuse
+// others meanwhile.
 func (b *Budget) take(n int64) bool {
-	if b.used.Add(n) <= b.limit.Load() {
-		return true
+	for {
+		used := b.used.Load()
+		if used+n > b.limit.Load() {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	b.used.Add(-n)
-	return false
 }
--- a/pkg/buffers/budget_test.go
+++ b/pkg/buffers/budget_test.go
@@ -55,6 +55,9 @@
 				if l.Hold(random.Int64N(256<<10)) && l.taken > b.Limit() {
 					t.Error("holds more than the limit")
 				}
+				if b.Used() > b.Limit() {
+					t.Error("all hold more than the limit")
+				}
 			}
 		})
 	}
--- a/pkg/gateway/endlesssum_test.go
+++ b/pkg/gateway/endlesssum_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,45 +169,60 @@
 func TestUnfinishedEventsShareTheBudget(t *testing.T) {
 	const callers = 100
 	env := newTestEnv(t)
+	_, scope := env.recordLog()
+	config := env.config()
+	config.Version++
+	for i := range config.Routes {
+		config.Routes[i].Timeout = time.Minute
+	}
+	env.catalog.Adopt(config, "test")
 	budget := env.gateway.pools.Buffers()
 	budget.SetLimit(buffers.LimitFor(64 << 20))
 	first := []byte(endlessChunked + chunk(events(1, 1)))
 	unfinished := []byte(chunk("data: " + strings.Repeat("x", forward.MaxEventSize-1000)))
-	begin := make(chan struct{})
+	begin, end := make(chan struct{}), make(chan struct{})
+	var used atomic.Int64 // the peak
 	env.startUpstreams(func(rw http.ResponseWriter, _ *http.Request) {
-		c, buffered, err := rw.(http.Hijacker).Hijack()
+		c, _, err := rw.(http.Hijacker).Hijack()
 		if err != nil {
 			return
 		}
 		defer c.Close()
 		c.Write(first)
 		<-begin
-		c.Write(unfinished)
-		buffered.ReadByte() // until the connection ends
+		for part := range slices.Chunk(unfinished, copyBufferSize) {
+			if _, err := c.Write(part); err != nil {
+				return
+			}
+			for now, peak := budget.Used(), used.Load(); now > peak && !used.CompareAndSwap(peak, now); peak = used.Load() {
+			}
+		}
+		<-end
 	})
 	var bodies []io.ReadCloser
 	for range callers {
-		resp, err := env.client.Do(env.newRequest("/stream/", "X-Deadline", "2000"))
+		resp, err := env.client.Do(env.newRequest("/stream/", "X-Deadline", "60000"))
 		require.NoError(t, err)
 		bodies = append(bodies, resp.Body)
 	}
 	close(begin)
-	var used int64
-	var mu sync.Mutex
+	// The streams that fit are held until others found no memory; then their upstreams break off.
+	exceeding := func() int64 { return counted(scope, "gateway.responses_exceeding", boundMemory) }
+	assert.Eventually(t, func() bool { return exceeding() > 0 }, 30*time.Second, time.Millisecond)
+	close(end)
 	var all sync.WaitGroup
 	for _, body := range bodies {
 		all.Go(func() {
 			defer body.Close()
 			_, err := io.Copy(io.Discard, body)
 			assert.Error(t, err)
-			mu.Lock()
-			defer mu.Unlock()
-			used = max(used, budget.Used())
 		})
 	}
 	all.Wait()
-	require.Positive(t, used)
-	require.LessOrEqual(t, used, budget.Limit())
+	require.Positive(t, exceeding())
+	require.Less(t, exceeding(), int64(callers), "no stream goes on")
+	require.Positive(t, used.Load())
+	require.LessOrEqual(t, used.Load(), budget.Limit())
 	env.requireNothingHeld()
 }
 
