Transfers of handed-over connections have a file of their own

Change: transfer and the resumption of interrupted ones move to transfer.go, without any other change.

--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -172,12 +172,7 @@
 			r.handleEvent(e.pair, e.event, time.Now())
 		}
 	}
-	for _, p := range resumed {
-		p.interrupted = false
-		if r.pairs[int32(p.caller)] == p && p.connected {
-			r.transfer(p, time.Now())
-		}
-	}
+	r.resume(resumed)
 	now := time.Now()
 	if now.Sub(r.lastSweep) >= sweepInterval {
 		r.lastSweep = now
@@ -248,40 +243,6 @@
 	r.refuse(p.caller)
 }
 
-// transfer copies the available bytes in both directions.
-func (r *Relay) transfer(p *pair, now time.Time) {
-	if !p.requestSent && p.callerClosed {
-		r.finish(p, closed)
-		return
-	}
-	p.requestSent = true
-	var state transferState
-	var sent, moved int
-	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.buf, p.callerClosed)
-	if state == closed || state == broken {
-		r.finish(p, state) // the caller has disconnected, or the router failed
-		return
-	}
-	more := state == interrupted
-	p.pendingDown, moved, state = copyAvailable(p.peer, p.caller, p.pendingDown, r.buf, p.peerClosed)
-	if (more || state == interrupted) && !p.interrupted {
-		p.interrupted = true
-		r.interrupted = append(r.interrupted, p)
-	}
-	p.answered = p.answered || moved > 0
-	r.targetStates[p.target].recordTransfer(sent, moved, now)
-	r.meter.Received(sent + moved)
-	r.meter.Sent(sent + moved)
-	switch {
-	case state == broken:
-		r.finish(p, broken)
-	case state == closed && !p.answered:
-		r.finish(p, broken) // the request may have run
-	case state == closed:
-		r.finish(p, closed)
-	}
-}
-
 // sweep ends connections whose timeout has expired.
 func (r *Relay) sweep(now time.Time) {
 	for fd, p := range r.pairs {
