--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -9,7 +9,6 @@
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/shedding"
-	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
 // Decisions are the mechanisms that are in use.
@@ -245,23 +244,6 @@
 	e.queue = append(e.queue, j)
 }
 
-func (w *world) keptAnywhere(r *Request) int {
-	most := 0
-	for _, e := range w.engines {
-		most = max(most, e.kept.tokens(r.chain))
-	}
-	return most
-}
-
-func (w *world) engineOf(in *upstream.Instance) *engine {
-	for _, e := range w.engines {
-		if e.instance == in {
-			return e
-		}
-	}
-	return nil
-}
-
 // began tells the router of a job's first event.
 func (w *world) began(j *job, at time.Duration) {
 	now := epoch.Add(at)
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -88,11 +88,6 @@
 	return l, nil
 }
 
-// SetObjective sets the function that returns the shortest objective of the requests that arrive: a
-// caller that is refused unread is told to return within it. It must be called before the first
-// Accept.
-func (l *Listener) SetObjective(objective func() time.Duration) { l.objective = objective }
-
 // Accept returns the next admitted connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -297,22 +297,3 @@
 		p.log.WithError(err).WithField("event", "face_lost").WithField("face", f.name).Error("stopped serving")
 	}
 }
-
-// shortestObjective returns the shortest objective of streams; 0 without a configuration.
-func (p *Process) shortestObjective() time.Duration {
-	table := p.catalog.Table()
-	if table == nil {
-		return 0
-	}
-	return table.ShortestStreamObjective()
-}
-
-// capacity returns the declared capacity of all engines together, in tokens a second; 0 without a
-// configuration.
-func (p *Process) capacity() float64 {
-	table := p.catalog.Table()
-	if table == nil {
-		return 0
-	}
-	return table.Config.Limits.TokensPerSecond
-}
