--- a/pkg/booking/desk.go
+++ b/pkg/booking/client.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 )
 
-// Fleet is what a Desk needs of the other routers.
+// Fleet is what a Client needs of the other routers.
 type Fleet interface {
 	// Keepers returns the routers that may keep calendars, and the address of this one; none where
 	// HasKeepers is false.
@@ -36,15 +36,15 @@
 	maxPending = 256
 )
 
-// Errors of a Desk.
+// Errors of a Client.
 const (
-	errNoAnswer   = errors.ConstError("no answer in time")
-	errBadAnswer  = errors.ConstError("the answer names no offer")
-	errTooPending = errors.ConstError("too many asks are under way")
+	errNoAnswer       = errors.ConstError("no answer in time")
+	errBadAnswer      = errors.ConstError("the answer names no offer")
+	errTooManyPending = errors.ConstError("too many asks are under way")
 )
 
-// Desk asks keepers for bookings.
-type Desk struct {
+// Client asks keepers for bookings.
+type Client struct {
 	fleet Fleet
 	book  *Book
 	log   log.Interface
@@ -56,9 +56,9 @@
 	stats   Stats
 }
 
-// NewDesk returns a desk. book has the calendars that this router keeps.
-func NewDesk(f Fleet, book *Book, l log.Interface) *Desk {
-	return &Desk{fleet: f, book: book, log: l, avoided: make(map[string]time.Time)}
+// NewClient returns a client. book has the calendars that this router keeps.
+func NewClient(f Fleet, book *Book, l log.Interface) *Client {
+	return &Client{fleet: f, book: book, log: l, avoided: make(map[string]time.Time)}
 }
 
 // Result is what came of an ask.
@@ -71,31 +71,31 @@
 }
 
 // HasKeepers reports whether there is anybody to ask.
-func (d *Desk) HasKeepers() bool { return d.fleet.HasKeepers() }
+func (c *Client) HasKeepers() bool { return c.fleet.HasKeepers() }
 
 // Book asks the keeper of a zone, and waits for its answer for patience, at least minPatience.
-func (d *Desk) Book(ctx context.Context, zone string, a Ask, patience time.Duration) Result {
+func (c *Client) Book(ctx context.Context, zone string, a Ask, patience time.Duration) Result {
 	now := time.Now()
-	result := d.decide(ctx, zone, a, patience, now)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.stats.add(result, time.Since(now))
+	result := c.decide(ctx, zone, a, patience, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stats.add(result, time.Since(now))
 	return result
 }
 
-func (d *Desk) decide(ctx context.Context, zone string, a Ask, patience time.Duration, now time.Time) Result {
-	routers, self := d.fleet.Keepers(now)
-	keeper := KeeperOf(routers, zone, func(addr string) bool { return d.usable(addr, now) })
+func (c *Client) decide(ctx context.Context, zone string, a Ask, patience time.Duration, now time.Time) Result {
+	routers, self := c.fleet.Keepers(now)
+	keeper := KeeperOf(routers, zone, func(addr string) bool { return c.usable(addr, now) })
 	switch keeper {
 	case "":
 		return Result{}
 	case self:
-		answer := d.book.Decide(a, now)
+		answer := c.book.Decide(a, now)
 		return Result{Answer: answer, Asked: answer.answers(&a), Keeper: self}
 	}
-	answer, err := d.ask(ctx, keeper, a, patience)
+	answer, err := c.ask(ctx, keeper, a, patience)
 	if err != nil {
-		d.avoid(ctx, keeper, err)
+		c.avoid(ctx, keeper, err)
 		return Result{Keeper: keeper}
 	}
 	return Result{Answer: answer, Asked: true, Keeper: keeper}
@@ -108,16 +108,16 @@
 }
 
 // ask waits for an answer. A late answer isn't cancelled, as that would close the connection.
-func (d *Desk) ask(ctx context.Context, keeper string, a Ask, patience time.Duration) (Answer, error) {
-	if !d.begin() {
-		return Answer{}, errTooPending
+func (c *Client) ask(ctx context.Context, keeper string, a Ask, patience time.Duration) (Answer, error) {
+	if !c.begin() {
+		return Answer{}, errTooManyPending
 	}
 	replies := make(chan reply, 1)
 	go func() {
-		defer d.end()
+		defer c.end()
 		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 		defer cancel()
-		answer, err := d.fleet.AskKeeper(bounded, keeper, a)
+		answer, err := c.fleet.AskKeeper(bounded, keeper, a)
 		if err == nil && !answer.answers(&a) {
 			err = errBadAnswer
 		}
@@ -145,31 +145,31 @@
 	}
 }
 
-func (d *Desk) begin() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.pending >= maxPending {
+func (c *Client) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending >= maxPending {
 		return false
 	}
-	d.pending++
+	c.pending++
 	return true
 }
 
-func (d *Desk) end() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.pending--
+func (c *Client) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
 }
 
-func (d *Desk) usable(addr string, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !now.Before(d.avoided[addr])
+func (c *Client) usable(addr string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !now.Before(c.avoided[addr])
 }
 
 // avoid remembers a keeper that gave no answer, unless the caller left meanwhile.
-func (d *Desk) avoid(ctx context.Context, keeper string, err error) {
-	if ctx.Err() != nil || errors.Is(err, errTooPending) {
+func (c *Client) avoid(ctx context.Context, keeper string, err error) {
+	if ctx.Err() != nil || errors.Is(err, errTooManyPending) {
 		return
 	}
 	span := avoidFailedFor
@@ -177,23 +177,23 @@
 		span = avoidFor
 	}
 	now := time.Now()
-	d.mu.Lock()
-	first := !now.Before(d.avoided[keeper])
-	d.avoided[keeper] = now.Add(span)
-	d.mu.Unlock()
+	c.mu.Lock()
+	first := !now.Before(c.avoided[keeper])
+	c.avoided[keeper] = now.Add(span)
+	c.mu.Unlock()
 	if first {
-		d.log.WithError(err).WithFields(log.Fields{"event": "keeper_avoided", "keeper": keeper, "for_ms": span.Milliseconds()}).Warn("keeper of bookings does not answer")
+		c.log.WithError(err).WithFields(log.Fields{"event": "keeper_avoided", "keeper": keeper, "for_ms": span.Milliseconds()}).Warn("keeper of bookings does not answer")
 	}
 }
 
 // Prune forgets keepers that are no longer avoided, and calendars whose runs are over.
-func (d *Desk) Prune(now time.Time) {
-	d.book.Prune(now)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for addr, until := range d.avoided {
+func (c *Client) Prune(now time.Time) {
+	c.book.Prune(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, until := range c.avoided {
 		if !now.Before(until) {
-			delete(d.avoided, addr)
+			delete(c.avoided, addr)
 		}
 	}
 }
--- a/pkg/booking/desk_test.go
+++ b/pkg/booking/client_test.go
@@ -44,13 +44,13 @@
 
 const patience = 30 * time.Millisecond
 
-func newDesk(f Fleet) *Desk {
-	return NewDesk(f, NewBook(DefaultRunShare), &log.Logger{Handler: discard.New(), Level: log.InfoLevel})
+func newClient(f Fleet) *Client {
+	return NewClient(f, NewBook(DefaultRunShare), &log.Logger{Handler: discard.New(), Level: log.InfoLevel})
 }
 
 func TestTheKeeperAnswers(t *testing.T) {
 	f := two()
-	r := newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
+	r := newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
 	require.True(t, r.Asked)
 	require.Equal(t, Answer{Offer: 0, DelayMs: 5}, r.Answer)
 	require.Equal(t, []string{r.Keeper}, f.asked)
@@ -59,14 +59,14 @@
 func TestARouterThatKeepsTheCalendarsAsksNobody(t *testing.T) {
 	f := two()
 	f.routers = []Router{{"self", "zone"}}
-	require.Equal(t, Result{Answer: Answer{Offer: 0}, Asked: true, Keeper: "self"}, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
+	require.Equal(t, Result{Answer: Answer{Offer: 0}, Asked: true, Keeper: "self"}, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
 	require.Empty(t, f.asked)
 }
 
 func TestWithoutKeepersNothingIsBooked(t *testing.T) {
 	f := two()
 	f.routers = nil
-	require.Equal(t, Result{}, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
+	require.Equal(t, Result{}, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience))
 }
 
 // Guards against requests that wait for a keeper which was killed, frozen or cut off.
@@ -77,7 +77,7 @@
 			<-ctx.Done()
 			return Answer{}, ctx.Err()
 		}
-		d := newDesk(f)
+		d := newClient(f)
 		began := time.Now()
 		first := d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
 		require.False(t, first.Asked)
@@ -103,7 +103,7 @@
 			ended = ctx.Err()
 			return Answer{Offer: 0}, nil
 		}
-		require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
+		require.False(t, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
 		time.Sleep(2 * patience)
 		synctest.Wait()
 		require.NoError(t, ended)
@@ -115,11 +115,11 @@
 	for _, answer := range []Answer{{Offer: 1}, {Offer: -2}, {Offer: 0, DelayMs: -1}, {Offer: 0, DelayMs: maxMs + 1}, {Offer: 0, DelayMs: 501}, {Offer: notDecided}} {
 		f := two()
 		f.answer = func(context.Context, string) (Answer, error) { return answer, nil }
-		require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked, "%+v", answer)
+		require.False(t, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked, "%+v", answer)
 	}
 	f := two()
 	f.answer = func(context.Context, string) (Answer, error) { return Answer{}, errors.New("404 Not Found") }
-	require.False(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
+	require.False(t, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
 }
 
 // Guards against blaming a keeper whose answer came while this router had no processor.
@@ -138,7 +138,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := two()
 		f.answer = func(context.Context, string) (Answer, error) { return Answer{}, errors.New("404 Not Found") }
-		d := newDesk(f)
+		d := newClient(f)
 		keeper := d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper
 		time.Sleep(avoidFor)
 		require.NotEqual(t, keeper, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Keeper)
@@ -155,7 +155,7 @@
 			time.Sleep(minPatience / 2)
 			return Answer{Offer: 0}, nil
 		}
-		require.True(t, newDesk(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), time.Millisecond).Asked)
+		require.True(t, newClient(f).Book(t.Context(), "zone", ask(engine("e", 0, 50)), time.Millisecond).Asked)
 	})
 }
 
@@ -168,7 +168,7 @@
 			return Answer{Offer: 0}, nil
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		d := newDesk(f)
+		d := newClient(f)
 		time.AfterFunc(time.Millisecond, cancel)
 		require.False(t, d.Book(ctx, "zone", ask(engine("e", 0, 50)), patience).Asked)
 		require.Empty(t, d.avoided)
@@ -184,7 +184,7 @@
 			<-ctx.Done()
 			return Answer{}, ctx.Err()
 		}
-		d := newDesk(f)
+		d := newClient(f)
 		d.pending = maxPending
 		began := time.Now()
 		require.False(t, d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience).Asked)
@@ -195,7 +195,7 @@
 
 func TestStatsCountWhatBecameOfAsks(t *testing.T) {
 	f := two()
-	d := newDesk(f)
+	d := newClient(f)
 	d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
 	f.answer = func(context.Context, string) (Answer, error) { return Answer{Offer: None}, nil }
 	d.Book(t.Context(), "zone", ask(engine("e", 0, 50)), patience)
--- a/pkg/booking/stats.go
+++ b/pkg/booking/stats.go
@@ -39,8 +39,8 @@
 }
 
 // Stats returns the sums so far.
-func (d *Desk) Stats() Stats {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.stats
+func (c *Client) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
 }
--- a/pkg/gateway/booking_test.go
+++ b/pkg/gateway/booking_test.go
@@ -43,7 +43,7 @@
 	}
 	env.catalog.Adopt(cfg, "test")
 	k := &fakeKeeper{answer: answer}
-	env.gateway.bookings = booking.NewDesk(k, booking.NewBook(booking.DefaultRunShare), env.gateway.log)
+	env.gateway.bookings = booking.NewClient(k, booking.NewBook(booking.DefaultRunShare), env.gateway.log)
 	env.startUpstreams(respondWith("hello"), respondWith("hello"))
 	return env, k
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -35,7 +35,7 @@
 	quarantine  *quarantine.Book
 	lostRuns    *quarantine.Watch
 	streams     *affinity.Tracker
-	bookings    *booking.Desk
+	bookings    *booking.Client
 	peers       Peers
 	// callTimes estimates how long calls without a prompt take.
 	callTimes          pace.CallTimes
@@ -85,7 +85,7 @@
 	// Streams knows at which software version streams began.
 	Streams *affinity.Tracker
 	// Bookings asks for turns at the engines; nil for none.
-	Bookings *booking.Desk
+	Bookings *booking.Client
 	Peers    Peers
 	// ConnectionPressure reports whether the router is short of connections or CPU, so that callers'
 	// connections should not be kept alive.
--- a/pkg/gatewayd/bookings.go
+++ b/pkg/gatewayd/bookings.go
@@ -18,22 +18,22 @@
 
 // bookingStats reports what came of this router's asks for turns, and how many it was asked.
 type bookingStats struct {
-	desk *booking.Desk
-	book *booking.Book
-	last booking.Stats
-	kept int64
-	log  log.Interface
+	client *booking.Client
+	book   *booking.Book
+	last   booking.Stats
+	kept   int64
+	log    log.Interface
 }
 
 // status returns the sums for the status page.
 func (b *bookingStats) status() status.Bookings {
-	s := b.desk.Stats()
+	s := b.client.Stats()
 	return status.Bookings{AtOnce: s.AtOnce, Later: s.Later, NoRoom: s.NoRoom, Unanswered: s.Unanswered, Unasked: s.Unasked,
 		Decided: b.book.Decided(), Calendars: b.book.Calendars()}
 }
 
 func (b *bookingStats) report() {
-	all, kept := b.desk.Stats(), b.book.Decided()
+	all, kept := b.client.Stats(), b.book.Decided()
 	s, decided := all.Since(b.last), kept-b.kept
 	if s.Asks()+decided == 0 {
 		return
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -73,7 +73,7 @@
 	local        *localState
 	fleet        *fleet.Fleet
 	streams      *affinity.Tracker
-	bookings     *booking.Desk
+	bookings     *booking.Client
 	bookingStats bookingStats
 	exchange     *fleet.Exchanger
 	// peerTraffic counts the traffic on connections that other routers open.
@@ -128,8 +128,8 @@
 	p.local.streams = p.streams
 	p.streams.SetLeaveLimit(millis(s.Streams.LeavingUpstreamMs))
 	p.local.bookings = booking.NewBook(s.Bookings.RunShare)
-	p.bookings = booking.NewDesk(bookingFleet{p.fleet, p.exchange}, p.local.bookings, l)
-	p.bookingStats = bookingStats{desk: p.bookings, book: p.local.bookings, log: l}
+	p.bookings = booking.NewClient(bookingFleet{p.fleet, p.exchange}, p.local.bookings, l)
+	p.bookingStats = bookingStats{client: p.bookings, book: p.local.bookings, log: l}
 	p.logDrops = logDrops{count: d.LinesDropped, log: l, counter: p.metrics.Scope.Counter("log_lines_dropped")}
 	p.linkUsage = linkUsage{scope: p.metrics.Scope, log: l}
 	p.linkUsage.watch("upstreams", p.pools.Traffic)
