--- a/pkg/handover/pair.go
+++ b/pkg/handover/pair.go
@@ -26,8 +26,8 @@
 	// pendingUp holds bytes that the router's socket has not accepted yet, pendingDown those for
 	// the caller's.
 	pendingUp, pendingDown []byte
-	// interrupted is whether the next poll goes on with the transfer without an event.
-	interrupted bool
+	// unfinished is whether the next poll goes on with the transfer without an event.
+	unfinished bool
 	// callerClosed and peerClosed are whether the kernel reported a hangup of that side. It reports
 	// it once, possibly together with the last bytes.
 	callerClosed, peerClosed bool
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -53,8 +53,8 @@
 	mu sync.Mutex
 	// pairs holds each pair under the descriptors of both of its sockets.
 	pairs map[int32]*pair
-	// interrupted holds the pairs whose transfer goes on in the next poll without an event.
-	interrupted []*pair
+	// unfinished holds the pairs whose transfer goes on in the next poll without an event.
+	unfinished []*pair
 	// targetStates is keyed by the router's address.
 	targetStates map[string]*targetState
 	// minConfig is the newest configuration version of any router that connections were relayed to.
@@ -161,19 +161,22 @@
 func (r *Relay) poll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.isClosed {
+		return // its epoll descriptor may be another one's now, whose events would be lost
+	}
 	began := time.Now()
 	if r.buf == nil {
 		r.buf, r.events = make([]byte, bufferSize), make([]unix.EpollEvent, maxEvents)
 	}
-	resumed := r.interrupted
-	r.interrupted = nil
+	resumed := r.unfinished
+	r.unfinished = nil
 	for _, e := range r.drainEvents() {
 		if r.pairs[e.event.Fd] == e.pair {
 			r.handleEvent(e.pair, e.event, time.Now())
 		}
 	}
 	for _, p := range resumed {
-		p.interrupted = false
+		p.unfinished = false
 		if r.pairs[int32(p.caller)] == p && p.connected {
 			r.transfer(p, time.Now())
 		}
@@ -264,9 +267,9 @@
 	}
 	more := state == interrupted
 	p.pendingDown, moved, state = copyAvailable(p.peer, p.caller, p.pendingDown, r.buf, p.peerClosed)
-	if (more || state == interrupted) && !p.interrupted {
-		p.interrupted = true
-		r.interrupted = append(r.interrupted, p)
+	if (more || state == interrupted) && !p.unfinished {
+		p.unfinished = true
+		r.unfinished = append(r.unfinished, p)
 	}
 	p.answered = p.answered || moved > 0
 	r.targetStates[p.target].recordTransfer(sent, moved, now)
