Stand-ins without end answer requests, not connections

Ruled out: the bounds, which had no part in it. Change: the fakes read the request first; the checks are the same.

--- a/pkg/fleet/endless_test.go
+++ b/pkg/fleet/endless_test.go
@@ -33,6 +33,10 @@
 			}
 			go func() {
 				defer c.Close()
+				// Bytes before the request would be unsolicited, whatever they are.
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
 				for _, err := io.WriteString(c, start); err == nil; {
 					_, err = c.Write(data)
 				}
--- a/pkg/order/endless_test.go
+++ b/pkg/order/endless_test.go
@@ -1,9 +1,11 @@
 package order
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +29,10 @@
 					return
 				}
 				defer conn.Close()
+				// Bytes before the request would be unsolicited, whatever they are.
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
 				data := []byte(strings.Repeat("f", 8<<10))
 				for _, err = io.WriteString(conn, c.start); err == nil; {
 					_, err = conn.Write(data)
