What responses say about their upstream is decoded, counted and logged

The adapter decodes both statements once into upstream.Notice; forward passes it on as soon as the head is read; the attempt's log record has leaving and backoff_ms, the counter gateway_upstream_notices counts by service and notice, and what can't be read has a line a second at most. No decision uses any of it yet.

--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -42,6 +42,7 @@
 		r.Discard()
 		return nil, err
 	}
+	ps.notices.observe(c.Instance, r)
 	return r, nil
 }
 
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -49,6 +49,7 @@
 	maxHead atomic.Int64
 	// buffers bounds the memory for responses.
 	buffers *buffers.Budget
+	notices Notices
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
 // Bounds on how long an idle connection is kept.
@@ -29,6 +31,8 @@
 	// body; it is empty until then.
 	Framing Framing
 	Ending  Ending
+	// Notice is what the head says about the upstream.
+	Notice upstream.Notice
 
 	// ctx is the call's context.
 	ctx           context.Context
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -49,6 +49,8 @@
 	UpstreamHeader(h http.Header, e AttemptMetadata) http.Header
 	// NotRun reports whether an upstream's response says that it did not run the request.
 	NotRun(status int, h http.Header) bool
+	// Notice returns what the head of an upstream's response says about the upstream.
+	Notice(status int, h http.Header) upstream.Notice
 	// IDHeader returns the name of the header in which callers send, and upstreams echo, a request's ID.
 	IDHeader() string
 }
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -65,6 +65,11 @@
 	return out
 }
 
+func (testDialect) Notice(_ int, h http.Header) upstream.Notice {
+	backoff, _ := time.ParseDuration(h.Get("X-Backoff"))
+	return upstream.Notice{Leaving: h.Get("X-Leaving") != "", Backoff: backoff}
+}
+
 func (testDialect) NotRun(_ int, h http.Header) bool { return h.Get("X-Not-Run") != "" }
 
 type singlePeer struct{}
--- a/pkg/gateway/excess.go
+++ b/pkg/gateway/excess.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,27 +10,6 @@
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
-// excessLogInterval is the shortest time between two log lines about responses that exceed a bound.
-// Upstreams in trouble send them as fast as requests are placed.
-const excessLogInterval = time.Second
-
-// excessLog limits the log lines about responses that exceed a bound.
-type excessLog struct {
-	// next is when the next line may be written, in Unix nanoseconds; left counts those left out since the
-	// last one.
-	next, left atomic.Int64
-}
-
-// allow reports whether a line may be written now, and how many were left out before it.
-func (l *excessLog) allow(now time.Time) (ok bool, left int64) {
-	next := l.next.Load()
-	if now.UnixNano() < next || !l.next.CompareAndSwap(next, now.Add(excessLogInterval).UnixNano()) {
-		l.left.Add(1)
-		return false, 0
-	}
-	return true, l.left.Swap(0)
-}
-
 // Bounds of all responses together, as metrics and logs name them.
 const (
 	// boundMemory counts the responses that were cut off or dropped for lack of memory.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -44,8 +44,9 @@
 	cpuStarved         func() bool
 	log                log.Interface
 	logBudget          logBudget
-	excessLog          excessLog
-	metrics            *requestMetrics
+	// excessLog and noticeLog limit the lines about responses that exceed a bound and unreadable notices.
+	excessLog, noticeLog lineLimiter
+	metrics              *requestMetrics
 	// disconnects cancels the requests of callers that close their connections.
 	disconnects *disconnectWatcher
 
@@ -110,6 +111,7 @@
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
+	g.pools.OnNotices(forward.Notices{Decode: g.dialect.Notice, Observe: g.observeNotice})
 	g.UpdateSettings(s)
 	return g
 }
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -45,10 +45,14 @@
 	Ending    forward.Ending  `json:"ending,omitempty"`
 	RestBytes int             `json:"rest_bytes,omitempty"`
 	// MaxPauseMs is the longest time between two events.
-	MaxPauseMs int64  `json:"pause_ms,omitempty"`
-	Outcome    string `json:"outcome"`
-	Error      string `json:"error,omitempty"`
-	started    time.Time
+	MaxPauseMs int64 `json:"pause_ms,omitempty"`
+	// Leaving and BackoffMs are what the response said about the instance: that it leaves, and how long it
+	// wants no requests, in milliseconds.
+	Leaving   bool   `json:"leaving,omitempty"`
+	BackoffMs int64  `json:"backoff_ms,omitempty"`
+	Outcome   string `json:"outcome"`
+	Error     string `json:"error,omitempty"`
+	started   time.Time
 }
 
 // setBasis records which instance list the attempt used.
@@ -56,6 +60,11 @@
 	rec.Revision, rec.ListAgeMs, rec.Held = int64(b.Revision), b.Age.Milliseconds(), b.Held
 }
 
+// setNotice records what the response says about the instance.
+func (rec *attemptRecord) setNotice(n upstream.Notice) {
+	rec.Leaving, rec.BackoffMs = n.Leaving, n.Backoff.Milliseconds()
+}
+
 // placementRecord describes the last choice of an instance in the log.
 type placementRecord struct {
 	// Candidates is the number of instances that the request could have been sent to.
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -20,6 +20,8 @@
 	bookings *taggedCounters
 	// excess counts responses that exceeded a bound.
 	excess *taggedCounters
+	// notices counts responses that say something about their upstream.
+	notices *taggedCounters
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
@@ -27,7 +29,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub), notices: newNoticeCounters(sub)}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -177,6 +177,7 @@
 	defer resp.Close()
 	defer g.recordEnding(rec, resp)
 	rec.FirstByteMs = time.Since(now).Milliseconds()
+	rec.setNotice(resp.Notice)
 	if g.dialect.NotRun(resp.Status, resp.Header) {
 		return g.attemptDeclined(r, rec, inst, resp)
 	}
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -56,6 +56,12 @@
 	return &taggedCounters{scope: scope, metric: "responses_exceeding", firstTag: "bound", secondTag: "kind"}
 }
 
+// newNoticeCounters returns counters of responses that say something about their upstream, by service and by
+// what they say.
+func newNoticeCounters(scope tally.Scope) *taggedCounters {
+	return &taggedCounters{scope: scope, metric: "upstream_notices", firstTag: "service", secondTag: "notice"}
+}
+
 func (t *taggedCounters) count(first, second string) { t.counter(tagValues{first, second}).Inc(1) }
 
 func (t *taggedCounters) counter(key tagValues) tally.Counter {
