--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -256,7 +256,7 @@
 }
 
 func (f fault) act(ctx context.Context, w *world) {
-	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings, ofEndless, ofReleases} {
+	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings, ofEndless, ofReleases, ofNotices} {
 		if a := kinds[f.kind]; a != nil {
 			a(ctx, w, f)
 			return
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,6 +66,7 @@
 	c := &checker{world: w, began: began, runs: w.runs()}
 	c.check(t.list)
 	c.checkCrashes(t.list)
+	c.checkNotices(t.list)
 	v.Crashes = c.crashes
 	v.Streams = c.checkStreams(t.list)
 	for _, u := range w.everyLife() {
@@ -83,7 +84,7 @@
 	if o.Herd > 0 {
 		return planHerds(o)
 	}
-	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planEndless(o), planReleases(o))
+	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planEndless(o), planReleases(o), planNotices(o))
 }
 
 func (v *Verdict) count(list []*attempt) {
