--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -111,7 +112,7 @@
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
-	g.pools.OnNotices(forward.Notices{Decode: g.dialect.Notice, Observe: g.observeNotice})
+	g.pools.OnNotices(forward.Notices{Decode: func(status int, h http.Header) upstream.Notice { return g.dialect.Notice(status, h) }, Observe: g.observeNotice})
 	g.UpdateSettings(s)
 	return g
 }
