An upstream whose response says that it leaves gets nothing new for the rest of its life

Cause: what an upstream states about its life was no input of the choice. The catalog now keeps such announcements for each life and applies them to every list, so that no later or older list, change or peer's list brings the upstream back, and all that asks for an upstream's state sees the same: placement, the check before the first byte, rests of streams (counted from the announcement), pools, warm-up. It is in force when the head is read, also of responses that are dropped for a retry. The list that peers get stays as the store has it.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	currentAt time.Time
 	// held are the instances that are missing from the list since the store recovered.
 	held heldInstances
+	// leaving are the lives that announced that they leave.
+	leaving map[upstream.Life]*departure
 	// contact is when this router or another one was in contact with the store.
 	contact Contact
 	// onInstances receives each new list, see OnInstances.
@@ -46,7 +49,7 @@
 
 // New returns an empty catalog.
 func New(l log.Interface) *Catalog {
-	c := &Catalog{log: l, onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {}}
+	c := &Catalog{log: l, leaving: make(map[upstream.Life]*departure), onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {}}
 	c.set.Store(upstream.NewSet(nil))
 	return c
 }
@@ -102,11 +105,12 @@
 //
 // Instances that are held for the grace period after an outage are left out, as they may have left
 // for good. Peers that received them as part of this revision would keep them forever, since no
-// later change removes them. Peers that lost the store as well hold their own.
+// later change removes them. Peers that lost the store as well hold their own. What instances have announced
+// themselves isn't part of the list either; peers learn it by Departures.
 func (c *Catalog) List() (set *upstream.Set, rev, since Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	set, _ = c.set.Load().Apply(c.held.removals())
+	set, _ = c.set.Load().Apply(slices.Concat(c.held.removals(), c.unlistedDepartures()))
 	return set, c.revision, c.listSince
 }
 
@@ -166,7 +170,7 @@
 	old := c.set.Load()
 	c.revision, c.currentAt, c.listSince = rev, asOf, rev
 	held := c.held.holdMissing(old, list)
-	next := upstream.NewSet(append(list, held...))
+	next := upstream.NewSet(c.applyDepartures(append(list, held...)))
 	c.setInstances(next, known)
 	c.logChanges(differences(old, next, first), rev, source)
 	fields := log.Fields{"event": "instances_read", "revision": rev, "source": source, "instances": len(list)}
@@ -193,6 +197,7 @@
 	}
 	in, held := c.held.holdRemovals(c.set.Load(), changes)
 	c.logHeld(held, now, source)
+	in = c.applyDeparturesTo(in)
 	next, differs := c.set.Load().Apply(in)
 	if len(changes) > 0 {
 		// An entry that looks unchanged may have been missing at a revision that peers have.
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -59,6 +59,10 @@
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeNoUpstream, "no upstream of the service can be used", transientRetryAfter)
 }
 
+func errAllLeaving() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeUpstreamsLeaving, "all upstreams of the service are leaving", transientRetryAfter)
+}
+
 func errCold() *verdict.Error {
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "all upstreams of the service are cold", transientRetryAfter)
 }
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -119,7 +119,7 @@
 	case refusal != nil:
 		g.refuse(r, refusal)
 	default:
-		g.refuse(r, errUpstreamsFull(transientRetryAfter))
+		g.refuse(r, g.errExhausted(r))
 	}
 }
 
--- a/pkg/verdict/error.go
+++ b/pkg/verdict/error.go
@@ -24,12 +24,14 @@
 	CodeQuarantined    Code = "quarantined"     // the content has crashed upstreams
 	// CodePartQuarantined: a part of the prompt has crashed upstreams.
 	CodePartQuarantined Code = "part_quarantined"
-	CodeDuplicate       Code = "duplicate"      // the idempotency key was used before
-	CodeTableDown       Code = "table_down"     // the idempotency key can't be recorded
-	CodeStreamUnknown   Code = "stream_unknown" // it is not known which software version began the stream
-	CodeStreamGone      Code = "stream_gone"    // nothing is left that can go on with the stream
-	CodeCanceled        Code = "canceled"       // the caller left
-	CodeInternal        Code = "internal"
+	CodeDuplicate       Code = "duplicate"  // the idempotency key was used before
+	CodeTableDown       Code = "table_down" // the idempotency key can't be recorded
+	// CodeUpstreamsLeaving: all upstreams of the service have announced that they leave.
+	CodeUpstreamsLeaving Code = "upstreams_leaving"
+	CodeStreamUnknown    Code = "stream_unknown" // it is not known which software version began the stream
+	CodeStreamGone       Code = "stream_gone"    // nothing is left that can go on with the stream
+	CodeCanceled         Code = "canceled"       // the caller left
+	CodeInternal         Code = "internal"
 )
 
 // Error is an error that ends a request. It is the only error type whose message is shown to
