An upstream that asks for no requests for a time gets none from that router

Cause: Retry-After of upstreams was not read; a refusal only made the upstream count as slower, which holds it off where others are idle and does nothing where all are asked for.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -189,6 +189,7 @@
 func darken(ctx context.Context, w *world, f fault) {
 	u := w.upstream(f.index)
 	defer w.journal.begin(partUpstream, f.index)()
+	defer w.journal.begin(partUplink, f.index)()
 	u.relay.Cut()
 	waiting.For(ctx, f.lasts)
 	u.relay.Heal()
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -17,6 +17,7 @@
 	partPeers    part = "peers"    // the link from other routers to a router
 	partStore    part = "store"    // a router's link to the store, or the store
 	partUpstream part = "upstream" // an upstream or the link to it
+	partUplink   part = "uplink"   // the link to an upstream
 	partLeaving  part = "leaving"  // a router's process while it ends in order
 )
 
--- a/internal/soak/lives.go
+++ b/internal/soak/lives.go
@@ -61,6 +61,7 @@
 func rebornUnseen(ctx context.Context, w *world, f fault) {
 	u := w.upstream(f.index)
 	defer w.journal.begin(partUpstream, f.index)()
+	defer w.journal.begin(partUplink, f.index)()
 	u.relay.Cut()
 	u.engine.Restart(nextBorn(f))
 	waiting.For(ctx, f.lasts/2)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -45,8 +45,9 @@
 	cpuStarved         func() bool
 	log                log.Interface
 	logBudget          logBudget
-	// excessLog and noticeLog limit the lines about responses that exceed a bound and unreadable notices.
-	excessLog, noticeLog lineLimiter
+	// excessLog, noticeLog and backoffLog limit the lines about responses that exceed a bound, unreadable
+	// notices and requested backoffs.
+	excessLog, noticeLog, backoffLog lineLimiter
 	metrics              *requestMetrics
 	// disconnects cancels the requests of callers that close their connections.
 	disconnects *disconnectWatcher
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -49,6 +49,9 @@
 	if n.Leaving {
 		g.catalog.NoteDeparture(catalog.Departure{Life: life, At: now}, sourceResponse)
 	}
+	if n.Backoff > 0 && g.health.RequestBackoff(life, n.Backoff, now) {
+		g.logBackoff(life, n.Backoff, now)
+	}
 }
 
 // sourceResponse names an upstream's own response as the source of what is known of it.
@@ -66,3 +69,10 @@
 	}
 	return sender.Life(), true
 }
+
+// logBackoff writes a line about a backoff, limited as each response of a full upstream extends it.
+func (g *Gateway) logBackoff(life upstream.Life, d time.Duration, now time.Time) {
+	if ok, left := g.backoffLog.allow(now); ok {
+		g.log.WithFields(log.Fields{"event": "instance_backoff", "instance": life.ID, "for_ms": d.Milliseconds(), "not_logged": left}).Info("instance wants no requests for a time")
+	}
+}
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -63,6 +63,10 @@
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeUpstreamsLeaving, "all upstreams of the service are leaving", transientRetryAfter)
 }
 
+func errAllBackingOff(retryAfter time.Duration) *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeUpstreamsBackoff, "all upstreams of the service want no requests for now", retryAfter)
+}
+
 func errCold() *verdict.Error {
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "all upstreams of the service are cold", transientRetryAfter)
 }
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -82,7 +82,7 @@
 
 // errNoCandidate returns the error for a request that no instance can be sent.
 func (g *Gateway) errNoCandidate(r *request) *verdict.Error {
-	if err := g.errUnavailable(r); err != nil {
+	if err := g.errUnavailable(r, time.Now()); err != nil {
 		return err
 	}
 	if !r.bound {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -225,6 +225,9 @@
 	if !g.catalog.StillPlaceable(inst) && !g.goesOnAtLeaving(r, inst, now) {
 		return false
 	}
+	if _, pending := g.health.BackoffUntil(inst.Life(), now); pending {
+		return false
+	}
 	return g.warmup.Acquire(inst, r.service, now)
 }
 
--- a/pkg/gateway/truncated_test.go
+++ b/pkg/gateway/truncated_test.go
@@ -67,7 +67,7 @@
 
 // resetHealth makes the gateway forget its upstreams' failures and prefer the first one again.
 func (env *testEnv) resetHealth() {
-	env.gateway.health.Prune(upstream.NewSet(nil))
+	env.gateway.health.Prune(upstream.NewSet(nil), time.Now())
 	env.preferFirst()
 }
 
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -19,7 +19,7 @@
 			p.streams.Observe(now)
 			p.prefixIndex.Prune(now)
 			p.bookings.Prune(now)
-			p.health.Prune(p.catalog.Instances())
+			p.health.Prune(p.catalog.Instances(), now)
 			p.catalog.PruneDepartures(now)
 			p.local.loads.Prune(p.catalog.Instances())
 			p.fleet.Membership(now) // detects when this router sees little of its fleet
--- a/pkg/upstream/health.go
+++ b/pkg/upstream/health.go
@@ -46,7 +46,9 @@
 type record struct {
 	connectionFailures int // ConnectionFailed outcomes in a row, apart from those during a suspension
 	suspendedUntil     time.Time
-	failureRate        float64
+	// backoffUntil is the end of the backoff that the instance has requested from this router.
+	backoffUntil time.Time
+	failureRate  float64
 }
 
 // NewHealth returns an empty Health.
@@ -57,11 +59,7 @@
 func (h *Health) Observe(life Life, o Outcome, now time.Time) (suspended time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := h.records[life]
-	if r == nil {
-		r = new(record)
-		h.records[life] = r
-	}
+	r := h.record(life)
 	if o == Served {
 		r.connectionFailures = 0
 		r.failureRate -= r.failureRate * failureWeight
@@ -81,6 +79,42 @@
 	return suspended
 }
 
+// RequestBackoff records that an instance wants no requests from this router for d. It reports whether that is
+// longer than what it requested before; a shorter one doesn't end the earlier one, as responses may arrive out of
+// order.
+func (h *Health) RequestBackoff(life Life, d time.Duration, now time.Time) (extended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(life)
+	until := now.Add(min(d, MaxBackoff))
+	if !until.After(r.backoffUntil) {
+		return false
+	}
+	r.backoffUntil = until
+	return true
+}
+
+// BackoffUntil returns the end of the backoff that an instance has requested, and whether that is still to come.
+func (h *Health) BackoffUntil(life Life, now time.Time) (until time.Time, pending bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.records[life]
+	if r == nil || !now.Before(r.backoffUntil) {
+		return time.Time{}, false
+	}
+	return r.backoffUntil, true
+}
+
+// record returns the record of a life, which is created if there is none.
+func (h *Health) record(life Life) *record {
+	r := h.records[life]
+	if r == nil {
+		r = new(record)
+		h.records[life] = r
+	}
+	return r
+}
+
 // Usable reports whether a life of an instance may be given work, and its handicap.
 func (h *Health) Usable(life Life, now time.Time) (handicap time.Duration, ok bool) {
 	h.mu.Lock()
@@ -104,19 +138,20 @@
 	if r == nil {
 		return 0, true
 	}
-	if now.Before(r.suspendedUntil) {
+	if now.Before(r.suspendedUntil) || now.Before(r.backoffUntil) {
 		return 0, false
 	}
 	handicap = time.Duration(float64(failureHandicap) * r.failureRate)
 	return handicap + time.Duration(r.connectionFailures)*suspensionHandicap, true
 }
 
-// Prune drops the records of lives that are no longer current in set.
-func (h *Health) Prune(set *Set) {
+// Prune drops the records of lives that are no longer current in set. A backoff is kept to its end, as an entry
+// that has lapsed may come back.
+func (h *Health) Prune(set *Set, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for life := range h.records {
-		if !set.IsCurrent(life) {
+		if !set.IsCurrent(life) && !now.Before(h.records[life].backoffUntil) {
 			delete(h.records, life)
 		}
 	}
--- a/pkg/upstream/health_test.go
+++ b/pkg/upstream/health_test.go
@@ -37,7 +37,7 @@
 	}
 	good, _ := h.Usable(a, now)
 	require.Less(t, good, failureHandicap/10)
-	h.Prune(NewSet(nil))
+	h.Prune(NewSet(nil), now)
 	require.Empty(t, h.records)
 }
 
--- a/pkg/verdict/error.go
+++ b/pkg/verdict/error.go
@@ -28,6 +28,8 @@
 	CodeTableDown       Code = "table_down" // the idempotency key can't be recorded
 	// CodeUpstreamsLeaving: all upstreams of the service have announced that they leave.
 	CodeUpstreamsLeaving Code = "upstreams_leaving"
+	// CodeUpstreamsBackoff: all upstreams of the service want no requests for a time.
+	CodeUpstreamsBackoff Code = "upstreams_backoff"
 	CodeStreamUnknown    Code = "stream_unknown" // it is not known which software version began the stream
 	CodeStreamGone       Code = "stream_gone"    // nothing is left that can go on with the stream
 	CodeCanceled         Code = "canceled"       // the caller left
