Gateways tell each other which upstreams announced that they leave

The announcement bound only the router that had read it; each of the others sent requests until an answer told it as well, while the store could tell nobody. Reports hold the lives that announced it, with the age of the announcement, until the list says the same; hubs pass on what they know. Requested backoffs aren't told: the upstream asked one router.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -173,6 +173,9 @@
 		f.local.SetOthers(totals)
 	}
 	f.local.MergeEvacuated(r.From, r.Evacuated, r.EvacuatedAt, r.Restored)
+	if len(r.Leaving) > 0 {
+		f.local.MergeLeaving(r.From, r.Leaving, createdAt)
+	}
 	if r.Store != nil {
 		f.local.StoreContacted(r.Store.span(createdAt, now))
 	}
@@ -183,7 +186,7 @@
 func (f *Fleet) storeReport(p *peer, r *Report, now time.Time) {
 	stored := *r
 	stored.Prefixes, stored.Others, stored.Suspects, stored.Members, stored.Evacuated, stored.Restored, stored.Store, stored.Update = nil, nil, nil, nil, nil, nil, nil, nil
-	stored.Streams, stored.Software = nil, nil
+	stored.Streams, stored.Software, stored.Leaving = nil, nil, nil
 	if r.Scope == ScopeAll {
 		f.selectUses(&stored, now)
 		f.hubReport, f.hubReportAt = &stored, now
--- a/pkg/fleet/fakerouter_test.go
+++ b/pkg/fleet/fakerouter_test.go
@@ -40,6 +40,8 @@
 	return r.replies[q.Key]
 }
 
+func (r *router) MergeLeaving(Member, []LeavingUpstream, time.Time) {}
+
 func (r *router) Founded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/fleet/local.go
+++ b/pkg/fleet/local.go
@@ -41,6 +41,9 @@
 	// MergeEvacuated merges the evacuated zones that another router knows of, and those restored
 	// recently.
 	MergeEvacuated(peer Member, zones []string, revision int64, restored []RestoredZone)
+	// MergeLeaving merges the upstreams that another router knows to have announced that they leave, as of
+	// createdAt.
+	MergeLeaving(peer Member, list []LeavingUpstream, createdAt time.Time)
 	// StoreContacted reports a span in which another router was in uninterrupted contact with the
 	// operators' store.
 	StoreContacted(since, until time.Time)
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -93,6 +93,17 @@
 	Streams    []affinity.Record `cbor:"39,keyasint,omitempty"`
 	LastStream uint64            `cbor:"40,keyasint,omitempty"`
 	AckStream  uint64            `cbor:"41,keyasint,omitempty"`
+	// Leaving are upstreams that announced that they leave, as far as the list doesn't say so yet.
+	Leaving []LeavingUpstream `cbor:"45,keyasint,omitempty"`
+}
+
+// LeavingUpstream is an upstream that announced in its current life that it leaves.
+type LeavingUpstream struct {
+	Instance string `cbor:"1,keyasint"`
+	// Life identifies the upstream's life, see InstanceLoad.
+	Life uint32 `cbor:"2,keyasint,omitempty"`
+	// AgeMs is how long ago a router read the announcement, in milliseconds.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RestoredZone is an availability zone that is no longer evacuated.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,7 +48,7 @@
 	// excessLog, noticeLog and backoffLog limit the lines about responses that exceed a bound, unreadable
 	// notices and requested backoffs.
 	excessLog, noticeLog, backoffLog lineLimiter
-	metrics              *requestMetrics
+	metrics                          *requestMetrics
 	// disconnects cancels the requests of callers that close their connections.
 	disconnects *disconnectWatcher
 
--- a/pkg/gatewayd/localstate.go
+++ b/pkg/gatewayd/localstate.go
@@ -59,6 +59,7 @@
 	evacuations := ls.catalog.Evacuations()
 	r.Evacuated, r.EvacuatedAt = evacuations.Zones, int64(evacuations.Revision)
 	r.Restored = encodeRestorations(ls.catalog, time.Now())
+	r.Leaving = encodeDepartures(ls.catalog.Departures(), time.Now())
 	r.Loads = ls.instanceLoads(time.Now())
 	for service, p := range ls.estimator.OwnPauses() {
 		r.Pauses = append(r.Pauses, encodePauses(service, p))
