flamingowindd heeds what upstreams say about themselves in responses

The daemon's dispatcher had the fault of the gateways: a response that says that its upstream leaves, or a 503 with Retry-After, changed nothing. Both are decoded as the head is read, and the directory, which is asked before a grant is used and before the first byte, refuses the upstream: for a minute after each announcement, as upstreams have no lives there, and until the requested end. The stand-in engine can say both (leaving, backoffSeconds). No play with real processes yet.

--- a/pkg/daemon/directory.go
+++ b/pkg/daemon/directory.go
@@ -12,22 +12,24 @@
 )
 
 // directory answers claimant and keeping from the configuration in force, the
-// membership and the leaving marks.
+// membership, the leaving marks and what upstreams said about themselves.
 type directory struct {
 	self    wire.RouterID
 	alone   bool
 	live    *config.Live
 	members *member.Duty
 	marks   *marks.Store
+	notices *notices
 }
 
-func newDirectory(s settings.Settings, l *config.Live, m *member.Duty, k *marks.Store) *directory {
+func newDirectory(s settings.Settings, l *config.Live, m *member.Duty, k *marks.Store, n *notices) *directory {
 	return &directory{
 		self:    wire.RouterID(s.Router.ID),
 		alone:   s.Sharing.Mode == settings.SharingAlone,
 		live:    l,
 		members: m,
 		marks:   k,
+		notices: n,
 	}
 }
 
@@ -104,5 +106,5 @@
 		return false
 	}
 	u := index.Upstream(name)
-	return u != nil && !u.Leaving && !d.marks.Leaving(name)
+	return u != nil && !u.Leaving && !d.marks.Leaving(name) && d.notices.usable(name, time.Now())
 }
--- a/pkg/daemon/fx.go
+++ b/pkg/daemon/fx.go
@@ -24,6 +24,7 @@
 	"github.com/flamingowind/flamingowind/pkg/quarantine"
 	"github.com/flamingowind/flamingowind/pkg/settings"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
 	"github.com/flamingowind/flamingowind/pkg/wire"
 )
 
@@ -32,7 +33,7 @@
 	fx.Provide(
 		newLog, telemetry.NewMetrics, newDuties, newFrames, newReach,
 		newPlatform, newTable, newStore, newLive, newExchange, newSyncer, newPoller,
-		newMarks, newMembers, newTransport, newSender,
+		newMarks, newNotices, newMembers, newTransport, newSender,
 		newDirectory, newKeeping, newClaimant,
 		newBook, newReconciler, newSuspects, newEntries, newEdge, newOperator, newDrain,
 	),
@@ -174,13 +175,15 @@
 
 func newEntries(l *config.Live, m *member.Duty) *entries { return &entries{live: l, members: m} }
 
-func newEdge(s settings.Settings, l *config.Live, c *claimant.Claimant, e *entries, q *suspects, b *once.Book, m *telemetry.Metrics, lg log.Interface) *edge.Edge {
+func newEdge(s settings.Settings, l *config.Live, c *claimant.Claimant, e *entries, q *suspects, b *once.Book, m *telemetry.Metrics, n *notices, lg log.Interface) *edge.Edge {
+	dispatcher := dispatch.New(dispatch.DefaultLimits())
+	dispatcher.OnNotice(func(name string, of upstream.Notice) { n.observe(name, of, time.Now()) })
 	return edge.New(edge.Config{
 		Limits:     edgeLimits(s.Limits),
 		Source:     catalogs{l},
 		Gate:       gate{l},
 		Scheduler:  c,
-		Dispatcher: dispatch.New(dispatch.DefaultLimits()),
+		Dispatcher: dispatcher,
 		Entries:    e,
 		Guard:      guard{b},
 		Suspects:   q,
--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -115,6 +115,7 @@
 		_ = resp.Body.Close()
 		return nil, errors.WithType(errors.Errorf("status %d", resp.StatusCode), errMalformed)
 	}
+	a.d.observe(a.slot.Upstream(), resp)
 	return resp, nil
 }
 
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -7,12 +7,15 @@
 	"github.com/google/uuid"
 
 	"github.com/flamingowind/flamingowind/pkg/sched"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
 // Dispatcher sends attempts over pooled connections. It is safe for concurrent use.
 type Dispatcher struct {
 	limits    Limits
 	transport *http.Transport
+	// onNotice is set by OnNotice.
+	onNotice func(name string, n upstream.Notice)
 }
 
 // New returns a Dispatcher.
--- a/pkg/standin/engine/completions.go
+++ b/pkg/standin/engine/completions.go
@@ -16,6 +16,7 @@
 const (
 	attemptHeader = "Flamingowind-Attempt"
 	orgHeader     = "Flamingowind-Org"
+	leavingHeader = "Flamingowind-Leaving"
 	keyHeader     = "Idempotency-Key"
 )
 
@@ -31,6 +32,15 @@
 	if !hold(r, faults.hang()) {
 		reply.BreakOff()
 	}
+	if faults.Leaving {
+		w.Header().Set(leavingHeader, "1")
+	}
+	if faults.BackoffSeconds > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(faults.BackoffSeconds))
+		w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+		reply.Error(w, http.StatusServiceUnavailable, "wants no requests for now")
+		return
+	}
 	if faults.Refuse {
 		reply.Error(w, http.StatusServiceUnavailable, "refused before it ran")
 		return
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -27,6 +27,10 @@
 	WrongAttempt bool `json:"wrongAttempt"`
 	// Refuse turns each new request away with 503, before it runs.
 	Refuse bool `json:"refuse"`
+	// Leaving says in each answer that the engine leaves.
+	Leaving bool `json:"leaving"`
+	// BackoffSeconds turns each new request away with 503, and wants none for so long; 0: not.
+	BackoffSeconds int `json:"backoffSeconds"`
 	// HangMs is how long each new request is held before anything happens, in milliseconds.
 	HangMs int `json:"hangMs"`
 	// BreakAfter closes the connection of each new stream after so many events, while
@@ -48,7 +52,7 @@
 
 // Check names a value that is out of range.
 func (f Faults) Check() error {
-	lowest := min(f.Slots, f.ReviveMs, f.HangMs, f.BreakAfter, f.ResumeGraceMs, f.LoadLagMs)
+	lowest := min(f.Slots, f.ReviveMs, f.HangMs, f.BreakAfter, f.ResumeGraceMs, f.LoadLagMs, f.BackoffSeconds)
 	if lowest < 0 || f.StepMs < 0 {
 		return errors.NotValidf("number under 0")
 	}
