--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -84,7 +84,7 @@
 	if o.Herd > 0 {
 		return planHerds(o)
 	}
-	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planEndless(o), planReleases(o), planNotices(o))
+	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planEndless(o), planReleases(o), planNotices(o), planCopies(o))
 }
 
 func (v *Verdict) count(list []*attempt) {
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -12,7 +12,9 @@
 	Config int64 `json:"config"`
 	// ListAgeMs is how long ago the list of upstreams was last known to be current, in
 	// milliseconds, ListRevision its revision in the store.
-	ListAgeMs    int64 `json:"listAgeMs"`
+	ListAgeMs int64 `json:"listAgeMs"`
+	// Era is how often the store was restored from a copy, as of the list of upstreams; 0 if it doesn't say.
+	Era          int64 `json:"era,omitempty"`
 	ListRevision int64 `json:"listRevision"`
 	// EvacuatedZones are the availability zones whose upstreams are given nothing.
 	EvacuatedZones []string `json:"evacuatedZones"`
