Revisions of the store are ordered by its era first

Cause: an order among versions that holds only within one era. A Revision is now (era, version), era first, in one number that is the plain version in the first era, so that lists, evacuations, restorations, reports, catch-up and the opening of software versions compare it as before, also with routers that know no era. A question after a version of another era, and a list read across two, count as gone history: the whole state is read.

--- a/pkg/catalog/store.go
+++ b/pkg/catalog/store.go
@@ -9,13 +9,10 @@
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
-// ErrHistoryGone means that the store no longer has the changes after a revision: the reader must
-// read the complete state.
+// ErrHistoryGone means that the store no longer has the changes after a revision, or is in another era: the reader
+// must read the complete state.
 const ErrHistoryGone = errors.ConstError("history is gone")
 
-// Revision identifies a state of the store; it grows with each transaction.
-type Revision int64
-
 // Stamp is the state of the store that a response describes.
 type Stamp struct {
 	Revision Revision
--- a/pkg/catalog/watchconfig.go
+++ b/pkg/catalog/watchconfig.go
@@ -12,7 +12,7 @@
 // historyOverlap is the number of revisions before its first read for which a starting router
 // requests the changes: more than upstreams write within two heartbeats, after which their entries
 // say that they are cold.
-const historyOverlap Revision = 1000
+const historyOverlap = 1000
 
 // nextConfig reads all declarations, or waits for those after a revision.
 func (w *Watcher) nextConfig(ctx context.Context, after Revision) (Revision, error) {
@@ -50,7 +50,7 @@
 		return read
 	}
 	w.historyRead = true
-	return max(1, read-historyOverlap)
+	return read.Back(historyOverlap)
 }
 
 // restorations returns the restorations among changes, which this router learned of at now.
--- a/pkg/gatewayd/status.go
+++ b/pkg/gatewayd/status.go
@@ -14,7 +14,7 @@
 	set, rev := p.catalog.Instances(), p.catalog.InstancesRevision()
 	current := status.Status{
 		Router: s.Router.Name, Zone: s.Router.Zone, Ready: p.gateway.Ready(), Active: p.gateway.Active(),
-		Config: p.catalog.Version(), ListRevision: int64(rev), Exchange: p.fleet.Role(),
+		Config: p.catalog.Version(), ListRevision: int64(rev), Era: rev.Era(), Exchange: p.fleet.Role(),
 		EvacuatedZones: append([]string{}, p.catalog.Evacuations().Zones...),
 		Routers:        make([]status.Router, 0), Upstreams: make([]status.Upstream, 0), Organisations: p.organisations(now),
 	}
