A copy of the store unlearns nothing of upstreams and zones while it may be old

The first answers of an era are some seconds old. Taken as they are they bring upstreams back into use that were known to leave or had left or restarted, drop those that have started since, and end evacuations. Now what was known of a life (leaving) isn't unlearned, and peers that know only the copy are told; removed and former lives are left alone for 10 s, in which their entries lapse or are written again; missing upstreams are held for the grace of two seconds as after an outage; evacuated zones that the copy lacks stay evacuated until the operator writes them again, for 10 s at most.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -34,6 +34,10 @@
 	held heldInstances
 	// leaving are the lives that announced that they leave.
 	leaving map[upstream.Life]*departure
+	// removed is when lives were removed from the list.
+	removed map[upstream.Life]time.Time
+	// heldZones are evacuated zones that the copy of the store lacks.
+	heldZones heldZones
 	// contact is when this router or another one was in contact with the store.
 	contact Contact
 	// onInstances receives each new list, see OnInstances.
@@ -49,7 +53,7 @@
 
 // New returns an empty catalog.
 func New(l log.Interface) *Catalog {
-	c := &Catalog{log: l, leaving: make(map[upstream.Life]*departure), onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {}}
+	c := &Catalog{log: l, leaving: make(map[upstream.Life]*departure), removed: make(map[upstream.Life]time.Time), onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {}}
 	c.set.Store(upstream.NewSet(nil))
 	return c
 }
@@ -61,6 +65,7 @@
 
 // setInstances publishes a new list.
 func (c *Catalog) setInstances(set *upstream.Set, known time.Time) {
+	c.noteRemoved(c.set.Load(), set, time.Now())
 	c.set.Store(set)
 	c.onInstances(set, known)
 }
@@ -168,6 +173,9 @@
 	now, known, first := time.Now(), c.currentAt, c.revision == 0
 	c.noteContact(asOf)
 	old := c.set.Load()
+	if !first && rev.Era() > c.revision.Era() {
+		c.beginEra(old, list, rev, now, source)
+	}
 	c.revision, c.currentAt, c.listSince = rev, asOf, rev
 	held := c.held.holdMissing(old, list)
 	next := upstream.NewSet(c.applyDepartures(append(list, held...)))
--- a/pkg/catalog/evacuations.go
+++ b/pkg/catalog/evacuations.go
@@ -40,10 +40,14 @@
 func (c *Catalog) ReplaceEvacuations(zones []string, rev Revision, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if rev <= c.Evacuations().Revision {
+	known := c.Evacuations()
+	if rev <= known.Revision {
 		return
 	}
-	c.setEvacuations(zones, rev, source)
+	if known.Revision > 0 && rev.Era() > known.Revision.Era() {
+		c.heldZones.begin(known.Zones, zones, time.Now())
+	}
+	c.setEvacuations(c.heldZones.with(zones), rev, source)
 }
 
 // ApplyZoneChanges applies the changes between the revisions after and rev. Changes that do not continue
@@ -60,6 +64,7 @@
 		zones[zone] = true
 	}
 	for _, ch := range changes {
+		c.heldZones.release(ch.Zone)
 		if ch.Restored {
 			delete(zones, ch.Zone)
 		} else {
--- a/pkg/catalog/held.go
+++ b/pkg/catalog/held.go
@@ -22,6 +22,8 @@
 // expire leaves few.
 type heldInstances struct {
 	active bool
+	// copied says that the store came back from a copy: instances may be missing although it was available.
+	copied bool
 	// listCurrentAt is when the list was last current before the interruption.
 	listCurrentAt time.Time
 	// graceEnd is the end of the grace period; it is over once the store has responded after it.
@@ -43,6 +45,14 @@
 	*l = heldInstances{active: true, listCurrentAt: listCurrentAt, servingBefore: countServing(old.List()), services: make(map[string]bool), ids: make(map[upstream.ID]bool)}
 }
 
+// beginCopy starts a grace period at now for a store that came back from a copy. Instances of all services are held.
+func (l *heldInstances) beginCopy(old *upstream.Set, now time.Time) {
+	*l = heldInstances{active: true, copied: true, listCurrentAt: now, graceEnd: now.Add(gracePeriod), servingBefore: countServing(old.List()), services: make(map[string]bool), ids: make(map[upstream.ID]bool)}
+	for service := range l.servingBefore {
+		l.services[service] = true
+	}
+}
+
 // countServing counts the serving instances of each service.
 func countServing(list []upstream.Instance) map[string]int {
 	count := make(map[string]int)
@@ -65,6 +75,10 @@
 // again at once, nobody can register, and a grace period that ended by time alone would remove all
 // upstreams.
 func (l *heldInstances) observeContact(c Contact) {
+	if l.copied {
+		l.active = c.Until.Before(l.graceEnd)
+		return
+	}
 	l.graceEnd = c.Since.Add(gracePeriod)
 	if c.covers(l.listCurrentAt) || !c.Until.Before(l.graceEnd) {
 		l.active = false
--- a/pkg/catalog/leaving.go
+++ b/pkg/catalog/leaving.go
@@ -30,6 +30,8 @@
 // departure is what is known of an announced departure.
 type departure struct {
 	at time.Time
+	// until is when it ends unless it was announced; zero for the end of the life.
+	until time.Time
 	// listed is whether the list says so as well, listedAt when the life was last listed.
 	listed   bool
 	listedAt time.Time
@@ -42,7 +44,7 @@
 func (c *Catalog) NoteDeparture(d Departure, source string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if known := c.leaving[d.Life]; known != nil {
+	if known := c.leaving[d.Life]; known != nil && known.until.IsZero() {
 		return false
 	}
 	c.leaving[d.Life] = &departure{at: d.At, listedAt: time.Now()}
@@ -83,27 +85,38 @@
 	defer c.mu.Unlock()
 	var list []Departure
 	for life, d := range c.leaving {
-		if !d.listed && c.set.Load().IsCurrent(life) {
+		if !d.listed && d.until.IsZero() && c.set.Load().IsCurrent(life) {
 			list = append(list, Departure{Life: life, At: d.at})
 		}
 	}
 	return list
 }
 
-// PruneDepartures forgets the departures of lives that have not been listed for long.
-func (c *Catalog) PruneDepartures(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// pruneDepartures forgets the departures of lives that have not been listed for long.
+func (c *Catalog) pruneDepartures(now time.Time) {
 	for life, d := range c.leaving {
 		if c.set.Load().IsCurrent(life) {
 			d.listedAt = now
 		}
-		if now.Sub(d.listedAt) >= leavingRetention {
+		if now.Sub(d.listedAt) >= leavingRetention || !d.until.IsZero() && !now.Before(d.until) {
 			delete(c.leaving, life)
+			c.relist(life, d, now)
 		}
 	}
 }
 
+// relist brings a life whose departure was assumed for a time back into use, if the list has it as ready.
+func (c *Catalog) relist(life upstream.Life, d *departure, now time.Time) {
+	in := c.set.Load().Get(life.ID)
+	if d.until.IsZero() || d.listed || in == nil || in.Life() != life || in.State != upstream.Draining {
+		return
+	}
+	listed := *in
+	listed.State = upstream.Ready
+	next, _ := c.set.Load().Apply([]upstream.Change{{Instance: listed}})
+	c.setInstances(next, now)
+}
+
 // applyDeparture returns an entry as the store reports it, changed to Draining if its life has announced that
 // it leaves.
 func (c *Catalog) applyDeparture(in upstream.Instance) upstream.Instance {
--- a/pkg/catalog/leaving_test.go
+++ b/pkg/catalog/leaving_test.go
@@ -33,7 +33,7 @@
 		},
 		"an entry that was gone": func(c *Catalog, a upstream.Instance) {
 			c.Replace(nil, 2, time.Now(), "store")
-			c.PruneDepartures(time.Now().Add(leavingRetention - time.Second))
+			c.Prune(time.Now().Add(leavingRetention - time.Second))
 			c.Replace([]upstream.Instance{a}, 3, time.Now(), "store")
 		},
 	} {
@@ -75,6 +75,6 @@
 		c.NoteDeparture(Departure{Life: upstream.Life{ID: upstream.ID(strconv.Itoa(i))}, At: time.Now()}, "peer")
 	}
 	require.Len(t, c.leaving, maxLeaving)
-	c.PruneDepartures(time.Now().Add(leavingRetention))
+	c.Prune(time.Now().Add(leavingRetention))
 	require.Len(t, c.leaving, 1, "of those that aren't listed none is kept")
 }
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -20,7 +20,7 @@
 			p.prefixIndex.Prune(now)
 			p.bookings.Prune(now)
 			p.health.Prune(p.catalog.Instances(), now)
-			p.catalog.PruneDepartures(now)
+			p.catalog.Prune(now)
 			p.local.loads.Prune(p.catalog.Instances())
 			p.fleet.Membership(now) // detects when this router sees little of its fleet
 			p.logDrops.report()
