The fleet writes again what a store that was restored from a copy has lost

After the store came back without our rows, nobody wrote the secret again and routers registered only at their next, rare read of the list: a router that started then founded a second fleet with another secret and said that no stream had begun before. Now the three strongest of those that call the store look within a second of a new era, write the secret again, and register; the row of refused requests is written again as well. A router that finds a restored store without a secret asks its seeds and waits 3 s for a running fleet before it founds one, and never says then that there were no streams. If two secrets come about all the same, the store's row holds.

TestAFleetWritesAgainWhatTheStoreHasLost and TestARestoredStoreWithoutAFleetIsFoundedLate in virtual time.

--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -46,8 +46,17 @@
 	// maxRemoved the number that one call removes.
 	removeAfter = 2 * time.Minute
 	maxRemoved  = 50
+	// restorers is the number of routers that at once write what a copy of the store lacks; the others find it at
+	// their next read of the list.
+	restorers = 3
+	// foundingDelay is how long a router that finds a restored store without a secret waits for a running fleet to
+	// write its own: each of its routers looks at the era once every aloneInterval.
+	foundingDelay = 3 * time.Second
 )
 
+// errAwaitsSecret says that a fleet may be running whose secret the store has lost.
+const errAwaitsSecret = errors.ConstError("the store was restored from a copy without the secret, waiting for the fleet to write it")
+
 // Joiner finds the other routers through the registry.
 type Joiner struct {
 	fleet     *Fleet
@@ -66,6 +75,8 @@
 	listed bool
 	// list holds the routers on the list as last read.
 	list []Member
+	// era is that of the store when the list was last read.
+	era int64
 	// missing tracks routers on the list that are not alive.
 	missing missingRouters
 }
@@ -101,7 +112,7 @@
 		j.register(ctx, j.fleet.countAlive(j.list))
 	}
 	for waiting.For(ctx, aloneInterval) {
-		if j.fleet.Count() > 1 && time.Since(lastRead) < listInterval*time.Duration(1+j.fleet.Count()/listIntervalSize) {
+		if !j.noticesRestore() && j.fleet.Count() > 1 && time.Since(lastRead) < listInterval*time.Duration(1+j.fleet.Count()/listIntervalSize) {
 			continue
 		}
 		lastRead = time.Now()
@@ -179,7 +190,7 @@
 		return nil
 	}
 	if secret == nil {
-		if secret, err = j.createSecret(ctx); err != nil {
+		if secret, err = j.findOrCreateSecret(ctx); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -196,7 +207,8 @@
 		return nil, errors.Trace(err)
 	}
 	secret, err := j.registry.Secret(ctx, proposal)
-	if err == nil && bytes.Equal(secret, proposal) {
+	if err == nil && bytes.Equal(secret, proposal) && j.registry.Era() <= 1 {
+		// A restored store may have had a fleet before, whose streams are unknown here.
 		j.fleet.local.Founded()
 	}
 	return secret, errors.Trace(err)
@@ -244,10 +256,15 @@
 }
 
 func (j *Joiner) readList(ctx context.Context) error {
-	_, list, err := j.registry.Read(ctx)
+	era := j.registry.Era()
+	secret, list, err := j.registry.Read(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if err := j.restoreSecret(ctx, secret); err != nil {
+		return errors.Trace(err)
+	}
+	j.era = era // if it has grown meanwhile, the list is read again
 	j.addList(list)
 	return nil
 }
--- a/pkg/fleet/join_test.go
+++ b/pkg/fleet/join_test.go
@@ -20,6 +20,7 @@
 	reads   int
 	writes  int
 	down    bool
+	era     int64
 }
 
 func newFakeRegistry() *fakeRegistry { return &fakeRegistry{members: make(map[string]Member)} }
@@ -63,6 +64,20 @@
 	return r.secret, nil
 }
 
+func (r *fakeRegistry) Era() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
+// restore makes the store come back from a copy that has nothing of the fleet.
+func (r *fakeRegistry) restore(secret []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.secret, r.era = secret, max(1, r.era)+1
+	clear(r.members)
+}
+
 func (r *fakeRegistry) Register(_ context.Context, m Member) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -11,6 +11,9 @@
 	Secret(ctx context.Context, proposal []byte) ([]byte, error)
 	// Register puts a member on the list.
 	Register(ctx context.Context, m Member) error
+	// Era returns how often the store was restored from a copy, as of its newest response; it grows by 1 each time.
+	// What was written shortly before is lost then.
+	Era() int64
 	// Remove removes members from the list.
 	Remove(ctx context.Context, members []Member) error
 }
--- a/pkg/gatewayd/refusals.go
+++ b/pkg/gatewayd/refusals.go
@@ -22,6 +22,8 @@
 	// ReadRefusals returns what was last written; nil for nothing.
 	ReadRefusals(ctx context.Context) ([]byte, error)
 	WriteRefusals(ctx context.Context, value []byte) error
+	// Era returns how often the store was restored from a copy, as of its newest response.
+	Era() int64
 }
 
 const (
@@ -43,6 +45,8 @@
 	log     log.Interface
 	// written identifies what is in the store, as far as is known; empty for nothing.
 	written string
+	// era is that of the store when it was written or read.
+	era int64
 }
 
 // run merges the refusals in the store, unless the fleet starts for the first time, and writes later ones
@@ -52,7 +56,11 @@
 	for !firstStart && !k.call(ctx, k.load) && ctx.Err() == nil {
 		waiting.For(ctx, failures.Failed(k.ranking.Count()))
 	}
+	k.era = k.store.Era()
 	for failures = (backoff.Backoff{}); waiting.For(ctx, refusalInterval); {
+		if era := k.store.Era(); era > max(1, k.era) {
+			k.written, k.era = "", era // the copy may lack it
+		}
 		serious := k.book.Serious()
 		if identify(serious) == k.written || k.ranking.Rank() >= refusalWriters {
 			continue
--- a/pkg/gatewayd/refusals_test.go
+++ b/pkg/gatewayd/refusals_test.go
@@ -20,10 +20,13 @@
 type refusalRow struct {
 	value  []byte
 	writes atomic.Int32
+	era    atomic.Int64
 }
 
 func (r *refusalRow) ReadRefusals(context.Context) ([]byte, error) { return r.value, nil }
 
+func (r *refusalRow) Era() int64 { return r.era.Load() }
+
 func (r *refusalRow) WriteRefusals(_ context.Context, value []byte) error {
 	r.value = value
 	r.writes.Add(1)
