--- a/internal/experiment/emulator.go
+++ b/internal/experiment/emulator.go
@@ -68,7 +68,8 @@
 
 // days are the emulated days.
 func days() []emulated {
-	evacuated, crowd, slow, released := fleet(), fleet(), fleet(), fleet()
+	evacuated, crowd, slow, released, pushingBack := fleet(), fleet(), fleet(), fleet(), fleet()
+	pushingBack.Backoffs = []replay.Backoff{{From: 2 * time.Second, To: 4 * time.Second, Engines: []int{0, 1, 2, 3}, For: 3 * time.Second}}
 	released.Releases = []replay.Release{{At: 3 * time.Second, Gap: 400 * time.Millisecond, Engines: []int{0, 1, 2, 3, 4, 5, 6}, Version: "2"}}
 	evacuated.Evacuations = []replay.Evacuation{{From: time.Second, To: 5 * time.Second, Engines: []int{0, 1, 2, 3}},
 		{From: 4 * time.Second, To: 8 * time.Second, Engines: []int{4, 5, 6, 7}}}
@@ -84,12 +85,13 @@
 		{"slow-engines", slow, mix(2*calmRate, 1, 2, 2)},
 		{"zones-evacuated-and-cold", evacuated, mix(2*calmRate, 1, 2, 2)},
 		{"crowd-at-one-host", crowd, crowded},
+		{"engines-that-want-no-requests", pushingBack, mix(2*calmRate, 1, 2, 2)},
 		{"release-beside-the-old-version", released, mix(2*calmRate, 1, 2, 2)},
 	}
 }
 
 // Whole has all mechanisms on.
-var Whole = replay.Decisions{Speeds: true, Pauses: true, Fetch: true, Herds: true, HandOver: true, Warmup: true}
+var Whole = replay.Decisions{Speeds: true, Pauses: true, Fetch: true, Herds: true, HandOver: true, Warmup: true, Backoffs: true}
 
 // Switches turn single mechanisms off.
 var Switches = map[string]func(*replay.Decisions){
@@ -99,6 +101,7 @@
 	"herds":    func(d *replay.Decisions) { d.Herds = false },
 	"handover": func(d *replay.Decisions) { d.HandOver = false },
 	"warmup":   func(d *replay.Decisions) { d.Warmup = false },
+	"backoffs": func(d *replay.Decisions) { d.Backoffs = false },
 }
 
 // Emulate plays all emulated days with seeds from 1 on, each as a variant. Days are played beside
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -7,6 +7,8 @@
 	Paused int
 	// Again is how many tokens of shared parts were read that some engine kept.
 	Again int
+	// TurnedAway is how often engines turned one away.
+	TurnedAway int
 	// Opened is how many of the requests opened a connection.
 	Opened int
 }
@@ -18,4 +20,5 @@
 	r.Paused += o.Paused
 	r.Again += o.Again
 	r.Opened += o.Opened
+	r.TurnedAway += o.TurnedAway
 }
--- a/internal/replay/routers.go
+++ b/internal/replay/routers.go
@@ -13,6 +13,7 @@
 	index   int
 	ledger  *placement.LoadTracker
 	inflows *placement.Inflows
+	health  *upstream.Health
 	// free is how many requests it can serve now, as of seen.
 	free float64
 	seen time.Time
@@ -33,7 +34,7 @@
 func newRouters(s Service) *routers {
 	r := &routers{every: s.Told, serves: s.Serves}
 	for i := range max(1, s.Routers) {
-		r.list = append(r.list, &router{index: i, free: burst(s.Serves), ledger: placement.NewLoadTracker(), inflows: placement.NewInflows()})
+		r.list = append(r.list, &router{index: i, free: burst(s.Serves), ledger: placement.NewLoadTracker(), inflows: placement.NewInflows(), health: upstream.NewHealth()})
 	}
 	return r
 }
--- a/internal/replay/service.go
+++ b/internal/replay/service.go
@@ -28,6 +28,8 @@
 	Evacuations []Evacuation
 	// Releases are of other software versions.
 	Releases []Release
+	// Backoffs are of engines that turn requests away.
+	Backoffs []Backoff
 }
 
 // Evacuation is a time in which engines get nothing.
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -9,6 +9,7 @@
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/shedding"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
 // Decisions are the mechanisms that are in use.
@@ -22,6 +23,8 @@
 	HandOver bool
 	// Warmup: what cold engines get is bounded.
 	Warmup bool
+	// Backoffs: engines that want no requests for a time get none.
+	Backoffs bool
 	// Connected: engines to which a router is connected are preferred.
 	Connected bool
 }
@@ -148,7 +151,11 @@
 		return
 	}
 	w.shares.AddAsked(r.Organisation, r.Prompt.Size(), now)
-	choice, ok := w.choose(r, at, now)
+	choice, ok := w.choose(r, at, now, "")
+	if ok && w.turnedAway(r, at, choice.Candidate.Instance, now) {
+		choice, ok = w.choose(r, at, now, choice.Candidate.Instance.ID)
+		ok = ok && !w.turnedAway(r, at, choice.Candidate.Instance, now)
+	}
 	if !ok {
 		w.result(r.Organisation).Refused++
 		return
@@ -177,15 +184,17 @@
 	return placement.StreamWeight(r.Prompt.Size())
 }
 
-func (w *world) choose(r *Request, at *router, now time.Time) (placement.Choice, bool) {
+// choose chooses an engine other than the one that was tried before.
+func (w *world) choose(r *Request, at *router, now time.Time, tried upstream.ID) (placement.Choice, bool) {
 	kept := w.holdings.Lookup(r.chain, now)
 	var candidates []placement.Candidate
 	for i, e := range w.engines {
-		if !w.open(i, at, now) {
+		handicap, usable := at.health.Usable(e.instance.Life(), now)
+		if !usable || e.instance.ID == tried || !w.open(i, at, now) {
 			continue
 		}
 		of := kept[e.instance.Life()]
-		c := placement.Candidate{Instance: e.instance, Cached: of.Sent, Confirmed: of.Confirmed}
+		c := placement.Candidate{Instance: e.instance, Handicap: handicap, Cached: of.Sent, Confirmed: of.Confirmed}
 		if w.decisions.Connected {
 			c.Connected = w.conns.connected(connectionEnds{router: at.index, engine: e.instance.ID}, now.Sub(epoch))
 		}
