The soak allows the rest of a stream at an upstream that announced its departure

The check already excepted streams that callers resume; it now asks what the upstream ran, so that a router's own resumptions count as such, within the same bound. Everything else is checked as before.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/flamingowind/flamingowind/internal/waiting"
@@ -125,8 +126,8 @@
 	for _, arrival := range arrivals {
 		a := byID[arrival.ID]
 		sent := told
-		if a.After > 0 {
-			sent = told.Add(drainTime + late) // the rest of a stream may go on there
+		if c.goesOn(arrival.ID, u) {
+			sent = told.Add(drainTime + late)
 		}
 		if a.from.After(sent) && c.world.journal.sound(told, arrival.At, r.index, partProcess) {
 			c.findNotice("upstreams that say they leave get nothing new", r, a.from, "%s got %s, sent %v after it was told", u.engine.ID, a.ID, a.from.Sub(told))
@@ -135,6 +136,12 @@
 	}
 }
 
+// goesOn reports whether a request came to an upstream as the rest of a stream, which one that leaves may still be
+// sent: its caller resumed it, or the router after another upstream broke off.
+func (c *checker) goesOn(id string, u *upstream) bool {
+	return slices.ContainsFunc(c.runs[id], func(run ran) bool { return run.upstream == u && run.After > 0 })
+}
+
 func (c *checker) findNotice(promise string, r *router, at time.Time, format string, args ...any) {
 	c.findings = append(c.findings, Finding{Promise: promise, Router: r.settings.Router.Name, At: at.Sub(c.began), What: fmt.Sprintf(format, args...)})
 }
