The soak judges a backoff from when the request was sent that it answers

The router's log has none of them. So the process and the link must be sound from the sending of that request on, not from its arrival; what is counted is as before.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -102,8 +102,9 @@
 				count++
 			}
 		}
-		// A router that the answer can't reach sends on.
-		reached := c.world.journal.sound(asked.At, to, r.index, partProcess) && c.world.journal.sound(asked.At, to, u.index, partUplink)
+		// A router that the answer can't reach sends on, and so does the next life of one that was killed.
+		sent := byID[asked.ID].from
+		reached := c.world.journal.sound(sent, to, r.index, partProcess) && c.world.journal.sound(sent, to, u.index, partUplink)
 		if count > backoffAllows && reached {
 			c.findNotice("upstreams that want no requests get none", r, asked.At, "%s got %d requests in the %v", u.engine.ID, count, asked.Backoff)
 			return
