--- a/internal/failtest/faults.go
+++ b/internal/failtest/faults.go
@@ -18,6 +18,16 @@
 	}
 }
 
+// Engine switches failures of one engine.
+func (w *World) Engine(name string, f engine.Faults) {
+	w.t.Helper()
+	for _, u := range w.upstreams(devfleet.Engine) {
+		if u.Name == name {
+			w.putJSON(u.URL+"/admin/faults", f)
+		}
+	}
+}
+
 // Services switches failures of all plain services; the zero value ends them.
 func (w *World) Services(f service.Faults) {
 	w.t.Helper()
--- a/pkg/standin/engine/completions.go
+++ b/pkg/standin/engine/completions.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/standin/reply"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
 // Headers between router and engine.
@@ -38,6 +39,7 @@
 	if faults.BackoffSeconds > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(faults.BackoffSeconds))
 		w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+		w.Header().Set(verdict.Header, verdict.NotRun.String())
 		reply.Error(w, http.StatusServiceUnavailable, "wants no requests for now")
 		return
 	}
