A refusal that was cleared doesn't come back with a copy of the store

Callers' requests, or all with a part of a prompt, would be refused again by gateways that start, although they had been found sound: after the store came back from a copy with the older list of refusals, the writers of the list took an empty list of their own for one that needn't be written. The content of the store now counts as unknown from the new era on, so that whatever the routers refuse, or nothing, is written.

--- a/pkg/gatewayd/refusals.go
+++ b/pkg/gatewayd/refusals.go
@@ -37,13 +37,16 @@
 	refusalWriters = 2
 )
 
+// contentUnknown differs from every result of identify.
+const contentUnknown = "unknown"
+
 // refusalKeeper is the duty that keeps refusals and serious suspicions in the store.
 type refusalKeeper struct {
 	store   RefusalStore
 	book    *quarantine.Book
 	ranking ranking
 	log     log.Interface
-	// written identifies what is in the store, as far as is known; empty for nothing.
+	// written identifies what is in the store; empty for nothing, contentUnknown if that isn't known.
 	written string
 	// era is that of the store when it was written or read.
 	era int64
@@ -59,7 +62,7 @@
 	k.era = k.store.Era()
 	for failures = (backoff.Backoff{}); waiting.For(ctx, refusalInterval); {
 		if era := k.store.Era(); era > max(1, k.era) {
-			k.written, k.era = "", era // the copy may lack it
+			k.written, k.era = contentUnknown, era // the copy may lack refusals, or have cleared ones
 		}
 		serious := k.book.Serious()
 		if identify(serious) == k.written || k.ranking.Rank() >= refusalWriters {
--- a/pkg/gatewayd/refusals_test.go
+++ b/pkg/gatewayd/refusals_test.go
@@ -18,16 +18,33 @@
 
 // refusalRow is a store with the row of refusals alone.
 type refusalRow struct {
+	mu     sync.Mutex
 	value  []byte
 	writes atomic.Int32
 	era    atomic.Int64
 }
 
-func (r *refusalRow) ReadRefusals(context.Context) ([]byte, error) { return r.value, nil }
+func (r *refusalRow) ReadRefusals(context.Context) ([]byte, error) { return r.stored(), nil }
+
+func (r *refusalRow) stored() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.value
+}
+
+// restore makes the store come back, in an era, from a copy with that value.
+func (r *refusalRow) restore(value []byte, era int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.value = value
+	r.era.Store(era)
+}
 
 func (r *refusalRow) Era() int64 { return r.era.Load() }
 
 func (r *refusalRow) WriteRefusals(_ context.Context, value []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.value = value
 	r.writes.Add(1)
 	return nil
@@ -100,3 +117,31 @@
 		row.live(false, func(b *quarantine.Book) { require.Zero(t, b.Parts.CrashCount(8)) })
 	})
 }
+
+// Guards against refusals that a store which came back from a copy lacks, or has though they were cleared: after a
+// restart of all routers upstreams would crash again, or sound requests be refused.
+func TestRefusalsAreWrittenAgainAfterACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const content, part = 7, 8
+		row := new(refusalRow)
+		row.era.Store(1)
+		row.live(true, func(b *quarantine.Book) {
+			b.Parts.RecordPartCrashes([]uint64{part}, 1)
+			b.Parts.RecordPartCrashes([]uint64{part}, 2)
+			time.Sleep(time.Second)
+			suspected := row.stored()
+			b.Parts.RecordCompletion(part)
+			time.Sleep(time.Second)
+			row.restore(suspected, 2)
+		})
+		row.live(false, func(b *quarantine.Book) {
+			require.Zero(t, b.Parts.CrashCount(part), "it was cleared before the copy came back")
+			for u := range uint32(gateway.CrashLimit) {
+				b.Contents.RecordCrash(content, u, true)
+			}
+			time.Sleep(time.Second)
+			row.restore(nil, 3)
+		})
+		row.live(false, func(b *quarantine.Book) { require.Error(t, b.Contents.Check(content)) })
+	})
+}
