--- a/pkg/gateway/backoff_test.go
+++ b/pkg/gateway/backoff_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/pkg/upstream"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
 // pushingBack responds that the request wasn't run and that the upstream wants none for backoff.
@@ -67,3 +68,21 @@
 		require.Less(t, returnAfter(left, 0.999), left+maxReturnSpread)
 	}
 }
+
+// Guards against rests of streams whose callers are sent back and forth while all upstreams of their version are out of
+// use, though others of the service are not.
+func TestRestsOfStreamsAreRefusedByTheirVersion(t *testing.T) {
+	env := newTestEnv(t)
+	env.startVersions(2, "v1", "v2")
+	cfg := env.config()
+	r := &request{service: &cfg.Services[0], bound: true, software: "v1"}
+	first := env.catalog.Instances().Get("i0")
+	env.gateway.observeNotice(first, upstream.Notice{Backoff: time.Minute})
+	require.Equal(t, verdict.CodeUpstreamsBackoff, env.gateway.errNoCandidate(r).Code)
+	env.gateway.observeNotice(first, upstream.Notice{Leaving: true})
+	require.Equal(t, verdict.CodeNoUpstream, env.gateway.errNoCandidate(r).Code, "its end is not certain yet")
+	r.tried = map[upstream.ID]bool{"i0": true}
+	require.Equal(t, verdict.CodeStreamGone, env.gateway.errNoCandidate(r).Code)
+	r.bound = false
+	require.Equal(t, verdict.CodeNoUpstream, env.gateway.errNoCandidate(r).Code, "the other version is in use")
+}
