A test of the last check for a requested backoff

With the check before the first byte switched off (trial) the tests of requests under way stayed green, as what they send is chosen anew; this one goes red.

--- a/pkg/gateway/backoff_test.go
+++ b/pkg/gateway/backoff_test.go
@@ -86,3 +86,15 @@
 	r.bound = false
 	require.Equal(t, verdict.CodeNoUpstream, env.gateway.errNoCandidate(r).Code, "the other version is in use")
 }
+
+// Guards against requests that were placed before an upstream asked for a backoff, waited for a turn, a connection or
+// the CPU, and are sent in its time.
+func TestABackoffIsCheckedBeforeTheFirstByte(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith("first"))
+	chosen := env.catalog.Instances().Get("i0")
+	r := &request{route: &env.config().Routes[0], service: &env.config().Services[0], in: env.newRequest("/safe/")}
+	require.True(t, env.gateway.sendable(r, chosen))
+	env.gateway.observeNotice(chosen, upstream.Notice{Backoff: time.Minute})
+	require.False(t, env.gateway.sendable(r, chosen))
+}
