--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -22,10 +22,12 @@
 	mu sync.Mutex
 	// leavingUntil is when an upstream that leaves may be tried again.
 	leavingUntil map[string]time.Time
+	// faults holds the last unreadable notice of each upstream.
+	faults map[string]string
 }
 
 func newNotices(l log.Interface) *notices {
-	return &notices{health: upstream.NewHealth(), log: l, leavingUntil: make(map[string]time.Time)}
+	return &notices{health: upstream.NewHealth(), log: l, leavingUntil: make(map[string]time.Time), faults: make(map[string]string)}
 }
 
 // lifeOf stands for an upstream in notices.health.
@@ -34,7 +36,7 @@
 // observe records what a response says about its upstream.
 func (n *notices) observe(name string, of upstream.Notice, now time.Time) {
 	line := n.log.WithField("event", "upstream_notice").WithField("upstream", name)
-	if of.Fault != "" {
+	if of.Fault != "" && n.isNewFault(name, of.Fault) {
 		line.WithField("fault", of.Fault).Warn("what a response says about its upstream can't be read")
 	}
 	if of.Leaving && n.hold(name, now) {
@@ -46,6 +48,15 @@
 	}
 }
 
+// isNewFault reports whether an upstream's unreadable notice differs from its last one: it may come with each response.
+func (n *notices) isNewFault(name, fault string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.faults[name] == fault
+	n.faults[name] = fault
+	return !known
+}
+
 // hold takes an upstream out of use, and reports whether it was in use.
 func (n *notices) hold(name string, now time.Time) bool {
 	n.mu.Lock()
--- a/pkg/daemon/notices_test.go
+++ b/pkg/daemon/notices_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
 
 	"github.com/flamingowind/flamingowind/pkg/upstream"
@@ -32,3 +33,14 @@
 		}
 	}
 }
+
+// Guards against a log that an upstream fills with each of its responses.
+func TestAnUnreadableNoticeIsLoggedOnce(t *testing.T) {
+	lines := memory.New()
+	n := newNotices(&log.Logger{Handler: lines, Level: log.InfoLevel})
+	for _, fault := range []string{"x", "x", "x", "y", "y"} {
+		n.observe("a", upstream.Notice{Fault: fault}, time.Unix(100, 0))
+	}
+	n.observe("b", upstream.Notice{Fault: "x"}, time.Unix(100, 0))
+	require.Len(t, lines.Entries, 3)
+}
