Affinity: the log says why no version of a stream was certain

A stream that is refused as stream_unknown said only that no record was found. Its line now has the field doubt: an old list, a router of a build without records, a watch that is too short, no version, or several.

--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -155,21 +155,28 @@
 // sole returns the only version of a service that served within the window, if there is just one and
 // no other one can have served unknown.
 func (h *history) sole(service string, now time.Time) (name string, ok bool) {
+	name, doubt := h.soleOrDoubt(service, now)
+	return name, doubt == NoDoubt
+}
+
+// soleOrDoubt returns the same, or why there is none.
+func (h *history) soleOrDoubt(service string, now time.Time) (string, Doubt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.sinceFounding && (h.watchedSince.IsZero() || now.Sub(h.watchedSince) < h.life.window()) {
-		return "", false
+	if !h.watchedLong(now) {
+		return "", ShortWatch
 	}
+	name, doubt := "", NoVersion
 	for candidate, v := range h.services[service] {
 		if !h.servedLately(v, now) {
 			continue
 		}
-		if ok {
-			return "", false
+		if doubt == NoDoubt {
+			return "", Several
 		}
-		name, ok = candidate, true
+		name, doubt = candidate, NoDoubt
 	}
-	return name, ok
+	return name, doubt
 }
 
 // names returns the versions of a service that are known.
--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/placement"
@@ -131,6 +132,9 @@
 	if r.boundBy != "" {
 		f["bound_by"] = r.boundBy
 	}
+	if r.doubt != affinity.NoDoubt {
+		f["doubt"] = r.doubt
+	}
 	if r.bound && (r.boundBy != "" || len(r.logRecord.attempts) > 1) {
 		f["bound_to"] = r.software
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -45,8 +45,9 @@
 	keptBytes int64
 	// software is the software version that wrote the stream's first event. Events of another version
 	// don't fit that one, so once it is known, bound is set and no other version may go on. boundBy says
-	// how it is known of a stream that the caller resumes.
+	// how it is known of a stream that the caller resumes, doubt why the sole version isn't.
 	boundBy  affinity.Source
+	doubt    affinity.Doubt
 	software string
 	bound    bool
 	// standing compares what the organisation gets with its fair share.
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -48,6 +48,9 @@
 	}
 	b, ok := g.streams.Find(r.in.Context(), affinity.Query{Organisation: r.org, FirstAttempt: r.meta.FirstAttempt, Services: services, Service: service}, time.Now())
 	r.boundBy = b.Source
+	if !ok && b.Source == affinity.Unknown {
+		r.doubt = g.streams.Doubt(service, time.Now())
+	}
 	switch {
 	case ok:
 		r.software, r.bound = b.Version, true
