How requests that were read whole end is counted, also at each stop

A request that was cut as its process ended was logged as one whose caller had left, and nothing told how many requests a router had read when it stopped. requests_read counts the ends of requests that were read whole by cause and connection, requests_at_stop sums them up once for each stop, and upstream_connections tells connections that were closed after a request was sent on them and before the head of an answer, new and kept ones apart.

TestEndsOfConnectionsWithoutAResponseAreCounted expects the further count.

--- a/pkg/forward/connstats.go
+++ b/pkg/forward/connstats.go
@@ -1,6 +1,12 @@
 package forward
 
-import "sync/atomic"
+import (
+	"context"
+	"io"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
 
 // connEvent is why a connection to an upstream was opened, reused or closed.
 type connEvent int
@@ -35,6 +41,18 @@
 	closedError
 	// closedList: the upstream's life is no longer listed.
 	closedList
+	// unanswered* and keptUnanswered*: a request was sent on a connection, new or kept, and the
+	// connection was closed before the head of the response.
+	unansweredAborted
+	unansweredDeadline
+	unansweredClosed
+	unansweredSilence
+	unansweredMalformed
+	keptUnansweredAborted
+	keptUnansweredDeadline
+	keptUnansweredClosed
+	keptUnansweredSilence
+	keptUnansweredMalformed
 	connEventCount
 )
 
@@ -45,6 +63,10 @@
 	closedIdle: {"closed", "idle_timeout"}, closedStale: {"closed", "stale"}, closedByUpstream: {"closed", "by_upstream"},
 	closedAborted: {"closed", "aborted"}, closedUnread: {"closed", "unread"}, closedUnsent: {"closed", "unsent"},
 	closedError: {"closed", "error"}, closedList: {"closed", "unlisted"},
+	unansweredAborted: {"unanswered", "aborted"}, unansweredDeadline: {"unanswered", "deadline"}, unansweredClosed: {"unanswered", "closed"},
+	unansweredSilence: {"unanswered", "silence"}, unansweredMalformed: {"unanswered", "malformed"},
+	keptUnansweredAborted: {"kept_unanswered", "aborted"}, keptUnansweredDeadline: {"kept_unanswered", "deadline"}, keptUnansweredClosed: {"kept_unanswered", "closed"},
+	keptUnansweredSilence: {"kept_unanswered", "silence"}, keptUnansweredMalformed: {"kept_unanswered", "malformed"},
 }
 
 // connStats counts events of connections.
@@ -54,6 +76,32 @@
 
 func (s *connStats) add(e connEvent) { s.counts[e].Add(1) }
 
+// unanswered returns the event for a request that was sent and whose connection is closed because of err
+// before the head of its response.
+func (r *Response) unanswered(err error) connEvent {
+	kept := connEvent(0)
+	if r.reused {
+		kept = keptUnansweredAborted - unansweredAborted
+	}
+	switch {
+	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
+		return kept + unansweredDeadline
+	case r.ctx.Err() != nil, r.abort.isTriggered():
+		return kept + unansweredAborted
+	case errors.Is(err, io.EOF):
+		return kept + unansweredClosed
+	}
+	switch endingOf(FramedByLength, err, false) {
+	case EndedByAbort:
+		return kept + unansweredAborted
+	case EndedByReset, EndedEarly:
+		return kept + unansweredClosed
+	case EndedByTimeout:
+		return kept + unansweredSilence
+	}
+	return kept + unansweredMalformed
+}
+
 // EachConnectionCount calls visit with the number of connections to upstreams by event and reason
 // since the start.
 func (ps *Pools) EachConnectionCount(visit func(event, reason string, n int64)) {
--- a/pkg/forward/connstats_test.go
+++ b/pkg/forward/connstats_test.go
@@ -85,7 +85,7 @@
 	ps := NewPools(idHeader)
 	_, err := do(t, ps, get(in, "one"))
 	require.Error(t, err)
-	require.Equal(t, map[string]int64{"opened first": 1, "closed error": 1}, counted(ps))
+	require.Equal(t, map[string]int64{"opened first": 1, "closed error": 1, "unanswered closed": 1}, counted(ps))
 
 	ps = NewPools(idHeader)
 	var canceled Abort
@@ -134,3 +134,23 @@
 	r.Close()
 	require.Equal(t, map[string]int64{"opened first": 1, "closed unsent": 1}, counted(ps))
 }
+
+// Guards against a kept connection that is closed after a request was sent on it and counts as one that
+// was closed before.
+func TestKeptConnectionsThatCloseWithoutAResponseAreCounted(t *testing.T) {
+	for reason, answer := range map[string]string{"closed": "", "malformed": "nothing of the protocol\r\n\r\n"} {
+		in := fakeUpstream(t, func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			io.WriteString(c, responseText("one", "ok"))
+			readRequest(r)
+			io.WriteString(c, answer)
+		})
+		ps := NewPools(idHeader)
+		resp, err := do(t, ps, get(in, "one"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body(t, resp))
+		_, err = do(t, ps, get(in, "two"))
+		require.Error(t, err)
+		require.Equal(t, map[string]int64{"opened first": 1, "reused idle": 1, "closed error": 1, "kept_unanswered " + reason: 1}, counted(ps))
+	}
+}
--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -34,11 +34,14 @@
 		r.Discard()
 		return nil, &Error{Stage: "connect", cause: ErrAborted}
 	}
+	r.reused = !cn.fresh
 	if err := r.send(c); err != nil {
+		r.countUnanswered(err)
 		r.Discard()
 		return nil, err
 	}
 	if err := r.readHeader(c, ps.idHeader, ps.maxHead.Load()); err != nil {
+		r.countUnanswered(err)
 		r.Discard()
 		return nil, err
 	}
@@ -46,6 +49,14 @@
 	return r, nil
 }
 
+// countUnanswered counts a request that may have reached its upstream and gets no response.
+func (r *Response) countUnanswered(err error) {
+	var f *Error
+	if errors.As(err, &f) && f.Sent {
+		r.pool.stats.add(r.unanswered(err))
+	}
+}
+
 func writeHeader(buf *bytes.Buffer, c *Call) {
 	buf.WriteString(c.Method)
 	buf.WriteByte(' ')
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -46,6 +46,8 @@
 	// contradictory says that the body contradicts the framing.
 	contradictory bool
 	bodySent      chan error
+	// reused says that the connection had carried another request before.
+	reused bool
 }
 
 func (r *Response) setHeader(resp *http.Response) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// the monotonic clock, as the wall clock may jump while the process drains.
 	drainDeadline atomic.Pointer[time.Time]
 	active        atomic.Int64
+	// stopped is set once the process closes its callers' connections.
+	stopped atomic.Bool
+	reads   readEndings
 	// activeStreams is the number of streams that are being relayed.
 	activeStreams atomic.Int64
 }
@@ -130,6 +133,7 @@
 // Drain starts draining: the gateway is no longer ready, but still serves requests. The process
 // ends at end.
 func (g *Gateway) Drain(end time.Time) {
+	g.reads.beginDrain()
 	g.drainDeadline.Store(&end)
 	g.state.CompareAndSwap(serving, draining)
 }
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -18,7 +18,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease()}
+	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), readWhole: in.ContentLength == 0, lease: g.pools.Buffers().Lease()}
 	defer r.release()
 	defer g.record(r)
 	g.disconnects.poll(r.start)
@@ -32,10 +32,12 @@
 	}
 	if err := g.prepare(r); err != nil {
 		g.refuse(r, err)
+		r.returned = true
 		return
 	}
 	r.ctx = in.Context()
 	g.run(r)
+	r.returned = true
 }
 
 // prepare matches the route, authenticates the caller, reads the body and checks whether the request
@@ -144,7 +146,7 @@
 	if int64(len(body)) > limit {
 		return errTooLarge()
 	}
-	r.body = body
+	r.body, r.readWhole = body, true
 	return nil
 }
 
@@ -171,6 +173,7 @@
 func (g *Gateway) record(r *request) {
 	now := time.Now()
 	g.metrics.record(r, now)
+	g.recordReadEnding(r, now)
 	served := r.logRecord.outcome == outcomeServed
 	allowed, droppedServed, droppedFailed := g.logBudget.allow(served, now)
 	if droppedServed+droppedFailed > 0 {
--- /dev/null
+++ b/pkg/gateway/readendings_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// streamUntilLeft sends one event and nothing more.
+func streamUntilLeft(rw http.ResponseWriter, r *http.Request) {
+	io.WriteString(rw, "id: 1\n\n")
+	rw.(http.Flusher).Flush()
+	<-r.Context().Done()
+}
+
+// Guards against requests that were read whole and end without a response, or within it, while nothing
+// tells why.
+func TestEndsOfRequestsThatWereReadWholeAreCounted(t *testing.T) {
+	for name, one := range map[string]struct {
+		upstream  http.HandlerFunc
+		path      string
+		deadline  string
+		end       func(env *testEnv, leave context.CancelFunc)
+		want      readEnding
+		cutBehind int64
+	}{
+		"answered":        {respondWith("hello"), "/safe/", "", nil, readAnswered, 0},
+		"caller leaves":   {streamUntilLeft, "/stream/", "", func(_ *testEnv, leave context.CancelFunc) { leave() }, readCallerLeft, 1},
+		"upstream breaks": {respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n"), "/stream/", "", nil, readUpstreamBroken, 1},
+		"deadline":        {streamUntilLeft, "/stream/", "50", nil, readDeadline, 1},
+		"router stops": {streamUntilLeft, "/stream/", "", func(env *testEnv, _ context.CancelFunc) {
+			env.gateway.Stop()
+			env.server.CloseClientConnections()
+		}, readRouterStopped, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.startUpstreams(one.upstream)
+			env.gateway.Drain(time.Now().Add(time.Minute))
+			ctx, leave := cancelableContext(t)
+			req := env.newRequest(one.path, "X-Deadline", one.deadline).WithContext(ctx)
+			resp, err := env.client.Do(req)
+			require.NoError(t, err)
+			if one.end != nil {
+				one.end(env, leave)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body) // it may break off
+			resp.Body.Close()
+			env.waitIdle()
+			got := env.gateway.DrainSummary()
+			require.EqualValues(t, 1, got[readEndingNames[one.want]], "%v", got)
+			require.EqualValues(t, 1, got["read"], "%v", got)
+			require.EqualValues(t, one.cutBehind, got["cut_after_sent"], "%v", got)
+		})
+	}
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -173,7 +173,7 @@
 func (g *Gateway) abortResponse(r *request) {
 	r.logRecord.outcome = outcomeCutShort
 	if r.callerGone() {
-		r.logRecord.outcome = outcomeCallerLeft
+		r.logRecord.outcome = g.cutOutcome()
 	}
 	if !r.in.ProtoAtLeast(1, 1) {
 		g.resetOnClose(r)
@@ -203,7 +203,7 @@
 // abortForCaller ends a request whose caller has left, without a response. A caller that closed
 // only its sending side must not take an empty response for a complete one.
 func (g *Gateway) abortForCaller(r *request) {
-	r.logRecord.outcome = outcomeCallerLeft
+	r.logRecord.outcome = g.cutOutcome()
 	panic(http.ErrAbortHandler)
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -27,6 +27,10 @@
 	org           string
 	service       *routing.Service
 	body          []byte
+	// readWhole says that the whole request was read.
+	readWhole bool
+	// returned says that the handler returned without a panic.
+	returned bool
 	// bodyBuffer is the pooled buffer that holds body; nil if body has memory of its own.
 	bodyBuffer *[]byte
 	// contentHash identifies what the request would run.
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -20,6 +20,8 @@
 	bookings *taggedCounters
 	// excess counts responses that exceeded a bound.
 	excess *taggedCounters
+	// reads counts requests that were read whole.
+	reads *taggedCounters
 	// notices counts responses that say something about their upstream.
 	notices *taggedCounters
 }
@@ -29,7 +31,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub), notices: newNoticeCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub), notices: newNoticeCounters(sub), reads: newReadCounters(sub)}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -20,6 +20,7 @@
 	outcomeCutShort        = "cut_short"        // the response to the caller was aborted
 	outcomeTimeout         = "timeout"
 	outcomeCallerLeft      = "caller_left"
+	outcomeRouterStopped   = "router_stopped" // the process closed the caller's connection
 )
 
 // run makes attempts until one of them provides the response or no further one is allowed.
--- a/pkg/gateway/taggedcounters.go
+++ b/pkg/gateway/taggedcounters.go
@@ -56,6 +56,12 @@
 	return &taggedCounters{scope: scope, metric: "responses_exceeding", firstTag: "bound", secondTag: "kind"}
 }
 
+// newReadCounters returns counters of requests that were read whole, by how they ended and whether they
+// were the first ones on their connections.
+func newReadCounters(scope tally.Scope) *taggedCounters {
+	return &taggedCounters{scope: scope, metric: "requests_read", firstTag: "ending", secondTag: "connection"}
+}
+
 // newNoticeCounters returns counters of responses that say something about their upstream, by service and by
 // what they say.
 func newNoticeCounters(scope tally.Scope) *taggedCounters {
--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -14,6 +14,8 @@
 	exitMargin = 0.04
 	// drainPollInterval is the time between two checks for requests that still run.
 	drainPollInterval = 50 * time.Millisecond
+	// cutPollInterval is the time between two checks for requests that were cut and have not ended.
+	cutPollInterval = 2 * time.Millisecond
 )
 
 // drain shuts the process down gracefully: it becomes unready, still serves new requests but
@@ -30,12 +32,22 @@
 		time.Sleep(drainPollInterval)
 	}
 	p.log.WithField("event", "left").WithField("active", p.gateway.Active()).Info("router closes its connections")
+	p.gateway.Stop()
 	for _, f := range p.endpoints {
 		f.server.Close()
 	}
 	if p.handover != nil {
 		p.handover.Close()
 	}
+	p.awaitCut(deadline.Add(seconds(exitMargin / 2 * grace)))
+	p.log.WithFields(p.gateway.DrainSummary()).Info("ends of the requests that were read whole, since draining began")
+}
+
+// awaitCut waits, until the given time at most, for the requests that were cut to be counted.
+func (p *Process) awaitCut(until time.Time) {
+	for p.gateway.Active() > 0 && time.Now().Before(until) {
+		time.Sleep(cutPollInterval)
+	}
 }
 
 // openHandovers returns the number of connections that other routers serve through this one.
