Stand-in of the store: write again what a restore lost, over several eras

Cause: the stand-in was wrong, not the routers. Three restores from a copy overlap, and WriteAgain told by the rows' versions what was written since the older copy and since the restore. Versions are only comparable within an era: rows that were written after one restore have lower versions than the copy of the next one, so nobody wrote them again, while engines of a real fleet write theirs until they are listed. The routers' logs show it: eras 3, 4 and 5 begin within 1.4 s, the lists of the fifth have 25 to 30 rows and get 13 writes to the end.

Writes are numbered over all eras; what was lost is written again under its own number unless the store holds a later write. That is stricter than before: nothing newer is overwritten, nothing lost is left out.

--- a/internal/soak/copies.go
+++ b/internal/soak/copies.go
@@ -37,9 +37,9 @@
 	w.store.Refuse(http.StatusServiceUnavailable)
 	w.store.CloseClientConnections()
 	waiting.For(ctx, awayFor)
-	newer := w.store.Copy()
+	lost := w.store.Copy()
 	w.store.Restore(older)
 	w.store.Refuse(0)
 	waiting.For(ctx, f.lasts/2)
-	w.store.WriteAgain(older, newer)
+	w.store.WriteAgain(lost)
 }
