Gateway: gauges of the memory that requests and responses hold

Logs and metrics couldn't tell a router that ends over its memory for the bodies that it holds from one that ends for another reason: only responses were accounted. Bodies of requests are accounted now as well, so far without a bound.

--- a/pkg/buffers/doc.go
+++ b/pkg/buffers/doc.go
@@ -1,2 +1,2 @@
-// Package buffers bounds what all requests of a router hold of upstreams' responses in memory.
+// Package buffers bounds what all requests of a router hold in memory, of request bodies and of upstreams' responses.
 package buffers
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/booking"
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/pace"
@@ -38,6 +40,8 @@
 	streams     *affinity.Tracker
 	bookings    *booking.Client
 	peers       Peers
+	// bodies accounts for the request bodies that are held.
+	bodies *buffers.Budget
 	// callTimes estimates how long calls without a prompt take.
 	callTimes          pace.CallTimes
 	connectionPressure func() bool
@@ -110,6 +114,7 @@
 		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, lostRuns: quarantine.NewWatch(), streams: d.Streams, bookings: d.Bookings, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
 		metrics:     newRequestMetrics(d.Metrics),
 		retryBudget: new(placement.RetryBudget),
+		bodies:      buffers.NewBudget(math.MaxInt64),
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
@@ -157,6 +162,9 @@
 	return r.start.Add(duration).Before(*g.drainDeadline.Load())
 }
 
+// Bodies returns the account of the request bodies that are held.
+func (g *Gateway) Bodies() *buffers.Budget { return g.bodies }
+
 // Active returns the number of requests that are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -18,7 +18,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease()}
+	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease(), bodyLease: g.bodies.Lease()}
 	defer r.release()
 	defer g.record(r)
 	g.disconnects.poll(r.start)
@@ -145,6 +145,7 @@
 		return errTooLarge()
 	}
 	r.body = body
+	r.bodyLease.Hold(int64(len(body)))
 	return nil
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -29,6 +29,8 @@
 	body          []byte
 	// bodyBuffer is the pooled buffer that holds body; nil if body has memory of its own.
 	bodyBuffer *[]byte
+	// bodyLease holds the memory of body.
+	bodyLease buffers.Lease
 	// contentHash identifies what the request would run.
 	contentHash uint64
 	// parts identifies the shared parts of the prompt, see partHashes.
@@ -92,5 +94,6 @@
 		r.canceler.cancel()
 	}
 	r.releaseBody()
+	r.bodyLease.Release()
 	r.lease.Release()
 }
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -30,6 +30,7 @@
 			p.linkUsage.report()
 			p.rowFaults.report()
 			p.held.report()
+			p.reportMemory()
 			p.rejections.report()
 			p.handoverStats.report()
 			p.shareUsage.report(now)
--- /dev/null
+++ b/pkg/gatewayd/memoryuse.go
@@ -0,0 +1,12 @@
+package gatewayd
+
+import "github.com/flamingowind/flamingowind/pkg/buffers"
+
+// reportMemory reports what requests and responses hold in memory, and its bounds.
+func (p *Process) reportMemory() {
+	for of, account := range map[string]*buffers.Budget{"requests": p.gateway.Bodies(), "responses": p.pools.Buffers()} {
+		scope := p.metrics.Scope.Tagged(map[string]string{"of": of})
+		scope.Gauge("memory_held_bytes").Update(float64(account.Used()))
+		scope.Gauge("memory_held_limit_bytes").Update(float64(account.Limit()))
+	}
+}
