Gateway: bound the request bodies that are held together

Callers saw their connections end without an answer: a router that held many long bodies for upstreams that read slowly exceeded its memory, the platform killed it, and all that it served went with it. Bodies were bounded one by one (MaxBodyBytes), and the number of requests by the memory, but not the bytes of all bodies.

They have an account now, three sixteenths of limits.memoryMiB, from which a declared length is taken before anything is read, and from which a chunked body grows. Past it a request is refused as not run, at once; nothing of it was passed on, so the refusal is true whenever it comes. The first 16 KiB of each aren't counted, so usual requests pass while others hold the rest. The account is apart from that of responses: bodies would otherwise leave no room for the answers to requests that were passed on.

Two faults would have come with it. A caller that stops in the middle of a body would keep its part of the account: the body must be there by the request's deadline. And a connection that is closed on an unread body is reset, so a caller that still sends would lose the refusal: the refusal is sent at once and the rest is read for up to 5 s. That also holds for other refusals of long bodies (no route, a wrong key, too large), where it was so before.

--- a/pkg/buffers/budget.go
+++ b/pkg/buffers/budget.go
@@ -4,16 +4,20 @@
 
 // Limits of a Budget.
 const (
-	// memoryShare is the part of a router's memory that its requests may use for buffers. The rest is
-	// for connections, the configuration and the kernel.
+	// memoryShare is the part of a router's memory that responses may use for buffers, bodyShare the part for
+	// request bodies. The rest is for connections, the configuration and the kernel.
 	memoryShare = 1.0 / 16
+	bodyShare   = 3.0 / 16
 	// minLimit, in bytes, fits some events of the largest size.
 	minLimit = 4 << 20
-	// DefaultLimit applies where the router's memory isn't known, in bytes.
-	DefaultLimit = 32 << 20
+	// minBodyLimit, in bytes, fits some bodies of the usual maximum.
+	minBodyLimit = 8 << 20
+	// DefaultLimit and DefaultBodyLimit apply where the router's memory isn't known, in bytes.
+	DefaultLimit     = 32 << 20
+	DefaultBodyLimit = 96 << 20
 )
 
-// LimitFor returns the limit, in bytes, for a router with that much memory; 0 if that isn't known.
+// LimitFor returns the limit for responses, in bytes, of a router with that much memory; 0 if that isn't known.
 func LimitFor(memory int64) int64 {
 	if memory <= 0 {
 		return DefaultLimit
@@ -21,6 +25,15 @@
 	return max(minLimit, int64(float64(memory)*memoryShare))
 }
 
+// BodyLimitFor returns the limit for request bodies. They have an account of their own, as they would otherwise
+// leave no room for the responses to those that were passed on.
+func BodyLimitFor(memory int64) int64 {
+	if memory <= 0 {
+		return DefaultBodyLimit
+	}
+	return max(minBodyLimit, int64(float64(memory)*bodyShare))
+}
+
 // Budget bounds the bytes that all leases hold together. It has no lock, since every request uses it.
 type Budget struct {
 	limit, used atomic.Int64
--- a/pkg/buffers/budget_test.go
+++ b/pkg/buffers/budget_test.go
@@ -64,3 +64,10 @@
 	users.Wait()
 	require.Zero(t, b.Used())
 }
+
+// Guards against bodies that fill a small host, or of which none of the usual maximum fits.
+func TestBodyLimitIsAShareOfTheMemory(t *testing.T) {
+	require.EqualValues(t, 27<<20, BodyLimitFor(144<<20))
+	require.EqualValues(t, 8<<20, BodyLimitFor(16<<20))
+	require.EqualValues(t, DefaultBodyLimit, BodyLimitFor(0))
+}
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -2,13 +2,21 @@
 
 import (
 	"io"
+	"net/http"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/forward"
+	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
+// defaultMaxBody is the body limit, in bytes, if the configuration sets none.
+const defaultMaxBody = 4 << 20
+
 // bodyBufferStep is the size, in bytes, that body buffers are rounded up to, so that a buffer can
 // be reused for bodies of about the same size.
 const bodyBufferStep = 4 << 10
@@ -20,6 +28,70 @@
 // a request a third cheaper.
 var bodyBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
+// readBody reads the whole body. A body that the account of all bodies has no room for is refused, before it is read
+// where its length is declared.
+func (g *Gateway) readBody(r *request, limit int64) *verdict.Error {
+	length := r.in.ContentLength
+	if length == 0 {
+		return nil
+	}
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	limit = min(limit, g.bodies.Limit()+buffers.FreeBytes) // a larger one never fits
+	switch {
+	case length > limit:
+		r.leavesBody = true
+		return errTooLarge()
+	case !r.bodyLease.Hold(max(0, length)):
+		r.leavesBody = true
+		return g.refuseBody()
+	}
+	extent, err := r.readTimed(limit)
+	r.leavesBody = err == nil && extent != buffers.Whole
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errNotRun(http.StatusRequestTimeout, verdict.CodeBadRequest, "the body came too slowly", 0)
+	case err != nil:
+		r.logRecord.reason = err.Error()
+		return errNotRun(http.StatusBadRequest, verdict.CodeBadRequest, "the body can't be read", 0)
+	case extent == buffers.TooLarge:
+		return errTooLarge()
+	case extent == buffers.NoRoom:
+		return g.refuseBody()
+	}
+	return nil
+}
+
+// refuseBody returns the error for a body that there is no memory for.
+func (g *Gateway) refuseBody() *verdict.Error {
+	g.metrics.bodiesRefused.Inc(1)
+	return errBodiesFull()
+}
+
+// readTimed reads the body. One that takes memory of the account must arrive by the request's deadline.
+func (r *request) readTimed(limit int64) (buffers.Extent, error) {
+	if length := r.in.ContentLength; length > 0 && length <= buffers.FreeBytes {
+		return r.readAll(limit)
+	}
+	control := http.NewResponseController(r.w)
+	_ = control.SetReadDeadline(r.deadline) // fails on a closed connection, as reading does
+	extent, err := r.readAll(limit)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return extent, err
+}
+
+func (r *request) readAll(limit int64) (extent buffers.Extent, err error) {
+	if r.in.ContentLength > 0 {
+		r.body, err = r.readFixedLength(r.in.ContentLength)
+		return buffers.Whole, err
+	}
+	r.body, extent, err = r.bodyLease.Read(r.in.Body, int(limit), 0)
+	return extent, errors.Trace(err)
+}
+
 // readFixedLength reads a body whose length the caller declared.
 //
 // Guard: a buffer must not be reused while anybody still reads it, or one caller's body would be
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -114,7 +113,7 @@
 		loads: d.Loads, prefixIndex: d.PrefixIndex, shares: d.Shares, inflows: d.Inflows, estimator: d.Estimator, warmup: d.Warmup, quarantine: d.Quarantine, lostRuns: quarantine.NewWatch(), streams: d.Streams, bookings: d.Bookings, peers: d.Peers, connectionPressure: d.ConnectionPressure, overloaded: d.Overloaded, cpuStarved: d.CPUStarved, log: d.Log,
 		metrics:     newRequestMetrics(d.Metrics),
 		retryBudget: new(placement.RetryBudget),
-		bodies:      buffers.NewBudget(math.MaxInt64),
+		bodies:      buffers.NewBudget(buffers.DefaultBodyLimit),
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
@@ -18,7 +16,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease(), bodyLease: g.bodies.Lease()}
+	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease(), bodyLease: g.bodies.Lease(), leavesBody: in.ContentLength > maxServerDiscard}
 	defer r.release()
 	defer g.record(r)
 	g.disconnects.poll(r.start)
@@ -57,7 +55,8 @@
 	if g.state.Load() == terminating && !g.finishesBeforeShutdown(r) {
 		return errDraining()
 	}
-	if err := readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
+	r.deadline = responseDeadline(r.start, r.route.Timeout, r.meta.Deadline)
+	if err := g.readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
 	if g.overloaded() {
@@ -67,7 +66,6 @@
 	if err := g.checkCrashes(r); err != nil {
 		return err
 	}
-	r.deadline = responseDeadline(r.start, r.route.Timeout, r.meta.Deadline)
 	r.prefixes = placement.Prefixes(r.meta.Prompt)
 	if err := g.setService(r, table); err != nil {
 		return err
@@ -123,40 +121,6 @@
 	return path
 }
 
-// defaultMaxBody is the body limit, in bytes, if the configuration sets none.
-const defaultMaxBody = 4 << 20
-
-func readBody(r *request, limit int64) *verdict.Error {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if r.in.ContentLength > limit {
-		return errTooLarge()
-	}
-	if r.in.ContentLength == 0 {
-		return nil
-	}
-	body, err := r.readAll(limit)
-	if err != nil {
-		r.logRecord.reason = err.Error()
-		return errNotRun(http.StatusBadRequest, verdict.CodeBadRequest, "the body can't be read", 0)
-	}
-	if int64(len(body)) > limit {
-		return errTooLarge()
-	}
-	r.body = body
-	r.bodyLease.Hold(int64(len(body)))
-	return nil
-}
-
-func (r *request) readAll(limit int64) ([]byte, error) {
-	if r.in.ContentLength > 0 {
-		return r.readFixedLength(r.in.ContentLength)
-	}
-	data, err := io.ReadAll(io.LimitReader(r.in.Body, limit+1))
-	return data, errors.Trace(err)
-}
-
 func (g *Gateway) refuse(r *request, e *verdict.Error) {
 	if r.responseStarted {
 		// Guard: the caller has already received the response header. If the response ended here in
@@ -164,6 +128,10 @@
 		g.abortResponse(r)
 	}
 	r.logRecord.outcome, r.logRecord.status = string(e.Code), e.Status
+	if r.leavesBody {
+		r.refuseUnread(e)
+		return
+	}
 	writeError(r.w, e)
 }
 
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -55,6 +55,10 @@
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "this router has no processor to spare", otherRouterRetryAfter)
 }
 
+func errBodiesFull() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "this router has no memory to spare for the body", transientRetryAfter)
+}
+
 func errNoUpstream() *verdict.Error {
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeNoUpstream, "no upstream of the service can be used", transientRetryAfter)
 }
@@ -110,7 +114,7 @@
 // its request is read; after is its Retry-After.
 func RejectionResponse(after time.Duration) []byte {
 	e := errRouterOverloaded().WithRetryAfter(after)
-	body := e.Message + "\n"
+	body := errorText(e)
 	response := http.Response{StatusCode: e.Status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true,
 		ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
 	setErrorHeaders(response.Header, e)
@@ -123,9 +127,12 @@
 func writeError(w http.ResponseWriter, e *verdict.Error) {
 	setErrorHeaders(w.Header(), e)
 	w.WriteHeader(e.Status)
-	w.Write([]byte(e.Message + "\n"))
+	w.Write([]byte(errorText(e)))
 }
 
+// errorText returns the body of the response to a refused request.
+func errorText(e *verdict.Error) string { return e.Message + "\n" }
+
 // setErrorHeaders sets the headers of an error of the gateway itself.
 func setErrorHeaders(h http.Header, e *verdict.Error) {
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -31,6 +31,8 @@
 	bodyBuffer *[]byte
 	// bodyLease holds the memory of body.
 	bodyLease buffers.Lease
+	// leavesBody is whether a refusal leaves a part of the body unread that the server wouldn't read either.
+	leavesBody bool
 	// contentHash identifies what the request would run.
 	contentHash uint64
 	// parts identifies the shared parts of the prompt, see partHashes.
--- a/pkg/gateway/requestmetrics.go
+++ b/pkg/gateway/requestmetrics.go
@@ -22,6 +22,8 @@
 	excess *taggedCounters
 	// notices counts responses that say something about their upstream.
 	notices *taggedCounters
+	// bodiesRefused counts requests that were refused for lack of memory for their bodies.
+	bodiesRefused tally.Counter
 }
 
 func newRequestMetrics(scope tally.Scope) *requestMetrics {
@@ -29,7 +31,7 @@
 		scope = tally.NoopScope
 	}
 	sub := scope.SubScope("gateway")
-	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub), notices: newNoticeCounters(sub)}
+	return &requestMetrics{requests: telemetry.NewRequests(scope), outcomes: newOutcomeCounters(sub), endings: newEndingCounters(sub), resumed: newResumedCounters(sub), suspicions: newSuspicionCounters(sub), bookings: newBookingCounters(sub), excess: newExcessCounters(sub), notices: newNoticeCounters(sub), bodiesRefused: sub.Counter("bodies_refused")}
 }
 
 // noRouteKind is the kind that is counted for requests without a route.
--- a/pkg/gatewayd/memoryuse.go
+++ b/pkg/gatewayd/memoryuse.go
@@ -2,6 +2,12 @@
 
 import "github.com/flamingowind/flamingowind/pkg/buffers"
 
+// limitMemory bounds what requests and responses hold in memory, for a process with that much of it; 0 for unknown.
+func (p *Process) limitMemory(memory int64) {
+	p.gateway.Bodies().SetLimit(buffers.BodyLimitFor(memory))
+	p.pools.Buffers().SetLimit(buffers.LimitFor(memory))
+}
+
 // reportMemory reports what requests and responses hold in memory, and its bounds.
 func (p *Process) reportMemory() {
 	for of, account := range map[string]*buffers.Budget{"requests": p.gateway.Bodies(), "responses": p.pools.Buffers()} {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -14,7 +14,6 @@
 	"github.com/flamingowind/flamingowind/pkg/admission"
 	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/booking"
-	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
@@ -118,7 +117,6 @@
 		health: upstream.NewHealth(), prefixIndex: placement.NewKVIndex()}
 	p.settings.Store(&s)
 	p.pools.SetMaxHead(s.Upstreams.maxHeadBytes())
-	p.pools.Buffers().SetLimit(buffers.LimitFor(int64(s.Limits.MemoryMiB) << 20))
 	p.local = &localState{catalog: p.catalog, loads: loads, prefixIndex: p.prefixIndex, shares: shares, inflows: inflows, estimator: estimator, quarantine: suspects, demand: new(demand),
 		ready: func() bool { return p.gateway.Ready() }, cpuStarved: p.cpu.starved, log: l, newerPeers: make(chan newerPeer, 1)}
 	p.conns.limit.Store(int64(s.Limits.KeptConnections))
@@ -160,6 +158,7 @@
 		Loads: loads, PrefixIndex: p.prefixIndex, Shares: shares, Inflows: inflows, Estimator: estimator, Warmup: p.warmup, Quarantine: suspects, Streams: p.streams, Bookings: p.bookings, Peers: p.fleet, Log: l,
 		ConnectionPressure: func() bool { return p.conns.overLimit() || p.cpu.starved() || p.callerLink.Busy(time.Now()) }, Overloaded: p.overloaded, CPUStarved: p.cpu.starved, Metrics: p.metrics.Scope,
 	})
+	p.limitMemory(int64(s.Limits.MemoryMiB) << 20)
 	p.addKnownPeers(s.Entries.Known)
 	return p, errors.Trace(p.bind(d.Faces))
 }
