A request that is given up unanswered is reset, so that it can't run later

What callers saw: nothing; upstreams that leave got requests seconds after their announcement (DRAIN), which nobody waited for any more. A router that gives up on an attempt closed its connection in order, so the kernel, or a proxy on the way, went on delivering what a partition held up.

Now the close of a connection with an unanswered request, or with bytes that aren't acknowledged, resets it: connections to upstreams of the gateway and of flamingowindd, and those to other routers at a hand-over that breaks. What has arrived is still read by the upstream, and answers that have begun end in order (tests). Relayed callers that close in order keep the ordinary close: what they sent may still be on its way.

Tests failed before: pkg/forward (no reset, the whole request read, both ways of giving up), pkg/handover (EOF), pkg/dispatch (EOF).

--- a/internal/nowait/nowait.go
+++ b/internal/nowait/nowait.go
@@ -29,6 +29,24 @@
 	return count(got, failed)
 }
 
+// Unacknowledged gives the number of bytes written to a socket that its peer hasn't acknowledged; 0 if the
+// socket doesn't tell.
+func Unacknowledged(fd int) int {
+	var n int32
+	_, _, failed := unix.RawSyscall(unix.SYS_IOCTL, uintptr(fd), unix.SIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	if failed != 0 {
+		return 0
+	}
+	return int(n)
+}
+
+// ResetOnClose makes the close of a socket reset its connection and drop what wasn't sent. On a socket that
+// can't be reset, the close is an ordinary one.
+func ResetOnClose(fd int) {
+	l := unix.Linger{Onoff: 1}
+	_, _, _ = unix.RawSyscall6(unix.SYS_SETSOCKOPT, uintptr(fd), unix.SOL_SOCKET, unix.SO_LINGER, uintptr(unsafe.Pointer(&l)), unsafe.Sizeof(l), 0)
+}
+
 // Events gives the events of an epoll descriptor that are there. events isn't empty.
 func Events(epoll int, events []unix.EpollEvent) (n int, err error) {
 	got, _, failed := unix.RawSyscall6(unix.SYS_EPOLL_PWAIT, uintptr(epoll), uintptr(unsafe.Pointer(&events[0])), uintptr(len(events)), 0, 0, 0)
--- a/pkg/dispatch/conn.go
+++ b/pkg/dispatch/conn.go
@@ -15,6 +15,7 @@
 type conn struct {
 	net.Conn
 	readFailed atomic.Bool // a read returned an error
+	unanswered atomic.Bool // bytes were written since the last were read
 
 	mu      sync.Mutex
 	gate    *gate
@@ -28,9 +29,21 @@
 	if err != nil {
 		c.readFailed.Store(true)
 	}
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
 	return n, err
 }
 
+// Close closes the connection, with a reset if a request on it is unanswered: after an ordinary close, the
+// network would still deliver a request that a partition holds up.
+func (c *conn) Close() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok && c.unanswered.Load() {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	return c.Conn.Close()
+}
+
 // Write writes p if the gate admits it. Without a gate, as during a TLS handshake, it always
 // writes.
 func (c *conn) Write(p []byte) (int, error) {
@@ -43,6 +56,7 @@
 			return 0, err
 		}
 	}
+	c.unanswered.Store(true)
 	return c.Conn.Write(p)
 }
 
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"github.com/flamingowind/flamingowind/internal/nowait"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 )
 
@@ -63,6 +65,10 @@
 	// unlisted says that the connection was closed because its upstream's life has ended. It is
 	// guarded by the pool's mutex.
 	unlisted bool
+	// unanswered says that a request was sent of which no response has begun.
+	unanswered atomic.Bool
+	// isShut says that shutdown was called, after which the end of the stream counts as unacknowledged.
+	isShut atomic.Bool
 }
 
 func dial(ctx context.Context, addr string, m *traffic.Meter) (*conn, error) {
@@ -114,12 +120,35 @@
 	return err == nil && healthy
 }
 
+// Close closes the connection.
+//
+// Guard: after an ordinary close, the network goes on delivering what was sent. A request that a partition
+// holds up would run seconds after this router has given it up, so it is dropped with a reset. The
+// receipt of bytes isn't proof that they have arrived: it may be that of a proxy on the way.
+func (c *conn) Close() error {
+	if !c.isShut.Load() {
+		// The call fails only if the connection is closed already.
+		_ = c.raw.Control(c.dropUnanswered)
+	}
+	return c.Conn.Close()
+}
+
 // shutdown closes both directions of the connection at once; the descriptor stays open until Close.
-// The system call doesn't block, so it is made without releasing the CPU to the runtime, which
+// The system calls don't block, so they are made without releasing the CPU to the runtime, which
 // would put the goroutine at the end of its queue.
 func (c *conn) shutdown() {
+	c.isShut.Store(true)
 	// The call fails only if the connection is closed already.
 	_ = c.raw.Control(func(fd uintptr) {
+		c.dropUnanswered(fd)
 		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0)
 	})
 }
+
+// dropUnanswered makes the close of the socket reset the connection if a request is unanswered or its bytes
+// are unacknowledged.
+func (c *conn) dropUnanswered(fd uintptr) {
+	if c.unanswered.Load() || nowait.Unacknowledged(int(fd)) > 0 {
+		nowait.ResetOnClose(int(fd))
+	}
+}
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -52,6 +52,7 @@
 	r.Status, r.Header, r.body = resp.StatusCode, resp.Header, resp.Body
 	r.Framing = framingOf(resp)
 	r.conn.fresh = false
+	r.conn.unanswered.Store(false)
 	r.idleTimeout = idleTimeoutOf(resp)
 }
 
--- a/pkg/forward/send.go
+++ b/pkg/forward/send.go
@@ -32,6 +32,7 @@
 	if c.StillWanted != nil && !c.StillWanted() {
 		return &Error{Stage: "send", cause: ErrUnwanted}
 	}
+	r.conn.unanswered.Store(true)
 	switch {
 	case len(c.Body) <= maxInlineBody:
 		buf.Write(c.Body)
--- a/pkg/handover/pair.go
+++ b/pkg/handover/pair.go
@@ -23,6 +23,8 @@
 	requestSent bool
 	// answered is whether bytes of a response were received.
 	answered bool
+	// unanswered is whether bytes of a request were sent since a response last moved.
+	unanswered bool
 	// pendingUp holds bytes that the router's socket has not accepted yet, pendingDown those for
 	// the caller's.
 	pendingUp, pendingDown []byte
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/flamingowind/flamingowind/internal/nowait"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 )
 
@@ -140,6 +141,10 @@
 // finish closes both connections. For broken the caller's connection is reset, which shows that the
 // response is truncated.
 func (r *Relay) finish(p *pair, state transferState) {
+	if state == broken && p.unanswered && p.peer >= 0 {
+		// After an ordinary close, the network would still deliver a request that a partition holds up.
+		nowait.ResetOnClose(p.peer)
+	}
 	r.forget(p)
 	if state == broken {
 		closeWithReset(p.caller)
--- a/pkg/handover/transfer.go
+++ b/pkg/handover/transfer.go
@@ -12,6 +12,7 @@
 	var state transferState
 	var sent, moved int
 	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.buf, p.callerClosed)
+	p.unanswered = p.unanswered || sent > 0
 	if state == closed || state == broken {
 		r.finish(p, state) // the caller has disconnected, or the router failed
 		return
@@ -23,6 +24,7 @@
 		r.unfinished = append(r.unfinished, p)
 	}
 	p.answered = p.answered || moved > 0
+	p.unanswered = p.unanswered && moved == 0
 	r.targetStates[p.target].recordTransfer(sent, moved, now)
 	r.meter.Received(sent + moved)
 	r.meter.Sent(sent + moved)
