Requests that outlast a router that drains are answered in place of a closed connection

Callers of a router that was told to stop saw calls end with a closed connection 7.7 s after the signal: from 3 s on calls are accepted as long as 0.6 s are left, and some take longer. The process closed its connections while their handlers still waited.

Before it does so now, requests whose response has not begun are given up and answered (504, or 503 where nothing was sent). They are logged as router_stopped where a response had begun.

--- a/pkg/gateway/disconnects.go
+++ b/pkg/gateway/disconnects.go
@@ -33,6 +33,8 @@
 
 	mu        sync.Mutex
 	cancelers map[int32]*canceler // by the ID of the caller's connection
+	// ended is set once the process has given up the requests that still run.
+	ended bool
 
 	// lastPoll is the time of the last poll, in nanoseconds since start.
 	lastPoll atomic.Int64
@@ -51,11 +53,11 @@
 // watch cancels r when its caller disconnects. The returned function ends the watch.
 func (d *disconnectWatcher) watch(r *request) func() {
 	c, ok := r.in.Context().Value(connKey{}).(*callerConn)
-	if !ok || c.raw == nil || d.epoll < 0 {
+	if !ok || c.raw == nil {
 		return func() {}
 	}
 	d.add(c.id, &r.canceler)
-	if !c.watched {
+	if !c.watched && d.epoll >= 0 {
 		// If the connection is already closed, the request's context ends anyway.
 		_ = c.raw.Control(func(fd uintptr) { c.watched = d.subscribe(fd, c.id) })
 	}
@@ -66,6 +68,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cancelers[connID] = c
+	if d.ended {
+		c.cancelForStop()
+	}
+}
+
+// endAll cancels all requests, because the process ends.
+func (d *disconnectWatcher) endAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+	for _, c := range d.cancelers {
+		c.cancelForStop()
+	}
 }
 
 func (d *disconnectWatcher) remove(connID int32) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -142,6 +142,13 @@
 // Drain has set.
 func (g *Gateway) RefuseLateRequests() { g.state.Store(terminating) }
 
+// EndRequests gives up the requests that still run, because the process is about to end. Those whose
+// response has not begun are answered, the others are broken off.
+//
+// Guard: a request that is accepted while the gateway drains may take longer than it usually does. A
+// closed connection tells its caller less than an answer, and later.
+func (g *Gateway) EndRequests() { g.disconnects.endAll() }
+
 const (
 	// usualMaxCallTime is the longest time that a call of a plain service usually takes.
 	usualMaxCallTime = 600 * time.Millisecond
--- a/pkg/gateway/readendings.go
+++ b/pkg/gateway/readendings.go
@@ -96,9 +96,9 @@
 }
 
 func (g *Gateway) readEndingOf(r *request, now time.Time) readEnding {
-	gone := r.callerGone() || r.logRecord.outcome == outcomeCallerLeft || r.logRecord.outcome == outcomeRouterStopped
+	gone := r.callerGone() || r.logRecord.outcome == outcomeCallerLeft
 	switch {
-	case gone && g.stopped.Load():
+	case r.logRecord.outcome == outcomeRouterStopped, gone && g.stopped.Load():
 		return readRouterStopped
 	case gone:
 		return readCallerLeft
@@ -136,9 +136,9 @@
 // now on are cut by that.
 func (g *Gateway) Stop() { g.stopped.Store(true) }
 
-// cutOutcome returns the outcome of a request whose caller's connection is closed.
-func (g *Gateway) cutOutcome() string {
-	if g.stopped.Load() {
+// cutOutcome returns the outcome of a request that ends because its caller's connection is closed.
+func (g *Gateway) cutOutcome(r *request) string {
+	if g.stopped.Load() || r.canceler.stopped.Load() {
 		return outcomeRouterStopped
 	}
 	return outcomeCallerLeft
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -58,3 +58,26 @@
 		})
 	}
 }
+
+// Guards against a call that lasts longer than a draining router: its caller got a closed connection in
+// place of an answer.
+func TestCallsThatOutlastARouterAreAnswered(t *testing.T) {
+	env := newTestEnv(t)
+	began := make(chan struct{})
+	env.startUpstreams(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	env.gateway.Drain(time.Now().Add(time.Minute))
+	env.gateway.RefuseLateRequests()
+	go func() {
+		<-began
+		env.gateway.EndRequests()
+	}()
+	status, _, _ := env.get("/once/")
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	status, _, header := env.get("/once/")
+	require.Equal(t, http.StatusServiceUnavailable, status, "nothing is sent any more")
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Equal(t, 1, env.upstreamRequests())
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -172,8 +172,8 @@
 // abortResponse breaks off the response to the caller, so that it can't look complete.
 func (g *Gateway) abortResponse(r *request) {
 	r.logRecord.outcome = outcomeCutShort
-	if r.callerGone() {
-		r.logRecord.outcome = g.cutOutcome()
+	if r.callerGone() || r.canceler.stopped.Load() {
+		r.logRecord.outcome = g.cutOutcome(r)
 	}
 	if !r.in.ProtoAtLeast(1, 1) {
 		g.resetOnClose(r)
@@ -203,7 +203,7 @@
 // abortForCaller ends a request whose caller has left, without a response. A caller that closed
 // only its sending side must not take an empty response for a complete one.
 func (g *Gateway) abortForCaller(r *request) {
-	r.logRecord.outcome = g.cutOutcome()
+	r.logRecord.outcome = g.cutOutcome(r)
 	panic(http.ErrAbortHandler)
 }
 
--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -14,7 +14,7 @@
 	exitMargin = 0.04
 	// drainPollInterval is the time between two checks for requests that still run.
 	drainPollInterval = 50 * time.Millisecond
-	// cutPollInterval is the time between two checks for requests that were cut and have not ended.
+	// cutPollInterval is the time between two checks for requests that were given up and have not ended.
 	cutPollInterval = 2 * time.Millisecond
 )
 
@@ -31,6 +31,8 @@
 	for p.gateway.Active()+p.openHandovers() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
+	p.gateway.EndRequests()
+	p.awaitIdle(deadline.Add(seconds(exitMargin / 2 * grace)))
 	p.log.WithField("event", "left").WithField("active", p.gateway.Active()).Info("router closes its connections")
 	p.gateway.Stop()
 	for _, f := range p.endpoints {
@@ -39,12 +41,12 @@
 	if p.handover != nil {
 		p.handover.Close()
 	}
-	p.awaitCut(deadline.Add(seconds(exitMargin / 2 * grace)))
+	p.awaitIdle(deadline.Add(seconds(exitMargin * 3 / 4 * grace)))
 	p.log.WithFields(p.gateway.DrainSummary()).Info("ends of the requests that were read whole, since draining began")
 }
 
-// awaitCut waits, until the given time at most, for the requests that were cut to be counted.
-func (p *Process) awaitCut(until time.Time) {
+// awaitIdle waits, until the given time at most, for the requests that were given up to end.
+func (p *Process) awaitIdle(until time.Time) {
 	for p.gateway.Active() > 0 && time.Now().Before(until) {
 		time.Sleep(cutPollInterval)
 	}
