A draining router goes by when a request is sent, not by when its header came

Callers that sent a body slowly to a router that leaves saw it passed on and cut within milliseconds: the router judged whether the request still ends by the time at which its header had come, before it read the body. In real processes 2 of 1,374 requests around three stops, complete 7.6 s after the signal and cut at 7.7 s. The same went for a request that waited before an attempt.

It is judged again before each attempt, as long as no response has begun. The test failed before with 200 where 503 is asked for.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -156,16 +156,20 @@
 	outputTokenTime = 20 * time.Millisecond
 )
 
-// finishesBeforeShutdown reports whether a draining gateway can still complete r.
+// tooLateFor reports whether the gateway ends before it can complete r if an upstream gets it at now.
 //
 // Guard: callers keep the address of a draining router for some seconds. A stream that is
-// accepted then and aborted at shutdown is lost, though it could have run elsewhere.
-func (g *Gateway) finishesBeforeShutdown(r *request) bool {
+// accepted then and aborted at shutdown is lost, though it could have run elsewhere. The body of a
+// request may arrive long after its header, so the time at which it is sent counts.
+func (g *Gateway) tooLateFor(r *request, now time.Time) bool {
+	if g.state.Load() != terminating {
+		return false
+	}
 	duration := usualMaxCallTime
 	if p := r.meta.Prompt; p != nil {
 		duration = r.route.Objective + time.Duration(p.MaxOutput)*outputTokenTime
 	}
-	return r.start.Add(duration).Before(*g.drainDeadline.Load())
+	return !now.Add(duration).Before(*g.drainDeadline.Load())
 }
 
 // Active returns the number of requests that are being served.
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -56,7 +56,7 @@
 		}
 		return err
 	}
-	if g.state.Load() == terminating && !g.finishesBeforeShutdown(r) {
+	if g.tooLateFor(r, r.start) {
 		return errDraining()
 	}
 	if err := readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -81,3 +83,26 @@
 	require.NotEmpty(t, header.Get("Retry-After"))
 	require.Equal(t, 1, env.upstreamRequests())
 }
+
+// Guards against a request whose header arrives before a draining router refuses any, and whose body is
+// complete as the router ends: it was sent to an upstream and cut at once.
+func TestRequestsThatAreCompleteTooLateAreRefused(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith("hello"))
+	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: request-1\r\nX-Key: k\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return env.gateway.Active() == 1 }, 10*time.Second, time.Millisecond)
+	env.gateway.Drain(time.Now().Add(usualMaxCallTime / 2))
+	env.gateway.RefuseLateRequests()
+	_, err = io.WriteString(c, "body")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, env.upstreamRequests())
+}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -28,6 +28,10 @@
 	var last attemptResult
 	for attempt := 1; ; attempt++ {
 		now := time.Now()
+		if !r.responseStarted && g.tooLateFor(r, now) {
+			g.giveUp(r, last, errDraining())
+			return
+		}
 		if err := g.checkCrashes(r); err != nil {
 			g.giveUp(r, last, err)
 			return
