A draining router accepts a stream late only if it ends though its engine is twice as slow

A stream that is accepted 3 s or more after the signal to stop and outlasts the router is cut: unlike a call it can't be answered otherwise once it has begun. Real processes cut streams whose engine took 20 to 40 ms for a token, where the router reckoned with 20. It reckons with 40 now; a caller that is refused is served by another router at once.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -152,8 +152,9 @@
 const (
 	// usualMaxCallTime is the longest time that a call of a plain service usually takes.
 	usualMaxCallTime = 600 * time.Millisecond
-	// outputTokenTime is the time that an engine under load takes per output token.
-	outputTokenTime = 20 * time.Millisecond
+	// outputTokenTime is twice the time that an engine under load takes per output token: a stream that
+	// has begun can't be answered otherwise when the process ends.
+	outputTokenTime = 40 * time.Millisecond
 )
 
 // tooLateFor reports whether the gateway ends before it can complete r if an upstream gets it at now.
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -106,3 +106,15 @@
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
 	require.Zero(t, env.upstreamRequests())
 }
+
+// Guards against a stream that a draining router accepts and cuts, as its engine takes twice as long for a
+// token as usual.
+func TestStreamsThatMayOutlastARouterAreRefused(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith(events(1, 1)))
+	env.gateway.Drain(time.Now().Add(1300 * time.Millisecond)) // its objective, and 30 ms for each of ten tokens
+	env.gateway.RefuseLateRequests()
+	status, _, _ := env.get("/stream/", "X-Tokens", "1000")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Zero(t, env.upstreamRequests())
+}
