A router that leaves hands no further requests over to others

Callers of a router that leaves and has no processor to spare saw requests run elsewhere and their connections reset as the router ended: it handed over what it accepted until then, and cuts what it relays as it ends, although the other router serves on.

From when it refuses late requests it hands nothing over. Connections that were handed over without a request are refused once theirs comes, unread.

--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -28,6 +28,9 @@
 	p.log.WithField("event", "leaving").WithField("active", p.gateway.Active()).Info("draining")
 	time.Sleep(time.Until(began.Add(seconds(refuseLateAfter * grace))))
 	p.gateway.RefuseLateRequests()
+	if p.handover != nil {
+		p.handover.Drain()
+	}
 	for p.gateway.Active()+p.openHandovers() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -65,6 +65,8 @@
 	drained       []pairEvent
 	pollScheduled bool
 	isClosed      bool
+	// isDraining is set when no further request is relayed.
+	isDraining bool
 	// lastPollTime is how long the last poll took: when CPU is scarce, polls are spaced out so that
 	// each moves more.
 	lastPollTime time.Duration
@@ -91,7 +93,7 @@
 	waiting, open := peekBytes(fd)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isClosed || !open || len(r.pairs) >= 2*r.limit {
+	if r.isClosed || r.isDraining || !open || len(r.pairs) >= 2*r.limit {
 		return false
 	}
 	p := &pair{caller: fd, peer: -1, acceptedAt: now}
@@ -205,7 +207,7 @@
 	switch {
 	case !open:
 		r.finish(p, closed)
-	case waiting && !r.connectPeer(p, now):
+	case waiting && (r.isDraining || !r.connectPeer(p, now)):
 		r.refuseCaller(p)
 	}
 }
@@ -262,6 +264,17 @@
 	}
 }
 
+// Drain makes the relay take no more connections and refuse those whose request hasn't begun. Others go on
+// until Close.
+//
+// Guard: a router that leaves and has no CPU to spare hands over what it accepts to its end. It cuts what
+// it relays as it ends, although the other router serves on.
+func (r *Relay) Drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isDraining = true
+}
+
 // Close resets all connections and accepts no more.
 func (r *Relay) Close() {
 	r.mu.Lock()
