--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -146,23 +146,35 @@
 // Drain has set.
 func (g *Gateway) RefuseLateRequests() { g.state.Store(terminating) }
 
+// EndRequests gives up the requests that still run, because the process is about to end. Those whose
+// response has not begun are answered, the others are broken off.
+//
+// Guard: a request that is accepted while the gateway drains may take longer than it usually does. A
+// closed connection tells its caller less than an answer, and later.
+func (g *Gateway) EndRequests() { g.disconnects.endAll() }
+
 const (
 	// usualMaxCallTime is the longest time that a call of a plain service usually takes.
 	usualMaxCallTime = 600 * time.Millisecond
-	// outputTokenTime is the time that an engine under load takes per output token.
-	outputTokenTime = 20 * time.Millisecond
+	// outputTokenTime is twice the time that an engine under load takes per output token: a stream that
+	// has begun can't be answered otherwise when the process ends.
+	outputTokenTime = 40 * time.Millisecond
 )
 
-// finishesBeforeShutdown reports whether a draining gateway can still complete r.
+// tooLateFor reports whether the gateway ends before it can complete r if an upstream gets it at now.
 //
 // Guard: callers keep the address of a draining router for some seconds. A stream that is
-// accepted then and aborted at shutdown is lost, though it could have run elsewhere.
-func (g *Gateway) finishesBeforeShutdown(r *request) bool {
+// accepted then and aborted at shutdown is lost, though it could have run elsewhere. The body of a
+// request may arrive long after its header, so the time at which it is sent counts.
+func (g *Gateway) tooLateFor(r *request, now time.Time) bool {
+	if g.state.Load() != terminating {
+		return false
+	}
 	duration := usualMaxCallTime
 	if p := r.meta.Prompt; p != nil {
 		duration = r.route.Objective + time.Duration(p.MaxOutput)*outputTokenTime
 	}
-	return r.start.Add(duration).Before(*g.drainDeadline.Load())
+	return !now.Add(duration).Before(*g.drainDeadline.Load())
 }
 
 // Bodies returns the account of the request bodies that are held.
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -54,7 +54,7 @@
 		}
 		return err
 	}
-	if g.state.Load() == terminating && !g.finishesBeforeShutdown(r) {
+	if g.tooLateFor(r, r.start) {
 		return errDraining()
 	}
 	r.deadline = responseDeadline(r.start, r.route.Timeout, r.meta.Deadline)
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -58,3 +60,61 @@
 		})
 	}
 }
+
+// Guards against a call that lasts longer than a draining router: its caller got a closed connection in
+// place of an answer.
+func TestCallsThatOutlastARouterAreAnswered(t *testing.T) {
+	env := newTestEnv(t)
+	began := make(chan struct{})
+	env.startUpstreams(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	})
+	env.gateway.Drain(time.Now().Add(time.Minute))
+	env.gateway.RefuseLateRequests()
+	go func() {
+		<-began
+		env.gateway.EndRequests()
+	}()
+	status, _, _ := env.get("/once/")
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	status, _, header := env.get("/once/")
+	require.Equal(t, http.StatusServiceUnavailable, status, "nothing is sent any more")
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Equal(t, 1, env.upstreamRequests())
+}
+
+// Guards against a request whose header arrives before a draining router refuses any, and whose body is
+// complete as the router ends: it was sent to an upstream and cut at once.
+func TestRequestsThatAreCompleteTooLateAreRefused(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith("hello"))
+	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: request-1\r\nX-Key: k\r\nContent-Length: 4\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return env.gateway.Active() == 1 }, 10*time.Second, time.Millisecond)
+	env.gateway.Drain(time.Now().Add(usualMaxCallTime / 2))
+	env.gateway.RefuseLateRequests()
+	_, err = io.WriteString(c, "body")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Zero(t, env.upstreamRequests())
+}
+
+// Guards against a stream that a draining router accepts and cuts, as its engine takes twice as long for a
+// token as usual.
+func TestStreamsThatMayOutlastARouterAreRefused(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith(events(1, 1)))
+	env.gateway.Drain(time.Now().Add(1300 * time.Millisecond)) // its objective, and 30 ms for each of ten tokens
+	env.gateway.RefuseLateRequests()
+	status, _, _ := env.get("/stream/", "X-Tokens", "1000")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Zero(t, env.upstreamRequests())
+}
