Streams: a version is known by a revision that holds it

What callers saw: streams could begin at a new version while a router that was out of step still took the old one for the sole one, and went on there (ORDER).

Cause: history.openKnown read the list's revision and then took its lock. A list that came in between was given the revision of the one before, which all other routers have: its new version began streams at once. It needs another version that is just waiting, as then every request looks; a host that gets no turn in between makes it longer.

Evidence: TestAVersionIsKnownByARevisionThatHoldsIt fails on the code before (v3 opens with the others' lists at revision 2, which lacks it).

--- /dev/null
+++ b/pkg/affinity/arrival_test.go
@@ -0,0 +1,31 @@
+package affinity
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a version that is taken for known to all by the revision of the list before it, which was read just
+// before it came.
+func TestAVersionIsKnownByARevisionThatHoldsIt(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	f.view.rev, f.view.peer.Floor = 1, 1
+	f.list("v1", "v2")
+	f.view.rev = 2
+	f.view.describing = func() {
+		f.view.describing = nil
+		f.view.rev = 3
+		f.list("v1", "v2", "v3")
+	}
+	require.False(t, f.Open(f.instance("v2"), f.now))
+	for range 3 {
+		f.now = f.now.Add(viewInterval)
+		f.view.peer.Floor = 2
+		require.False(t, f.Open(f.instance("v3"), f.now), "the others' lists lack it")
+	}
+	f.now = f.now.Add(viewInterval)
+	f.view.peer.Floor = 3
+	require.True(t, f.Open(f.instance("v3"), f.now))
+}
--- a/pkg/affinity/fixture_test.go
+++ b/pkg/affinity/fixture_test.go
@@ -18,6 +18,8 @@
 	peer PeerView
 	// longest is the longest timeout of streams.
 	longest time.Duration
+	// describing is called as the other routers are described, after the revision was read; nil for nothing.
+	describing func()
 }
 
 func (v *fakeView) ListRevision() int64 { return v.rev }
@@ -26,7 +28,12 @@
 
 func (v *fakeView) LongestStream() time.Duration { return v.longest }
 
-func (v *fakeView) Peers(time.Time) PeerView { return v.peer }
+func (v *fakeView) Peers(time.Time) PeerView {
+	if v.describing != nil {
+		v.describing()
+	}
+	return v.peer
+}
 
 // fixture is a tracker at a time that tests advance.
 type fixture struct {
--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -35,6 +35,8 @@
 	sinceFounding bool
 	// currentAt is when the versions were last known completely.
 	currentAt time.Time
+	// lists counts the lists that were taken over.
+	lists uint64
 	// closed is the number of listed versions that aren't open.
 	closed atomic.Int32
 }
@@ -50,6 +52,7 @@
 	if h.watchedSince.IsZero() {
 		h.watchedSince = now
 	}
+	h.lists++
 	listed := make(map[*version]bool)
 	for _, in := range set.List() {
 		if in.State != upstream.Unusable {
@@ -120,9 +123,13 @@
 	if h.closed.Load() == 0 {
 		return
 	}
+	before := h.listCount()
 	rev, peers := view.ListRevision(), view.Peers(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lists != before {
+		return // the revision may be one from before a version came
+	}
 	for service, versions := range h.services {
 		for name, v := range versions {
 			if !v.listed || v.open {
@@ -278,3 +285,9 @@
 	}
 	return n
 }
+
+func (h *history) listCount() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lists
+}
