Streams: a version that comes back waits as a new one

Cause: a version waits until all routers have a list that holds it, or 5 s from when it was first known. Neither began anew when it left the list and came back: one whose first upstream failed and that came back seconds later began streams at once. A router that stood still in between has seen neither list of its first time; by its list of up to 2.5 s it claims the old version as the sole one.

Evidence: TestAVersionThatComesBackWaitsAsANewOne fails on the code before in both cases (v2 opens at once, with the others' lists at revision 3, which lacks it). Time and revision count from the newest listing.

--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -65,6 +65,9 @@
 			if v.listed != isListed {
 				h.logListed(service, name, isListed)
 			}
+			if isListed && !v.listed {
+				v.since, v.revision = now, 0
+			}
 			if v.listed || isListed {
 				v.lastListed = now
 			}
--- a/pkg/affinity/version.go
+++ b/pkg/affinity/version.go
@@ -4,8 +4,8 @@
 
 // version is what is known of a software version of a service.
 type version struct {
-	// since is when this router first knew it, revision a revision of the list at which it was
-	// listed; 0 while that isn't known.
+	// since is when it was listed after it hadn't been, or first known, revision a revision of the list at which it
+	// has been listed since; 0 while that isn't known.
 	since    time.Time
 	revision int64
 	listed   bool
