Streams: a version is closed before its list is in use

Cause: the catalog put a new list in use and then told the tracker. A stream that was placed in between found a new version in the list and every version open, and began there, though no other router knew it. A router that was out of step claimed the old version as the sole one for up to 2.5 s more.

Versions that a list drops stay as they are until it is in use, so no request finds all versions closed.

--- a/pkg/affinity/arrival_test.go
+++ b/pkg/affinity/arrival_test.go
@@ -5,8 +5,25 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
+// Guards against streams that begin at a version in the moment between its list being in use and its being closed.
+func TestAVersionIsClosedBeforeItsListIsInUse(t *testing.T) {
+	f := newFixture()
+	f.list("v1")
+	f.view.peer.Floor, f.view.rev = 1, 2
+	f.ExpectUpstreams(upstream.NewSet([]upstream.Instance{
+		{ID: "a", Service: "s", Software: "v1", State: upstream.Ready}, {ID: "b", Service: "s", Software: "v2", State: upstream.Ready},
+	}), f.now)
+	require.False(t, f.AllOpen())
+	require.False(t, f.Open(f.instance("v2"), f.now))
+	require.True(t, f.Open(f.instance("v1"), f.now))
+	f.ExpectUpstreams(upstream.NewSet([]upstream.Instance{{ID: "b", Service: "s", Software: "v2", State: upstream.Ready}}), f.now)
+	require.True(t, f.Open(f.instance("v1"), f.now), "its upstreams are still in use")
+}
+
 // Guards against a version that was listed for a moment some seconds ago, unseen by a router that stood still, and
 // begins streams at once as it comes back.
 func TestAVersionThatComesBackWaitsAsANewOne(t *testing.T) {
--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -52,22 +52,13 @@
 	if h.watchedSince.IsZero() {
 		h.watchedSince = now
 	}
-	h.lists++
-	listed := make(map[*version]bool)
-	for _, in := range set.List() {
-		if in.State != upstream.Unusable {
-			listed[h.get(in.Service, in.Software, now)] = true
-		}
-	}
+	listed := h.markListed(set, now)
 	for service, versions := range h.services {
 		for name, v := range versions {
 			isListed := listed[v]
 			if v.listed != isListed {
 				h.logListed(service, name, isListed)
 			}
-			if isListed && !v.listed {
-				v.since, v.revision = now, 0
-			}
 			if v.listed || isListed {
 				v.lastListed = now
 			}
@@ -80,10 +71,6 @@
 	h.openSole(now)
 }
 
-func (h *history) logListed(service, name string, listed bool) {
-	h.log.WithFields(log.Fields{"event": "software_listed", "service": service, "software": name, "listed": listed}).Info("software version of a service")
-}
-
 // get returns what is known of a version, a new entry if there is none.
 func (h *history) get(service, name string, now time.Time) *version {
 	versions := h.services[service]
@@ -288,9 +275,3 @@
 	}
 	return n
 }
-
-func (h *history) listCount() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.lists
-}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -40,7 +40,9 @@
 	heldZones heldZones
 	// contact is when this router or another one was in contact with the store.
 	contact Contact
-	// onInstances receives each new list, see OnInstances.
+	// onExpected receives each new list before it is in use, see OnExpected; onInstances receives it after that, see
+	// OnInstances.
+	onExpected  func(set *upstream.Set)
 	onInstances func(set *upstream.Set, known time.Time)
 	// onRestored receives zones that are no longer evacuated, see OnZonesRestored.
 	onRestored func(zones []string, at time.Time)
@@ -55,7 +57,7 @@
 func New(l log.Interface) *Catalog {
 	c := &Catalog{
 		log: l, leaving: make(map[upstream.Life]*departure), removed: make(map[upstream.Life]time.Time),
-		onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {},
+		onExpected: func(*upstream.Set) {}, onInstances: func(*upstream.Set, time.Time) {}, onRestored: func([]string, time.Time) {},
 	}
 	c.set.Store(upstream.NewSet(nil))
 	return c
@@ -66,9 +68,13 @@
 // must not call the catalog.
 func (c *Catalog) OnInstances(f func(set *upstream.Set, known time.Time)) { c.onInstances = f }
 
+// OnExpected makes f receive each new list of instances just before it is in use. The rules of OnInstances hold.
+func (c *Catalog) OnExpected(f func(set *upstream.Set)) { c.onExpected = f }
+
 // setInstances publishes a new list.
 func (c *Catalog) setInstances(set *upstream.Set, known time.Time) {
 	c.noteRemoved(c.set.Load(), set, time.Now())
+	c.onExpected(set)
 	c.set.Store(set)
 	c.onInstances(set, known)
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -143,6 +143,7 @@
 	p.held = heldUpstreams{count: p.catalog.HeldTotal, counter: p.metrics.Scope.Counter("upstreams_held")}
 	p.warmup = warmup.NewGate(p.roster, p.listCurrent, l)
 	p.updateWarmup(s)
+	p.catalog.OnExpected(func(set *upstream.Set) { p.streams.ExpectUpstreams(set, time.Now()) })
 	p.catalog.OnInstances(func(set *upstream.Set, known time.Time) {
 		p.pools.UpdateList(set, known)
 		p.warmup.SetUpstreams(set, time.Now())
