--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -35,6 +35,8 @@
 	sinceFounding bool
 	// currentAt is when the versions were last known completely.
 	currentAt time.Time
+	// lists counts the lists that were taken over.
+	lists uint64
 	// closed is the number of listed versions that aren't open.
 	closed atomic.Int32
 }
@@ -50,12 +52,7 @@
 	if h.watchedSince.IsZero() {
 		h.watchedSince = now
 	}
-	listed := make(map[*version]bool)
-	for _, in := range set.List() {
-		if in.State != upstream.Unusable {
-			listed[h.get(in.Service, in.Software, now)] = true
-		}
-	}
+	listed := h.markListed(set, now)
 	for service, versions := range h.services {
 		for name, v := range versions {
 			isListed := listed[v]
@@ -74,10 +71,6 @@
 	h.openSole(now)
 }
 
-func (h *history) logListed(service, name string, listed bool) {
-	h.log.WithFields(log.Fields{"event": "software_listed", "service": service, "software": name, "listed": listed}).Info("software version of a service")
-}
-
 // get returns what is known of a version, a new entry if there is none.
 func (h *history) get(service, name string, now time.Time) *version {
 	versions := h.services[service]
@@ -120,9 +113,13 @@
 	if h.closed.Load() == 0 {
 		return
 	}
+	before := h.listCount()
 	rev, peers := view.ListRevision(), view.Peers(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lists != before {
+		return // the revision may be one from before a version came
+	}
 	for service, versions := range h.services {
 		for name, v := range versions {
 			if !v.listed || v.open {
