Forward: the close of an upstream that leaves is confirmed like any other

Callers got unframed answers (neither a length nor chunks) as complete that were cut: streams with 70 to 100 of 130 events and a last chunk, from upstreams that drained and then died, or had just left the list.

Cause: confirmComplete trusted the close of a draining or unlisted upstream, as one that leaves may stop listening before its last answers end. But it may also end abruptly, and its listener tells the two apart as it does for others.

Evidence: TestUpstreamsThatLeaveAndDieEndNoAnswer failed in 8 of 8 cases (draining and unlisted; complete and short). TestUpstreamsThatLeaveEndTheirLastAnswers asked for the opposite, that the answer of an upstream which drains and takes no connection is complete: nothing tells it from a cut one.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -27,8 +27,6 @@
 	reuseDisabled bool
 	// used says that a connection was opened before.
 	used bool
-	// draining says that the instance is about to terminate or is no longer listed.
-	draining bool
 }
 
 func newPool(addr string, m *traffic.Meter, s *connStats, created time.Time) *pool {
@@ -169,7 +167,7 @@
 func (p *pool) disableReuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reuseDisabled, p.draining = true, true
+	p.reuseDisabled = true
 	for _, c := range p.idle {
 		p.stats.add(closedList)
 		c.Close()
@@ -179,16 +177,10 @@
 }
 
 // enableReuse makes the pool keep connections again, because its life is listed.
-func (p *pool) enableReuse(draining bool) {
+func (p *pool) enableReuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reuseDisabled, p.draining = false, draining
-}
-
-func (p *pool) isDraining() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.draining
+	p.reuseDisabled = false
 }
 
 // abortOpenedBefore closes the busy connections that were opened before the given time.
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -30,11 +30,6 @@
 	return set.IsCurrent(key.life) && set.Get(key.life.ID).Addr == key.addr
 }
 
-// isReady reports whether set lists that life as ready, so that it isn't about to terminate.
-func isReady(set *upstream.Set, key poolKey) bool {
-	return isListed(set, key) && set.Get(key.life.ID).State == upstream.Ready
-}
-
 // Pools holds a connection pool for each life of an instance.
 type Pools struct {
 	// idHeader is the header in which a response carries the ID of its request.
@@ -89,7 +84,6 @@
 	p := ps.pools[key]
 	if p == nil {
 		p = newPool(in.Addr, &ps.meter, &ps.stats, ps.created)
-		p.draining = in.State == upstream.Draining || ps.current != nil && !isReady(ps.current, key)
 		ps.pools[key] = p
 		if ps.current != nil && !isListed(ps.current, key) {
 			// The request was placed by the previous list and connects after that list was current,
@@ -123,7 +117,7 @@
 		if isListed(set, key) {
 			ps.byInstance[set.Get(key.life.ID)] = p
 			delete(ps.listedUntil, key)
-			p.enableReuse(!isReady(set, key))
+			p.enableReuse()
 			continue
 		}
 		if _, ok := ps.listedUntil[key]; !ok {
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -98,11 +98,11 @@
 // confirmComplete returns an error if a response whose end was read may be incomplete.
 //
 // Guard: the connections of a crashed process are closed in the same way as one whose close ends a
-// complete response. But a crashed process accepts no new connections. The connection that is
-// opened for this check replaces the one that the response has used up. An upstream that is
-// draining stops listening before its last responses end, so its close is trusted.
+// complete response. But a crashed process accepts no new connections. The
+// connection that is opened for this check replaces the one that the response has used up. An upstream
+// that drains may end as abruptly as any other, so its close is confirmed in the same way.
 func (r *Response) confirmComplete() error {
-	if r.Framing != FramedByClose || r.atEOF || r.pool.isDraining() {
+	if r.Framing != FramedByClose || r.atEOF {
 		return nil
 	}
 	err := r.pool.probe(r.ctx)
