Forward: an unframed answer is whole only if the same process answers afterwards

Callers got cut streams without length or chunks as complete when a router stood still for seconds while an upstream crashed and was started again: it read the close late, and the connection that was to confirm the answer reached the next process. A new connection shows that something listens, not who.

The pool now asks who it is: a GET that takes no place of the upstream, on a kept connection if there is one, else on a new one, which is kept. Another life, no answer within the time for connecting, or a stray answer confirms nothing. An answer on a kept connection also confirms the last answers of an upstream that leaves and no longer listens.

--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -29,7 +29,7 @@
 	}
 	cn.head.lease = ps.buffers.Lease()
 	stopAfterFunc := context.AfterFunc(ctx, func() { cn.Close() })
-	r := &Response{ctx: ctx, pool: p, conn: cn, stopAfterFunc: stopAfterFunc, abort: c.Abort}
+	r := &Response{ctx: ctx, pool: p, instance: c.Instance, identity: ps.identity, conn: cn, stopAfterFunc: stopAfterFunc, abort: c.Abort}
 	if !c.Abort.attach(cn) {
 		r.Discard()
 		return nil, &Error{Stage: "connect", cause: ErrAborted}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -35,18 +35,26 @@
 
 // acquire returns an idle connection or else a new one. It is busy until release or discard.
 func (p *pool) acquire(ctx context.Context, now time.Time) (*conn, error) {
+	if c := p.takeIdle(now); c != nil {
+		p.stats.add(reusedIdle)
+		return c, nil
+	}
+	return p.dial(ctx, p.whyNoneIdle())
+}
+
+// takeIdle returns an idle connection that may be used, which is busy from then on; nil if there is none.
+func (p *pool) takeIdle(now time.Time) *conn {
 	for {
 		c := p.popIdle()
 		switch {
 		case c == nil:
-			return p.dial(ctx, p.whyNoneIdle())
+			return nil
 		case !now.Before(c.idleDeadline):
 			p.discard(c, closedIdle)
 		case !c.healthy():
 			p.discard(c, closedStale)
 		default:
-			p.stats.add(reusedIdle)
-			return c, nil
+			return c
 		}
 	}
 }
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -45,6 +45,8 @@
 	// buffers bounds the memory for responses.
 	buffers *buffers.Budget
 	notices Notices
+	// identity asks upstreams which process they are; nil for not at all.
+	identity *identityCheck
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
--- a/pkg/forward/response.go
+++ b/pkg/forward/response.go
@@ -36,6 +36,8 @@
 
 	// ctx is the call's context.
 	ctx           context.Context
+	instance      *upstream.Instance
+	identity      *identityCheck
 	pool          *pool
 	conn          *conn
 	stopAfterFunc func() bool
@@ -98,21 +100,21 @@
 // confirmComplete returns an error if a response whose end was read may be incomplete.
 //
 // Guard: the connections of a crashed process are closed in the same way as one whose close ends a
-// complete response. But a crashed process accepts no new connections. The
-// connection that is opened for this check replaces the one that the response has used up. An upstream
+// complete response. But a crashed process accepts no new connections and answers on none. The
+// connection that is used for this check replaces the one that the response has used up. An upstream
 // that drains may end as abruptly as any other, so its close is confirmed in the same way.
 func (r *Response) confirmComplete() error {
 	if r.Framing != FramedByClose || r.atEOF {
 		return nil
 	}
-	err := r.pool.probe(r.ctx)
+	err := r.pool.confirmLife(r.ctx, r.instance, r.identity)
 	if err != nil && (r.abort.isTriggered() || r.ctx.Err() != nil) {
 		r.Ending = EndedByAbort
 		return ErrAborted
 	}
 	if err != nil {
 		r.Ending = EndedUnconfirmed
-		return errors.Annotate(err, "connection closed by an upstream that accepts no new connections")
+		return errors.Annotate(err, "connection closed by an upstream that has not been shown to live on")
 	}
 	return nil
 }
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/prompt"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
@@ -51,6 +52,8 @@
 	NotRun(status int, h http.Header) bool
 	// Notice returns what the head of an upstream's response says about the upstream.
 	Notice(status int, h http.Header) upstream.Notice
+	// LifeCheck returns how an upstream is asked which process it is; without a URI, it can't be asked.
+	LifeCheck() forward.LifeCheck
 	// IDHeader returns the name of the header in which callers send, and upstreams echo, a request's ID.
 	IDHeader() string
 }
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -27,7 +27,10 @@
 )
 
 // testDialect is a Dialect with header names for tests.
-type testDialect struct{}
+type testDialect struct {
+	// asksLives has the gateway ask upstreams which process they are.
+	asksLives bool
+}
 
 func (testDialect) IDHeader() string { return "X-Id" }
 
@@ -70,6 +73,23 @@
 	return upstream.Notice{Leaving: h.Get("X-Leaving") != "", Backoff: backoff}
 }
 
+// LifeCheck has upstreams of tests asked at /life, if a test wants that.
+func (d testDialect) LifeCheck() forward.LifeCheck {
+	if !d.asksLives {
+		return forward.LifeCheck{}
+	}
+	return forward.LifeCheck{
+		URI:    lifePath,
+		Header: func(id upstream.ID) http.Header { return http.Header{"X-Instance": {string(id)}} },
+		Denies: func(in *upstream.Instance, _ int, _ http.Header, body []byte) bool {
+			return string(body) != string(in.ID)
+		},
+	}
+}
+
+// lifePath is where upstreams of tests tell their ID.
+const lifePath = "/life"
+
 func (testDialect) NotRun(_ int, h http.Header) bool { return h.Get("X-Not-Run") != "" }
 
 type singlePeer struct{}
@@ -100,12 +120,14 @@
 	received []*http.Request // by the upstreams
 }
 
-func newTestEnv(t testing.TB) *testEnv {
+func newTestEnv(t testing.TB) *testEnv { return newTestEnvOf(t, testDialect{}) }
+
+func newTestEnvOf(t testing.TB, dialect testDialect) *testEnv {
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	env := &testEnv{t: t, catalog: catalog.New(logger)}
 	env.gateway = New(Settings{PrefillTokensPerMs: 50, FirstEvent: time.Millisecond, SlotTurn: time.Millisecond,
 		RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}, Dependencies{
-		Catalog: env.catalog, Dialect: testDialect{}, Pools: forward.NewPools("X-Id"), Health: upstream.NewHealth(),
+		Catalog: env.catalog, Dialect: dialect, Pools: forward.NewPools("X-Id"), Health: upstream.NewHealth(),
 		Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(), Shares: placement.NewShares(), Inflows: placement.NewInflows(), Estimator: pace.NewEstimator(),
 		Warmup:     env.newWarmupGate(),
 		Quarantine: NewQuarantine(),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,6 +113,9 @@
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
+	if check := g.dialect.LifeCheck(); check.URI != "" {
+		g.pools.SetLifeCheck(check)
+	}
 	g.pools.OnNotices(forward.Notices{Decode: func(status int, h http.Header) upstream.Notice { return g.dialect.Notice(status, h) }, Observe: g.observeNotice})
 	g.UpdateSettings(s)
 	return g
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,8 @@
 	text string
 	// stopsListening makes it stop listening before it closes the connection of a response.
 	stopsListening bool
+	// id, if not empty, is what it answers at lifePath, on connections that it keeps.
+	id string
 	// connections counts the accepted connections.
 	connections atomic.Int64
 }
@@ -45,8 +48,15 @@
 
 func (u *rawUpstream) serve(c net.Conn) {
 	defer c.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-		return
+	for r := bufio.NewReader(c); ; {
+		in, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if u.id == "" || in.URL.Path != lifePath {
+			break
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(u.id), u.id)
 	}
 	io.WriteString(c, u.text)
 	if u.stopsListening {
@@ -177,12 +187,37 @@
 	}
 }
 
-// Guards against breaking off the last unframed response of an upstream that leaves and still listens.
+// Guards against breaking off the last unframed responses of an upstream that leaves: one that still listens,
+// and one that no longer does but answers on a connection that is kept.
 func TestUpstreamsThatLeaveEndTheirLastAnswers(t *testing.T) {
-	env := newTestEnv(t)
-	env.startUpstreams(nil)
-	env.replaceFirst(env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 3, "\n"), false), upstream.Draining)
-	status, body, _ := env.get("/stream/")
+	for name, stopsListening := range map[string]bool{"listening": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnvOf(t, testDialect{asksLives: true})
+			env.startUpstreams(nil)
+			u := env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 3, "\n"), stopsListening)
+			u.id = "i0"
+			env.replaceFirst(u, upstream.Draining)
+			if stopsListening {
+				in := env.catalog.Instances().Get("i0")
+				require.NoError(t, env.gateway.pools.Probe(t.Context(), in))
+				require.NoError(t, env.gateway.pools.Probe(t.Context(), in))
+			}
+			status, body, _ := env.get("/stream/")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, numberedEvents(1, 3, "\n"), body)
+		})
+	}
+}
+
+// Guards against relaying an unframed response as complete when its upstream died and the next process at the
+// address answers, as it does at a router that stood still.
+func TestTheNextProcessAtTheAddressEndsNoAnswer(t *testing.T) {
+	env := newTestEnvOf(t, testDialect{asksLives: true})
+	env.startUpstreams(nil, respondWith(numberedEvents(3, 3, "\n")))
+	u := env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 2, "\n"), false)
+	u.id = "next"
+	env.replaceFirst(u, upstream.Ready)
+	status, body, _ := env.get("/resume/")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, numberedEvents(1, 3, "\n"), body)
 }
