--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -27,8 +27,6 @@
 	reuseDisabled bool
 	// used says that a connection was opened before.
 	used bool
-	// draining says that the instance is about to terminate or is no longer listed.
-	draining bool
 }
 
 func newPool(addr string, m *traffic.Meter, s *connStats, created time.Time) *pool {
@@ -37,18 +35,26 @@
 
 // acquire returns an idle connection or else a new one. It is busy until release or discard.
 func (p *pool) acquire(ctx context.Context, now time.Time) (*conn, error) {
+	if c := p.takeIdle(now); c != nil {
+		p.stats.add(reusedIdle)
+		return c, nil
+	}
+	return p.dial(ctx, p.whyNoneIdle())
+}
+
+// takeIdle returns an idle connection that may be used, which is busy from then on; nil if there is none.
+func (p *pool) takeIdle(now time.Time) *conn {
 	for {
 		c := p.popIdle()
 		switch {
 		case c == nil:
-			return p.dial(ctx, p.whyNoneIdle())
+			return nil
 		case !now.Before(c.idleDeadline):
 			p.discard(c, closedIdle)
 		case !c.healthy():
 			p.discard(c, closedStale)
 		default:
-			p.stats.add(reusedIdle)
-			return c, nil
+			return c
 		}
 	}
 }
@@ -169,7 +175,7 @@
 func (p *pool) disableReuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reuseDisabled, p.draining = true, true
+	p.reuseDisabled = true
 	for _, c := range p.idle {
 		p.stats.add(closedList)
 		c.Close()
@@ -179,16 +185,10 @@
 }
 
 // enableReuse makes the pool keep connections again, because its life is listed.
-func (p *pool) enableReuse(draining bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reuseDisabled, p.draining = false, draining
-}
-
-func (p *pool) isDraining() bool {
+func (p *pool) enableReuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.draining
+	p.reuseDisabled = false
 }
 
 // abortOpenedBefore closes the busy connections that were opened before the given time.
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,8 @@
 	text string
 	// stopsListening makes it stop listening before it closes the connection of a response.
 	stopsListening bool
+	// id, if not empty, is what it answers at lifePath, on connections that it keeps.
+	id string
 	// connections counts the accepted connections.
 	connections atomic.Int64
 }
@@ -45,8 +48,15 @@
 
 func (u *rawUpstream) serve(c net.Conn) {
 	defer c.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-		return
+	for r := bufio.NewReader(c); ; {
+		in, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if u.id == "" || in.URL.Path != lifePath {
+			break
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(u.id), u.id)
 	}
 	io.WriteString(c, u.text)
 	if u.stopsListening {
@@ -131,12 +141,83 @@
 	}
 }
 
-// Guards against treating the last responses of an upstream that drains, and no longer listens, as broken.
+// leavings are the ways in which an upstream leaves: its entry says so, or is gone.
+var leavings = map[string]func(env *testEnv, u *rawUpstream){
+	"draining": func(env *testEnv, u *rawUpstream) { env.replaceFirst(u, upstream.Draining) },
+	"unlisted": func(env *testEnv, u *rawUpstream) {
+		env.replaceFirst(u, upstream.Ready)
+		env.gateway.pools.UpdateList(upstream.NewSet(env.instances[1:]), time.Now())
+	},
+}
+
+// Guards against relaying unframed responses as complete when the upstream that sent them was leaving and died.
+func TestUpstreamsThatLeaveAndDieEndNoAnswer(t *testing.T) {
+	const plainHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\n"
+	for path, c := range map[string]struct {
+		text, body string
+		status     int
+	}{
+		"/safe/":   {text: plainHead + "hel", status: 200, body: "hello"},
+		"/once/":   {text: plainHead + "hel", status: 502, body: errUpstreamFailed().Message + "\n"},
+		"/resume/": {text: responseHead + "\r\n" + numberedEvents(1, 2, "\n"), status: 200, body: numberedEvents(1, 3, "\n")},
+		"/stream/": {text: responseHead + "\r\n" + numberedEvents(1, 2, "\n"), status: 200},
+	} {
+		for leaving, leave := range leavings {
+			t.Run(leaving+path, func(t *testing.T) {
+				env := newTestEnv(t)
+				env.startUpstreams(nil, func(rw http.ResponseWriter, r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/resume/") {
+						io.WriteString(rw, numberedEvents(3, 3, "\n"))
+						return
+					}
+					io.WriteString(rw, "hello")
+				})
+				leave(env, env.startRawUpstream(c.text, true))
+				resp, err := env.client.Do(env.newRequest(path))
+				require.NoError(t, err)
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				require.Equal(t, c.status, resp.StatusCode)
+				require.Equal(t, c.body == "", err != nil, "only what can't be repeated or resumed is broken off: %q", body)
+				if err == nil {
+					require.Equal(t, c.body, string(body))
+				}
+			})
+		}
+	}
+}
+
+// Guards against breaking off the last unframed responses of an upstream that leaves: one that still listens,
+// and one that no longer does but answers on a connection that is kept.
 func TestUpstreamsThatLeaveEndTheirLastAnswers(t *testing.T) {
-	env := newTestEnv(t)
-	env.startUpstreams(nil)
-	env.replaceFirst(env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 3, "\n"), true), upstream.Draining)
-	status, body, _ := env.get("/stream/")
+	for name, stopsListening := range map[string]bool{"listening": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnvOf(t, testDialect{asksLives: true})
+			env.startUpstreams(nil)
+			u := env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 3, "\n"), stopsListening)
+			u.id = "i0"
+			env.replaceFirst(u, upstream.Draining)
+			if stopsListening {
+				in := env.catalog.Instances().Get("i0")
+				require.NoError(t, env.gateway.pools.Probe(t.Context(), in))
+				require.NoError(t, env.gateway.pools.Probe(t.Context(), in))
+			}
+			status, body, _ := env.get("/stream/")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, numberedEvents(1, 3, "\n"), body)
+		})
+	}
+}
+
+// Guards against relaying an unframed response as complete when its upstream died and the next process at the
+// address answers, as it does at a router that stood still.
+func TestTheNextProcessAtTheAddressEndsNoAnswer(t *testing.T) {
+	env := newTestEnvOf(t, testDialect{asksLives: true})
+	env.startUpstreams(nil, respondWith(numberedEvents(3, 3, "\n")))
+	u := env.startRawUpstream(responseHead+"\r\n"+numberedEvents(1, 2, "\n"), false)
+	u.id = "next"
+	env.replaceFirst(u, upstream.Ready)
+	status, body, _ := env.get("/resume/")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, numberedEvents(1, 3, "\n"), body)
 }
