--- a/test/crowd/collapse_test.go
+++ b/test/crowd/collapse_test.go
@@ -31,7 +31,7 @@
 //	526, 791, 257    60, 1423, 17    0, 1203, 297    36, 228, 1236
 //	0, 81, 1418      0, 108, 1393    0, 205, 1295    32, 1468, 0
 func TestSmallRouterServesOnWhenItsCallersAskForMoreThanItCan(t *testing.T) {
-	s := newStage(t)
+	s := newStage(t, 184)
 	ctx, end := context.WithTimeout(t.Context(), calm+rush)
 	defer end()
 	go s.throttle(ctx)
--- a/test/crowd/stage_test.go
+++ b/test/crowd/stage_test.go
@@ -39,7 +39,7 @@
 }
 
 // newStage starts everything. The router gets as many threads as its host has cores: one.
-func newStage(t *testing.T) *stage {
+func newStage(t *testing.T, memoryMiB int) *stage {
 	bin := os.Getenv(devfleet.BinEnv)
 	if bin == "" {
 		t.Fatalf("%s must name the directory of the built programs", devfleet.BinEnv)
@@ -57,16 +57,16 @@
 		s.engines = append(s.engines, e)
 		s.store.List(e, service, e.Listener.Addr().String(), false)
 	}
-	s.start(t, bin)
+	s.start(t, bin, memoryMiB)
 	return s
 }
 
-func (s *stage) start(t *testing.T, bin string) {
+func (s *stage) start(t *testing.T, bin string, memoryMiB int) {
 	var ports devfleet.Ports
 	t.Cleanup(ports.Close)
 	settings := gatewayd.DefaultSettings()
 	settings.Router = gatewayd.RouterSettings{Name: "small", Zone: "z"}
-	settings.Limits.MemoryMiB = 184
+	settings.Limits.MemoryMiB = memoryMiB
 	settings.Store.Addr = s.store.Addr()
 	for _, addr := range []*string{&settings.Listen.Callers, &settings.Listen.Readiness, &settings.Listen.Peers, &settings.Listen.Entries} {
 		var err error
