Handover: bound the bytes that are held for slow receivers together

A router that hands connections over holds up to 64 KiB in each direction of each for a receiver that is slow. Once all hold 4 MiB, a read is as large as 4 KiB, so that at most 4 MiB and 8 KiB a connection are held; nothing is refused or cut. What is left of a buffer is copied, as its whole would stay in memory otherwise.

Evidence: TestBytesForSlowReceiversAreBoundedTogether (160 connections, one direction) finds 10,485,760 bytes held on the code before, where 5,570,560 are allowed.

--- a/pkg/handover/pair.go
+++ b/pkg/handover/pair.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"bytes"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,6 +34,9 @@
 	callerClosed, peerClosed bool
 }
 
+// held returns how many bytes the pair holds for receivers that are slow.
+func (p *pair) held() int { return len(p.pendingUp) + len(p.pendingDown) }
+
 // noteHangup records a hangup that an event reports.
 func (p *pair) noteHangup(e unix.EpollEvent) {
 	if e.Events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) == 0 {
@@ -74,9 +78,10 @@
 			if !ok {
 				return nil, moved, broken
 			}
-			if rest = rest[n:]; len(rest) > 0 {
-				return rest, moved, flowing
+			if n < len(rest) {
+				return unwritten(rest, n), moved, flowing
 			}
+			rest = nil
 		}
 		n, err := nowait.Read(from, buf)
 		switch {
@@ -102,6 +107,14 @@
 	return nil, moved, interrupted
 }
 
+// unwritten returns data without the n bytes that were written, whose memory it frees.
+func unwritten(data []byte, n int) []byte {
+	if n == 0 {
+		return data
+	}
+	return bytes.Clone(data[n:])
+}
+
 // write writes as much of data as the socket accepts without blocking; ok is false when the
 // connection failed.
 func write(to int, data []byte) (n int, ok bool) {
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -23,8 +23,11 @@
 	maxPollInterval = 100 * time.Millisecond
 	// maxEvents is the number of events returned by one system call.
 	maxEvents = 256
-	// bufferSize is the size of one read; more than most requests have.
+	// bufferSize is the size of one read; more than most requests have. What the receiver doesn't accept of it is
+	// held in memory: while all connections hold more than maxHeld, a read is as large as smallRead.
 	bufferSize = 64 << 10
+	maxHeld    = 4 << 20
+	smallRead  = 4 << 10
 	// connectTimeout is how long a router may take to accept a connection, maxAttempts the number
 	// of routers that are tried for one caller.
 	connectTimeout = 300 * time.Millisecond
@@ -55,6 +58,8 @@
 	pairs map[int32]*pair
 	// unfinished holds the pairs whose transfer goes on in the next poll without an event.
 	unfinished []*pair
+	// held is the number of bytes that all pairs hold for receivers that are slow.
+	held int
 	// targetStates is keyed by the router's address.
 	targetStates map[string]*targetState
 	// minConfig is the newest configuration version of any router that connections were relayed to.
@@ -119,6 +124,8 @@
 
 // forget removes p and closes its connection to a router.
 func (r *Relay) forget(p *pair) {
+	r.held -= p.held()
+	p.pendingUp, p.pendingDown = nil, nil
 	delete(r.pairs, int32(p.caller))
 	r.closePeer(p)
 }
--- a/pkg/handover/transfer.go
+++ b/pkg/handover/transfer.go
@@ -11,13 +11,17 @@
 	p.requestSent = true
 	var state transferState
 	var sent, moved int
-	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.buf, p.callerClosed)
+	held := p.held()
+	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.readBuffer(), p.callerClosed)
+	r.held += p.held() - held
 	if state == closed || state == broken {
 		r.finish(p, state) // the caller has disconnected, or the router failed
 		return
 	}
 	more := state == interrupted
-	p.pendingDown, moved, state = copyAvailable(p.peer, p.caller, p.pendingDown, r.buf, p.peerClosed)
+	held = p.held()
+	p.pendingDown, moved, state = copyAvailable(p.peer, p.caller, p.pendingDown, r.readBuffer(), p.peerClosed)
+	r.held += p.held() - held
 	if (more || state == interrupted) && !p.unfinished {
 		p.unfinished = true
 		r.unfinished = append(r.unfinished, p)
@@ -36,6 +40,14 @@
 	}
 }
 
+// readBuffer returns the buffer for a transfer's reads.
+func (r *Relay) readBuffer() []byte {
+	if r.held > maxHeld {
+		return r.buf[:smallRead]
+	}
+	return r.buf
+}
+
 // resume goes on with the transfers that were interrupted.
 func (r *Relay) resume(pairs []*pair) {
 	for _, p := range pairs {
