A router that leaves passes nothing on once it closes connections, and writes its last responses first

Two windows at each planned stop: a request that began between the last look at running requests and the closing of the connections was passed on and cut; and a handler that had returned counted as done before the server had written the end of its response. Both last microseconds on a calm host and as long as the process gets no processor on a busy one.

New requests are refused before the connections are closed, those that began are waited for, and the servers for callers are shut down, which waits for connections with an unfinished response (0.2 s at most, within the grace), before they are closed.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -52,7 +52,7 @@
 	// disconnects cancels the requests of callers that close their connections.
 	disconnects *disconnectWatcher
 
-	// state is serving, draining or terminating.
+	// state is serving, draining, terminating or closing.
 	state atomic.Int32
 	// drainDeadline is when a draining process ends; nil until draining starts. It is compared by
 	// the monotonic clock, as the wall clock may jump while the process drains.
@@ -72,6 +72,8 @@
 	draining
 	// terminating: requests that may not finish before the drain deadline are refused.
 	terminating
+	// closing: all new requests are refused.
+	closing
 )
 
 // Dependencies are the components of a Gateway.
@@ -142,6 +144,9 @@
 // Drain has set.
 func (g *Gateway) RefuseLateRequests() { g.state.Store(terminating) }
 
+// RefuseRequests makes the gateway refuse all requests that no upstream has got yet.
+func (g *Gateway) RefuseRequests() { g.state.Store(closing) }
+
 // EndRequests gives up the requests that still run, because the process is about to end. Those whose
 // response has not begun are answered, the others are broken off.
 //
@@ -163,8 +168,11 @@
 // accepted then and aborted at shutdown is lost, though it could have run elsewhere. The body of a
 // request may arrive long after its header, so the time at which it is sent counts.
 func (g *Gateway) tooLateFor(r *request, now time.Time) bool {
-	if g.state.Load() != terminating {
+	switch g.state.Load() {
+	case serving, draining:
 		return false
+	case closing:
+		return true
 	}
 	duration := usualMaxCallTime
 	if p := r.meta.Prompt; p != nil {
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -118,3 +118,17 @@
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Zero(t, env.upstreamRequests())
 }
+
+// Guards against a request that arrives just as a draining router has none left: it was sent to an
+// upstream, and its connection was closed.
+func TestNothingIsSentWhileConnectionsAreClosed(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreams(respondWith("hello"))
+	env.gateway.Drain(time.Now().Add(time.Minute))
+	env.gateway.RefuseLateRequests()
+	env.gateway.RefuseRequests()
+	status, _, header := env.get("/safe/")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Zero(t, env.upstreamRequests())
+}
--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -1,6 +1,8 @@
 package gatewayd
 
 import (
+	"context"
+	"sync"
 	"time"
 )
 
@@ -14,8 +16,10 @@
 	exitMargin = 0.04
 	// drainPollInterval is the time between two checks for requests that still run.
 	drainPollInterval = 50 * time.Millisecond
-	// cutPollInterval is the time between two checks for requests that were given up and have not ended.
-	cutPollInterval = 2 * time.Millisecond
+	// endPollInterval is the time between two checks for requests that are about to end.
+	endPollInterval = 2 * time.Millisecond
+	// flushTimeout bounds the writing of the last responses where it isn't bounded by the grace period.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // drain shuts the process down gracefully: it becomes unready, still serves new requests but
@@ -34,24 +38,57 @@
 	for p.gateway.Active()+p.openHandovers() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
+	p.endRequests(deadline, seconds(exitMargin*grace))
+	p.log.WithFields(p.gateway.DrainSummary()).Info("ends of the requests that were read whole, since draining began")
+}
+
+// endRequests closes the connections once no request runs any more. Those that still run at deadline are
+// given up; margin is the time from then until the process is killed.
+//
+// Guard: a request that arrives as the last one ends must not be passed on and then be cut with its
+// connection, so nothing is passed on before the connections are closed.
+func (p *Process) endRequests(deadline time.Time, margin time.Duration) {
+	p.gateway.RefuseRequests()
+	p.awaitIdle(deadline)
 	p.gateway.EndRequests()
-	p.awaitIdle(deadline.Add(seconds(exitMargin / 2 * grace)))
+	p.awaitIdle(deadline.Add(margin / 2))
 	p.log.WithField("event", "left").WithField("active", p.gateway.Active()).Info("router closes its connections")
-	p.gateway.Stop()
-	for _, f := range p.endpoints {
-		f.server.Close()
+	flushed := deadline.Add(margin * 3 / 4)
+	if soon := time.Now().Add(flushTimeout); soon.Before(flushed) {
+		flushed = soon
 	}
+	closeEndpoints(p.endpoints, flushed, p.gateway.Stop)
 	if p.handover != nil {
 		p.handover.Close()
 	}
-	p.awaitIdle(deadline.Add(seconds(exitMargin * 3 / 4 * grace)))
-	p.log.WithFields(p.gateway.DrainSummary()).Info("ends of the requests that were read whole, since draining began")
+	p.awaitIdle(deadline.Add(margin * 3 / 4))
 }
 
-// awaitIdle waits, until the given time at most, for the requests that were given up to end.
+// awaitIdle waits, until the given time at most, for the requests that run to end.
 func (p *Process) awaitIdle(until time.Time) {
 	for p.gateway.Active() > 0 && time.Now().Before(until) {
-		time.Sleep(cutPollInterval)
+		time.Sleep(endPollInterval)
+	}
+}
+
+// closeEndpoints closes all endpoints. Those for callers may write until flushed what they have to; stop is
+// called before connections are cut.
+//
+// Guard: a handler returns before the server has written the end of its response. If the connection were
+// closed in between, the caller would get no response, or a part of it.
+func closeEndpoints(list []*endpoint, flushed time.Time, stop func()) {
+	ctx, cancel := context.WithDeadline(context.Background(), flushed)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, e := range list {
+		if e.forCallers {
+			all.Go(func() { _ = e.server.Shutdown(ctx) }) // what remains is closed below
+		}
+	}
+	all.Wait()
+	stop()
+	for _, e := range list {
+		e.server.Close()
 	}
 }
 
--- a/pkg/gatewayd/endpoint.go
+++ b/pkg/gatewayd/endpoint.go
@@ -27,6 +27,8 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	// forCallers is whether its requests are those of callers.
+	forCallers bool
 }
 
 func listenEndpoint(name, addr string, h http.Handler) (*endpoint, error) {
--- a/pkg/gatewayd/handover.go
+++ b/pkg/gatewayd/handover.go
@@ -42,6 +42,7 @@
 	endpoint := newEndpoint(handoverEndpoint, inbound, p.gateway)
 	endpoint.server.ConnState = p.conns.observe
 	endpoint.server.ConnContext = gateway.WithHandover
+	endpoint.forCallers = true
 	p.endpoints = append(p.endpoints, endpoint)
 	cache := &targetCache{find: p.handoverTargets}
 	p.handover, err = handover.NewRelay(s.Limits.Cores, cache.get, l.Refuse)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -232,7 +232,7 @@
 	l.SetObjective(p.shortestObjective)
 	callers := newEndpoint(callersEndpoint, l, p.gateway)
 	callers.server.ConnState = p.conns.observe
-	callers.server.ConnContext = gateway.WithConn
+	callers.server.ConnContext, callers.forCallers = gateway.WithConn, true
 	p.endpoints = append(p.endpoints, callers)
 	if err := p.bindHandover(l); err != nil {
 		return errors.Trace(err)
