Fleet: a new router reckons with one that fell silent before it started

What callers saw: streams could begin at a new version at a router that had just started, while one that was cut off or stood still took the old version for the sole one and went on there (ORDER).

Cause: a version may begin streams early once all other routers have it on their lists. A router that has just started knows the others from lists of those that are alive. One that fell silent 1.2 s or more ago is on none of them, and from 32 routers on it isn't in the store either; it may claim the old version for 2.5 s.

Evidence: TestANewRouterReckonsWithOneThatFellSilentBefore fails on the code before with 5, 16, 48 and 91 routers (complete, all with the list) where the silence was 2 s; for 1 s it passes, as the silent one is still listed.

Reports say whether their sender remembers a router that is silent. In its first minute, as long as others remember, a router takes their word for it. TestANewRouterSeesAWholeFleet keeps versions from waiting for one that isn't there. Builds before send no word and are taken to miss nobody, as until now.

--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -87,6 +87,7 @@
 	r.SuspectsAfter, r.AckSuspect = p.ackedSuspect, p.receivedSuspect
 	r.AckSeq, r.AckLife, r.AckScope = p.receivedSeq, p.member.Started, p.receivedScope
 	r.AckDigest = p.digest
+	r.MissesRouters = !f.allAlive(now)
 	if scope != ScopeOwn {
 		f.addTotals(r, p, scope, now)
 		return
@@ -196,7 +197,7 @@
 		f.hubReport, f.hubReportAt = &stored, now
 		// Its loads do not describe the hub's own work.
 		p.report = &Report{From: r.From, Scope: ScopeAll, Config: r.Config, ConfigDigest: r.ConfigDigest, Instances: r.Instances, ListAgeMs: r.ListAgeMs,
-			RecordsStreams: r.RecordsStreams, AllRecord: r.AllRecord, ListFloor: r.ListFloor}
+			RecordsStreams: r.RecordsStreams, AllRecord: r.AllRecord, ListFloor: r.ListFloor, MissesRouters: r.MissesRouters}
 		return
 	}
 	p.report = &stored
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -93,6 +93,8 @@
 	Streams    []affinity.Record `cbor:"39,keyasint,omitempty"`
 	LastStream uint64            `cbor:"40,keyasint,omitempty"`
 	AckStream  uint64            `cbor:"41,keyasint,omitempty"`
+	// MissesRouters says that the sender remembers a router that is silent.
+	MissesRouters bool `cbor:"46,keyasint,omitempty"`
 	// Leaving are upstreams that announced that they leave, as far as the list doesn't say so yet.
 	Leaving []LeavingUpstream `cbor:"45,keyasint,omitempty"`
 }
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -102,7 +102,9 @@
 
 func (f *Fleet) describePeers(now time.Time) affinity.PeerView {
 	if f.role.direct {
-		return f.describeDirect(now)
+		view := f.describeDirect(now)
+		view.Complete = view.Complete && !f.mayMiss(now)
+		return view
 	}
 	view := affinity.PeerView{Current: true}
 	if f.role.hub {
@@ -161,6 +163,9 @@
 			floor = 0
 		}
 	}
+	if scope == ScopeAll && f.mayMiss(now) {
+		floor = 0
+	}
 	return floor, record
 }
 
