Soak: a router out of step as a version joins

One router stands still or is cut off from the store and the others for 0.4 to 6 s while half of the upstreams are replaced by another version, whose streams break every 0.2 s; half of the tries that resume go to that router, which callers reach all the while; in half of the runs another router is killed and started as well.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -257,7 +257,7 @@
 }
 
 func (f fault) act(ctx context.Context, w *world) {
-	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings, ofEndless, ofReleases, ofNotices, ofCopies} {
+	for _, kinds := range []map[string]action{ofRouters, ofUpstreams, ofLives, ofZones, ofDepartures, ofEndings, ofEndless, ofReleases, ofNotices, ofCopies, ofOutOfStep} {
 		if a := kinds[f.kind]; a != nil {
 			a(ctx, w, f)
 			return
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -20,6 +20,9 @@
 	// Herd is the share of the routers that are killed at once, again and again, while software
 	// versions are released and rolled back; 0 for the faults of the seed.
 	Herd float64
+	// OutOfStep makes one router stand still, or cuts it off, while another version joins, in place of the faults of
+	// the seed.
+	OutOfStep bool
 	// Crashes makes callers send requests that crash upstreams.
 	Crashes bool
 }
@@ -36,7 +39,7 @@
 
 // usual is how upstreams behave without a fault.
 func (o Options) usual() platformtest.Behaviour {
-	if o.Herd == 0 {
+	if o.Herd == 0 && !o.OutOfStep {
 		return sound
 	}
 	return crashing(platformtest.Behaviour{Delay: sound.Delay, Pause: herdPause})
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -84,6 +84,9 @@
 	if o.Herd > 0 {
 		return planHerds(o)
 	}
+	if o.OutOfStep {
+		return planOutOfStep(o)
+	}
 	return slices.Concat(plan(o), planLives(o), planZones(o), planDepartures(o), planEndings(o), planEndless(o), planReleases(o), planNotices(o), planCopies(o))
 }
 
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -45,7 +45,7 @@
 	for n := 1; n <= resumes && last > 0 && last < first.Events && !whole; n++ {
 		waiting.For(ctx, time.Duration(random.Int64N(int64(resumePause))))
 		a := &attempt{organisation: first.organisation, Call: first.Call, first: first}
-		a.ID, a.Addr, a.After, a.Resumes = fmt.Sprintf("%s-%d", first.ID, n), entries[random.IntN(len(entries))], last, first.ID
+		a.ID, a.Addr, a.After, a.Resumes = fmt.Sprintf("%s-%d", first.ID, n), t.world.behindOr(entries, random), last, first.ID
 		if random.IntN(unnamedEvery) == 0 {
 			a.Resumes = ""
 		}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +36,8 @@
 	releases int
 
 	history *history
+	// behind is the router that is out of step as a version joins; nil before.
+	behind atomic.Pointer[router]
 	// crashes are the upstreams that have crashed and are coming back.
 	crashes sync.WaitGroup
 }
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -20,6 +20,9 @@
 // herd is the share of the routers that are killed at once; 0 for the faults of each seed.
 var herd float64
 
+// outOfStep makes one router be out of step as a version joins, in place of the faults of each seed.
+var outOfStep bool
+
 // crashes makes callers send requests that crash upstreams.
 var crashes bool
 
@@ -31,6 +34,7 @@
 	length := flag.Duration("for", time.Minute, "begin no run after that time")
 	routers := flag.Int("routers", 0, "routers of a run; 0 takes the usual size")
 	flag.Float64Var(&herd, "herd", 0, "kill this share of the routers at once, again and again, during releases, in place of the seed's faults")
+	flag.BoolVar(&outOfStep, "out-of-step", false, "one router stands still, or is cut off, while another version joins, in place of the seed's faults")
 	flag.BoolVar(&crashes, "crashes", false, "send requests that crash upstreams as well")
 	known := flag.String("seeds", "", "file of seeds that are played first, each line: SEED ROUTERS CAUSE")
 	flag.Parse()
@@ -79,6 +83,7 @@
 		o = o.Grown(routers)
 	}
 	o.Crashes = crashes
+	o.OutOfStep = outOfStep
 	if o.Herd = herd; herd > 0 {
 		o.Length = herdLength
 	}
