--- a/pkg/gatewayd/memoryuse_test.go
+++ b/pkg/gatewayd/memoryuse_test.go
@@ -10,13 +10,14 @@
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
+	"github.com/flamingowind/flamingowind/platform"
 )
 
 // Guards against a router without a bound on bodies, or whose gauges show those of responses for requests.
 func TestMemoryThatIsHeldIsBoundedAndReported(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	pools := forward.NewPools("X-Id")
-	p := &Process{metrics: &telemetry.Metrics{Scope: scope}, pools: pools, gateway: gateway.New(gateway.Settings{}, gateway.Dependencies{Pools: pools})}
+	p := &Process{metrics: &telemetry.Metrics{Scope: scope}, pools: pools, gateway: gateway.New(gateway.Settings{}, gateway.Dependencies{Dialect: platform.Dialect{}, Pools: pools})}
 	p.limitMemory(144 << 20)
 	body, response := p.gateway.Bodies().Lease(), pools.Buffers().Lease()
 	require.True(t, body.Hold(buffers.FreeBytes+5<<20))
