--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -22,6 +22,7 @@
 	"github.com/flamingowind/flamingowind/pkg/reload"
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 	"github.com/flamingowind/flamingowind/pkg/warmup"
+	"github.com/flamingowind/flamingowind/platform"
 )
 
 // testProcess is a process without listeners, with its settings in a file.
@@ -46,7 +47,7 @@
 	r.settings.Store(&s)
 	r.fleet = fleet.New(member(s), nil, l)
 	r.warmup = warmup.NewGate(r.roster, r.listCurrent, l)
-	r.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{Catalog: r.catalog, Pools: r.pools, Health: r.health, Log: l})
+	r.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{Dialect: platform.Dialect{}, Catalog: r.catalog, Pools: r.pools, Health: r.health, Log: l})
 	r.write(t, "127.0.0.1:1", "1")
 	var err error
 	r.watcher, err = reload.Open(r.file)
