Edge: callers that are still sending a body get their refusal

flamingowindd refuses long bodies before they are read (its account of bodies is full, too large, a wrong key) and closes the connection. net/http waits half a second for that and closes with unread bytes, which resets the connection: a caller that sends its body before it reads lost the refusal.

Evidence: TestCallersThatAreStillSendingGetTheRefusal fails on the code before in all three cases (write: connection reset by peer, after 0.5 s).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/gorilla/mux"
 
+	"github.com/flamingowind/flamingowind/internal/unread"
 	"github.com/flamingowind/flamingowind/pkg/dispatch"
 	"github.com/flamingowind/flamingowind/pkg/sched"
 )
@@ -58,4 +59,9 @@
 }
 
 // ServeHTTP answers one request.
-func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.router.ServeHTTP(w, r) }
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.router.ServeHTTP(w, r)
+	if r.ContentLength > unread.MaxServerDiscard && w.Header().Get("Connection") == "close" {
+		unread.Drain(w, r)
+	}
+}
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -48,7 +48,16 @@
 		return g.refuseBody()
 	}
 	extent, err := r.readTimed(limit)
-	r.leavesBody = err == nil && extent != buffers.Whole
+	r.leavesBody = false
+	if err == nil && extent == buffers.Whole {
+		return nil
+	}
+	return g.bodyError(r, extent, err)
+}
+
+// bodyError returns the error for a body that wasn't read to its end.
+func (g *Gateway) bodyError(r *request, extent buffers.Extent, err error) *verdict.Error {
+	r.leavesBody = err == nil
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errNotRun(http.StatusRequestTimeout, verdict.CodeBadRequest, "the body came too slowly", 0)
@@ -57,10 +66,8 @@
 		return errNotRun(http.StatusBadRequest, verdict.CodeBadRequest, "the body can't be read", 0)
 	case extent == buffers.TooLarge:
 		return errTooLarge()
-	case extent == buffers.NoRoom:
-		return g.refuseBody()
 	}
-	return nil
+	return g.refuseBody()
 }
 
 // refuseBody returns the error for a body that there is no memory for.
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/flamingowind/flamingowind/internal/unread"
 	"github.com/flamingowind/flamingowind/pkg/placement"
 	"github.com/flamingowind/flamingowind/pkg/routing"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
@@ -16,7 +17,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease(), bodyLease: g.bodies.Lease(), leavesBody: in.ContentLength > maxServerDiscard}
+	r := &request{in: in, w: w, start: time.Now(), meta: g.dialect.DecodeRequest(in.Header), lease: g.pools.Buffers().Lease(), bodyLease: g.bodies.Lease(), leavesBody: in.ContentLength > unread.MaxServerDiscard}
 	defer r.release()
 	defer g.record(r)
 	g.disconnects.poll(r.start)
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/flamingowind/flamingowind/internal/unread"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
@@ -130,6 +131,15 @@
 	w.Write([]byte(errorText(e)))
 }
 
+// refuseUnread refuses a request at once, and then reads what its caller still sends.
+func (r *request) refuseUnread(e *verdict.Error) {
+	h := r.w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Length", strconv.Itoa(len(errorText(e))))
+	writeError(r.w, e)
+	unread.Drain(r.w, r.in)
+}
+
 // errorText returns the body of the response to a refused request.
 func errorText(e *verdict.Error) string { return e.Message + "\n" }
 
