--- a/pkg/affinity/sim_exchange_test.go
+++ b/pkg/affinity/sim_exchange_test.go
@@ -23,7 +23,7 @@
 	}
 	statement, _ := r.Statement(s.now)
 	for _, to := range s.routers {
-		if to != r && s.connected(r, to) {
+		if to != r && s.reaches(r, to) {
 			s.flying = append(s.flying, message{from: r.index, to: to.index, life: to.started, sent: s.now, due: s.upTo(100 * time.Millisecond), records: records, statement: statement, rev: r.rev})
 		}
 	}
@@ -34,10 +34,10 @@
 	for _, m := range s.flying {
 		to := s.routers[m.to]
 		switch {
-		case m.due.After(s.now):
+		case m.due.After(s.now), to.up && !to.runs():
 			left = append(left, m)
 		case to.up && to.started.Equal(m.life):
-			to.heard[m.from] = heardReport{at: s.now, rev: m.rev}
+			to.heard[m.from] = heardReport{at: s.now, madeAt: m.sent, rev: m.rev}
 			to.Merge(m.records, s.now)
 			to.MergeStatement(m.statement, m.sent, s.now)
 		}
--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -20,13 +20,15 @@
 	rev      int64
 	listedAt time.Time
 	nextList time.Time
-	heard    [simRouters]heardReport
+	heard    []heardReport
+	// stillUntil is until when the process stands still.
+	stillUntil time.Time
 }
 
-// heardReport is the newest report of another router.
+// heardReport is the newest report of another router, made at madeAt.
 type heardReport struct {
-	at  time.Time
-	rev int64
+	at, madeAt time.Time
+	rev        int64
 }
 
 func (r *simRouter) ListRevision() int64                 { return r.rev }
@@ -45,8 +47,8 @@
 		} else {
 			view.Floor, view.Newest = min(view.Floor, h.rev), max(view.Newest, h.rev)
 		}
-		if h.at.Before(view.HeardAt) {
-			view.HeardAt = h.at
+		if h.madeAt.Before(view.HeardAt) {
+			view.HeardAt = h.madeAt
 		}
 	}
 	return view
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -16,7 +16,10 @@
 )
 
 // simSeeds is the number of seeds that are played; more are played by hand.
-var simSeeds = flag.Int("simseeds", 8, "number of simulated days")
+var (
+	simSeeds   = flag.Int("simseeds", 8, "number of simulated days")
+	simRouters = flag.Int("simrouters", 6, "number of routers of a simulated fleet")
+)
 
 // Times of the simulated fleet, as the product has them.
 const (
@@ -29,7 +32,6 @@
 	simCut      = 25 * time.Second
 	// simDrain is how long engines that were replaced stay on the list and serve.
 	simDrain     = 2500 * time.Millisecond
-	simRouters   = 6
 	simMaxResume = 12 * time.Second
 )
 
@@ -45,7 +47,7 @@
 type sim struct {
 	random  *rand.Rand
 	now     time.Time
-	routers [simRouters]*simRouter
+	routers []*simRouter
 	flying  []message
 	// versions are the engines' versions at revision rev of the store.
 	versions  []string
@@ -70,8 +72,8 @@
 	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), rev: 1, versions: []string{"v0", "v0", "v0", "v0"}}
 	s.single, s.silent, s.releaseAt = seed%2 == 0, seed%4 == 0, s.upTo(simLength)
 	s.rollbackAt = s.releaseAt.Add(time.Duration(s.random.Int64N(int64(simRelease))))
-	for i := range s.routers {
-		s.routers[i] = &simRouter{sim: s, index: i}
+	for i := range *simRouters {
+		s.routers = append(s.routers, &simRouter{sim: s, index: i})
 		s.start(s.routers[i])
 	}
 	s.routers[0].MarkFounded()
@@ -79,7 +81,7 @@
 }
 
 func (s *sim) start(r *simRouter) {
-	*r = simRouter{sim: s, index: r.index, started: s.now, up: true}
+	*r = simRouter{sim: s, index: r.index, started: s.now, up: true, heard: make([]heardReport, *simRouters)}
 	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
 }
 
@@ -101,7 +103,7 @@
 }
 
 func (s *sim) connected(a, b *simRouter) bool {
-	return a.up && b.up && !s.now.Before(a.cutUntil) && !s.now.Before(b.cutUntil)
+	return a.runs() && b.runs() && !s.now.Before(a.cutUntil) && !s.now.Before(b.cutUntil)
 }
 
 func (s *sim) chance(perSecond float64) bool { return s.random.Float64() < perSecond*simStep.Seconds() }
@@ -114,14 +116,20 @@
 	s.now = s.now.Add(simStep)
 	s.disturb()
 	for _, r := range s.routers {
-		if r.up {
+		if r.runs() {
 			s.readList(r)
 			s.report(r)
 		}
 	}
+	if s.random.IntN(2) == 0 { // what waited for a router that stood still comes in any order
+		s.deliver()
+		s.begin()
+		s.resume()
+		return
+	}
+	s.resume()
 	s.deliver()
 	s.begin()
-	s.resume()
 }
 
 // disturb changes the engines' versions and harms routers and store.
@@ -141,9 +149,9 @@
 		s.storeDown = s.upTo(12 * time.Second)
 	}
 	if s.chance(0.15) {
-		share := []int{1, simRouters / 2, simRouters}[s.random.IntN(3)]
+		share := []int{1, len(s.routers) / 2, len(s.routers)}[s.random.IntN(3)]
 		for n := range share {
-			s.routers[(s.next+n)%simRouters].up = false
+			s.routers[(s.next+n)%len(s.routers)].up = false
 		}
 	}
 	for _, r := range s.routers {
@@ -154,8 +162,11 @@
 			r.cutUntil = s.upTo(simCut)
 		case s.chance(0.03):
 			r.blindUntil = s.upTo(10 * time.Second)
+		case s.chance(0.02):
+			r.stillUntil = s.upTo(simStill)
 		}
 	}
+	s.flash()
 }
 
 // released is the version that is released: on every other day one release and a rollback, with long
@@ -178,7 +189,7 @@
 	}
 	r.nextList = s.upTo(1500 * time.Millisecond)
 	if s.random.IntN(2) == 0 {
-		if p := s.routers[s.random.IntN(simRouters)]; p != r && s.connected(r, p) && p.rev >= r.rev && p.listedAt.After(r.listedAt) {
+		if p := s.routers[s.random.IntN(len(s.routers))]; p != r && s.connected(r, p) && p.rev >= r.rev && p.listedAt.After(r.listedAt) {
 			s.setList(r, p.set, p.rev, p.listedAt)
 		}
 		return
@@ -219,7 +230,7 @@
 // begin lets callers begin streams at engines that their router lists and takes for open.
 func (s *sim) begin() {
 	for _, r := range s.routers {
-		if !r.up || len(r.set) == 0 {
+		if !r.runs() || len(r.set) == 0 {
 			continue
 		}
 		in := &upstream.Instance{Service: "s", Software: r.set[s.random.IntN(len(r.set))]}
@@ -237,9 +248,9 @@
 func (s *sim) resume() {
 	var left []simStream
 	for _, one := range s.streams {
-		r := s.routers[s.random.IntN(simRouters)]
+		r := s.routers[s.random.IntN(len(s.routers))]
 		switch {
-		case one.due.After(s.now):
+		case one.due.After(s.now), r.up && !r.runs():
 			left = append(left, one)
 		case r.up && s.goOn(r, one) && one.tries < 2:
 			one.tries++
