Gateway: a body that exceeds one router's memory is refused with 503, not 413

What callers saw: a request with a body within the configured maximum got 413, after which no caller tries again, from a router whose account for bodies (3/16 of its memory, 8 MiB at least) is smaller than that maximum. Another router of the fleet may have room for it. Callers of the same body in chunks got 503.

Cause: the limit of a body was the smaller of the configured maximum and the account. The configured maximum is the limit now, and the account refuses what it can't hold, unread, as it does while others hold it.

Evidence: TestBodiesThatExceedThisRoutersMemoryMayBeSentToAnother failed before with 413 (length).

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -38,7 +38,6 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	limit = min(limit, g.bodies.Limit()+buffers.FreeBytes) // a larger one never fits
 	switch {
 	case length > limit:
 		r.leavesBody = true
