Gateway: a refused body gives its memory back before the rest of it is read

What callers saw: bodies refused with 503 for want of memory while nothing that is passed on holds it. A body in chunks that is too large, or finds no more room, is refused and its rest read for up to 5 s; what had been read of it stayed in the account of all bodies until then. A caller that goes on sending slowly thus holds up to the configured maximum.

Cause: the lease was released when the handler returned. A refusal of an unread body now gives it back first: such a request hasn't been passed on, so nobody reads its body.

Evidence: TestRefusedBodiesGiveTheirMemoryBackAtOnce failed before: 4,177,921 bytes were held after the refusal.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -113,11 +113,11 @@
 	return dst, errors.Trace(err)
 }
 
-// releaseBody returns the body's buffer to the pool.
+// releaseBody gives the body's memory back.
 func (r *request) releaseBody() {
-	if r.bodyBuffer == nil {
-		return
+	if r.bodyBuffer != nil {
+		bodyBuffers.Put(r.bodyBuffer)
 	}
-	bodyBuffers.Put(r.bodyBuffer)
 	r.bodyBuffer, r.body = nil, nil
+	r.bodyLease.Release()
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -101,6 +101,5 @@
 		r.canceler.cancel()
 	}
 	r.releaseBody()
-	r.bodyLease.Release()
 	r.lease.Release()
 }
--- a/pkg/gateway/unreadbody.go
+++ b/pkg/gateway/unreadbody.go
@@ -23,6 +23,7 @@
 //
 // Guard: closing a connection with unread bytes resets it, and the caller would lose the refusal.
 func (r *request) refuseUnread(e *verdict.Error) {
+	r.releaseBody()
 	h := r.w.Header()
 	h.Set("Connection", "close")
 	h.Set("Content-Length", strconv.Itoa(len(errorText(e))))
