--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -38,7 +38,6 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	limit = min(limit, g.bodies.Limit()+buffers.FreeBytes) // a larger one never fits
 	switch {
 	case length > limit:
 		r.leavesBody = true
@@ -121,11 +120,11 @@
 	return dst, errors.Trace(err)
 }
 
-// releaseBody returns the body's buffer to the pool.
+// releaseBody gives the body's memory back.
 func (r *request) releaseBody() {
-	if r.bodyBuffer == nil {
-		return
+	if r.bodyBuffer != nil {
+		bodyBuffers.Put(r.bodyBuffer)
 	}
-	bodyBuffers.Put(r.bodyBuffer)
 	r.bodyBuffer, r.body = nil, nil
+	r.bodyLease.Release()
 }
