Affinity: the store's register of software versions, for fleets whose routers all start anew

Callers saw: after all routers were killed at once, every stream that was taken up again was refused (503, the software version is not known), though its service had had one version for hours, while new ones began.

Cause: which versions served is kept in routers' memory alone, so after a restart of all of them nobody may claim a sole version for 35 s.

A row in the store now has the versions that served lately and when all of them were known, by the store's steady clock. A version is written there, on condition that the row is unchanged, before streams begin at it; the row is confirmed every 10 s by one router and proves a version the sole one for 30 s after that. A version that can't be written begins streams only when no row can prove anything any more (35 s after it was listed). A row of an earlier era of the store, one that can't be read, and one beside routers of a build without the register prove nothing. A version that is listed again now waits like a new one.

--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -37,10 +37,13 @@
 	currentAt time.Time
 	// closed is the number of listed versions that aren't open.
 	closed atomic.Int32
+	// register is what is known of the register in the store; waiting is signalled when a version isn't open.
+	register registerState
+	waiting  chan struct{}
 }
 
 func newHistory(life *streamLife, l log.Interface) *history {
-	return &history{log: l, life: life, services: make(map[string]map[string]*version)}
+	return &history{log: l, life: life, services: make(map[string]map[string]*version), waiting: make(chan struct{}, 1)}
 }
 
 // setList takes over a new list of upstreams.
@@ -61,6 +64,7 @@
 			isListed := listed[v]
 			if v.listed != isListed {
 				h.logListed(service, name, isListed)
+				v.since, v.revision = now, 0 // one that is listed again waits like a new one
 			}
 			if v.listed || isListed {
 				v.lastListed = now
@@ -106,13 +110,19 @@
 			}
 		}
 		for _, v := range versions {
-			v.open = v.listed && (v.open || served == 1)
+			v.open = v.listed && (v.open || served == 1 && h.mayOpen(v, now))
 			if v.listed && !v.open {
 				closed++
 			}
 		}
 	}
 	h.closed.Store(closed)
+	if closed > 0 {
+		select {
+		case h.waiting <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // openKnown opens the versions that all other routers know, or that have been listed for openAfter.
@@ -132,7 +142,7 @@
 				v.revision = rev
 			}
 			known := peers.Complete && peers.Floor >= v.revision
-			if known || now.Sub(v.since) >= openAfter {
+			if (known || now.Sub(v.since) >= openAfter) && h.mayOpen(v, now) {
 				v.open = true
 				h.log.WithFields(log.Fields{"event": "software_opened", "service": service, "software": name, "known_to_all": known, "after_ms": now.Sub(v.since).Milliseconds()}).Info("streams may begin at a software version")
 			}
--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -20,7 +20,9 @@
 	rev      int64
 	listedAt time.Time
 	nextList time.Time
-	heard    [simRouters]heardReport
+	// nextRegister is when it next looks after the register.
+	nextRegister time.Time
+	heard        [simRouters]heardReport
 }
 
 // heardReport is the newest report of another router.
@@ -35,7 +37,7 @@
 func (r *simRouter) LongestStream() time.Duration { return simMaxResume }
 
 func (r *simRouter) Peers(now time.Time) PeerView {
-	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
+	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, Register: true, HeardAt: now}
 	for i, h := range r.heard {
 		if i == r.index || h.at.IsZero() && now.Sub(r.started) > simForget || !h.at.IsZero() && now.Sub(h.at) > simForget {
 			continue
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -51,6 +51,7 @@
 	versions  []string
 	rev       int64
 	storeDown time.Time
+	store     simStore
 	// leaving are engines that were replaced and are still listed.
 	leaving []leavingEngine
 	streams []simStream
@@ -74,6 +75,7 @@
 		s.routers[i] = &simRouter{sim: s, index: i}
 		s.start(s.routers[i])
 	}
+	s.store.era = 1
 	s.routers[0].MarkFounded()
 	return s
 }
@@ -81,6 +83,7 @@
 func (s *sim) start(r *simRouter) {
 	*r = simRouter{sim: s, index: r.index, started: s.now, up: true}
 	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
+	r.RequireRegister()
 }
 
 // ask asks all other routers that can be reached.
@@ -113,9 +116,11 @@
 func (s *sim) step() {
 	s.now = s.now.Add(simStep)
 	s.disturb()
+	s.disturbStore()
 	for _, r := range s.routers {
 		if r.up {
 			s.readList(r)
+			s.register(r)
 			s.report(r)
 		}
 	}
--- a/pkg/affinity/version.go
+++ b/pkg/affinity/version.go
@@ -13,4 +13,6 @@
 	lastListed time.Time
 	// open says that streams may begin there.
 	open bool
+	// heldUntil is until when the register in the store has it for certain.
+	heldUntil time.Time
 }
--- a/pkg/affinity/view.go
+++ b/pkg/affinity/view.go
@@ -26,4 +26,6 @@
 	HeardAt time.Time
 	// Current says that none of them runs a build that doesn't record streams.
 	Current bool
+	// Register says that none of them runs a build that doesn't register software versions before it uses them.
+	Register bool
 }
--- a/pkg/affinity/watch.go
+++ b/pkg/affinity/watch.go
@@ -16,6 +16,7 @@
 	}
 	if gap := at.Sub(h.currentAt); !h.currentAt.IsZero() && gap >= openAfter {
 		h.watchedSince, h.sinceFounding = at, false
+		h.register.unread = true
 		h.log.WithFields(log.Fields{"event": "software_unwatched", "for_ms": gap.Milliseconds()}).Warn("software versions may have served unseen")
 	}
 	h.currentAt = at
--- a/pkg/fleet/exchange.go
+++ b/pkg/fleet/exchange.go
@@ -46,7 +46,7 @@
 
 // describeSelf builds a report of this router's own work.
 func (f *Fleet) describeSelf(withOthers bool) (Report, time.Time) {
-	r := Report{From: f.self, Clock: f.uptimeMs(time.Now()), RecordsStreams: true}
+	r := Report{From: f.self, Clock: f.uptimeMs(time.Now()), RecordsStreams: true, RegistersVersions: true}
 	f.local.Describe(&r)
 	if withOthers {
 		r.AskOthers = true
@@ -115,7 +115,7 @@
 	if members.digest != p.ackedDigest {
 		r.Members = members.list
 	}
-	r.ListFloor, r.AllRecord = min(members.floor, r.Instances), members.record
+	r.ListFloor, r.AllRecord, r.AllRegister = min(members.floor.revision, r.Instances), members.floor.record, members.floor.register
 }
 
 // handleReport processes a report that was created at createdAt or later.
@@ -192,7 +192,7 @@
 		f.hubReport, f.hubReportAt = &stored, now
 		// Its loads do not describe the hub's own work.
 		p.report = &Report{From: r.From, Scope: ScopeAll, Config: r.Config, ConfigDigest: r.ConfigDigest, Instances: r.Instances, ListAgeMs: r.ListAgeMs,
-			RecordsStreams: r.RecordsStreams, AllRecord: r.AllRecord, ListFloor: r.ListFloor}
+			RecordsStreams: r.RecordsStreams, AllRecord: r.AllRecord, RegistersVersions: r.RegistersVersions, AllRegister: r.AllRegister, ListFloor: r.ListFloor}
 		return
 	}
 	p.report = &stored
--- a/pkg/fleet/report.go
+++ b/pkg/fleet/report.go
@@ -82,6 +82,10 @@
 	// AllRecord says so of all routers in the scope.
 	RecordsStreams bool `cbor:"35,keyasint,omitempty"`
 	AllRecord      bool `cbor:"36,keyasint,omitempty"`
+	// RegistersVersions says that the sender's build begins no stream at a software version before the store's
+	// register has it; AllRegister says so of all routers in the scope.
+	RegistersVersions bool `cbor:"46,keyasint,omitempty"`
+	AllRegister       bool `cbor:"47,keyasint,omitempty"`
 	// ListFloor is the lowest revision of the lists of upstreams of the routers in the scope; 0 while
 	// some are not known.
 	ListFloor int64 `cbor:"37,keyasint,omitempty"`
--- a/pkg/fleet/streams.go
+++ b/pkg/fleet/streams.go
@@ -106,9 +106,10 @@
 	}
 	view := affinity.PeerView{Current: true}
 	if f.role.hub {
-		view.Floor, view.Current = f.listFloor(ScopeAll, now)
+		floor := f.listFloor(ScopeAll, now)
+		view.Floor, view.Current, view.Register = floor.revision, floor.record, floor.register
 	} else if p := f.peers[f.role.ownHub]; p != nil && p.report != nil && p.reportedRecently(now) {
-		view.Floor, view.Current = p.report.ListFloor, p.report.AllRecord
+		view.Floor, view.Current, view.Register = p.report.ListFloor, p.report.AllRecord, p.report.AllRegister
 	}
 	view.Complete = view.Floor > 0 && f.allAlive(now)
 	return view
@@ -127,7 +128,7 @@
 
 // describeDirect describes the other routers of a small fleet, each by its own reports.
 func (f *Fleet) describeDirect(now time.Time) affinity.PeerView {
-	view := affinity.PeerView{Floor: math.MaxInt64, Complete: true, Current: true, HeardAt: now}
+	view := affinity.PeerView{Floor: math.MaxInt64, Complete: true, Current: true, Register: true, HeardAt: now}
 	for _, p := range f.peers {
 		if p.report == nil || !p.reportedRecently(now) {
 			view.Complete = false
@@ -135,6 +136,7 @@
 		}
 		view.Floor, view.Newest = min(view.Floor, p.report.Instances), max(view.Newest, p.report.Instances)
 		view.Current = view.Current && p.report.RecordsStreams
+		view.Register = view.Register && p.report.RegistersVersions
 		if p.reportMadeAt.Before(view.HeardAt) {
 			view.HeardAt = p.reportMadeAt
 		}
@@ -142,10 +144,22 @@
 	return view
 }
 
-// listFloor returns the lowest revision of the lists of upstreams of the routers in a scope but this one,
-// 0 while some are not known, and whether all of them record streams.
-func (f *Fleet) listFloor(scope Scope, now time.Time) (floor int64, record bool) {
-	floor, record = math.MaxInt64, true
+// listFloor describes the routers in a scope but this one.
+type listFloor struct {
+	// revision is the lowest revision of their lists of upstreams; 0 while some are not known.
+	revision int64
+	// record says that all of them record streams, register that all register software versions.
+	record, register bool
+}
+
+// add takes one more report into account: r of a router, or of a hub about its group.
+func (l *listFloor) add(r *Report) {
+	l.revision = min(l.revision, r.Instances)
+	l.record, l.register = l.record && r.RecordsStreams, l.register && r.RegistersVersions
+}
+
+func (f *Fleet) listFloor(scope Scope, now time.Time) listFloor {
+	floor := listFloor{math.MaxInt64, true, true}
 	var covered map[string]bool
 	if scope == ScopeAll {
 		covered = f.coveredByHubs(now)
@@ -153,15 +167,17 @@
 	for addr, p := range f.peers {
 		switch {
 		case p.report != nil && p.inGroup(now):
-			floor, record = min(floor, p.report.Instances), record && p.report.RecordsStreams
+			floor.add(p.report)
 		case scope == ScopeGroup:
 		case f.role.isHub(addr) && p.describesGroup(now):
-			floor, record = min(floor, p.report.Instances, p.report.ListFloor), record && p.report.AllRecord && p.report.RecordsStreams
+			floor.add(p.report)
+			floor.revision = min(floor.revision, p.report.ListFloor)
+			floor.record, floor.register = floor.record && p.report.AllRecord, floor.register && p.report.AllRegister
 		case !covered[addr]:
-			floor = 0
+			floor.revision = 0
 		}
 	}
-	return floor, record
+	return floor
 }
 
 // coveredByHubs returns the routers that the newest reports of other hubs cover.
--- a/pkg/fleet/totals.go
+++ b/pkg/fleet/totals.go
@@ -175,14 +175,12 @@
 	return total
 }
 
-// memberList is a list of routers with its digest, as of one moment. floor is the lowest revision of
-// their lists of upstreams, 0 while some are not known; record says that all of them record streams.
+// memberList is a list of routers with its digest and a description of them, as of one moment.
 type memberList struct {
 	at     time.Time
 	list   []MemberState
 	digest uint64
-	floor  int64
-	record bool
+	floor  listFloor
 }
 
 // membersOf returns the routers of a scope, which must not be changed. The list and its floor are of the
@@ -200,6 +198,6 @@
 		}
 	}
 	*cached = memberList{at: now, list: list, digest: digest(list)}
-	cached.floor, cached.record = f.listFloor(scope, now)
+	cached.floor = f.listFloor(scope, now)
 	return cached
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -125,7 +125,9 @@
 }
 
 // Ready reports whether callers should be sent to this router.
-func (g *Gateway) Ready() bool { return g.state.Load() == serving && g.catalog.Complete() }
+func (g *Gateway) Ready() bool {
+	return g.state.Load() == serving && g.catalog.Complete() && g.streams.Settled()
+}
 
 // Drain starts draining: the gateway is no longer ready, but still serves requests. The process
 // ends at end.
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -29,33 +29,6 @@
 	"github.com/flamingowind/flamingowind/pkg/warmup"
 )
 
-// Faces holds constructors of the handlers whose format depends on the deployment.
-type Faces struct {
-	Entries   func(current func(zone string) []string, keepSeconds func() float64) http.Handler
-	Readiness func(ready func() bool) http.Handler
-}
-
-// Deployment holds what a deployment's adapter provides.
-type Deployment struct {
-	Store    catalog.Store
-	Registry fleet.Registry
-	Dialect  gateway.Dialect
-	Faces    Faces
-	// Readdress changes the address of the operators' store that Store and Registry use.
-	Readdress func(addr string)
-	// Refusals keeps refusals over a restart of all routers; nil for none.
-	Refusals RefusalStore
-	// RowFaults returns how often rows of the store, other than the list of upstreams, became
-	// unusable; nil for none.
-	RowFaults func() int64
-	// StoreCalls returns the number of calls to the store by kind; nil for none.
-	StoreCalls func() map[string]int64
-	// StoreTraffic returns the traffic on connections to the store; nil where it isn't counted.
-	StoreTraffic func() traffic.Bytes
-	// LinesDropped returns the number of log lines dropped because of a slow reader; nil for none.
-	LinesDropped func() int64
-}
-
 // Process is a running gateway.
 type Process struct {
 	settings atomic.Pointer[Settings]
@@ -82,7 +55,9 @@
 	endpoints   []*endpoint
 	logDrops    logDrops
 	// refusals keeps refusals in the store; nil where that has no place for them.
-	refusals   *refusalKeeper
+	refusals *refusalKeeper
+	// versions keeps the software versions that served in the store; nil where that has no place for them.
+	versions   *versionKeeper
 	storeCalls storeCalls
 	// upstreamConns reports why connections to upstreams were opened and closed.
 	upstreamConns upstreamConns
@@ -153,6 +128,10 @@
 	if d.Refusals != nil {
 		p.refusals = &refusalKeeper{store: d.Refusals, book: suspects, ranking: p.fleet, log: l}
 	}
+	if d.Versions != nil {
+		p.streams.RequireRegister()
+		p.versions = &versionKeeper{store: d.Versions, tracker: p.streams, ranking: p.fleet, log: l}
+	}
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, storeDuties{ranking: p.fleet, joined: p.joiner.Settled}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{
@@ -267,6 +246,9 @@
 	if p.refusals != nil {
 		p.goBackground(func() { p.refusals.run(background, p.settings.Load().Router.FirstStart) })
 	}
+	if p.versions != nil {
+		p.goBackground(func() { p.versions.run(background) })
+	}
 	p.goBackground(func() { p.cpu.run(background, p.log) })
 	p.goBackground(func() { p.joiner.Run(background) })
 	p.goBackground(func() { p.exchange.Run(background) })
