Handover: don't abandon a router that is only waiting for slow upstreams

Callers' connections were reset although their requests ran at sound upstreams. A router that lacks the processor hands connections over to another one. If that one sent nothing back on any of them for 3 s, it counted as hung and all of them were reset. But it is also silent while all requests that it was handed wait for upstreams that are slow to answer: a long call, a body that is read slowly, the last request of a burst.

Now a router is abandoned only if, beside its silence, it isn't alive by the fleet's reports. One that hangs or is cut off counts as alive for about a second, so it is still abandoned after 3 s; a host that is lost fails its connections by TCP's own timeout of 2.5 s before that.

--- a/pkg/gatewayd/handover.go
+++ b/pkg/gatewayd/handover.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingowind/flamingowind/pkg/admission"
+	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
 	"github.com/flamingowind/flamingowind/pkg/handover"
 )
@@ -48,6 +50,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	p.handover.SetAlive(p.runsHandover)
 	inbound.SetLink(p.callerLink)
 	inbound.SetObjective(p.shortestObjective)
 	p.callerTraffic = append(p.callerTraffic, inbound.Traffic, p.handover.Traffic)
@@ -80,6 +83,12 @@
 	return otherZones
 }
 
+// runsHandover reports whether the router that accepts connections at addr is alive.
+func (p *Process) runsHandover(addr string) bool {
+	members, _ := p.fleet.RecentlyAlive()
+	return slices.ContainsFunc(members, func(e fleet.MemberState) bool { return e.Member.Handover == addr })
+}
+
 // targetCache caches the handover targets for targetsTTL.
 type targetCache struct {
 	find   func() []handover.Target
--- a/pkg/handover/relay.go
+++ b/pkg/handover/relay.go
@@ -45,6 +45,8 @@
 	// refuse takes over a connection that no router accepted; nothing of its request was read.
 	refuse func(fd int)
 	epoll  int
+	// alive reports whether the router at an address is known to run; nil where nothing tells it.
+	alive func(addr string) bool
 	// limit is the maximum number of connections.
 	limit int
 
@@ -255,10 +257,11 @@
 
 // sweep ends connections whose timeout has expired.
 func (r *Relay) sweep(now time.Time) {
+	gone := r.goneTargets(now)
 	for fd, p := range r.pairs {
 		switch {
 		case int(fd) != p.caller:
-		case p.connected && r.targetStates[p.target].unresponsive(abandonAfter, now):
+		case p.connected && gone[p.target]:
 			r.finish(p, broken)
 		case p.connected:
 		case p.peer < 0 && now.Sub(p.acceptedAt) >= requestTimeout:
--- a/pkg/handover/targetstate.go
+++ b/pkg/handover/targetstate.go
@@ -4,7 +4,7 @@
 
 const (
 	// unresponsiveAfter is how long a router may send nothing on any of its connections before it
-	// gets no new ones, abandonAfter how long before its connections are closed.
+	// gets no new ones, abandonAfter how long before its connections are closed if it isn't known to run.
 	unresponsiveAfter = 250 * time.Millisecond
 	abandonAfter      = 3 * time.Second
 )
@@ -37,3 +37,22 @@
 		s.awaitingSince = now
 	}
 }
+
+// SetAlive sets what tells whether the router at an address runs. It is called before connections are handed over.
+func (r *Relay) SetAlive(alive func(addr string) bool) { r.alive = alive }
+
+// goneTargets returns the routers whose connections are to be closed. One that is known to run may be silent for
+// longer than abandonAfter: the upstreams of all requests that it was handed may be slow to answer.
+func (r *Relay) goneTargets(now time.Time) map[string]bool {
+	var gone map[string]bool
+	for addr, s := range r.targetStates {
+		if !s.unresponsive(abandonAfter, now) || r.alive != nil && r.alive(addr) {
+			continue
+		}
+		if gone == nil {
+			gone = make(map[string]bool)
+		}
+		gone[addr] = true
+	}
+	return gone
+}
