--- a/internal/modelnet/connection.go
+++ b/internal/modelnet/connection.go
@@ -25,7 +25,7 @@
 	const most = window / segment
 	underWay := make(chan packet, most)
 	acked := make(chan time.Time, most)
-	go deliver(dst, underWay, acked, sender)
+	go deliver(dst, underWay, acked, sender, receiver)
 	defer close(underWay)
 	for sent := 0; ; sent++ {
 		if sent >= most {
@@ -46,11 +46,12 @@
 }
 
 // deliver hands over what arrives, and acknowledges it to the sender.
-func deliver(dst net.Conn, underWay <-chan packet, acked chan<- time.Time, sender *Host) {
+func deliver(dst net.Conn, underWay <-chan packet, acked chan<- time.Time, sender, receiver *Host) {
 	defer close(acked)
 	defer dst.Close()
 	for p := range underWay {
 		time.Sleep(time.Until(p.at))
+		time.Sleep(max(sender.standing(), receiver.standing()))
 		if _, err := dst.Write(p.data); err != nil {
 			for range underWay { // what is still under way is lost
 			}
--- a/internal/modelnet/host.go
+++ b/internal/modelnet/host.go
@@ -13,6 +13,8 @@
 	mu sync.Mutex
 	// queued is how long what comes waits behind others' bytes.
 	queued time.Duration
+	// still is until when nothing is sent, nor read of what has come.
+	still time.Time
 	// free is when what came so far has passed the link.
 	free time.Time
 }
@@ -27,6 +29,21 @@
 	h.queued = wait
 }
 
+// StandStill makes the host send nothing and what comes to it wait unread for so long, as at a process that doesn't
+// run: connections open, and what was sent over one that its sender has closed is still read.
+func (h *Host) StandStill(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.still = time.Now().Add(d)
+}
+
+// standing is how long what has come waits.
+func (h *Host) standing() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Until(h.still)
+}
+
 // wait is how long a small packet that comes now waits.
 func (h *Host) wait() time.Duration {
 	h.mu.Lock()
--- a/internal/soak/outofstep.go
+++ b/internal/soak/outofstep.go
@@ -16,7 +16,7 @@
 	breakEvery = 200 * time.Millisecond
 	// leastOut and mostOut bound how long the router is out of step.
 	leastOut = 400 * time.Millisecond
-	mostOut  = 6 * time.Second
+	mostOut  = 8 * time.Second
 	// joinWithin bounds how much later than that the version joins.
 	joinWithin = 1500 * time.Millisecond
 	// downFor is how long a router that is started again meanwhile is down.
