Forward: a close during a shutdown resets the connection as well

What upstreams saw: a request that was given up unanswered could still arrive and run, where its context and its Abort end at once, as they do for each caller that leaves and each request that a router gives up as it ends.

Cause: shutdown noted that it had run before it had made the close reset the connection. The close in the goroutine of the context took the note for done, didn't ask for the reset itself, and its close left shutdown no socket to ask for. The note is made once the reset is asked for.

Evidence: TestACloseDuringAShutdownLeavesNoRequestToTheNetwork failed before (the stream ended in order).

--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -137,10 +137,10 @@
 // The system calls don't block, so they are made without releasing the CPU to the runtime, which
 // would put the goroutine at the end of its queue.
 func (c *conn) shutdown() {
-	c.isShut.Store(true)
 	// The call fails only if the connection is closed already.
 	_ = c.raw.Control(func(fd uintptr) {
 		c.dropUnanswered(fd)
+		c.isShut.Store(true) // not sooner: Close may run meanwhile, and would leave the request to the network
 		_, _, _ = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_RDWR, 0)
 	})
 }
