--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -9,8 +9,10 @@
 // Timing of a graceful shutdown.
 const (
 	// refuseLateAfter is the part of the grace period after which a draining router accepts only
-	// requests that are sure to end in time. Callers keep its address for some seconds.
-	refuseLateAfter = 0.375
+	// requests that are sure to end in time. Callers keep its address for some seconds. Requests that are
+	// sent three eighths of it after the signal, or later, must not be cut, and the signal takes some
+	// time to be handled.
+	refuseLateAfter = 0.35
 	// exitMargin is the part of the grace period that remains when the process exits by itself,
 	// before it is killed.
 	exitMargin = 0.04
