flamingowindd: refusals of long bodies reach callers that are still sending

What callers saw: a refusal of a request with a long body (no such path, a wrong key, too large, overload, a router that leaves) could be lost in a reset, so that a request which has not run looks as if it may have.

Cause: the same as at the gateway: the server closes a connection on whose body it has given up after 0.5 s, and what the caller sends then resets it. The reading of the rest, bounded by 5 s and 64 MiB, moves to internal/unread and is used by both; the request's place and its part of the bodies' budget are given back before it.

--- a/pkg/edge/flight_middleware.go
+++ b/pkg/edge/flight_middleware.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/flamingowind/flamingowind/internal/unread"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
@@ -19,6 +20,11 @@
 // ServeHTTP passes the request on, or refuses it as not run.
 func (m *flightMiddleware) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	closeUnlessRead(w, r)
+	m.serve(w, r)
+	discardUnread(w, r)
+}
+
+func (m *flightMiddleware) serve(w http.ResponseWriter, r *http.Request) {
 	if !m.edge.flight.enter() {
 		m.edge.refuseEarly(w, errDraining())
 		return
@@ -42,6 +48,13 @@
 	}
 }
 
+// discardUnread reads what the caller of a refused request still sends.
+func discardUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 && w.Header().Get("Connection") == "close" {
+		unread.Discard(w, r)
+	}
+}
+
 func keepAlive(w http.ResponseWriter) { w.Header().Del("Connection") }
 
 func errDraining() *verdict.Error {
--- a/pkg/edge/routes.go
+++ b/pkg/edge/routes.go
@@ -37,4 +37,5 @@
 func (f *fixedRefusal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	closeUnlessRead(w, r)
 	f.edge.refuse(w, f.err, "", "")
+	discardUnread(w, r)
 }
--- a/pkg/gateway/bodies_test.go
+++ b/pkg/gateway/bodies_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/flamingowind/flamingowind/internal/unread"
 	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
@@ -193,7 +194,7 @@
 	conn, err := net.Dial("tcp", env.server.Listener.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
-	require.NoError(t, conn.SetDeadline(time.Now().Add(lingerTimeout/2)))
+	require.NoError(t, conn.SetDeadline(time.Now().Add(unread.Timeout/2)))
 	fmt.Fprintf(conn, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: request-1\r\nX-Key: k\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", defaultMaxBody)
 	data, err := io.ReadAll(conn)
 	require.NoError(t, err)
