Affinity: time before a router's first current list isn't taken for watched

Callers would see a stream joined from two software versions: a router that starts with a peer's list from before its start, takes over what a peer has watched and is then cut off, takes the whole cut for watched once its list is current again, and claims a sole version though another one came meanwhile. The gap was measured only from the last current list, and there was none.

Now the gap counts from the first list.

--- a/pkg/affinity/doubt_test.go
+++ b/pkg/affinity/doubt_test.go
@@ -24,3 +24,15 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at a version which came while the router knew nothing: it started with a list from
+// before, took over what a peer had watched, and was then cut off.
+func TestTimeBeforeTheFirstCurrentListIsNotTakenForWatched(t *testing.T) {
+	f := newFixture()
+	f.history.sinceFounding, f.startedAt, f.view.age = false, f.now, time.Second
+	f.list("1")
+	f.MergeStatement(Statement{SinceFounding: true}, f.now, f.now)
+	f.outage(openAfter+2*time.Second, false)
+	f.view.age = 0
+	require.Equal(t, unknown, f.find("r"))
+}
--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -33,8 +33,10 @@
 	// this holds since the fleet first started.
 	watchedSince  time.Time
 	sinceFounding bool
-	// currentAt is when the versions were last known completely.
-	currentAt time.Time
+	// currentAt is when the versions were last known completely. firstListAt is when the first list came, and
+	// uncovered says that this one was from before the router started.
+	currentAt, firstListAt time.Time
+	uncovered              bool
 	// closed is the number of listed versions that aren't open.
 	closed atomic.Int32
 	// register is what is known of the register in the store; waiting is signalled when a version isn't open.
@@ -51,7 +53,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.watchedSince.IsZero() {
-		h.watchedSince = now
+		h.watchedSince, h.firstListAt = now, now
 	}
 	listed := make(map[*version]bool)
 	for _, in := range set.List() {
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -200,6 +200,7 @@
 	peers := t.view.Peers(now)
 	listedAt := now.Add(-t.view.ListAge(now))
 	if listedAt.Before(t.startedAt) {
+		t.history.noteUncovered()
 		return false
 	}
 	t.history.noteCurrent(listedAt)
--- a/pkg/affinity/watch.go
+++ b/pkg/affinity/watch.go
@@ -14,7 +14,11 @@
 	if !at.After(h.currentAt) {
 		return
 	}
-	if gap := at.Sub(h.currentAt); !h.currentAt.IsZero() && gap >= openAfter {
+	before := h.currentAt
+	if before.IsZero() && h.uncovered {
+		before = h.firstListAt
+	}
+	if gap := at.Sub(before); !before.IsZero() && gap >= openAfter {
 		h.watchedSince, h.sinceFounding = at, false
 		h.register.unread = true
 		h.log.WithFields(log.Fields{"event": "software_unwatched", "for_ms": gap.Milliseconds()}).Warn("software versions may have served unseen")
@@ -22,6 +26,13 @@
 	h.currentAt = at
 }
 
+// noteUncovered records that the only list so far was current before the router started.
+func (h *history) noteUncovered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.uncovered = true
+}
+
 // markFounding records that the fleet first started with this router.
 func (h *history) markFounding() {
 	h.mu.Lock()
