--- a/spec/mutants.sh
+++ b/spec/mutants.sh
@@ -29,6 +29,7 @@
 	for g in NO_WAIT NO_RESERVE ISOLATED_FREE; do echo warmup safety $g; done
 	for g in NO_GRACE OWN_SILENCE BY_CLOCK ANY_CONTACT; do echo departure safety $g; done
 	for g in NO_WAIT ANY_AGE OLD_LIST BY_ARRIVAL; do echo software safety $g; done
+	for g in NO_REGISTER NO_LEASE NO_CONDITION ANY_ERA NO_SETTLE; do echo register safety $g; done
 	echo order progress NO_LOOK -DENGINE=PAUSED -DFAULTS=0
 	echo order progress NO_DECLARED -DENGINE=PAUSED -DFAULTS=0
 }
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -17,6 +17,7 @@
 warmup safety
 departure safety
 software safety
+register safety
 once progress -DN=2
 config progress -DTICKS=0
 order progress -DENGINE=PAUSED -DFAULTS=0
