--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -33,8 +33,10 @@
 	// this holds since the fleet first started.
 	watchedSince  time.Time
 	sinceFounding bool
-	// currentAt is when the versions were last known completely.
-	currentAt time.Time
+	// currentAt is when the versions were last known completely. firstListAt is when the first list came, and
+	// uncovered says that this one was from before the router started.
+	currentAt, firstListAt time.Time
+	uncovered              bool
 	// lists counts the lists that were taken over.
 	lists uint64
 	// closed is the number of listed versions that aren't open.
@@ -53,7 +55,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.watchedSince.IsZero() {
-		h.watchedSince = now
+		h.watchedSince, h.firstListAt = now, now
 	}
 	listed := h.markListed(set, now)
 	for service, versions := range h.services {
