--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -45,7 +45,7 @@
 		return errTooLarge()
 	case !r.bodyLease.Hold(max(0, length)):
 		r.leavesBody = true
-		return g.refuseBody()
+		return g.refuseBody(r)
 	}
 	extent, err := r.readTimed(limit)
 	r.leavesBody = false
@@ -67,11 +67,12 @@
 	case extent == buffers.TooLarge:
 		return errTooLarge()
 	}
-	return g.refuseBody()
+	return g.refuseBody(r)
 }
 
 // refuseBody returns the error for a body that there is no memory for.
-func (g *Gateway) refuseBody() *verdict.Error {
+func (g *Gateway) refuseBody(r *request) *verdict.Error {
+	r.logRecord.reason = "no memory for the body"
 	g.metrics.bodiesRefused.Inc(1)
 	return errBodiesFull()
 }
