A router that leaves keeps half a second to exit

With answers for what outlasts it, a router exited at 7.92 s of its grace of 8: 6 of 116 stops of real processes were killed at its end, after their connections were closed. It gives up what runs at 0.94 of the grace now and needs at most half of the rest.

--- a/pkg/gatewayd/drain.go
+++ b/pkg/gatewayd/drain.go
@@ -15,7 +15,7 @@
 	refuseLateAfter = 0.35
 	// exitMargin is the part of the grace period that remains when the process exits by itself,
 	// before it is killed.
-	exitMargin = 0.04
+	exitMargin = 0.06
 	// drainPollInterval is the time between two checks for requests that still run.
 	drainPollInterval = 50 * time.Millisecond
 	// endPollInterval is the time between two checks for requests that are about to end.
@@ -45,7 +45,8 @@
 }
 
 // endRequests closes the connections once no request runs any more. Those that still run at deadline are
-// given up; margin is the time from then until the process is killed.
+// given up; margin is the time from then until the process is killed. Half of it is left for
+// the rest of the exit and for a signal that was handled late.
 //
 // Guard: a request that arrives as the last one ends must not be passed on and then be cut with its
 // connection, so nothing is passed on before the connections are closed.
@@ -53,9 +54,9 @@
 	p.gateway.RefuseRequests()
 	p.awaitIdle(deadline)
 	p.gateway.EndRequests()
-	p.awaitIdle(deadline.Add(margin / 2))
+	p.awaitIdle(deadline.Add(margin / 4))
 	p.log.WithField("event", "left").WithField("active", p.gateway.Active()).Info("router closes its connections")
-	flushed := deadline.Add(margin * 3 / 4)
+	flushed := deadline.Add(margin / 2)
 	if soon := time.Now().Add(flushTimeout); soon.Before(flushed) {
 		flushed = soon
 	}
@@ -63,7 +64,7 @@
 	if p.handover != nil {
 		p.handover.Close()
 	}
-	p.awaitIdle(deadline.Add(margin * 3 / 4))
+	p.awaitIdle(deadline.Add(margin / 2))
 }
 
 // awaitIdle waits, until the given time at most, for the requests that run to end.
