Requests at routers that were killed for want of processor aren't judged as planned work

A kill counts as an excuse only if the program itself stalled in that grace; the figures show how many.

--- a/internal/stops/check.go
+++ b/internal/stops/check.go
@@ -18,6 +18,9 @@
 	// is allowed. Unread ended within the slack and were not passed on. Pipelined were sent behind a
 	// request whose answer closed the connection, and were not passed on.
 	Cut, Unread, Pipelined int
+	// Starved ended as their router was killed after a grace in which this program got no processor for a
+	// while, and the router neither: that is no planned work, and not judged.
+	Starved int
 	// KeptUnanswered counts requests from kept connections that reached an engine and got no answer.
 	KeptUnanswered int
 	// Reached counts requests that reached engines, Kept those of them on connections that had carried
@@ -26,14 +29,16 @@
 	Reached, Kept, GivenUp, KeptGivenUp int
 	// EndedAtStart counts processes that a signal ended in the first moments of their life.
 	EndedAtStart int64
-	Stalls       int
-	Stops        int
-	Notes        []string
-	Findings     []string
+	// Killed counts routers that had not ended when their grace was over.
+	Killed   int64
+	Stalls   int
+	Stops    int
+	Notes    []string
+	Findings []string
 }
 
 func (w *world) check() Verdict {
-	v := Verdict{Options: w.options, EndedAtStart: w.endedAtStart.Load(), Stalls: len(w.stalls.list), Notes: w.notes}
+	v := Verdict{Options: w.options, EndedAtStart: w.endedAtStart.Load(), Killed: w.killed.Load(), Stalls: len(w.stalls.list), Notes: w.notes}
 	for _, r := range w.routers {
 		v.Stops += len(r.stops)
 	}
@@ -107,6 +112,8 @@
 		v.Unread++
 	case passedOn && !stop.IsZero() && q.last.Before(stop.Add(early)) && q.to.After(stop.Add(grace*5/6)):
 		v.Cut++
+	case q.router.killed(stop) && w.stalls.touch(stop, q.to):
+		v.Starved++
 	default:
 		if passedOn && q.kept {
 			v.KeptUnanswered++
@@ -141,6 +148,6 @@
 
 // String tells the figures of a run.
 func (v Verdict) String() string {
-	return fmt.Sprintf("seed %d: %d routers, %d stops, %d requests sent whole, %d served, %d refused, %d failed, %d cut as allowed, %d unread, %d pipelined behind a close, %d reached engines (%d on kept connections, %d given up there, %d of these kept), %d ended at their start, %d stalls, %d findings",
-		v.Options.Seed, v.Options.Routers, v.Stops, v.Requests, v.Served, v.Refused, v.Failed, v.Cut, v.Unread, v.Pipelined, v.Reached, v.Kept, v.GivenUp, v.KeptGivenUp, v.EndedAtStart, v.Stalls, len(v.Findings))
+	return fmt.Sprintf("seed %d: %d routers, %d stops, %d requests sent whole, %d served, %d refused, %d failed, %d cut as allowed, %d unread, %d pipelined behind a close, %d reached engines (%d on kept connections, %d given up there, %d of these kept), %d ended at their start, %d killed, %d starved, %d stalls, %d findings",
+		v.Options.Seed, v.Options.Routers, v.Stops, v.Requests, v.Served, v.Refused, v.Failed, v.Cut, v.Unread, v.Pipelined, v.Reached, v.Kept, v.GivenUp, v.KeptGivenUp, v.EndedAtStart, v.Killed, v.Starved, v.Stalls, len(v.Findings))
 }
--- a/internal/stops/check_test.go
+++ b/internal/stops/check_test.go
@@ -54,3 +54,32 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return len(e.Runs(id)) == 1 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a check that excuses a router which was killed though the machine was calm, or one that
+// wasn't killed.
+func TestOnlyStarvedRoutersAreExcused(t *testing.T) {
+	stop := time.Now()
+	stall := [][2]time.Time{{stop.Add(6 * time.Second), stop.Add(6300 * time.Millisecond)}}
+	for name, one := range map[string]struct {
+		killed bool
+		stalls [][2]time.Time
+		found  int
+	}{
+		"killed beside a stall": {true, stall, 0}, "killed, calm": {true, nil, 1}, "beside a stall, not killed": {false, stall, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, err := platformtest.NewWorker("i", 1, time.Second)
+			require.NoError(t, err)
+			t.Cleanup(e.Close)
+			sendTo(t, e, "q")
+			r := &router{name: "r", leaving: stop, stops: []time.Time{stop}}
+			if one.killed {
+				r.noteKill()
+			}
+			q := &request{router: r, last: stop.Add(5 * time.Second), to: stop.Add(grace), answer: platformtest.WireAnswer{Err: io.ErrUnexpectedEOF}}
+			q.ID = "q"
+			w := &world{routers: []*router{r}, workers: []*platformtest.Worker{e}, traffic: &traffic{list: []*request{q}}, stalls: stalls{list: one.stalls}}
+			require.Len(t, w.check().Findings, one.found)
+		})
+	}
+}
--- a/internal/stops/plan.go
+++ b/internal/stops/plan.go
@@ -64,6 +64,8 @@
 		r.terminate()
 	})
 	if gone := w.awaitEnd(r); !gone {
+		w.killed.Add(1)
+		r.noteKill()
 		w.note("%s: killed at the end of the grace", r.name)
 	}
 	r.setUp(false)
--- a/internal/stops/router.go
+++ b/internal/stops/router.go
@@ -28,6 +28,8 @@
 	leaving time.Time
 	// stops are all times at which a life was told to stop.
 	stops []time.Time
+	// kills are the stops that ended by a kill.
+	kills map[time.Time]bool
 	// up is whether callers may be sent there.
 	up bool
 	// reloads counts the settings that were written.
@@ -114,6 +116,23 @@
 	return r.up
 }
 
+// noteKill notes that the process had not ended when its grace was over.
+func (r *router) noteKill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kills == nil {
+		r.kills = make(map[time.Time]bool)
+	}
+	r.kills[r.leaving] = true
+}
+
+// killed reports whether a stop ended by a kill.
+func (r *router) killed(stop time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kills[stop]
+}
+
 // stopBefore is the last time before t at which the router was told to stop; zero for none.
 func (r *router) stopBefore(t time.Time) time.Time {
 	r.mu.Lock()
--- a/internal/stops/world.go
+++ b/internal/stops/world.go
@@ -36,6 +36,7 @@
 	// busy ends when callers begin no more requests.
 	busy         context.Context
 	endedAtStart atomic.Int64
+	killed       atomic.Int64
 	stalls       stalls
 
 	mu      sync.Mutex
