--- a/internal/stops/router.go
+++ b/internal/stops/router.go
@@ -36,7 +36,7 @@
 	reloads int
 }
 
-// settingsText has the keys that all landings know. The kept connections change from reload to reload.
+// settingsText has keys that older builds know as well. The kept connections change from reload to reload.
 const settingsText = `router: {name: %s, zone: z}
 listen: {callers: "%s", readiness: "%s", peers: "%s", entries: "%s", metrics: "%s", handover: "%s"}
 store: {addr: "%s"}
