Handover: an answer is passed on though its router takes no more bytes

Cause: the relay writes towards the router first and gave the pair up as that failed, with the answer still unread. A router that closes with unread bytes of a caller's next request resets its connection, so the write fails just after the answer has come.

The caller's connection is still reset afterwards, so an answer without framing can't look whole by it.

--- a/pkg/handover/transfer.go
+++ b/pkg/handover/transfer.go
@@ -15,6 +15,9 @@
 	p.pendingUp, sent, state = copyAvailable(p.caller, p.peer, p.pendingUp, r.readBuffer(), p.callerClosed)
 	r.held += p.held() - held
 	p.unanswered = p.unanswered || sent > 0
+	if state == broken {
+		r.passOnRest(p)
+	}
 	if state == closed || state == broken {
 		r.finish(p, state) // the caller has disconnected, or the router failed
 		return
@@ -42,6 +45,14 @@
 	}
 }
 
+// passOnRest passes on what the router sent before its connection failed: an answer may wait there, whose
+// framing tells whether it is whole.
+func (r *Relay) passOnRest(p *pair) {
+	held := p.held()
+	p.pendingDown, _, _ = copyAvailable(p.peer, p.caller, p.pendingDown, r.readBuffer(), true)
+	r.held += p.held() - held
+}
+
 // readBuffer returns the buffer for a transfer's reads.
 func (r *Relay) readBuffer() []byte {
 	if r.held > maxHeld {
