The benchmark of placement has a dialect, which a gateway asks for its life check

`go test -bench BenchmarkCandidates ./pkg/gateway` panicked with a nil dialect since asks for the life check as a gateway is made. Both candidates benchmarks run again.

--- a/pkg/gateway/place_bench_test.go
+++ b/pkg/gateway/place_bench_test.go
@@ -30,7 +30,7 @@
 
 func runCandidates(b *testing.B, s Settings) {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	g := New(s, Dependencies{Catalog: catalog.New(quiet), Pools: forward.NewPools("Id"), Health: upstream.NewHealth(), Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(),
+	g := New(s, Dependencies{Dialect: testDialect{}, Catalog: catalog.New(quiet), Pools: forward.NewPools("Id"), Health: upstream.NewHealth(), Loads: placement.NewLoadTracker(), PrefixIndex: placement.NewKVIndex(),
 		Streams: new(testEnv).newTracker(quiet), Peers: singlePeer{}, Log: quiet})
 	var list []upstream.Instance
 	loads := make(map[upstream.Life]placement.Load)
