Fleet: the test of lists' ages doesn't depend on the speed of the machine

TestListsAgeOnTheirWay failed once in a run of all unit tests, and 84 of 100 times in a row on with -count=100 on this machine: the first exchange begins within the first millisecond of the router's life, whose clock then shows 0. 0 is left out of the message, so there is nothing to echo and the answer dates nothing. Two routers that have just met a second ago don't meet that. The test begins a second into both lives; it asserts what it did before. 200 of 200 pass.

--- a/pkg/fleet/clock_test.go
+++ b/pkg/fleet/clock_test.go
@@ -48,6 +48,10 @@
 // the transit time, or upstreams that have left would be used for ever.
 func TestListsAgeOnTheirWay(t *testing.T) {
 	a, b := newRouter(t, "a", secret), newRouter(t, "b", secret)
+	// In the first millisecond of a router's life its clock shows 0, which nobody can echo.
+	for _, r := range []*router{a, b} {
+		r.fleet.startedAt = r.fleet.startedAt.Add(-time.Second)
+	}
 	a.fleet.AddMembers([]Member{b.fleet.self})
 	a.exchanger.exchange(context.Background(), a.fleet.peers[b.fleet.self.Peers])
 	require.False(t, a.peerListAsOf.IsZero())
