Gateway: what kernels receive of requests that nobody has read yet is bounded

Seen: routers over their host's memory while their own was small: 77 MiB of 48 (50 in the kernel) and 159 of 134 (131) with bodies of tiny chunks, 160 of 134 (97) with long bodies of declared length, up to 189 of 134 (143) with bodies at the addresses for peers, readiness and metrics.

Cause: callers' connections had the system's receive buffer, which grows to hundreds of KiB, and a body that waits for the processor, is refused or isn't wanted stays there. Hosts charge it to the process. 4,096 connections could wait to be accepted, each with as much.

Change: listening sockets have a receive buffer, which connections inherit: 16 KiB for callers, 4 KiB for readiness, metrics and entries, 32 KiB for peers. The backlog follows from the memory as well, four for each MiB. A long body gets a buffer of 64 KiB once the account of bodies has its memory, until its request ends or is refused: what the kernel receives in advance fills that memory later. Connections to upstreams get 32 KiB, on which a caller stands who reads slowly.

The tests of slow readers and of the watch are corrected: the routes' timeout of a minute is waited for, and the watch looks once more at its end.

--- a/pkg/gatewayd/listen.go
+++ b/internal/listening/listening.go
@@ -1,11 +1,10 @@
-package gatewayd
+// Package listening opens listening sockets with bounds on what the kernel holds for them.
+package listening
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,10 +20,20 @@
 	keepAliveCount    = 9
 )
 
-// listenBacklog listens for callers, with at most backlog connections waiting to be accepted.
+// Limits bound what the kernel holds for a listening socket.
+type Limits struct {
+	// Backlog is the number of connections that may wait to be accepted.
+	Backlog int
+	// ReceiveBuffer is that of each connection, in bytes. The kernel holds up to half as much again of what a client sends before
+	// it is read.
+	ReceiveBuffer int
+}
+
+// TCP opens a listening socket. Connections inherit its receive buffer and keep-alive options, which saves the system calls for
+// each of them.
 //
 // The standard library has no option for the backlog.
-func listenBacklog(addr string, backlog int) (*net.TCPListener, error) {
+func TCP(addr string, limits Limits) (*net.TCPListener, error) {
 	addrPort, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -39,13 +48,16 @@
 	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, limits.ReceiveBuffer); err != nil {
+		return nil, errors.Trace(err)
+	}
 	if err := setKeepAlive(fd); err != nil {
 		return nil, errors.Trace(err)
 	}
 	if err := unix.Bind(fd, sa); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := unix.Listen(fd, backlog); err != nil {
+	if err := unix.Listen(fd, limits.Backlog); err != nil {
 		return nil, errors.Trace(err)
 	}
 	l, err := net.FileListener(file)
@@ -64,27 +76,6 @@
 	return unix.AF_INET6, &unix.SockaddrInet6{Port: port, Addr: ip.As16()}
 }
 
-// listen opens a listener with keep-alive options. Accepted connections inherit them, which saves
-// the system calls for each connection.
-func listen(addr string) (*net.TCPListener, error) {
-	config := net.ListenConfig{KeepAlive: -1, Control: controlKeepAlive}
-	l, err := config.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return l.(*net.TCPListener), nil
-}
-
-// controlKeepAlive enables keep-alive probes, so that connections to lost hosts are closed.
-func controlKeepAlive(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) { optionErr = setKeepAlive(int(fd)) })
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(optionErr)
-}
-
 func setKeepAlive(fd int) error {
 	for _, option := range []struct{ level, name, value int }{
 		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
--- a/pkg/admission/link.go
+++ b/pkg/admission/link.go
@@ -24,25 +24,31 @@
 	firstFlight   = 16 << 10
 	maxUnreadTime = 250 * time.Millisecond
 	// minBacklog and maxBacklog bound the connections that wait to be accepted.
-	minBacklog = 16
-	maxBacklog = 4096
+	minBacklog    = 16
+	backlogPerMiB = 4
+	maxBacklog    = 4096
 	// bytesPerMegabit converts a link speed into bytes per second.
 	bytesPerMegabit = 1e6 / 8
 )
 
 // Backlog returns the number of connections that may wait to be accepted on a host with a link of
-// the given speed in megabits per second; 0 means unknown.
+// the given speed in megabits per second and so much memory in MiB; 0 means unknown.
 //
 // A caller sends its request as soon as the kernel has completed the connection. With thousands of
 // them the link is full for seconds of data that nobody reads in time, and traffic of peers and the
 // store doesn't get through. A connection that isn't completed costs a packet, and its caller tries
 // elsewhere.
-func Backlog(megabits float64) int {
-	if megabits <= 0 {
-		return maxBacklog
+//
+// What they have sent takes memory as well, up to the receive buffer of each.
+func Backlog(megabits float64, memoryMiB int) int {
+	n := maxBacklog
+	if megabits > 0 {
+		n = min(n, int(megabits*bytesPerMegabit*maxUnreadTime.Seconds()/firstFlight))
+	}
+	if memoryMiB > 0 {
+		n = min(n, backlogPerMiB*memoryMiB)
 	}
-	unread := megabits * bytesPerMegabit * maxUnreadTime.Seconds()
-	return max(minBacklog, min(maxBacklog, int(unread/firstFlight)))
+	return max(minBacklog, n)
 }
 
 // Link measures how much of a host's link callers use. A nil link is never full.
--- a/pkg/admission/link_test.go
+++ b/pkg/admission/link_test.go
@@ -10,12 +10,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestTheBacklogFollowsTheLink(t *testing.T) {
-	require.Equal(t, maxBacklog, Backlog(0))
-	require.Equal(t, minBacklog, Backlog(1))
-	require.Equal(t, 19, Backlog(10))
-	require.Equal(t, 1907, Backlog(1000))
-	require.Equal(t, maxBacklog, Backlog(100_000))
+func TestTheBacklogFollowsTheLinkAndTheMemory(t *testing.T) {
+	require.Equal(t, maxBacklog, Backlog(0, 0))
+	require.Equal(t, minBacklog, Backlog(1, 0))
+	require.Equal(t, 19, Backlog(10, 0))
+	require.Equal(t, 1907, Backlog(1000, 0))
+	require.Equal(t, maxBacklog, Backlog(100_000, 0))
+	require.Equal(t, 4*134, Backlog(1000, 134))
+	require.Equal(t, 19, Backlog(10, 134))
+	require.Equal(t, minBacklog, Backlog(0, 1))
 }
 
 // Guards against callers that leave peers and the store no capacity on the link.
--- a/pkg/forward/conn.go
+++ b/pkg/forward/conn.go
@@ -28,6 +28,9 @@
 	userTimeout = 2500 * time.Millisecond
 	// readBufferSize, in bytes, fits a response's header and most events.
 	readBufferSize = 4 << 10
+	// receiveBuffer is the size, in bytes, of what the kernel receives of a response before it is read, about. Behind a caller who
+	// reads slowly it would grow to megabytes otherwise.
+	receiveBuffer = 32 << 10
 )
 
 // Dialer returns a dialer for connections that fail, instead of hanging, when their peer becomes
@@ -49,6 +52,23 @@
 	}
 }
 
+// upstreamDialer returns a dialer for connections to upstreams.
+func upstreamDialer() *net.Dialer {
+	d := Dialer(dialTimeout)
+	setTimeout := d.Control
+	d.Control = func(network, addr string, raw syscall.RawConn) error {
+		err := raw.Control(func(fd uintptr) {
+			// Without it the kernel receives more at a time.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		})
+		if err != nil {
+			return err
+		}
+		return setTimeout(network, addr, raw)
+	}
+	return d
+}
+
 // conn is a connection to an upstream. One request at a time uses it.
 type conn struct {
 	net.Conn
@@ -72,7 +92,7 @@
 }
 
 func dial(ctx context.Context, addr string, m *traffic.Meter) (*conn, error) {
-	c, err := Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
+	c, err := upstreamDialer().DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -96,7 +96,7 @@
 		r.body, err = r.readFixedLength(r.in.ContentLength)
 		return buffers.Whole, err
 	}
-	r.body, extent, err = r.bodyLease.Read(r.in.Body, int(limit), 0)
+	r.body, extent, err = r.bodyLease.Read(&longBodyReader{from: r.in.Body, request: r}, int(limit), 0)
 	return extent, errors.Trace(err)
 }
 
@@ -106,6 +106,9 @@
 // sent with another caller's request. Only bodies that package forward doesn't retain are read
 // into pooled buffers, and a buffer is returned to the pool when its request has ended.
 func (r *request) readFixedLength(length int64) ([]byte, error) {
+	if length > wideBody {
+		r.widenReceiveBuffer()
+	}
 	if length > forward.MaxJoinedBody {
 		return readFull(r.in.Body, make([]byte, length))
 	}
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -61,6 +61,12 @@
 	return ok && (c.requests.Add(1) >= maxRequestsPerConn || c.singleUse)
 }
 
+// callerConn returns the request's connection; nil for one that WithConn hasn't seen.
+func (r *request) callerConn() *callerConn {
+	c, _ := r.in.Context().Value(connKey{}).(*callerConn)
+	return c
+}
+
 // callerClosedConn reports whether the caller has closed its connection.
 //
 // Guard: a request may wait in the kernel's queues until its caller has given up. The server
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -133,6 +133,7 @@
 
 // refuseUnread refuses a request at once, and then reads what its caller still sends.
 func (r *request) refuseUnread(e *verdict.Error) {
+	r.restoreReceiveBuffer()
 	r.releaseBody()
 	h := r.w.Header()
 	h.Set("Connection", "close")
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,6 +35,8 @@
 	bodyBuffer *[]byte
 	// bodyLease holds the memory of body.
 	bodyLease buffers.Lease
+	// usualReceiveBuffer is the size, in bytes, of the receive buffer that was widened for the body; 0 if it wasn't.
+	usualReceiveBuffer int
 	// leavesBody is whether a refusal leaves a part of the body unread that the server wouldn't read either.
 	leavesBody bool
 	// contentHash identifies what the request would run.
@@ -100,6 +102,7 @@
 		r.unwatch()
 		r.canceler.cancel()
 	}
+	r.restoreReceiveBuffer()
 	r.releaseBody()
 	r.lease.Release()
 }
--- a/pkg/gatewayd/endpoint.go
+++ b/pkg/gatewayd/endpoint.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/internal/listening"
 	"github.com/flamingowind/flamingowind/pkg/admission"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func listenEndpoint(name, addr string, h http.Handler) (*endpoint, error) {
-	l, err := listen(addr)
+	l, err := listening.TCP(addr, otherSockets[name])
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for %s", name)
 	}
--- a/pkg/gatewayd/handover.go
+++ b/pkg/gatewayd/handover.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/flamingowind/flamingowind/internal/listening"
 	"github.com/flamingowind/flamingowind/pkg/admission"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
@@ -33,7 +34,7 @@
 	if s.Listen.Handover == "" {
 		return nil
 	}
-	tcp, err := listenBacklog(s.Listen.Handover, admission.Backlog(s.Limits.LinkMbps))
+	tcp, err := listening.TCP(s.Listen.Handover, callersSocket(s.Limits))
 	if err != nil {
 		return errors.Annotatef(err, "listen for %s", handoverEndpoint)
 	}
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/internal/listening"
 	"github.com/flamingowind/flamingowind/pkg/admission"
 	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/booking"
@@ -150,10 +151,13 @@
 	}
 }
 
-// callersEndpoint names the endpoint for callers, peersEndpoint that for other routers.
+// Names of endpoints.
 const (
-	callersEndpoint = "callers"
-	peersEndpoint   = "peers"
+	callersEndpoint   = "callers"
+	peersEndpoint     = "peers"
+	readinessEndpoint = "readiness"
+	metricsEndpoint   = "metrics"
+	entriesEndpoint   = "entries"
 )
 
 func (p *Process) bind(f Faces) error {
@@ -165,10 +169,10 @@
 		name, addr string
 		handler    http.Handler
 	}{
-		{"readiness", s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
+		{readinessEndpoint, s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
 		{peersEndpoint, s.Listen.Peers, p.fleet.Handler()},
-		{"metrics", s.Listen.Metrics, p.metricsHandler()},
-		{"entries", s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
+		{metricsEndpoint, s.Listen.Metrics, p.metricsHandler()},
+		{entriesEndpoint, s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
 	} {
 		if e.addr == "" {
 			continue
@@ -197,7 +201,7 @@
 // bindCallers listens for callers.
 func (p *Process) bindCallers(addr string) error {
 	limits := p.settings.Load().Limits
-	tcp, err := listenBacklog(addr, admission.Backlog(limits.LinkMbps))
+	tcp, err := listening.TCP(addr, callersSocket(limits))
 	if err != nil {
 		return errors.Annotatef(err, "listen for %s", callersEndpoint)
 	}
--- a/test/clients/gateway_test.go
+++ b/test/clients/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/flamingowind/flamingowind/internal/devfleet"
 	"github.com/flamingowind/flamingowind/pkg/gatewayd"
+	"github.com/flamingowind/flamingowind/pkg/status"
 	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
@@ -100,6 +102,22 @@
 	g.calm = descriptors(g.process.PID())
 }
 
+// patientRoutes makes the routes' timeouts a minute, and waits until that is in force.
+func (g *gateway) patientRoutes(t *testing.T) {
+	const version = 2
+	g.store.Declare(platformtest.Declaration{Version: version, Service: service, Moved: service, Keys: map[string]string{key: org}, Timeout: time.Minute})
+	requireSoon(t, "the configuration is in force", readyIn, func() (any, bool) {
+		resp, err := http.Get("http://" + metrics(g) + status.PathJSON)
+		if err != nil {
+			return err, false
+		}
+		defer resp.Body.Close()
+		var is status.Status
+		err = json.NewDecoder(resp.Body).Decode(&is)
+		return err, err == nil && is.Config == version
+	})
+}
+
 // limitDescriptors bounds the descriptors that the process may have open.
 func (g *gateway) limitDescriptors(t *testing.T, n uint64) {
 	require.NoError(t, unix.Prlimit(g.process.PID(), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil))
--- a/test/clients/readers_test.go
+++ b/test/clients/readers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -16,7 +15,7 @@
 // What engines send to callers that read nothing stays in the router and in its kernel, without a bound of time.
 func TestAnswersThatNobodyReadsFitTheMemory(t *testing.T) {
 	g := startGateway(t, smallHost.memoryMiB)
-	g.store.Declare(platformtest.Declaration{Version: 2, Service: service, Moved: service, Keys: map[string]string{key: org}, Timeout: time.Minute})
+	g.patientRoutes(t)
 	for _, e := range g.engines {
 		e.Behave(platformtest.Behaviour{EndlessBody: 1})
 	}
--- a/test/clients/usage_test.go
+++ b/test/clients/usage_test.go
@@ -76,6 +76,7 @@
 func (w *watch) end() usage {
 	w.ends()
 	w.done.Wait()
+	w.look()
 	return w.peak
 }
 
