Gateway: clients that never finish a request leave room for others

Seen: with 200 descriptors and 300 clients that send nothing, half a head, most of a body of 16 KiB or nothing after an answer, ordinary callers got no answer at all for as long as the crowd stood. With 500 unfinished bodies on a host of 48 MiB, or 1,500 on one of 134, they got nothing but 503.

Cause: nothing bounded a caller's connections (more than limits.keptConnections only ended keeping them alive), a body of up to 16 KiB had no deadline, and a request whose body never comes counted as one that is served, of which there may be eight for each MiB.

Change: pkg/connlimit. Each address has a group with a number of connections that follows from memory and descriptors (limits.descriptors; the process's own limit is looked at every two seconds), and half of that for unfinished requests. A new connection takes the place of the one that has been unfinished for the longest time, from half a second on, or else of the longest idle one; one whose request is served is never closed for others. Without such a one a caller's connection is refused as those that find no processor are: 503, not run. A connection that makes room is closed in its head without an answer, in its body with 408, both not run. Handed-over connections count as callers'. Entries, readiness and metrics answer a request with a body without waiting for the body. What a caller takes none of for 30 s is given up; nothing ended that before.

Why it works: whoever holds a place for half a second without finishing a request loses it to the next one, so an ordinary caller finds a place however many stall; at most half of the places that requests may take can be held that way.

--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -3,17 +3,23 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
 // Conn is an admitted connection. It embeds *net.TCPConn for callers that inspect the socket.
 type Conn struct {
 	*net.TCPConn
-	listener  *Listener
-	waiter    *waiter
+	listener *Listener
+	waiter   *waiter
+	// entry is nil where connections aren't limited.
+	entry     *connlimit.Entry
 	firstRead sync.Once
 	// owner is the side that may use the socket and must close it. Ownership passes once: if both
 	// sides closed the descriptor, the second close could hit a descriptor that another connection
@@ -28,7 +34,11 @@
 	ownedByNone // closed
 )
 
-// Read reads from the connection. The first call waits for a read slot.
+// Entry returns the connection's entry in its group.
+func (c *Conn) Entry() *connlimit.Entry { return c.entry }
+
+// Read reads from the connection. The first call waits for a read slot. Once the connection has to make room for others, it
+// fails as by a deadline: the server closes it without a response.
 func (c *Conn) Read(b []byte) (int, error) {
 	first := false
 	c.firstRead.Do(func() {
@@ -39,8 +49,12 @@
 		// On any other error the server answers that the request is malformed.
 		return 0, io.EOF
 	}
+	if c.entry.Closing() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if first {
 		if n := c.readAvailable(b); n > 0 {
+			c.entry.Received(b[:n])
 			return n, nil
 		}
 	}
@@ -49,11 +63,22 @@
 	c.ReleaseReadSlot()
 	n, err := c.TCPConn.Read(b)
 	c.listener.meter.Received(n)
+	c.entry.Received(b[:n])
 	return n, err
 }
 
+// SetReadDeadline sets the deadline, unless the connection has to make room for others.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.entry.Closing() {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Write writes to the connection.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.entry.BeginWrite()
+	defer c.entry.EndWrite()
 	n, err := c.TCPConn.Write(b)
 	c.listener.meter.Sent(n)
 	return n, err
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/flamingowind/flamingowind/internal/nowait"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 	"github.com/flamingowind/flamingowind/pkg/returntime"
 	"github.com/flamingowind/flamingowind/pkg/traffic"
 )
@@ -59,6 +60,8 @@
 	closedCount   atomic.Int64
 	// objective returns the shortest objective of the requests that arrive; 0 while it isn't known.
 	objective func() time.Duration
+	// group limits the connections; nil for no limits.
+	group *connlimit.Group
 	// link is nil when its speed isn't known, isClosed is set once the listener is closed.
 	link     *Link
 	isClosed atomic.Bool
@@ -94,7 +97,10 @@
 		l.link.waitForCapacity(l.now, l.isClosed.Load)
 		l.endRound()
 		if c := l.shedUntilReady(); c != nil {
-			return l.admit(c, l.now()), nil
+			if admitted := l.admit(c, l.now()); admitted != nil {
+				return admitted, nil
+			}
+			continue
 		}
 		before := l.now()
 		c, err := l.tcp.AcceptTCP()
@@ -105,21 +111,35 @@
 		if now.Sub(before) > minIdleAccept && !l.hasPending() {
 			l.noteIdle(now)
 		}
-		if l.queue.estimatedWait(now) <= maxAdmissionWait {
-			return l.admit(c, now), nil
+		if l.queue.estimatedWait(now) > maxAdmissionWait {
+			l.shed(c, now)
+			continue
+		}
+		if admitted := l.admit(c, now); admitted != nil {
+			return admitted, nil
 		}
-		l.shed(c, now)
 	}
 }
 
-// admit adds an accepted connection to the queue for a read slot.
+// admit adds an accepted connection to the queue for a read slot. One that exceeds the limits is shed, and nil returned.
 func (l *Listener) admit(c *net.TCPConn, now time.Time) *Conn {
+	entry, ok := l.group.Admit(c)
+	if !ok {
+		l.shed(c, now)
+		return nil
+	}
 	l.rounds.countAdmitted()
 	l.admittedCount.Add(1)
 	l.arrivals.countAdmitted(now)
-	return &Conn{TCPConn: c, listener: l, waiter: l.queue.admit(now)}
+	return &Conn{TCPConn: c, listener: l, entry: entry, waiter: l.queue.admit(now)}
 }
 
+// SetGroup limits the connections by a group; it must be called before the first Accept.
+func (l *Listener) SetGroup(g *connlimit.Group) { l.group = g }
+
+// SetMaxRefusals bounds the connections that are being refused at the same time; 0 stands for the default.
+func (l *Listener) SetMaxRefusals(n int) { l.refuser.setMaxPending(n) }
+
 // shedUntilReady sheds connections in batches while a connection would wait too long. Shedding them
 // one by one after AcceptTCP would cost more: registering a connection with the runtime takes as
 // much CPU as its refusal, and its request hasn't arrived yet. It returns a connection that arrived
--- a/pkg/admission/refuser.go
+++ b/pkg/admission/refuser.go
@@ -41,6 +41,8 @@
 	// lastRefusal is when the last connection was refused.
 	lastRefusal time.Time
 	pending     []refusedConn // oldest first
+	// maxPending is a lower bound on their number, 0 for none.
+	maxPending int
 	// response is the refusal as it was built at responseAt.
 	response   []byte
 	responseAt time.Time
@@ -52,14 +54,14 @@
 }
 
 // refuse answers a connection with a refusal. It reports false when the budget or
-// maxPendingRefusals doesn't allow it; the caller then still owns the connection.
+// the number of pending ones doesn't allow it; the caller then still owns the connection.
 //
 // Most requests have arrived when their connection is accepted. They are answered and closed here;
 // the others wait for the next poll.
 func (r *refuser) refuse(conn refusedConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.pending) >= maxPendingRefusals || !r.canRefuse() {
+	if len(r.pending) >= r.pendingLimit() || !r.canRefuse() {
 		return false
 	}
 	r.refusedCount.Add(1)
@@ -74,6 +76,20 @@
 	return true
 }
 
+// setMaxPending bounds the connections that are being refused.
+func (r *refuser) setMaxPending(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.maxPending = n
+}
+
+func (r *refuser) pendingLimit() int {
+	if r.maxPending > 0 {
+		return min(r.maxPending, maxPendingRefusals)
+	}
+	return maxPendingRefusals
+}
+
 // canRefuse reports whether one more connection may be refused. It reads the CPU clock again before
 // it returns false.
 func (r *refuser) canRefuse() bool {
--- /dev/null
+++ b/pkg/connlimit/doc.go
@@ -0,0 +1,7 @@
+// Package connlimit bounds the number of connections.
+//
+// Clients that open connections and never finish a request would otherwise use up a process's memory and descriptors, and nobody
+// else would be served. A new connection beyond a limit takes the place of the one whose request has been unfinished for the
+// longest time, or else of the one that has been idle for the longest time. Connections whose requests are being served are
+// never closed for others.
+package connlimit
--- /dev/null
+++ b/pkg/connlimit/entry.go
@@ -0,0 +1,132 @@
+package connlimit
+
+import (
+	"container/list"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// conn is what an entry needs of its connection.
+type conn interface {
+	SetReadDeadline(time.Time) error
+	SetWriteDeadline(time.Time) error
+}
+
+// Entry is one connection of a group. A nil entry isn't bounded.
+type Entry struct {
+	group *Group
+	conn  conn
+	// list is the one that holds the entry, nil once it has left; element and since are its place and when it entered.
+	// They are guarded by the group's mutex.
+	list    *list.List
+	element *list.Element
+	since   time.Time
+
+	// idle is whether no request has begun since the last one. It belongs to the goroutine that serves the connection.
+	idle bool
+
+	// closing is set once the connection is to be closed.
+	closing atomic.Bool
+	// writing is the group's count of sweeps as the write began that hasn't ended; 0 for none.
+	writing atomic.Int64
+}
+
+// enter puts the entry into another list; with the group's mutex held.
+func (e *Entry) enter(to *list.List, now time.Time) {
+	if e.list != nil {
+		e.list.Remove(e.element)
+	}
+	e.list, e.element, e.since = to, to.PushBack(e), now
+}
+
+// leave takes the entry out of the group; with the group's mutex held.
+func (e *Entry) leave() {
+	if e.list == nil {
+		return
+	}
+	e.list.Remove(e.element)
+	e.list = nil
+	e.group.open--
+}
+
+// move puts the entry into another list, unless it has left.
+func (e *Entry) move(to *list.List) {
+	now := e.group.now()
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	if e.list != nil && e.list != to {
+		e.enter(to, now)
+	}
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// interrupt ends the reading of the request.
+func (e *Entry) interrupt() {
+	e.closing.Store(true)
+	_ = e.conn.SetReadDeadline(past) // fails on a closed connection, which is read no more
+}
+
+// abort ends the writing of the response. What the kernel still holds of it is dropped.
+func (e *Entry) abort() {
+	e.interrupt()
+	if c, ok := e.conn.(interface{ SetLinger(int) error }); ok {
+		_ = c.SetLinger(0) // fails on a closed connection
+	}
+	_ = e.conn.SetWriteDeadline(past)
+}
+
+// Closing reports whether the connection is to be closed: nothing more may be read from it.
+func (e *Entry) Closing() bool { return e != nil && e.closing.Load() }
+
+// Received notes what was read from the connection.
+func (e *Entry) Received(b []byte) {
+	if e != nil && len(b) > 0 && e.idle {
+		e.idle = false
+		e.move(&e.group.unfinished)
+	}
+}
+
+// RequestRead notes that the request has been read to its end.
+func (e *Entry) RequestRead() {
+	if e != nil {
+		e.move(&e.group.serving)
+	}
+}
+
+// BeginWrite and EndWrite enclose a write to the connection.
+func (e *Entry) BeginWrite() {
+	if e != nil {
+		e.writing.Store(e.group.sweeps.Load() + 1)
+	}
+}
+
+// EndWrite notes that a write has ended.
+func (e *Entry) EndWrite() {
+	if e != nil {
+		e.writing.Store(0)
+	}
+}
+
+// observe follows the connection's state in the server.
+func (e *Entry) observe(s http.ConnState) {
+	if e == nil {
+		return
+	}
+	switch s {
+	case http.StateActive: // the head has been read
+		if e.idle {
+			e.idle = false
+			e.move(&e.group.unfinished)
+		}
+	case http.StateIdle:
+		e.idle = true
+		e.move(&e.group.idle)
+	case http.StateClosed, http.StateHijacked:
+		e.group.mu.Lock()
+		defer e.group.mu.Unlock()
+		e.leave()
+	}
+}
--- /dev/null
+++ b/pkg/connlimit/group_test.go
@@ -0,0 +1,120 @@
+package connlimit
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fakeConn remembers which of its directions were ended.
+type fakeConn struct{ readEnded, writeEnded bool }
+
+func (c *fakeConn) SetReadDeadline(t time.Time) error  { c.readEnded = t.Equal(past); return nil }
+func (c *fakeConn) SetWriteDeadline(t time.Time) error { c.writeEnded = t.Equal(past); return nil }
+
+// clock is a clock that a test moves.
+type clock struct{ at time.Time }
+
+func newTestGroup(l Limits) (*Group, *clock) {
+	c := &clock{at: time.Unix(1_000_000, 0)}
+	g := NewGroup(l)
+	g.now = func() time.Time { return c.at }
+	return g, c
+}
+
+func admit(t *testing.T, g *Group) (*Entry, *fakeConn) {
+	c := new(fakeConn)
+	e, ok := g.Admit(c)
+	require.True(t, ok)
+	return e, c
+}
+
+// Guards against clients that keep all connections by never finishing a request.
+func TestANewConnectionTakesThePlaceOfTheOldestUnfinishedOne(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 2})
+	_, first := admit(t, g)
+	now.at = now.at.Add(time.Millisecond)
+	_, second := admit(t, g)
+	_, ok := g.Admit(new(fakeConn))
+	require.False(t, ok, "no connection is old enough to make room")
+	now.at = now.at.Add(patience - time.Millisecond)
+	admit(t, g)
+	require.True(t, first.readEnded)
+	require.False(t, second.readEnded)
+	require.Equal(t, 2, g.Open())
+	require.EqualValues(t, 1, g.Counts().Unfinished)
+}
+
+// Guards against unfinished requests that leave no room for those that are served.
+func TestUnfinishedRequestsHaveALimitOfTheirOwn(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 10, Unfinished: 2})
+	served, _ := admit(t, g)
+	served.RequestRead()
+	_, first := admit(t, g)
+	admit(t, g)
+	now.at = now.at.Add(patience)
+	admit(t, g)
+	require.True(t, first.readEnded)
+}
+
+// Guards against accepted requests that are cut to make room for others.
+func TestConnectionsThatAreServedAreNotClosedForOthers(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 1})
+	e, c := admit(t, g)
+	e.RequestRead()
+	now.at = now.at.Add(time.Hour)
+	_, ok := g.Admit(new(fakeConn))
+	require.False(t, ok)
+	require.False(t, c.readEnded)
+
+	e.observe(http.StateIdle)
+	now.at = now.at.Add(patience)
+	admit(t, g)
+	require.True(t, c.readEnded, "an idle connection makes room")
+	require.EqualValues(t, 1, g.Counts().Idle)
+}
+
+// Guards against connections that are counted after they have ended, or counted out twice.
+func TestConnectionsAreCountedUntilTheyEnd(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 2})
+	closed, _ := admit(t, g)
+	admit(t, g)
+	now.at = now.at.Add(patience)
+	admit(t, g)
+	require.True(t, closed.Closing())
+	closed.observe(http.StateClosed)
+	closed.RequestRead()
+	require.Equal(t, 2, g.Open())
+}
+
+// Guards against callers that read nothing and keep what is written to them for good.
+func TestWritesThatStallAreEnded(t *testing.T) {
+	const interval = 2 * time.Second
+	g, _ := newTestGroup(Limits{})
+	stalls, stallsConn := admit(t, g)
+	reads, readsConn := admit(t, g)
+	stalls.RequestRead()
+	reads.RequestRead()
+	stalls.BeginWrite()
+	for range int(maxWriteStall/interval) + 2 {
+		reads.BeginWrite()
+		g.Sweep(interval)
+		reads.EndWrite()
+	}
+	require.True(t, stallsConn.writeEnded)
+	require.False(t, readsConn.writeEnded)
+	require.EqualValues(t, 1, g.Counts().Stalled)
+}
+
+// Guards against a lower limit that applies to later connections only.
+func TestLowerLimitsApplyToOpenConnections(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 4})
+	for range 4 {
+		admit(t, g)
+	}
+	now.at = now.at.Add(patience)
+	g.SetLimits(Limits{Open: 2})
+	require.Equal(t, 1, g.Open(), "there is room for another one")
+}
--- a/pkg/fleet/serve.go
+++ b/pkg/fleet/serve.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/buffers"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
 // maxRequestDelay is how long a request usually is in flight at most: links take a few
@@ -101,6 +102,7 @@
 	if err != nil {
 		return false // the peer disconnected; it sends its next report anyway
 	}
+	connlimit.FromContext(in.Context()).RequestRead()
 	// With the deadline left in place, the server would take the sender for gone while it is being answered.
 	_ = control.SetReadDeadline(time.Time{})
 	if extent != buffers.Whole {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
 type connKey struct{}
@@ -67,6 +69,9 @@
 	return c
 }
 
+// entry returns the limits' entry of the request's connection; nil for none.
+func (r *request) entry() *connlimit.Entry { return connlimit.FromContext(r.in.Context()) }
+
 // callerClosedConn reports whether the caller has closed its connection.
 //
 // Guard: a request may wait in the kernel's queues until its caller has given up. The server
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -62,6 +62,7 @@
 	if err := g.readBody(r, table.Config.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
+	r.entry().RequestRead()
 	if g.overloaded() {
 		return errRouterOverloaded()
 	}
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -53,7 +53,7 @@
 }
 
 func errRouterOverloaded() *verdict.Error {
-	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "this router has no processor to spare", otherRouterRetryAfter)
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeOverloaded, "this router has no processor or memory to spare", otherRouterRetryAfter)
 }
 
 func errBodiesFull() *verdict.Error {
--- a/pkg/gatewayd/check.go
+++ b/pkg/gatewayd/check.go
@@ -37,6 +37,7 @@
 	require(s.Limits.MemoryMiB >= 0, "limits.memoryMiB must not be negative")
 	require(s.Limits.Cores >= 0, "limits.cores must not be negative")
 	require(s.Limits.LinkMbps >= 0, "limits.linkMbps must not be negative")
+	require(s.Limits.Descriptors >= 0, "limits.descriptors must not be negative")
 	require(s.Limits.KeptConnections > 0, "limits.keptConnections must be positive")
 	require(s.Repeats.Ratio >= 0 && s.Repeats.Slack >= 0, "repeats: ratio and slack must not be negative")
 	require(s.Repeats.WindowSeconds > 0, "repeats.windowSeconds must be positive")
--- a/pkg/gatewayd/endpoint.go
+++ b/pkg/gatewayd/endpoint.go
@@ -1,15 +1,14 @@
 package gatewayd
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
-	"github.com/flamingowind/flamingowind/internal/listening"
 	"github.com/flamingowind/flamingowind/pkg/admission"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
 // Limits of the servers' connections.
@@ -32,18 +31,21 @@
 	forCallers bool
 }
 
-func listenEndpoint(name, addr string, h http.Handler) (*endpoint, error) {
-	l, err := listening.TCP(addr, otherSockets[name])
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen for %s", name)
-	}
-	return newEndpoint(name, l, h), nil
+// newEndpoint returns an endpoint whose listener limits its connections.
+func newEndpoint(name string, l net.Listener, h http.Handler) *endpoint {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	connlimit.Track(s)
+	return &endpoint{name: name, listener: l, server: s}
 }
 
-func newEndpoint(name string, l net.Listener, h http.Handler) *endpoint {
-	return &endpoint{name: name, listener: l, server: &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}}
+// newCallersEndpoint returns an endpoint for callers' requests.
+func (p *Process) newCallersEndpoint(name string, l *admission.Listener, withConn func(context.Context, net.Conn) context.Context) *endpoint {
+	l.SetGroup(p.connLimits.groups[callersEndpoint])
+	p.callerListeners = append(p.callerListeners, l)
+	s := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: p.conns.observe, ConnContext: withConn}
+	connlimit.Track(s)
+	return &endpoint{name: name, listener: l, server: s, forCallers: true}
 }
 
 // connCounter counts the open connections of an endpoint.
--- a/pkg/gatewayd/handover.go
+++ b/pkg/gatewayd/handover.go
@@ -42,11 +42,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	endpoint := newEndpoint(handoverEndpoint, inbound, p.gateway)
-	endpoint.server.ConnState = p.conns.observe
-	endpoint.server.ConnContext = gateway.WithHandover
-	endpoint.forCallers = true
-	p.endpoints = append(p.endpoints, endpoint)
+	p.endpoints = append(p.endpoints, p.newCallersEndpoint(handoverEndpoint, inbound, gateway.WithHandover))
 	cache := &targetCache{find: p.handoverTargets}
 	p.handover, err = handover.NewRelay(s.Limits.Cores, cache.get, l.Refuse)
 	if err != nil {
--- a/pkg/gatewayd/housekeeping.go
+++ b/pkg/gatewayd/housekeeping.go
@@ -31,6 +31,8 @@
 			p.rowFaults.report()
 			p.held.report()
 			p.reportMemory()
+			p.connLimits.refresh()
+			p.connLimits.report()
 			p.rejections.report()
 			p.handoverStats.report()
 			p.shareUsage.report(now)
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/flamingowind/flamingowind/pkg/affinity"
 	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 	"github.com/flamingowind/flamingowind/pkg/fleet"
 	"github.com/flamingowind/flamingowind/pkg/forward"
 	"github.com/flamingowind/flamingowind/pkg/gateway"
@@ -72,6 +74,9 @@
 	handoverStats handoverStats
 	// shareUsage reports organisations over their share.
 	shareUsage shareUsage
+	// connLimits bounds the connections of all endpoints, callerListeners are those that take callers'.
+	connLimits      *connLimits
+	callerListeners []*admission.Listener
 	// conns counts callers' connections; cpu, below, measures how long work waits for the CPU.
 	conns connCounter
 	// callerLink measures callers' use of the link; callerTraffic counts their traffic.
@@ -95,7 +100,8 @@
 	p.pools.SetMaxHead(s.Upstreams.maxHeadBytes())
 	p.local = &localState{catalog: p.catalog, loads: loads, prefixIndex: p.prefixIndex, shares: shares, inflows: inflows, estimator: estimator, quarantine: suspects, demand: new(demand),
 		ready: func() bool { return p.gateway.Ready() }, cpuStarved: p.cpu.starved, log: l, newerPeers: make(chan newerPeer, 1)}
-	p.conns.limit.Store(int64(s.Limits.KeptConnections))
+	p.connLimits = newConnLimits(s.Limits, p.metrics.Scope, l)
+	p.connLimits.apply = p.limitOthers
 	p.fleet = fleet.New(member(s), p.local, l)
 	p.exchange = fleet.NewExchanger(p.fleet)
 	p.streams = affinity.NewTracker(streamView{p.catalog, p.fleet}, p.exchange.AskStream, time.Now(), l)
@@ -141,7 +147,11 @@
 	})
 	p.limitMemory(int64(s.Limits.MemoryMiB) << 20)
 	p.addKnownPeers(s.Entries.Known)
-	return p, errors.Trace(p.bind(d.Faces))
+	if err := p.bind(d.Faces); err != nil {
+		return p, errors.Trace(err)
+	}
+	p.connLimits.refresh()
+	return p, nil
 }
 
 // addKnownPeers adds addresses where routers may run to the fleet's members.
@@ -151,15 +161,6 @@
 	}
 }
 
-// Names of endpoints.
-const (
-	callersEndpoint   = "callers"
-	peersEndpoint     = "peers"
-	readinessEndpoint = "readiness"
-	metricsEndpoint   = "metrics"
-	entriesEndpoint   = "entries"
-)
-
 func (p *Process) bind(f Faces) error {
 	s := p.settings.Load()
 	if err := p.bindCallers(s.Listen.Callers); err != nil {
@@ -169,26 +170,35 @@
 		name, addr string
 		handler    http.Handler
 	}{
-		{readinessEndpoint, s.Listen.Readiness, f.Readiness(p.gateway.Ready)},
+		{readinessEndpoint, s.Listen.Readiness, connlimit.WithoutBodies(f.Readiness(p.gateway.Ready))},
 		{peersEndpoint, s.Listen.Peers, p.fleet.Handler()},
-		{metricsEndpoint, s.Listen.Metrics, p.metricsHandler()},
-		{entriesEndpoint, s.Listen.Entries, f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds })},
+		{metricsEndpoint, s.Listen.Metrics, connlimit.WithoutBodies(p.metricsHandler())},
+		{entriesEndpoint, s.Listen.Entries, connlimit.WithoutBodies(f.Entries(p.entries, func() float64 { return p.settings.Load().Entries.KeepSeconds }))},
 	} {
 		if e.addr == "" {
 			continue
 		}
-		bound, err := listenEndpoint(e.name, e.addr, e.handler)
-		if err != nil {
-			return errors.Trace(err)
+		if err := p.bindLimited(e.name, e.addr, e.handler); err != nil {
+			return errors.Annotatef(err, "listen for %s", e.name)
 		}
-		if e.name == peersEndpoint {
-			bound.listener = p.peerTraffic.Listen(bound.listener)
-		}
-		p.endpoints = append(p.endpoints, bound)
 	}
 	return nil
 }
 
+// bindLimited listens for one of the endpoints that aren't for callers' requests.
+func (p *Process) bindLimited(name, addr string, h http.Handler) error {
+	var l net.Listener
+	l, err := listening.TCP(addr, otherSockets[name])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if name == peersEndpoint {
+		l = p.peerTraffic.Listen(l)
+	}
+	p.endpoints = append(p.endpoints, newEndpoint(name, p.connLimits.groups[name].Listen(l), h))
+	return nil
+}
+
 // metricsHandler serves metrics and status, and profiles where they are enabled.
 func (p *Process) metricsHandler() http.Handler {
 	h := status.Handler(p.status, p.metrics, p.log)
@@ -213,10 +223,7 @@
 	p.callerTraffic = append(p.callerTraffic, l.Traffic)
 	l.SetLink(p.callerLink)
 	l.SetObjective(p.shortestObjective)
-	callers := newEndpoint(callersEndpoint, l, p.gateway)
-	callers.server.ConnState = p.conns.observe
-	callers.server.ConnContext, callers.forCallers = gateway.WithConn, true
-	p.endpoints = append(p.endpoints, callers)
+	p.endpoints = append(p.endpoints, p.newCallersEndpoint(callersEndpoint, l, gateway.WithConn))
 	if err := p.bindHandover(l); err != nil {
 		return errors.Trace(err)
 	}
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -29,13 +29,14 @@
 func (p *Process) Reload(s Settings) {
 	old := p.settings.Load()
 	needs := needRestart(*old, s)
-	s.Router, s.Listen, s.Advertise, s.Limits.MemoryMiB, s.Limits.Cores, s.Log = old.Router, old.Listen, old.Advertise, old.Limits.MemoryMiB, old.Limits.Cores, old.Log
+	s.Router, s.Listen, s.Advertise, s.Log = old.Router, old.Listen, old.Advertise, old.Log
+	s.Limits.MemoryMiB, s.Limits.Cores, s.Limits.Descriptors = old.Limits.MemoryMiB, old.Limits.Cores, old.Limits.Descriptors
 	p.settings.Store(&s)
 	p.gateway.UpdateSettings(gatewaySettings(s))
 	p.pools.SetMaxHead(s.Upstreams.maxHeadBytes())
 	p.updateWarmup(s)
 	p.local.bookings.SetRunShare(s.Bookings.RunShare)
-	p.conns.limit.Store(int64(s.Limits.KeptConnections))
+	p.limitOthers(p.connLimits.maxDescriptors())
 	p.addKnownPeers(s.Entries.Known)
 	if s.Store.Addr != old.Store.Addr && p.setStoreAddr != nil {
 		p.setStoreAddr(s.Store.Addr)
@@ -51,6 +52,7 @@
 		reload.Section{Name: "advertise", Differs: old.Advertise != s.Advertise},
 		reload.Section{Name: "limits.memoryMiB", Differs: old.Limits.MemoryMiB != s.Limits.MemoryMiB},
 		reload.Section{Name: "limits.cores", Differs: old.Limits.Cores != s.Limits.Cores},
+		reload.Section{Name: "limits.descriptors", Differs: old.Limits.Descriptors != s.Limits.Descriptors},
 		reload.Section{Name: "log", Differs: old.Log != s.Log},
 	)
 }
--- a/pkg/gatewayd/reload_test.go
+++ b/pkg/gatewayd/reload_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/flamingowind/flamingowind/pkg/booking"
 	"github.com/flamingowind/flamingowind/pkg/catalog"
@@ -42,7 +43,7 @@
 	s := DefaultSettings()
 	s.Router.Name, s.Store.Addr = "r", "127.0.0.1:1"
 	s.Listen = ListenSettings{Callers: "127.0.0.1:2", Readiness: "127.0.0.1:3", Peers: "127.0.0.1:4", Entries: "127.0.0.1:5"}
-	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(), pools: forward.NewPools("Id"), local: &localState{bookings: booking.NewBook(booking.DefaultRunShare)},
+	r.Process = &Process{log: l, catalog: catalog.New(l), health: upstream.NewHealth(), pools: forward.NewPools("Id"), local: &localState{bookings: booking.NewBook(booking.DefaultRunShare)}, connLimits: newConnLimits(LimitSettings{}, tally.NoopScope, l),
 		setStoreAddr: func(addr string) { r.store.Store(addr) }}
 	r.settings.Store(&s)
 	r.fleet = fleet.New(member(s), nil, l)
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -75,6 +75,8 @@
 	// LinkMbps is the speed of the host's link in each direction, in megabits a second; 0 when it
 	// isn't known.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// Descriptors is the number of descriptors that the process may have open; 0 for the limit that it was started with.
+	Descriptors int `yaml:"descriptors"`
 	// KeptConnections is the number of callers' connections above which responses close their
 	// connections.
 	KeptConnections int `yaml:"keptConnections"`
