Gateway: the heads of all requests have a common bound of memory

Seen: 67 MiB of 48 with 200 heads of 14,000 bytes in short lines, inside the configured limit; 72 of 48 and 141 of 134 with heads up to 36 KB; 116 of 48 and up to 778 of 134 at entries, readiness, metrics and peers.

Cause: a head costs a multiple of its bytes once it is parsed into a map, nothing counted it, and 64 KiB were read of each one at every address.

Change: connections count the bytes and lines of a head as they are read, before the parser has them, and take memory for them from an account of all heads: two bytes a byte and 192 bytes a line (the server's map and the one for the upstream), beyond 4 KiB, until the request has ended. The account has a sixteenth of the memory. A caller's head that finds no room is refused, 503 and not run, at other addresses its connection is closed; it also makes the longest unfinished request give way, so that stalled heads don't keep the account. One head of 16 KB in the shortest lines takes 0.5 MiB and is served in calm. A bound on lines would have refused it.

--- a/pkg/admission/conn.go
+++ b/pkg/admission/conn.go
@@ -37,8 +37,8 @@
 // Entry returns the connection's entry in its group.
 func (c *Conn) Entry() *connlimit.Entry { return c.entry }
 
-// Read reads from the connection. The first call waits for a read slot. Once the connection has to make room for others, it
-// fails as by a deadline: the server closes it without a response.
+// Read reads from the connection. The first call waits for a read slot. Once the connection has to make room for others, or has
+// been refused, it fails as by a deadline: the server closes it without a response.
 func (c *Conn) Read(b []byte) (int, error) {
 	first := false
 	c.firstRead.Do(func() {
@@ -54,8 +54,7 @@
 	}
 	if first {
 		if n := c.readAvailable(b); n > 0 {
-			c.entry.Received(b[:n])
-			return n, nil
+			return c.received(b[:n], nil)
 		}
 	}
 	// A connection that is opened before its request would hold its slot for as long as it is idle,
@@ -63,8 +62,18 @@
 	c.ReleaseReadSlot()
 	n, err := c.TCPConn.Read(b)
 	c.listener.meter.Received(n)
-	c.entry.Received(b[:n])
-	return n, err
+	return c.received(b[:n], err)
+}
+
+// received passes on what was read, unless it belongs to a request that there is no memory for. That one is refused.
+func (c *Conn) received(b []byte, err error) (int, error) {
+	if c.entry.Received(b) {
+		return len(b), err
+	}
+	if c.owner.CompareAndSwap(ownedByServer, ownedByRefuser) {
+		c.listener.refuseBegun(c.TCPConn)
+	}
+	return 0, os.ErrDeadlineExceeded
 }
 
 // SetReadDeadline sets the deadline, unless the connection has to make room for others.
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -140,6 +140,15 @@
 // SetMaxRefusals bounds the connections that are being refused at the same time; 0 stands for the default.
 func (l *Listener) SetMaxRefusals(n int) { l.refuser.setMaxPending(n) }
 
+// refuseBegun refuses a connection of which a part of a request was read, or closes it.
+func (l *Listener) refuseBegun(c *net.TCPConn) {
+	if fd := descriptor(c); fd >= 0 && l.refuser.refuse(refusedConn{fd: fd, conn: c, acceptedAt: l.now(), begun: true}) {
+		return
+	}
+	_ = c.Close() // the caller is sent nothing
+	l.closedCount.Add(1)
+}
+
 // shedUntilReady sheds connections in batches while a connection would wait too long. Shedding them
 // one by one after AcceptTCP would cost more: registering a connection with the runtime takes as
 // much CPU as its refusal, and its request hasn't arrived yet. It returns a connection that arrived
--- a/pkg/admission/refusedconn.go
+++ b/pkg/admission/refusedconn.go
@@ -25,6 +25,8 @@
 	fd int
 	// conn is the connection that owns fd if it is registered with the runtime, nil otherwise.
 	conn *net.TCPConn
+	// begun is whether a part of the request was read before.
+	begun bool
 	// acceptedAt is when the connection was accepted, answeredAt when the refusal was sent; zero
 	// before.
 	acceptedAt, answeredAt time.Time
@@ -44,10 +46,10 @@
 	if !r.answeredAt.IsZero() {
 		return !wouldBlock && (err != nil || n == 0) || now.Sub(r.answeredAt) >= lingerTimeout
 	}
-	if wouldBlock {
+	if wouldBlock && !r.begun {
 		return now.Sub(r.acceptedAt) >= firstReadTimeout
 	}
-	if err != nil || n == 0 {
+	if !wouldBlock && (err != nil || n == 0) {
 		return true // the caller has disconnected
 	}
 	if _, err := unix.Write(r.fd, refusal); err != nil {
@@ -55,7 +57,7 @@
 	}
 	m.Sent(len(refusal))
 	r.answeredAt = now
-	return isCompleteRequest(scratch[:n])
+	return !r.begun && isCompleteRequest(scratch[:n])
 }
 
 // close closes the connection; nothing is left to be sent.
--- a/pkg/buffers/budget.go
+++ b/pkg/buffers/budget.go
@@ -5,16 +5,20 @@
 // Limits of a Budget.
 const (
 	// memoryShare is the part of a router's memory that responses may use for buffers, bodyShare the part for
-	// request bodies. The rest is for connections, the configuration and the kernel.
+	// request bodies, headShare the part for their heads. The rest is for connections, the configuration and the kernel.
 	memoryShare = 1.0 / 16
 	bodyShare   = 3.0 / 16
+	headShare   = 1.0 / 16
 	// minLimit, in bytes, fits some events of the largest size.
 	minLimit = 4 << 20
 	// minBodyLimit, in bytes, fits some bodies of the usual maximum.
 	minBodyLimit = 8 << 20
-	// DefaultLimit and DefaultBodyLimit apply where the router's memory isn't known, in bytes.
+	// minHeadLimit, in bytes, fits some heads of the usual maximum.
+	minHeadLimit = 2 << 20
+	// DefaultLimit, DefaultBodyLimit and DefaultHeadLimit apply where the router's memory isn't known, in bytes.
 	DefaultLimit     = 32 << 20
 	DefaultBodyLimit = 96 << 20
+	DefaultHeadLimit = 32 << 20
 )
 
 // LimitFor returns the limit for responses, in bytes, of a router with that much memory; 0 if that isn't known.
@@ -34,6 +38,14 @@
 	return max(minBodyLimit, int64(float64(memory)*bodyShare))
 }
 
+// HeadLimitFor returns the limit for the heads of requests.
+func HeadLimitFor(memory int64) int64 {
+	if memory <= 0 {
+		return DefaultHeadLimit
+	}
+	return max(minHeadLimit, int64(float64(memory)*headShare))
+}
+
 // Budget bounds the bytes that all leases hold together. It has no lock, since every request uses it.
 type Budget struct {
 	limit, used atomic.Int64
--- a/pkg/connlimit/doc.go
+++ b/pkg/connlimit/doc.go
@@ -1,4 +1,5 @@
-// Package connlimit bounds the number of connections.
+// Package connlimit bounds what connections take before their requests are complete: their number, and the memory of the heads
+// that are read.
 //
 // Clients that open connections and never finish a request would otherwise use up a process's memory and descriptors, and nobody
 // else would be served. A new connection beyond a limit takes the place of the one whose request has been unfinished for the
--- a/pkg/connlimit/entry.go
+++ b/pkg/connlimit/entry.go
@@ -1,10 +1,13 @@
 package connlimit
 
 import (
+	"bytes"
 	"container/list"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // conn is what an entry needs of its connection.
@@ -23,8 +26,11 @@
 	element *list.Element
 	since   time.Time
 
-	// idle is whether no request has begun since the last one. It belongs to the goroutine that serves the connection.
-	idle bool
+	// inHead is whether what is read belongs to a request's head, headBytes and headLines what was read of it, idle whether no
+	// request has begun since the last one. They and the lease belong to the goroutine that serves the connection.
+	inHead, idle         bool
+	headBytes, headLines int64
+	lease                buffers.Lease
 
 	// closing is set once the connection is to be closed.
 	closing atomic.Bool
@@ -81,12 +87,35 @@
 // Closing reports whether the connection is to be closed: nothing more may be read from it.
 func (e *Entry) Closing() bool { return e != nil && e.closing.Load() }
 
-// Received notes what was read from the connection.
-func (e *Entry) Received(b []byte) {
-	if e != nil && len(b) > 0 && e.idle {
-		e.idle = false
+// Received notes what was read from the connection. It returns false if it belongs to a head for which there is no memory.
+func (e *Entry) Received(b []byte) bool {
+	if e == nil || len(b) == 0 {
+		return true
+	}
+	if e.idle {
+		e.idle, e.inHead = false, true
 		e.move(&e.group.unfinished)
 	}
+	if !e.inHead {
+		return true
+	}
+	e.headBytes += int64(len(b))
+	e.headLines += int64(bytes.Count(b, []byte{'\n'}))
+	cost := headCopies*e.headBytes + lineCost*e.headLines
+	if cost <= freeHead || e.lease.Hold(cost-freeHead+buffers.FreeBytes) {
+		return true
+	}
+	e.group.refuseHead()
+	return false
+}
+
+// refuseHead makes room for later heads as one finds none.
+func (g *Group) refuseHead() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counts.Heads++
+	g.closeFirst(&g.unfinished, &g.counts.Unfinished, now)
 }
 
 // RequestRead notes that the request has been read to its end.
@@ -121,12 +150,21 @@
 			e.idle = false
 			e.move(&e.group.unfinished)
 		}
+		e.inHead = false
 	case http.StateIdle:
-		e.idle = true
+		e.endRequest()
+		e.idle, e.inHead = true, false
 		e.move(&e.group.idle)
 	case http.StateClosed, http.StateHijacked:
+		e.endRequest()
 		e.group.mu.Lock()
 		defer e.group.mu.Unlock()
 		e.leave()
 	}
 }
+
+// endRequest gives back what the request's head holds.
+func (e *Entry) endRequest() {
+	e.lease.Release()
+	e.headBytes, e.headLines = 0, 0
+}
--- a/pkg/connlimit/group.go
+++ b/pkg/connlimit/group.go
@@ -5,11 +5,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // Group is a number of connections with common limits.
 type Group struct {
-	now func() time.Time
+	// heads is the memory that heads may take; other groups may share it.
+	heads *buffers.Budget
+	now   func() time.Time
 	// sweeps counts the calls of Sweep, by which writes are dated.
 	sweeps atomic.Int64
 
@@ -23,12 +27,14 @@
 
 // Counts are the connections that were closed so far, by reason.
 type Counts struct {
-	// Unfinished and Idle made room for others, Stalled took nothing of a response.
-	Unfinished, Idle, Stalled int64
+	// Unfinished and Idle made room for others, Stalled took nothing of a response, Heads found no memory for a request's head.
+	Unfinished, Idle, Stalled, Heads int64
 }
 
-// NewGroup returns a group with the given limits.
-func NewGroup(l Limits) *Group { return &Group{limits: l, now: time.Now} }
+// NewGroup returns a group whose heads take memory of the given budget.
+func NewGroup(l Limits, heads *buffers.Budget) *Group {
+	return &Group{limits: l, heads: heads, now: time.Now}
+}
 
 // Admit returns the entry of a new connection, and whether there is room for it. A nil group has room for any.
 func (g *Group) Admit(c conn) (e *Entry, ok bool) {
@@ -41,7 +47,7 @@
 	if !g.makeRoom(now) {
 		return nil, false
 	}
-	e = &Entry{group: g, conn: c}
+	e = &Entry{group: g, conn: c, inHead: true, lease: g.heads.Lease()}
 	g.open++
 	e.enter(&g.unfinished, now)
 	return e, true
--- a/pkg/connlimit/group_test.go
+++ b/pkg/connlimit/group_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // fakeConn remembers which of its directions were ended.
@@ -17,9 +20,9 @@
 // clock is a clock that a test moves.
 type clock struct{ at time.Time }
 
-func newTestGroup(l Limits) (*Group, *clock) {
+func newTestGroup(l Limits, heads int64) (*Group, *clock) {
 	c := &clock{at: time.Unix(1_000_000, 0)}
-	g := NewGroup(l)
+	g := NewGroup(l, buffers.NewBudget(heads))
 	g.now = func() time.Time { return c.at }
 	return g, c
 }
@@ -33,7 +36,7 @@
 
 // Guards against clients that keep all connections by never finishing a request.
 func TestANewConnectionTakesThePlaceOfTheOldestUnfinishedOne(t *testing.T) {
-	g, now := newTestGroup(Limits{Open: 2})
+	g, now := newTestGroup(Limits{Open: 2}, 0)
 	_, first := admit(t, g)
 	now.at = now.at.Add(time.Millisecond)
 	_, second := admit(t, g)
@@ -49,7 +52,7 @@
 
 // Guards against unfinished requests that leave no room for those that are served.
 func TestUnfinishedRequestsHaveALimitOfTheirOwn(t *testing.T) {
-	g, now := newTestGroup(Limits{Open: 10, Unfinished: 2})
+	g, now := newTestGroup(Limits{Open: 10, Unfinished: 2}, 0)
 	served, _ := admit(t, g)
 	served.RequestRead()
 	_, first := admit(t, g)
@@ -61,7 +64,7 @@
 
 // Guards against accepted requests that are cut to make room for others.
 func TestConnectionsThatAreServedAreNotClosedForOthers(t *testing.T) {
-	g, now := newTestGroup(Limits{Open: 1})
+	g, now := newTestGroup(Limits{Open: 1}, 0)
 	e, c := admit(t, g)
 	e.RequestRead()
 	now.at = now.at.Add(time.Hour)
@@ -78,7 +81,7 @@
 
 // Guards against connections that are counted after they have ended, or counted out twice.
 func TestConnectionsAreCountedUntilTheyEnd(t *testing.T) {
-	g, now := newTestGroup(Limits{Open: 2})
+	g, now := newTestGroup(Limits{Open: 2}, 0)
 	closed, _ := admit(t, g)
 	admit(t, g)
 	now.at = now.at.Add(patience)
@@ -89,10 +92,48 @@
 	require.Equal(t, 2, g.Open())
 }
 
+// Guards against heads of many short lines, which take many times their bytes, in an account of bytes.
+func TestHeadsTakeMemoryByTheirLines(t *testing.T) {
+	const limit = 1 << 20
+	g, _ := newTestGroup(Limits{}, limit)
+	short, _ := admit(t, g)
+	require.True(t, short.Received([]byte(strings.Repeat("a:\r\n", 2_000))))
+	require.Greater(t, g.heads.Used(), int64(2_000*lineCost))
+	long, _ := admit(t, g)
+	require.True(t, long.Received([]byte(strings.Repeat("a", 8_000))))
+	refused, _ := admit(t, g)
+	require.False(t, refused.Received([]byte(strings.Repeat("a:\r\n", 4_000))))
+	usual, _ := admit(t, g)
+	require.True(t, usual.Received([]byte(strings.Repeat("Name: some text\r\n", 12))), "usual heads need no memory of the account")
+	for _, e := range []*Entry{short, long, refused, usual} {
+		e.observe(http.StateClosed)
+	}
+	require.Zero(t, g.heads.Used())
+}
+
+// Guards against bodies that are counted as heads, and against heads of later requests on a connection that aren't counted.
+func TestHeadsAreCountedRequestByRequest(t *testing.T) {
+	g, _ := newTestGroup(Limits{}, 1<<20)
+	e, _ := admit(t, g)
+	text := []byte(strings.Repeat("a:\r\n", 1_000))
+	for range 3 {
+		require.True(t, e.Received(text))
+		held := g.heads.Used()
+		require.Positive(t, held)
+		require.EqualValues(t, len(text), e.headBytes)
+		e.observe(http.StateActive)
+		require.True(t, e.Received(text))
+		require.Equal(t, held, g.heads.Used(), "a body is no head")
+		e.RequestRead()
+		e.observe(http.StateIdle)
+		require.Zero(t, g.heads.Used())
+	}
+}
+
 // Guards against callers that read nothing and keep what is written to them for good.
 func TestWritesThatStallAreEnded(t *testing.T) {
 	const interval = 2 * time.Second
-	g, _ := newTestGroup(Limits{})
+	g, _ := newTestGroup(Limits{}, 0)
 	stalls, stallsConn := admit(t, g)
 	reads, readsConn := admit(t, g)
 	stalls.RequestRead()
@@ -110,7 +151,7 @@
 
 // Guards against a lower limit that applies to later connections only.
 func TestLowerLimitsApplyToOpenConnections(t *testing.T) {
-	g, now := newTestGroup(Limits{Open: 4})
+	g, now := newTestGroup(Limits{Open: 4}, 0)
 	for range 4 {
 		admit(t, g)
 	}
--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -64,7 +64,9 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(b)
-	c.entry.Received(b[:n])
+	if !c.entry.Received(b[:n]) {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
--- a/pkg/connlimit/listener_test.go
+++ b/pkg/connlimit/listener_test.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 )
 
 // serve starts a server whose connections are limited.
 func serve(t *testing.T, l Limits, h http.Handler) (*Group, string) {
-	g := NewGroup(l)
+	g := NewGroup(l, buffers.NewBudget(1<<20))
 	s := httptest.NewUnstartedServer(h)
 	s.Listener = g.Listen(s.Listener)
 	Track(s.Config)
@@ -57,3 +59,17 @@
 	require.NoError(t, err)
 	require.True(t, strings.HasPrefix(string(answer), "HTTP/1.1 204"), "%s", answer)
 }
+
+// Guards against a head that is read though there is no memory for it.
+func TestHeadsWithoutMemoryEndTheirConnection(t *testing.T) {
+	g, addr := serve(t, Limits{}, http.NotFoundHandler())
+	g.heads.SetLimit(0)
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 1_000))
+	require.NoError(t, err)
+	answer, _ := io.ReadAll(c) // ends, in order or by a reset
+	require.Empty(t, answer)
+	require.EqualValues(t, 1, g.Counts().Heads)
+}
--- a/pkg/gatewayd/connlimits.go
+++ b/pkg/gatewayd/connlimits.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
+	"github.com/flamingowind/flamingowind/pkg/buffers"
 	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
@@ -62,6 +63,8 @@
 
 // connLimits bounds the connections of all endpoints by the memory and the descriptors of the process.
 type connLimits struct {
+	// heads is the memory for the heads of requests, of all endpoints.
+	heads    *buffers.Budget
 	groups   map[string]*connlimit.Group
 	reported map[string]connlimit.Counts
 	scope    tally.Scope
@@ -73,10 +76,10 @@
 }
 
 func newConnLimits(l LimitSettings, scope tally.Scope, lg log.Interface) *connLimits {
-	c := &connLimits{groups: make(map[string]*connlimit.Group),
+	c := &connLimits{heads: buffers.NewBudget(buffers.HeadLimitFor(int64(l.MemoryMiB) << 20)), groups: make(map[string]*connlimit.Group),
 		reported: make(map[string]connlimit.Counts), scope: scope, log: lg, memoryMiB: l.MemoryMiB, descriptors: l.Descriptors, apply: func(int) {}}
 	for name, share := range connShares {
-		c.groups[name] = connlimit.NewGroup(share.limit(l.MemoryMiB, c.maxDescriptors()))
+		c.groups[name] = connlimit.NewGroup(share.limit(l.MemoryMiB, c.maxDescriptors()), c.heads)
 	}
 	return c
 }
@@ -114,7 +117,7 @@
 		c.reported[name] = is
 		fields := log.Fields{"event": "clients_closed", "endpoint": name}
 		for reason, n := range map[string]int64{
-			"unfinished": is.Unfinished - was.Unfinished, "idle": is.Idle - was.Idle, "stalled": is.Stalled - was.Stalled,
+			"unfinished": is.Unfinished - was.Unfinished, "idle": is.Idle - was.Idle, "stalled": is.Stalled - was.Stalled, "heads": is.Heads - was.Heads,
 		} {
 			fields[reason] = n
 			c.scope.Tagged(map[string]string{"endpoint": name, "reason": reason}).Counter("clients_closed").Inc(n)
--- a/pkg/gatewayd/memoryuse.go
+++ b/pkg/gatewayd/memoryuse.go
@@ -10,7 +10,7 @@
 
 // reportMemory reports what requests and responses hold in memory, and its bounds.
 func (p *Process) reportMemory() {
-	for of, account := range map[string]*buffers.Budget{"requests": p.gateway.Bodies(), "responses": p.pools.Buffers()} {
+	for of, account := range map[string]*buffers.Budget{"requests": p.gateway.Bodies(), "heads": p.connLimits.heads, "responses": p.pools.Buffers()} {
 		scope := p.metrics.Scope.Tagged(map[string]string{"of": of})
 		scope.Gauge("memory_held_bytes").Update(float64(account.Used()))
 		scope.Gauge("memory_held_limit_bytes").Update(float64(account.Limit()))
