Gateway: a long body that stalls makes room for others

Seen: with 200 bodies of 200 KB that stop just short of their end, on routes with a timeout of a minute, a body of 100 KB was refused for as long as the crowd stood: 503, no memory for the body.

Cause: a body keeps its part of the account until its route's deadline, whether it arrives or not.

Change: a body that finds no room makes the one give way that has held memory for the longest time, of those of which nothing has arrived for half a second. That one's request is refused as one that came too slowly (408, not run), and the next body finds its room.

Bodies that trickle in are bounded by their deadlines only, as before.

--- a/pkg/connlimit/entry.go
+++ b/pkg/connlimit/entry.go
@@ -32,6 +32,10 @@
 	headBytes, headLines int64
 	lease                buffers.Lease
 
+	// holdsBody is whether the request's unfinished body takes memory that others wait for, lastRead when bytes of it were read
+	// last, in nanoseconds since the Unix epoch.
+	holdsBody atomic.Bool
+	lastRead  atomic.Int64
 	// closing is set once the connection is to be closed.
 	closing atomic.Bool
 	// writing is the group's count of sweeps as the write began that hasn't ended; 0 for none.
@@ -97,6 +101,9 @@
 		e.move(&e.group.unfinished)
 	}
 	if !e.inHead {
+		if e.holdsBody.Load() {
+			e.lastRead.Store(e.group.now().UnixNano())
+		}
 		return true
 	}
 	e.headBytes += int64(len(b))
@@ -118,9 +125,26 @@
 	g.closeFirst(&g.unfinished, &g.counts.Unfinished, now)
 }
 
+// HoldBody notes that the request's body takes memory of a common account while it is read.
+func (e *Entry) HoldBody() {
+	if e != nil {
+		e.lastRead.Store(e.group.now().UnixNano())
+		e.holdsBody.Store(true)
+	}
+}
+
+// RefuseBody makes room for later bodies as there is no memory for the one of this request: it closes the connection of an
+// unfinished body of which nothing has arrived for a while.
+func (e *Entry) RefuseBody() {
+	if e != nil {
+		e.group.closeStalledBody()
+	}
+}
+
 // RequestRead notes that the request has been read to its end.
 func (e *Entry) RequestRead() {
 	if e != nil {
+		e.holdsBody.Store(false)
 		e.move(&e.group.serving)
 	}
 }
@@ -165,6 +189,7 @@
 
 // endRequest gives back what the request's head holds.
 func (e *Entry) endRequest() {
+	e.holdsBody.Store(false)
 	e.lease.Release()
 	e.headBytes, e.headLines = 0, 0
 }
--- a/pkg/connlimit/group.go
+++ b/pkg/connlimit/group.go
@@ -86,6 +86,22 @@
 	return true
 }
 
+// closeStalledBody closes the connection whose unfinished body has taken memory for the longest time, of those that send nothing.
+func (g *Group) closeStalledBody() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for el := g.unfinished.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*Entry)
+		if e.holdsBody.Load() && now.Sub(time.Unix(0, e.lastRead.Load())) >= patience {
+			g.counts.Unfinished++
+			e.leave()
+			e.interrupt()
+			return
+		}
+	}
+}
+
 // SetLimits changes the limits, and closes what exceeds them as far as that may make room.
 func (g *Group) SetLimits(l Limits) {
 	now := g.now()
--- a/pkg/connlimit/group_test.go
+++ b/pkg/connlimit/group_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// Guards against bodies that stop arriving and keep the memory for bodies from others.
+func TestABodyThatStallsMakesRoom(t *testing.T) {
+	g, now := newTestGroup(Limits{}, 0)
+	small, smallConn := admit(t, g)
+	moving, movingConn := admit(t, g)
+	stalled, stalledConn := admit(t, g)
+	for _, e := range []*Entry{small, moving, stalled} {
+		e.observe(http.StateActive)
+	}
+	moving.HoldBody()
+	stalled.HoldBody()
+	now.at = now.at.Add(patience)
+	moving.Received([]byte("x"))
+	small.RefuseBody()
+	require.True(t, stalledConn.readEnded)
+	require.False(t, movingConn.readEnded)
+	require.False(t, smallConn.readEnded, "it holds nothing that others need")
+}
+
 // Guards against callers that read nothing and keep what is written to them for good.
 func TestWritesThatStallAreEnded(t *testing.T) {
 	const interval = 2 * time.Second
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -73,6 +73,7 @@
 // refuseBody returns the error for a body that there is no memory for.
 func (g *Gateway) refuseBody(r *request) *verdict.Error {
 	r.logRecord.reason = "no memory for the body"
+	r.entry().RefuseBody()
 	g.metrics.bodiesRefused.Inc(1)
 	return errBodiesFull()
 }
@@ -82,6 +83,7 @@
 	if length := r.in.ContentLength; length > 0 && length <= buffers.FreeBytes {
 		return r.readAll(limit)
 	}
+	r.entry().HoldBody()
 	control := http.NewResponseController(r.w)
 	_ = control.SetReadDeadline(r.deadline) // fails on a closed connection, as reading does
 	extent, err := r.readAll(limit)
