--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -90,7 +90,7 @@
 // NewProcess builds a gateway and binds its addresses.
 func NewProcess(s Settings, d Deployment, l log.Interface) (*Process, error) {
 	if s.Limits.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMiB<<20) * softMemoryShare))
+		debug.SetMemoryLimit(softMemoryLimit(s.Limits.MemoryMiB))
 	}
 	suspects := gateway.NewQuarantine()
 	loads, shares, inflows, estimator := placement.NewLoadTracker(), placement.NewShares(), placement.NewInflows(), pace.NewEstimator()
