flamingowindd: clients that never finish a request, and heads of all requests, are bounded

Seen: 240 MiB with 400 heads of 29,000 bytes in short lines, inside limits.maxHeader, on an entry host of 134 MiB; 262 at the metrics' address, which read heads of 1 MiB and, while it did so, left callers without an answer. With 100 connections (limits.maxConnections) and 300 clients that send nothing, half a head, most of a small or long body, or nothing after an answer, nobody else got in.

Cause: nothing counted what heads take, and connections beyond the limit waited for one that closes by itself, up to bodyTimeout or idleTimeout. The addresses for operators and metrics had no limit at all; the latter neither for heads.

Change: the groups of pkg/connlimit, with limits.maxConnections, a quarter of it for unfinished requests, and limits.maxHeads (16 MiB) for heads, at the callers' address; 128 connections at the two others, which share the account of heads. Sockets have receive buffers of 16 KiB and bounded backlogs. An operator's request isn't closed for others once its token is known; a stranger's connection is closed with the answer.

The address for peers speaks QUIC with certificates and wasn't looked at.

--- a/pkg/daemon/convert.go
+++ b/pkg/daemon/convert.go
@@ -28,6 +28,7 @@
 	limits.IdleTimeout = l.IdleTimeout.Std()
 	limits.MaxDeadline = l.MaxDeadline.Std()
 	limits.MaxHeader = int(l.MaxHeader)
+	limits.MaxHeads = int64(l.MaxHeads)
 	limits.MaxConnections = l.MaxConnections
 	limits.MaxQueued = l.MaxQueued
 	limits.BodyTimeout = l.BodyTimeout.Std()
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -11,8 +11,10 @@
 	"github.com/juju/errors"
 	"go.uber.org/fx"
 
+	"github.com/flamingowind/flamingowind/internal/listening"
 	"github.com/flamingowind/flamingowind/pkg/claimant"
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 	"github.com/flamingowind/flamingowind/pkg/edge"
 	"github.com/flamingowind/flamingowind/pkg/keeping"
 	"github.com/flamingowind/flamingowind/pkg/member"
@@ -24,8 +26,25 @@
 	"github.com/flamingowind/flamingowind/pkg/telemetry"
 )
 
-// metricsHeaderTimeout bounds a scraper that sends its request slowly.
-const metricsHeaderTimeout = 5 * time.Second
+// Limits of the metrics' server: the time that a scraper may take to send its request and to send another one, and the bytes of
+// a request's header.
+const (
+	metricsHeaderTimeout = 5 * time.Second
+	metricsIdleTimeout   = 2 * time.Minute
+	metricsMaxHeader     = 16 << 10
+)
+
+// Limits of the listening sockets, and of the connections at those that aren't for callers.
+var (
+	callersSocket = listening.Limits{Backlog: 512, ReceiveBuffer: 16 << 10}
+	ownSocket     = listening.Limits{Backlog: 64, ReceiveBuffer: 16 << 10}
+	ownConns      = connlimit.Limits{Open: 128, Unfinished: 32}
+)
+
+// limited bounds the connections of an address that isn't for callers.
+func (r router) limited(l net.Listener) net.Listener {
+	return connlimit.NewGroup(ownConns, r.Edge.Heads()).Listen(l)
+}
 
 // router is all that start puts into motion.
 type router struct {
@@ -67,21 +86,21 @@
 }
 
 func (r router) onStart(context.Context) error {
-	callers, err := net.Listen("tcp", r.Settings.Listen.Entry)
+	callers, err := listening.TCP(r.Settings.Listen.Entry, callersSocket)
 	if err != nil {
 		return errors.Annotate(err, "listen.entry")
 	}
-	operators, err := net.Listen("tcp", r.Settings.Listen.Operator)
+	operators, err := listening.TCP(r.Settings.Listen.Operator, ownSocket)
 	if err != nil {
 		return errors.Annotate(err, "listen.operator")
 	}
-	metrics, err := net.Listen("tcp", r.Settings.Listen.Metrics)
+	metrics, err := listening.TCP(r.Settings.Listen.Metrics, ownSocket)
 	if err != nil {
 		return errors.Annotate(err, "listen.metrics")
 	}
 	r.runDuties()
-	r.Duties.run(func(ctx context.Context) { r.report("operator API", r.Operator.Serve(ctx, operators)) })
-	r.Duties.run(func(ctx context.Context) { r.report("metrics", serveMetrics(ctx, metrics, r.Metrics)) })
+	r.Duties.run(func(ctx context.Context) { r.report("operator API", r.Operator.Serve(ctx, r.limited(operators))) })
+	r.Duties.run(func(ctx context.Context) { r.report("metrics", serveMetrics(ctx, r.limited(metrics), r.Metrics)) })
 	r.Drain.serve(r.Edge.Server(), r.Edge.Listener(callers))
 	r.Log.WithField("entry", callers.Addr().String()).Info("router started")
 	return nil
@@ -137,7 +156,8 @@
 func serveMetrics(ctx context.Context, l net.Listener, m *telemetry.Metrics) error {
 	routes := mux.NewRouter()
 	routes.Path("/metrics").Methods(http.MethodGet).Handler(m)
-	server := &http.Server{Handler: routes, ReadHeaderTimeout: metricsHeaderTimeout}
+	server := &http.Server{Handler: connlimit.WithoutBodies(routes), ReadHeaderTimeout: metricsHeaderTimeout, IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMaxHeader}
+	connlimit.Track(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/edge/body.go
+++ b/pkg/edge/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 	"github.com/flamingowind/flamingowind/pkg/verdict"
 )
 
@@ -17,6 +18,7 @@
 func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, org string) ([]byte, func(), *verdict.Error) {
 	size, limits := r.ContentLength, e.limits.Load()
 	if size == 0 {
+		connlimit.FromContext(r.Context()).RequestRead()
 		return nil, func() {}, nil
 	}
 	if size > limits.MaxBody {
@@ -34,6 +36,7 @@
 		free()
 		return nil, nil, err
 	}
+	connlimit.FromContext(r.Context()).RequestRead()
 	keepAlive(w)
 	return body, free, nil
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -8,6 +8,8 @@
 	"github.com/gorilla/mux"
 
 	"github.com/flamingowind/flamingowind/internal/unread"
+	"github.com/flamingowind/flamingowind/pkg/buffers"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 	"github.com/flamingowind/flamingowind/pkg/dispatch"
 	"github.com/flamingowind/flamingowind/pkg/sched"
 )
@@ -33,6 +35,9 @@
 	limits atomic.Pointer[Limits]
 	queue  *admission
 	bodies *bodyBudget
+	// heads is the memory for the heads of requests, conns the callers' connections.
+	heads  *buffers.Budget
+	conns  *connlimit.Group
 	budget *retryBudget
 	flight *flight
 	router *mux.Router
@@ -50,9 +55,11 @@
 		Config: c,
 		queue:  newAdmission(c.Limits.MaxQueued),
 		bodies: newBodyBudget(c.Limits.MaxBodies),
+		heads:  buffers.NewBudget(c.Limits.MaxHeads),
 		budget: newRetryBudget(c.Limits.RetryShare),
 		flight: new(flight),
 	}
+	e.conns = newConns(c.Limits, e.heads)
 	e.limits.Store(&c.Limits)
 	e.router = e.routes()
 	return e
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -7,6 +7,7 @@
 	MaxBody        int64         // bytes of a request body
 	MaxBodies      int64         // bytes of all request bodies held at once; one organisation gets a quarter
 	MaxHeader      int           // bytes of a request's headers
+	MaxHeads       int64         // memory of all headers held at once, in bytes
 	MaxConnections int           // callers' connections
 	MaxQueued      int           // waiting requests, all organisations
 	BodyTimeout    time.Duration // longest time for sending headers, and then for the body
@@ -23,6 +24,7 @@
 		MaxBody:        1 << 20,
 		MaxBodies:      16 << 20,
 		MaxHeader:      32 << 10,
+		MaxHeads:       16 << 20,
 		MaxConnections: 4096,
 		MaxQueued:      4096,
 		BodyTimeout:    10 * time.Second,
--- a/pkg/edge/tune.go
+++ b/pkg/edge/tune.go
@@ -9,5 +9,6 @@
 	l.BodyTimeout, l.IdleTimeout = made.BodyTimeout, made.IdleTimeout
 	e.limits.Store(&l)
 	e.bodies.tune(l.MaxBodies)
+	e.heads.SetLimit(l.MaxHeads)
 	e.budget.tune(l.RetryShare)
 }
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/flamingowind/flamingowind/pkg/config"
+	"github.com/flamingowind/flamingowind/pkg/connlimit"
 )
 
 // Limits of the listener.
@@ -87,6 +88,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
+	connlimit.Track(server)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	observed := make(chan struct{})
@@ -115,9 +117,11 @@
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok || !a.opts.Tokens.Valid(token) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
+			w.Header().Set("Connection", "close") // nothing more is read of what a stranger sends
 			writeFailure(w, failure(http.StatusUnauthorized, CodeUnauthorized, "an operator's bearer token is needed"))
 			return
 		}
+		connlimit.FromContext(r.Context()).RequestRead() // an operator is waited for
 		next.ServeHTTP(w, r)
 	})
 }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -107,6 +107,9 @@
 	if l.MaxBodies < l.MaxBody {
 		c.add("limits.maxBodies", "must not be under limits.maxBody")
 	}
+	if l.MaxHeads < l.MaxHeader {
+		c.add("limits.maxHeads", "must not be under limits.maxHeader")
+	}
 	if l.MaxDeadline < l.RequestTimeout {
 		c.add("limits.maxDeadline", "must not be under limits.requestTimeout")
 	}
