--- a/pkg/buffers/read_test.go
+++ b/pkg/buffers/read_test.go
@@ -57,3 +57,30 @@
 	_, _, err = l.Read(iotest.ErrReader(errors.Annotate(io.EOF, "broken")), 1<<20, 0)
 	require.EqualError(t, err, "broken: EOF", "a wrapped end is no end")
 }
+
+// Guards against bodies that take half as much again as the budget has, while their buffers grow.
+func TestReadCountsBothBuffersWhileItCopies(t *testing.T) {
+	const size = 100 << 10
+	both := int64(64<<10 + 128<<10 - FreeBytes)
+	l := NewBudget(both - 1).Lease()
+	_, extent, err := l.Read(strings.NewReader(strings.Repeat("x", size)), 1<<20, 0)
+	require.NoError(t, err)
+	require.Equal(t, NoRoom, extent)
+	b := NewBudget(both)
+	l = b.Lease()
+	_, extent, err = l.Read(strings.NewReader(strings.Repeat("x", size)), 1<<20, 0)
+	require.NoError(t, err)
+	require.Equal(t, Whole, extent)
+	require.EqualValues(t, 128<<10-FreeBytes, b.Used(), "the old buffer is given back")
+}
+
+// Guards against one body's bytes in another one that is read into the same buffers.
+func TestReusedBuffersBringNoBytesOfOthers(t *testing.T) {
+	for i, size := range []int{300 << 10, 70 << 10, 1 << 20, 65 << 10, 300 << 10} {
+		l := NewBudget(64 << 20).Lease()
+		text := strings.Repeat(string(rune('a'+i)), size)
+		data, _, err := l.Read(strings.NewReader(text), 4<<20, 0)
+		require.NoError(t, err)
+		require.Equal(t, text, string(data))
+	}
+}
