Gateway: complete requests need no place among unfinished ones

Cause: half of the places are kept free for requests that are served, but a new connection needs one of the other half first, and clients that return as often as they are closed take each one that becomes free. A caller's chance is that of one among thousands of connections a second.

Change: where no place for an unfinished request is left, a look at what has arrived on the connection tells whether its request is complete, as it is with refusals. One that is needs only a place among all connections, which unfinished ones can't fill.

Connections that find a place at once aren't looked at.

--- a/pkg/admission/limits_test.go
+++ b/pkg/admission/limits_test.go
@@ -40,6 +40,15 @@
 	require.EqualValues(t, 1, shedCount(l))
 }
 
+// Guards against clients that return as often as they are closed, and leave no place for a request that has arrived.
+func TestACompleteRequestIsAdmittedBesideUnfinishedOnes(t *testing.T) {
+	l, g := serveLimited(t, connlimit.Limits{Open: 3, Unfinished: 1}, 0)
+	require.Eventually(t, func() bool {
+		sendTo(t, l, "GET / HTTP/1.1\r\n")
+		return g.Open() == 1 && statusOn(sendTo(t, l, lastRequest)) == http.StatusNoContent
+	}, callTimeout, pollInterval)
+}
+
 // Guards against a head for which there is no memory and that is parsed, or whose caller gets no answer.
 func TestAHeadWithoutMemoryIsRefused(t *testing.T) {
 	l, g := serveLimited(t, connlimit.Limits{}, 0)
--- a/pkg/admission/listener.go
+++ b/pkg/admission/listener.go
@@ -62,6 +62,8 @@
 	objective func() time.Duration
 	// group limits the connections; nil for no limits.
 	group *connlimit.Group
+	// peeked is the buffer for looks at what has arrived; it belongs to the goroutine that calls Accept.
+	peeked []byte
 	// link is nil when its speed isn't known, isClosed is set once the listener is closed.
 	link     *Link
 	isClosed atomic.Bool
@@ -124,6 +126,11 @@
 // admit adds an accepted connection to the queue for a read slot. One that exceeds the limits is shed, and nil returned.
 func (l *Listener) admit(c *net.TCPConn, now time.Time) *Conn {
 	entry, ok := l.group.Admit(c)
+	if !ok && l.hasCompleteRequest(c) {
+		// Guard: clients that return as often as they are closed fill the places for unfinished requests again and
+		// again, and nearly every other caller would be refused.
+		entry, ok = l.group.AdmitComplete(c)
+	}
 	if !ok {
 		l.shed(c, now)
 		return nil
@@ -134,6 +141,19 @@
 	return &Conn{TCPConn: c, listener: l, entry: entry, waiter: l.queue.admit(now)}
 }
 
+// hasCompleteRequest reports whether a complete request has arrived on a connection.
+func (l *Listener) hasCompleteRequest(c *net.TCPConn) bool {
+	if l.peeked == nil {
+		l.peeked = make([]byte, firstFlight)
+	}
+	fd := descriptor(c)
+	if fd < 0 {
+		return false
+	}
+	n, _, err := unix.Recvfrom(fd, l.peeked, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && isCompleteRequest(l.peeked[:n])
+}
+
 // SetGroup limits the connections by a group; it must be called before the first Accept.
 func (l *Listener) SetGroup(g *connlimit.Group) { l.group = g }
 
--- a/pkg/connlimit/group.go
+++ b/pkg/connlimit/group.go
@@ -41,25 +41,47 @@
 	if g == nil {
 		return nil, true
 	}
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.makeRoomUnfinished(now) || !g.makeRoom(now) {
+		return nil, false
+	}
+	return g.add(c, &g.unfinished, now), true
+}
+
+// AdmitComplete returns the entry of a new connection on which a complete request has arrived, and whether there is room for it.
+// It needs no place among those with unfinished requests.
+func (g *Group) AdmitComplete(c conn) (e *Entry, ok bool) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.makeRoom(now) {
 		return nil, false
 	}
-	e = &Entry{group: g, conn: c, inHead: true, lease: g.heads.Lease()}
+	return g.add(c, &g.serving, now), true
+}
+
+// add returns a new entry in one of the lists; with the mutex held.
+func (g *Group) add(c conn, to *list.List, now time.Time) *Entry {
+	e := &Entry{group: g, conn: c, inHead: true, lease: g.heads.Lease()}
 	g.open++
-	e.enter(&g.unfinished, now)
-	return e, true
+	e.enter(to, now)
+	return e
 }
 
-// makeRoom closes connections until there is room for another one, and reports whether there is.
-func (g *Group) makeRoom(now time.Time) bool {
+// makeRoomUnfinished closes connections until there is room for another unfinished request, and reports whether there is.
+func (g *Group) makeRoomUnfinished(now time.Time) bool {
 	for exceeds(g.unfinished.Len()+1, g.limits.Unfinished) {
 		if !g.closeFirst(&g.unfinished, &g.counts.Unfinished, now) {
 			return false
 		}
 	}
+	return true
+}
+
+// makeRoom closes connections until there is room for another one, and reports whether there is.
+func (g *Group) makeRoom(now time.Time) bool {
 	for exceeds(g.open+1, g.limits.Open) {
 		if !g.closeFirst(&g.unfinished, &g.counts.Unfinished, now) && !g.closeFirst(&g.idle, &g.counts.Idle, now) {
 			return false
@@ -108,7 +130,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limits = l
-	g.makeRoom(now)
+	_ = g.makeRoomUnfinished(now) && g.makeRoom(now)
 }
 
 // Sweep closes the connections that have taken none of what was written to them for too long. It is to be called every interval.
--- a/pkg/connlimit/group_test.go
+++ b/pkg/connlimit/group_test.go
@@ -62,6 +62,27 @@
 	require.True(t, first.readEnded)
 }
 
+// Guards against complete requests that are refused because clients with unfinished ones have taken their places.
+func TestCompleteRequestsNeedNoPlaceOfUnfinishedOnes(t *testing.T) {
+	g, now := newTestGroup(Limits{Open: 3, Unfinished: 1}, 0)
+	admit(t, g)
+	_, ok := g.Admit(new(fakeConn))
+	require.False(t, ok)
+	c := new(fakeConn)
+	e, ok := g.AdmitComplete(c)
+	require.True(t, ok)
+	_, ok = g.AdmitComplete(new(fakeConn))
+	require.True(t, ok)
+	_, ok = g.AdmitComplete(new(fakeConn))
+	require.False(t, ok)
+	now.at = now.at.Add(time.Hour)
+	admit(t, g)
+	require.False(t, c.readEnded, "it is served")
+	require.True(t, e.Received([]byte("GET / HTTP/1.1\r\n")))
+	e.observe(http.StateClosed)
+	require.Equal(t, 2, g.Open())
+}
+
 // Guards against accepted requests that are cut to make room for others.
 func TestConnectionsThatAreServedAreNotClosedForOthers(t *testing.T) {
 	g, now := newTestGroup(Limits{Open: 1}, 0)
