Gateway: the configuration's limit of headers is applied

Seen: a header of 32 KB was served where the configuration allows 16 KB.

Cause: MaxHeaderBytes was decoded and read by nobody; 64 KiB held for all.

Change: a request whose header has more bytes is refused, 431 and not run, before its key is looked at. What the server may have read beyond the header, 4 KiB, is allowed, so no header inside the limit is refused. The account of heads and 64 KiB bound what is read until then.

Result: TestAHeaderOverTheConfiguredLimitIsRefused fails on (200 in place of 431) and holds; it also sends a header of 16 KB in the shortest lines, which is served.

--- a/pkg/connlimit/entry.go
+++ b/pkg/connlimit/entry.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// HeadBytes returns the number of bytes that were read with the head of the current request: some of its body may be among them,
+// as many as the server's buffer has.
+func (e *Entry) HeadBytes() int64 {
+	if e == nil {
+		return 0
+	}
+	return e.headBytes
+}
+
 // BeginWrite and EndWrite enclose a write to the connection.
 func (e *Entry) BeginWrite() {
 	if e != nil {
--- a/pkg/gateway/handle.go
+++ b/pkg/gateway/handle.go
@@ -47,6 +47,9 @@
 		return errNoConfig()
 	}
 	r.configVersion = table.Config.Version
+	if r.exceedsHeader(table.Config.Limits.MaxHeaderBytes) {
+		return errHeaderTooLarge()
+	}
 	if err := matchAndAuthenticate(r, table); err != nil {
 		if g.catalog.Outdated() {
 			// Guard: the route or key may be in a newer configuration that other routers already have.
@@ -84,6 +87,14 @@
 	return nil
 }
 
+// serverBuffer is the size, in bytes, of the buffer through which the server reads, and so of what it may read beyond a header.
+const serverBuffer = 4 << 10
+
+// exceedsHeader reports whether the request's header has more bytes than the configuration allows; 0 for any number.
+func (r *request) exceedsHeader(limit int) bool {
+	return limit > 0 && r.entry().HeadBytes() > int64(limit)+serverBuffer
+}
+
 // setService chooses the service for the request, and for a stream that its caller resumes the
 // software version.
 func (g *Gateway) setService(r *request, table *routing.Table) *verdict.Error {
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -48,6 +48,10 @@
 	return errNotRun(http.StatusRequestEntityTooLarge, verdict.CodeTooLarge, "the body is too large", 0)
 }
 
+func errHeaderTooLarge() *verdict.Error {
+	return errNotRun(http.StatusRequestHeaderFieldsTooLarge, verdict.CodeTooLarge, "the header is too large", 0)
+}
+
 func errDraining() *verdict.Error {
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeDraining, "this router is leaving", otherRouterRetryAfter)
 }
--- a/test/clients/gateway_test.go
+++ b/test/clients/gateway_test.go
@@ -104,8 +104,14 @@
 
 // patientRoutes makes the routes' timeouts a minute, and waits until that is in force.
 func (g *gateway) patientRoutes(t *testing.T) {
+	g.declare(t, platformtest.Declaration{Service: service, Moved: service, Keys: map[string]string{key: org}, Timeout: time.Minute})
+}
+
+// declare replaces the configuration, and waits until the new one is in force.
+func (g *gateway) declare(t *testing.T, d platformtest.Declaration) {
 	const version = 2
-	g.store.Declare(platformtest.Declaration{Version: version, Service: service, Moved: service, Keys: map[string]string{key: org}, Timeout: time.Minute})
+	d.Version = version
+	g.store.Declare(d)
 	requireSoon(t, "the configuration is in force", readyIn, func() (any, bool) {
 		resp, err := http.Get("http://" + metrics(g) + status.PathJSON)
 		if err != nil {
--- a/test/clients/single_test.go
+++ b/test/clients/single_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// The configuration's limit of headers is decoded and not applied.
+func TestAHeaderOverTheConfiguredLimitIsRefused(t *testing.T) {
+	g := startGateway(t, usualHost.memoryMiB)
+	g.declare(t, platformtest.Declaration{Service: service, Moved: service, Keys: map[string]string{key: org}, MaxHeader: maxHeader})
+	call := post(platformtest.PathCall, "Content-Length: 0")
+	request := func(size int) string { return call + shortLines(size-len(call)-len("\r\n")) + "\r\n" }
+	require.Equal(t, http.StatusOK, g.send(t, request(maxHeader)).StatusCode)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, g.send(t, request(2*maxHeader)).StatusCode)
+	g.requireCalm(t)
+}
+
 // send sends a whole request on a connection of its own.
 func (g *gateway) send(t *testing.T, request string) *http.Response {
 	conn, err := net.Dial("tcp", callers(g))
