Gateway: refusals and the backlog leave the memory for what kernels hold

Cause: beside 1,072 connections up to 536 wait to be accepted and 504 to be refused, as many as descriptors allow, and each holds half as much again as its receive buffer of 16 KiB: 50 MiB, where the runtime's soft limit and the program leave 35.

Change: at most two for each MiB are about to be refused, and callers' receive buffers are 12 KiB: 33 MiB together. A test holds the sum against what is left, for hosts of 88, 134 and 284 MiB.

--- a/pkg/gatewayd/connlimits.go
+++ b/pkg/gatewayd/connlimits.go
@@ -39,8 +39,9 @@
 	unfinishedShare = 0.5
 	// minConns is the least number of connections of an endpoint.
 	minConns = 8
-	// refusalShare is how many connections may be about to be refused, for each descriptor.
-	refusalShare = 1.0 / 8
+	// refusalsPerMiB and refusalShare are how many connections may be about to be refused, for each MiB and each descriptor.
+	refusalsPerMiB = 2
+	refusalShare   = 1.0 / 8
 	// otherDescriptors are those of the log, the settings, the store and the runtime.
 	otherDescriptors = 64
 )
@@ -133,7 +134,23 @@
 		kept = min(kept, int(unfinishedShare*float64(open)))
 	}
 	p.conns.limit.Store(int64(kept))
+	refusals := maxRefusals(p.connLimits.memoryMiB, descriptors)
 	for _, l := range p.callerListeners {
-		l.SetMaxRefusals(int(refusalShare * float64(max(0, descriptors-otherDescriptors))))
+		l.SetMaxRefusals(refusals)
 	}
 }
+
+// maxRefusals returns how many connections may be about to be refused: the kernel holds what they have sent. 0 stands for the default.
+func maxRefusals(memoryMiB, descriptors int) int {
+	n := math.MaxInt32
+	if memoryMiB > 0 {
+		n = refusalsPerMiB * memoryMiB
+	}
+	if descriptors > 0 {
+		n = min(n, max(1, int(refusalShare*float64(descriptors-otherDescriptors))))
+	}
+	if n == math.MaxInt32 {
+		return 0
+	}
+	return n
+}
--- a/pkg/gatewayd/connlimits_test.go
+++ b/pkg/gatewayd/connlimits_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// Guards against refusals that keep more descriptors, or more of what callers have sent, than there is room for.
+func TestRefusalsAreLimitedByMemoryAndDescriptors(t *testing.T) {
+	require.Equal(t, 268, maxRefusals(134, 4100))
+	require.Equal(t, 17, maxRefusals(134, 200))
+	require.Equal(t, 1, maxRefusals(134, 10))
+	require.Zero(t, maxRefusals(0, 0))
+}
+
+// Guards against callers' connections whose unread bytes, with those of connections that wait to be accepted or refused, exceed what
+// the runtime's soft limit leaves of the memory.
+func TestUnreadBytesOfCallersFitTheMemory(t *testing.T) {
+	// The kernel receives half as much again as a receive buffer has.
+	const unread = callersReceiveBuffer * 3 / 2
+	for _, memoryMiB := range []int{88, 134, 284} {
+		limits := LimitSettings{MemoryMiB: memoryMiB, LinkMbps: 1000}
+		conns := connShares[callersEndpoint].limit(memoryMiB, 0).Open + callersSocket(limits).Backlog + maxRefusals(memoryMiB, 0)
+		require.LessOrEqual(t, int64(conns*unread), int64(memoryMiB)<<20-softMemoryLimit(memoryMiB)-programMemory/2, "%d MiB", memoryMiB)
+	}
+}
+
 // Guards against clients that are closed without a line or a count, or with a line each.
 func TestClosedClientsAreReported(t *testing.T) {
 	lines, scope := memory.New(), tally.NewTestScope("", nil)
--- a/pkg/gatewayd/sockets.go
+++ b/pkg/gatewayd/sockets.go
@@ -6,7 +6,7 @@
 )
 
 // callersReceiveBuffer fits usual requests. Connections with a longer body get a larger one once there is memory for the body.
-const callersReceiveBuffer = 16 << 10
+const callersReceiveBuffer = 12 << 10
 
 // callersSocket returns the limits for callers' connections.
 func callersSocket(l LimitSettings) listening.Limits {
--- a/test/clients/bodies_test.go
+++ b/test/clients/bodies_test.go
@@ -37,6 +37,19 @@
 		repeats(call+"Transfer-Encoding: chunked\r\n\r\n1;x=", "y", endless), repeats(call+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", endless)))
 }
 
+const (
+	// manyDescriptors are those of a usual host, largeCrowd is more clients than that.
+	manyDescriptors = 4100
+	largeCrowd      = 5000
+)
+
+// Connections that wait to be accepted or refused hold what their clients have sent, beside those that are served.
+func TestALargeCrowdFitsTheMemory(t *testing.T) {
+	g := startGateway(t, usualHost.memoryMiB)
+	g.limitDescriptors(t, manyDescriptors)
+	stalls(t, g, clients{addr: callers(g), number: largeCrowd, shape: inTurns(unfinishedChunk(post(platformtest.PathCall), longBody))})
+}
+
 // Bodies that nobody asked for, at addresses that read none, stay in the kernel.
 func TestBodiesAtOtherAddressesFitTheMemory(t *testing.T) {
 	for name, addr := range map[string]func(*gateway) string{"entries": entries, "readiness": readiness, "metrics": metrics, "peers": peers} {
