--- a/review/stand-2/bare.go
+++ b/review/stand-2/bare.go
@@ -18,12 +18,12 @@
 	bareShare   = 0.03
 	bareSlots   = 6
 	barePause   = 100 * time.Millisecond
-	bareTime    = 46 * time.Second
+	bareTime    = 70 * time.Second
 	bareAfter   = 8 * time.Second
 	// The engines are faulty bareTimes times for bareFor, once every bareEvery.
 	bareFor   = 5 * time.Second
 	bareEvery = 6 * time.Second
-	bareTimes = 6
+	bareTimes = 10
 )
 
 // bareAnswer is what a faulty engine sends in place of an answer. It names no request and has no stamp.
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,10 +12,9 @@
 
 func init() {
 	cases["unframed"] = playUnframed
-	cases["long"] = playLong
 }
 
-// The cases of a part of prompts that crashes engines.
+// The case of a part of prompts that crashes engines, which end their answers with the connection.
 const (
 	tagEngines = 6
 	tagSlots   = 32
@@ -28,58 +28,15 @@
 	crashLimit = 5
 	crashTime  = 30 * time.Second
 	minJudged  = 20
-	// maxArrivals is how many requests with the part may still reach engines.
-	maxArrivals = 3
 
 	systemPart  = "5c1e07a2"
 	formatPart  = "91bd3f06"
 	badDocument = "e4402b7d"
-	// turns is the number of earlier parts of a long conversation.
-	turns = 33
 )
 
-// partsCase describes a case.
-type partsCase struct {
-	// unframed is whether the engines end their answers with the connection.
-	unframed bool
-	// prefix returns the prompt's parts around a document; own is the part that no other request has.
-	prefix func(document, own string) string
-	// held reports whether the rule held.
-	held func(s *partsSeen) bool
-}
-
-// partsSeen is what was seen in a play.
-type partsSeen struct {
-	calm, beside *share
-	// late is the number of requests with the part that reached engines later than contactTime after the fifth
-	// crash.
-	late int
-}
-
-// playUnframed plays engines that end their answers with the connection, and sound requests that share the parts
-// before and after the one that crashes engines.
-func playUnframed(ctx context.Context, d *deployment) (bool, error) {
-	return playParts(ctx, d, partsCase{
-		unframed: true,
-		prefix: func(document, own string) string {
-			return fmt.Sprintf("%s:568,%s:1200,%s:300,%s:300", systemPart, document, formatPart, own)
-		},
-		held: func(s *partsSeen) bool { return s.beside.value() >= s.calm.value()/2 },
-	})
-}
-
-// playLong plays long conversations, in which the part that crashes engines comes late.
-func playLong(ctx context.Context, d *deployment) (bool, error) {
-	var before strings.Builder
-	for n := range turns {
-		fmt.Fprintf(&before, "91bd%04x:50,", n)
-	}
-	return playParts(ctx, d, partsCase{
-		prefix: func(document, own string) string {
-			return fmt.Sprintf("%s%s:300,%s:100", before.String(), document, own)
-		},
-		held: func(s *partsSeen) bool { return s.late <= maxArrivals },
-	})
+// promptParts returns the parts of a prompt around a document; own is the part that no other request has.
+func promptParts(document, own string) string {
+	return fmt.Sprintf("%s:568,%s:1200,%s:300,%s:300", systemPart, document, formatPart, own)
 }
 
 // share counts sound requests and those of them that began at the first attempt.
@@ -105,8 +62,9 @@
 
 // tagging sends the requests of a case to the routers in turn.
 type tagging struct {
-	d       *deployment
-	c       partsCase
+	d *deployment
+	// framed is whether the engines answer in chunks.
+	framed  bool
 	sent    atomic.Int64
 	started atomic.Int64
 	callers sync.WaitGroup
@@ -120,7 +78,7 @@
 // startEngine starts an engine; another one takes its place after it has crashed.
 func (t *tagging) startEngine() error {
 	n := t.started.Add(1)
-	w := work{before: 40 * time.Millisecond, gap: 15 * time.Millisecond, events: tagEvents, unframed: t.c.unframed, crashPart: badDocument, arrived: t.noteArrival}
+	w := work{before: 40 * time.Millisecond, gap: 15 * time.Millisecond, events: tagEvents, unframed: !t.framed, crashPart: badDocument, arrived: t.noteArrival}
 	_, err := t.d.startEngine(fmt.Sprintf("i-7f3a91%02x", n), "huvo11a", tagSlots, w, func() {
 		t.mu.Lock()
 		t.crashes = append(t.crashes, time.Now())
@@ -170,7 +128,7 @@
 	n := t.sent.Add(1)
 	id := fmt.Sprintf("%s-%d", kind, n)
 	c := call{id: id, addr: t.d.gateways[int(n)%len(t.d.gateways)].addr("Front"), path: "/pufi791/tag", limit: 3 * time.Second, header: map[string]string{
-		"Model": "m", "Token-Counts": "2368,28", "Length-Hint": "28", "Deadline-Ms": "3000", "Prefix-Hash": t.c.prefix(document, fmt.Sprintf("%08x", n)),
+		"Model": "m", "Token-Counts": "2368,28", "Length-Hint": "28", "Deadline-Ms": "3000", "Prefix-Hash": promptParts(document, fmt.Sprintf("%08x", n)),
 	}}
 	t.d.linef("%s is sent", id)
 	a := send(ctx, c)
@@ -200,13 +158,14 @@
 	}
 }
 
-// playParts sends sound requests, and then some with a part that crashes engines beside them.
-func playParts(ctx context.Context, d *deployment, c partsCase) (held bool, err error) {
+// playUnframed sends sound requests, and then some with a part that crashes engines beside them. With FRAMED=1 the
+// engines answer in chunks.
+func playUnframed(ctx context.Context, d *deployment) (held bool, err error) {
 	d.declare([]any{map[string]any{"Name": "r-tag", "Host": host, "Prefix": "/pufi791/", "Kind": "streaming", "TimeoutMs": 3000, "SloMs": 400, "Priority": 1,
 		"Service": "huvo11a", "MaxAttempts": 1, "Public": false, "Sticky": true, "Resumable": false, "GapAimMs": 300}},
 		[]any{map[string]any{"Name": "huvo11a", "HealthPath": "/health", "MaxConns": 360, "Engine": map[string]any{
 			"Slots": tagSlots, "KvCapacity": 467808, "KvTokenBytes": 327680, "LinkMbps": 740000.0, "Stride": 7}}})
-	t := &tagging{d: d, c: c}
+	t := &tagging{d: d, framed: os.Getenv("FRAMED") == "1"}
 	for range tagEngines {
 		if err := t.startEngine(); err != nil {
 			return false, err
@@ -215,7 +174,7 @@
 	if err := d.startGateways(ctx, 3); err != nil {
 		return false, err
 	}
-	seen := &partsSeen{calm: t.soundFor(ctx, calmTime)}
+	calm := t.soundFor(ctx, calmTime)
 	bad, stopBad := context.WithCancel(ctx)
 	defer stopBad()
 	if d.trouble {
@@ -232,16 +191,16 @@
 	for time.Since(fifth) < 2*contactTime && ctx.Err() == nil {
 		t.soundFor(ctx, 200*time.Millisecond)
 	}
-	seen.beside = t.soundFor(ctx, judgedTime)
+	beside := t.soundFor(ctx, judgedTime)
 	stopBad()
 	t.callers.Wait()
-	seen.late = t.arrivedAfter(fifth.Add(contactTime))
+	late := t.arrivedAfter(fifth.Add(contactTime))
 	n, _ = t.crashed()
-	d.notef("sound requests before: %d of %d began", seen.calm.began, seen.calm.sent)
-	d.notef("sound requests from %v after the fifth crash on: %d of %d began, answers by status: %v", 2*contactTime, seen.beside.began, seen.beside.sent, seen.beside.statuses)
-	d.notef("requests with the part that reached engines later than %v after the fifth crash: %d; %d engines crashed in all", contactTime, seen.late, n)
-	if seen.calm.sent < minJudged || seen.beside.sent < minJudged || seen.calm.began == 0 || d.trouble && n == 0 {
+	d.notef("sound requests before: %d of %d began", calm.began, calm.sent)
+	d.notef("sound requests from %v after the fifth crash on: %d of %d began, answers by status: %v", 2*contactTime, beside.began, beside.sent, beside.statuses)
+	d.notef("requests with the part that reached engines later than %v after the fifth crash: %d; %d engines crashed in all", contactTime, late, n)
+	if calm.sent < minJudged || beside.sent < minJudged || calm.began == 0 || d.trouble && n == 0 {
 		return false, fmt.Errorf("too few requests")
 	}
-	return c.held(seen), nil
+	return beside.value() >= calm.value()/2, nil
 }
