review: streams of two software versions are lost with all routers

Tried as a script: half of eight engines replaced by another software version, 40 streams, all routers killed and back after 2 s, the streams taken up 3.5 s after they are ready.

--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -19,6 +19,8 @@
 	// before is the time until the first event, gap that between two events, events their number.
 	before, gap time.Duration
 	events      int
+	// software is the version of the engines' software; empty for usualSoftware.
+	software string
 	// unframed answers have neither a length nor chunks and end with their connection.
 	unframed bool
 	// crashPart is the ID of a part of prompts; the engine crashes as it begins to write an answer on it.
@@ -35,7 +37,10 @@
 	plain bool
 }
 
-const usualIdle = 5 * time.Second
+const (
+	usualIdle     = 5 * time.Second
+	usualSoftware = "v1"
+)
 
 func (w work) idleTime() time.Duration { return cmp.Or(w.idle, usualIdle) }
 
@@ -55,6 +60,9 @@
 	mu      sync.Mutex
 	running int
 	seq     int
+	leaving bool
+	// beat makes the engine write its entry at once.
+	beat chan struct{}
 }
 
 // startEngine starts an engine that is listed and writes its entry again with each heartbeat. crashed is called once
@@ -64,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{d: d, id: id, service: service, slots: slots, work: w, born: time.Now().UnixMilli(), addr: l.Addr().String(), ended: make(chan struct{})}
+	e := &engine{d: d, id: id, service: service, slots: slots, work: w, born: time.Now().UnixMilli(), addr: l.Addr().String(), ended: make(chan struct{}), beat: make(chan struct{}, 1)}
 	e.server = &http.Server{Handler: e, IdleTimeout: w.idleTime()}
 	d.engines.Go(func() { _ = e.server.Serve(l) }) // ends when the server is closed
 	d.engines.Go(func() { e.register(d.running, crashed) })
@@ -79,7 +87,11 @@
 	for {
 		e.mu.Lock()
 		e.seq++
-		row := map[string]any{"Service": e.service, "Addr": e.addr, "Zone": zone, "Version": "v1", "Slots": e.slots, "State": "ready", "WarmupLeftMs": 0, "Seq": e.seq, "born": e.born}
+		state := "ready"
+		if e.leaving {
+			state = "draining"
+		}
+		row := map[string]any{"Service": e.service, "Addr": e.addr, "Zone": zone, "Version": cmp.Or(e.work.software, usualSoftware), "Slots": e.slots, "State": state, "WarmupLeftMs": 0, "Seq": e.seq, "born": e.born}
 		e.mu.Unlock()
 		e.d.store.Put("servers", e.id, row)
 		select {
@@ -89,15 +101,28 @@
 			if crashed != nil {
 				crashed()
 			}
-			if pause(ctx, entryLifetime) {
+			if e.isLeaving() || pause(ctx, entryLifetime) {
 				e.d.store.Drop("servers", e.id)
 			}
 			return
+		case <-e.beat:
 		case <-tick.C:
 		}
 	}
 }
 
+// leave makes the engine report that it leaves. It serves on for a time, and its entry is then removed.
+func (e *engine) leave(serves time.Duration) {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.beat <- struct{}{}
+	time.AfterFunc(serves, func() {
+		e.once.Do(func() { close(e.ended) })
+		_ = e.server.Close() // what still runs is broken off
+	})
+}
+
 // crash ends the engine's process: its connections are closed, and it accepts no more.
 func (e *engine) crash(cause string) {
 	e.once.Do(func() {
@@ -162,7 +187,7 @@
 		e.serveUnframed(w, r)
 		return
 	}
-	e.stream(r.Context(), w, http.NewResponseController(w).Flush)
+	e.stream(r.Context(), w, after(r), http.NewResponseController(w).Flush)
 }
 
 // spoil sends bytes that belong to no request in place of an answer.
@@ -210,14 +235,23 @@
 		case <-done:
 		}
 	}()
-	e.stream(e.d.running, conn, func() error { return nil })
+	e.stream(e.d.running, conn, after(r), func() error { return nil })
 	_ = r.Body.Close() // it was read to its end
 }
 
-// stream writes the events.
-func (e *engine) stream(ctx context.Context, w io.Writer, flush func() error) {
-	for i := 1; i <= e.work.events; i++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.id); err != nil {
+// after returns the event after which a stream goes on.
+func after(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// stream writes the events after one.
+func (e *engine) stream(ctx context.Context, w io.Writer, after int, flush func() error) {
+	for i := after + 1; i <= e.work.events; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\nevent: %s\ndata: %s\n\n", i, cmp.Or(e.work.software, usualSoftware), e.id); err != nil {
 			return
 		}
 		if flush() != nil || i < e.work.events && !pause(ctx, e.work.gap) {
@@ -226,6 +260,12 @@
 	}
 }
 
+func (e *engine) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // enter takes a slot; false when all are in use.
 func (e *engine) enter() bool {
 	e.mu.Lock()
