--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -33,6 +33,8 @@
 	spoiled func() float64
 	// idle is how long connections may be idle; 0 for usualIdle.
 	idle time.Duration
+	// failed returns the share of requests that run and are answered with status 503, without Not-Run; nil for none.
+	failed func() float64
 	// plain requests are answered with a text.
 	plain bool
 }
@@ -179,7 +181,7 @@
 		return
 	}
 	if e.work.plain {
-		servePlain(w)
+		e.servePlain(w, id)
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
@@ -202,8 +204,14 @@
 }
 
 // servePlain answers a request that has run.
-func servePlain(w http.ResponseWriter) {
+func (e *engine) servePlain(w http.ResponseWriter, id string) {
 	w.Header().Set("Content-Type", "text/plain")
+	if e.work.failed != nil && rand.Float64() < e.work.failed() {
+		e.d.linef("engine %s has run %s and answers 503 without Not-Run", e.id, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintln(w, "posted, but the confirmation can't be written")
+		return
+	}
 	fmt.Fprintln(w, "posted")
 }
 
