review: the cases inside their limits, the report by entry

Case 10: requesters leave out addresses that failed them. Case 7 counts the wrong bytes and says which reading it rests on. Ports of their own: the stand-ins need no module beyond the gateway's.

--- a/review/stand-2/bare.go
+++ b/review/stand-2/bare.go
@@ -71,7 +71,7 @@
 		})
 	}
 	callers.Wait()
-	d.notef("answers by status: %v; %d successes without the stamp of an engine", statuses, unstamped)
+	d.notef("engines sent wrong bytes %d times; answers by status: %v; %d successes without the stamp of an engine", d.spoiled.Load(), statuses, unstamped)
 	if statuses[200] == 0 {
 		return false, fmt.Errorf("no request was served")
 	}
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -8,10 +8,10 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/flamingowind/flamingowind/internal/devfleet"
 	"github.com/flamingowind/flamingowind/platform/platformtest"
 )
 
@@ -34,12 +34,14 @@
 	trouble bool
 
 	dir      string
-	ports    devfleet.Ports
+	ports    ports
 	store    *platformtest.Store
 	gateways []*gateway
 	engines  sync.WaitGroup
 	stop     context.CancelFunc
 	running  context.Context
+	// spoiled counts the answers in whose place engines sent wrong bytes.
+	spoiled atomic.Int64
 }
 
 func newDeployment(rec *record, trouble bool) (*deployment, error) {
@@ -61,7 +63,7 @@
 	d.engines.Wait()
 	d.store.CloseClientConnections()
 	d.store.Close()
-	d.ports.Close()
+	d.ports.close()
 	_ = os.RemoveAll(d.dir) // a directory for temporary files
 }
 
@@ -111,20 +113,20 @@
 
 func (d *deployment) newGateway(i int) (*gateway, error) {
 	listen := make(map[string]any)
-	var ports []any
+	var portRange []any
 	for _, name := range []string{"Front", "Readiness", "Control", "Directory", "first", "last"} {
-		addr, err := d.ports.Take()
+		addr, err := d.ports.take()
 		if err != nil {
 			return nil, err
 		}
 		listen[name] = addr
 		if name == "first" || name == "last" {
-			ports = append(ports, addr[len("127.0.0.1:"):])
+			portRange = append(portRange, addr[len("127.0.0.1:"):])
 		}
 	}
 	name := fmt.Sprintf("front-%s-%d", zone, i+1)
 	return &gateway{d: d, name: name, file: filepath.Join(d.dir, name+".yaml"), fields: map[string]any{
-		"NodeName": name, "Zone": zone, "Ip": "127.0.0.1", "Listen": listen, "PortRange": ports,
+		"NodeName": name, "Zone": zone, "Ip": "127.0.0.1", "Listen": listen, "PortRange": portRange,
 		"Limits":   map[string]any{"CpuShare": 0.4, "MemoryMb": 134, "MaxFds": 4100, "LinkMbps": 1000.0},
 		"Provider": map[string]any{"Addr": d.store.Addr()},
 		"Bounds":   map[string]any{"RetryRatio": 0.2, "RetrySlack": 52, "RetryWindowS": 10, "PassMs": 120, "DrainMs": 2000, "GraceS": graceTime.Seconds()},
--- a/review/stand-2/drain.go
+++ b/review/stand-2/drain.go
@@ -62,20 +62,28 @@
 	}
 	var known resolved
 	var until time.Time
+	failed := new(failedAddrs)
 	if !pause(ctx, rand.N(keepFactor*time.Second)) {
 		return
 	}
 	for i := 0; pause(ctx, feedPause); i++ {
 		if !time.Now().Before(until) {
 			if r, asked, ok := f.resolve(ctx, n); ok {
+				failed.clear()
 				known, until = r, asked.Add(time.Duration(keep)*min(maxTTL, time.Duration(r.TtlS*float64(time.Second))))
 			}
 		}
-		if len(known.Addrs) == 0 {
+		addrs := failed.without(known.Addrs)
+		if len(addrs) == 0 {
+			until = time.Time{} // all have failed
 			continue
 		}
-		s := sentStream{id: fmt.Sprintf("feed-%d-%d", n, i), addr: known.Addrs[rand.IntN(len(known.Addrs))]}
-		f.callers.Go(func() { f.request(requests, s) })
+		s := sentStream{id: fmt.Sprintf("feed-%d-%d", n, i), addr: addrs[rand.IntN(len(addrs))]}
+		f.callers.Go(func() {
+			if !f.request(requests, s) {
+				failed.add(s.addr)
+			}
+		})
 	}
 }
 
@@ -91,13 +99,43 @@
 	return resolved{}, asked, false
 }
 
-func (f *feeds) request(ctx context.Context, s sentStream) {
+// request asks for a stream, and reports whether it came whole.
+func (f *feeds) request(ctx context.Context, s sentStream) bool {
 	f.d.linef("%s is sent to %s", s.id, s.addr)
 	s.answer = send(ctx, call{id: s.id, addr: s.addr, path: "/cufi504/feed", limit: feedWait})
 	f.d.linef("%s gets status %d, %d events, whole %t, %v", s.id, s.status, s.events, s.whole, s.err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent = append(f.sent, s)
+	return s.status == 200 && s.whole
+}
+
+// failedAddrs are the addresses that have failed a requester since its last answer of the directory.
+type failedAddrs struct {
+	mu    sync.Mutex
+	addrs map[string]bool
+}
+
+func (f *failedAddrs) add(addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.addrs == nil {
+		f.addrs = make(map[string]bool)
+	}
+	f.addrs[addr] = true
+}
+
+func (f *failedAddrs) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.addrs)
+}
+
+// without returns the addresses that have not failed.
+func (f *failedAddrs) without(list []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(list), func(addr string) bool { return f.addrs[addr] })
 }
 
 // cutAfter returns how many streams were sent to a router that was stopped from excusedUntil after SIGTERM on, and those
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -199,6 +199,7 @@
 		return
 	}
 	defer conn.Close()
+	e.d.spoiled.Add(1)
 	e.d.linef("engine %s sends wrong bytes in place of the answer to %s", e.id, id)
 	_, _ = io.WriteString(conn, bareAnswer) // the caller may have left
 }
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -18,7 +18,7 @@
 const (
 	tagEngines = 6
 	tagSlots   = 32
-	tagEvents  = 4
+	tagEvents  = 3
 	engineBack = 2500 * time.Millisecond
 	calmTime   = 8 * time.Second
 	judgedTime = 12 * time.Second
@@ -127,8 +127,8 @@
 func (t *tagging) send(ctx context.Context, kind, document string) answer {
 	n := t.sent.Add(1)
 	id := fmt.Sprintf("%s-%d", kind, n)
-	c := call{id: id, addr: t.d.gateways[int(n)%len(t.d.gateways)].addr("Front"), path: "/pufi791/tag", limit: 3 * time.Second, header: map[string]string{
-		"Model": "m", "Token-Counts": "2368,28", "Length-Hint": "28", "Deadline-Ms": "3000", "Prefix-Hash": promptParts(document, fmt.Sprintf("%08x", n)),
+	c := call{id: id, addr: t.d.gateways[int(n)%len(t.d.gateways)].addr("Front"), path: "/pufi791/tag", limit: 2500 * time.Millisecond, header: map[string]string{
+		"Model": "m", "Token-Counts": "2368,21", "Length-Hint": "21", "Deadline-Ms": "2500", "Prefix-Hash": promptParts(document, fmt.Sprintf("%08x", n)),
 	}}
 	t.d.linef("%s is sent", id)
 	a := send(ctx, c)
@@ -161,7 +161,7 @@
 // playUnframed sends sound requests, and then some with a part that crashes engines beside them. With FRAMED=1 the
 // engines answer in chunks.
 func playUnframed(ctx context.Context, d *deployment) (held bool, err error) {
-	d.declare([]any{map[string]any{"Name": "r-tag", "Host": host, "Prefix": "/pufi791/", "Kind": "streaming", "TimeoutMs": 3000, "SloMs": 400, "Priority": 1,
+	d.declare([]any{map[string]any{"Name": "r-tag", "Host": host, "Prefix": "/pufi791/", "Kind": "streaming", "TimeoutMs": 2500, "SloMs": 400, "Priority": 1,
 		"Service": "huvo11a", "MaxAttempts": 1, "Public": false, "Sticky": true, "Resumable": false, "GapAimMs": 300}},
 		[]any{map[string]any{"Name": "huvo11a", "HealthPath": "/health", "MaxConns": 360, "Engine": map[string]any{
 			"Slots": tagSlots, "KvCapacity": 467808, "KvTokenBytes": 327680, "LinkMbps": 740000.0, "Stride": 7}}})
--- a/review/stand-2/taken.go
+++ b/review/stand-2/taken.go
@@ -16,7 +16,7 @@
 // The case of streams that are taken up again after all routers were killed, while two software versions are in service.
 const (
 	draftEngines  = 8
-	draftReplaced = 4
+	draftReplaced = 3 // of draftEngines
 	draftSlots    = 64
 	draftEvents   = 55
 	draftGap      = 100 * time.Millisecond
@@ -31,6 +31,8 @@
 	// begunTime is the age of the streams as the routers are killed, killedFor how long these are away.
 	begunTime = 1500 * time.Millisecond
 	killedFor = 2 * time.Second
+	// minTaken is the number of streams from which on the rule counts.
+	minTaken  = 12
 	touchTime = contactTime + 500*time.Millisecond
 )
 
@@ -38,14 +40,14 @@
 type drafts struct{ d *deployment }
 
 // begin asks for a stream, or for the rest of the one that the first attempt began.
-func (s *drafts) begin(ctx context.Context, name string, n int, first string, after int) answer {
+func (s *drafts) begin(ctx context.Context, name string, n int, first string, after int, left time.Duration) answer {
 	id := fmt.Sprintf("%s-%d", name, n)
-	header := map[string]string{"Model": "m", "Token-Counts": "1460,385", "Length-Hint": "385", "Prefix-Hash": fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", n)}
+	header := map[string]string{"Deadline-Ms": strconv.FormatInt(left.Milliseconds(), 10), "Model": "m", "Token-Counts": "1460,385", "Length-Hint": "385", "Prefix-Hash": fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", n)}
 	if after > 0 {
 		header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(after), first
 	}
 	s.d.linef("%s is sent, after event %d", id, after)
-	a := send(ctx, call{id: id, addr: s.d.gateways[n%len(s.d.gateways)].addr("Front"), path: "/lohu930/draft", limit: draftWait, header: header})
+	a := send(ctx, call{id: id, addr: s.d.gateways[n%len(s.d.gateways)].addr("Front"), path: "/lohu930/draft", limit: left, header: header})
 	message := ""
 	if a.status != 200 {
 		message = strings.TrimSpace(a.body)
@@ -103,7 +105,7 @@
 	s := &drafts{d: d}
 	begun := make([]answer, draftStreams)
 	var running sync.WaitGroup
-	running.Go(func() { all(func(n int) { begun[n] = s.begin(ctx, "draft", n, "", 0) }) })
+	running.Go(func() { all(func(n int) { begun[n] = s.begin(ctx, "draft", n, "", 0, draftWait) }) })
 	pause(ctx, begunTime)
 	if d.trouble {
 		if err := d.killAll(ctx); err != nil {
@@ -114,7 +116,7 @@
 	if !d.trouble {
 		return s.allWhole(begun), nil
 	}
-	return s.takeUp(ctx, begun), nil
+	return s.takeUp(ctx, begun)
 }
 
 // killAll kills all routers at once and starts them again, and returns once they are in touch.
@@ -141,14 +143,15 @@
 }
 
 // takeUp takes the streams up again and begins as many new ones, and reports whether enough of them go on.
-func (s *drafts) takeUp(ctx context.Context, begun []answer) bool {
+func (s *drafts) takeUp(ctx context.Context, begun []answer) (held bool, err error) {
 	var mu sync.Mutex
 	taken, wentOn, began := 0, 0, 0
 	all(func(n int) {
-		if begun[n].events == 0 || begun[n].whole {
-			return
+		left := draftWait - time.Since(begun[n].sentAt)
+		if begun[n].events == 0 || begun[n].whole || left < time.Duration(draftEvents-begun[n].events)*draftGap {
+			return // nothing to go on with, or not the time for it
 		}
-		a := s.begin(ctx, "again", n, fmt.Sprintf("draft-%d", n), begun[n].events)
+		a := s.begin(ctx, "again", n, fmt.Sprintf("draft-%d", n), begun[n].events, left)
 		mu.Lock()
 		defer mu.Unlock()
 		taken++
@@ -157,7 +160,7 @@
 		}
 	})
 	all(func(n int) {
-		a := s.begin(ctx, "new", n, "", 0)
+		a := s.begin(ctx, "new", n, "", 0, draftWait)
 		mu.Lock()
 		defer mu.Unlock()
 		if a.status == 200 && a.events > 0 {
@@ -165,10 +168,10 @@
 		}
 	})
 	s.d.notef("%d streams are taken up again, %d go on; %d of %d new ones begin", taken, wentOn, began, draftStreams)
-	if taken < 12 {
-		return true // the rule counts from 12 on
+	if taken < minTaken || began == 0 {
+		return false, fmt.Errorf("too few streams")
 	}
-	return 2*wentOn*draftStreams >= began*taken
+	return 2*wentOn*draftStreams >= began*taken, nil
 }
 
 // allWhole reports whether all streams came whole.
