Successes without their request's ID or a stamp reach no caller

Cause: readHeader took the lack of an ID on a new connection for the response of the only request that was sent there, and nothing asked for the stamp that engines put on what they ran. What wasn't contradicted counted as proved. On the same path, a 2xx with the right ID and without a stamp passed on new and kept connections, a 200 with Not-Run was sent to another engine, and any bytes with status 200 confirmed in the life check that an engine lives.

Failures keep passing without a stamp, as engines that refuse have none.

Change: the ID is asked for on every connection; a 2xx needs the header that the dialect names (ProofHeader). Otherwise the connection is closed and the attempt counts as broken: the request may have run. That holds whatever the bytes are, as they must name the request and show that it ran.

--- a/pkg/forward/do.go
+++ b/pkg/forward/do.go
@@ -40,7 +40,7 @@
 		r.Discard()
 		return nil, err
 	}
-	if err := r.readHeader(c, ps.idHeader, ps.maxHead.Load()); err != nil {
+	if err := r.readHeader(c, ps); err != nil {
 		r.countUnanswered(err)
 		r.Discard()
 		return nil, err
@@ -77,21 +77,25 @@
 //
 // Guard: an upstream may send a second or a late response to an earlier request where the response
 // to this one is expected. If that were taken for this one, a caller would get another caller's
-// data. Responses carry the ID of their request, so any other one is skipped.
-func (r *Response) readHeader(c *Call, idHeader string, maxHead int64) error {
+// data. Responses carry the ID of their request, so any other one is skipped. What carries no ID may be
+// anything, on a new connection too.
+func (r *Response) readHeader(c *Call, ps *Pools) error {
 	request := &http.Request{Method: c.Method}
 	for stray := 0; stray <= maxStrayResponses; stray++ {
-		resp, err := r.conn.head.readResponse(r.conn.reader, maxHead, request)
+		resp, err := r.conn.head.readResponse(r.conn.reader, ps.maxHead.Load(), request)
 		if err != nil {
 			return &Error{Sent: true, Stage: "head", cause: err}
 		}
-		id := resp.Header.Get(idHeader)
-		if id == c.RequestID || (id == "" && r.conn.fresh) {
+		id := resp.Header.Get(ps.idHeader)
+		if id == c.RequestID {
+			if err := ps.checkProof(resp); err != nil {
+				return &Error{Sent: true, Stage: "head", cause: err}
+			}
 			r.setHeader(resp)
 			return nil
 		}
 		if r.conn.fresh || id == "" {
-			return &Error{Sent: true, Stage: "head", cause: errors.Errorf("response has request ID %q", id)}
+			return &Error{Sent: true, Stage: "head", cause: &MisdirectedError{RequestID: id}}
 		}
 		if err := discardStray(resp.Body); err != nil {
 			return &Error{Sent: true, Stage: "head", cause: err}
@@ -100,6 +104,14 @@
 	return &Error{Sent: true, Stage: "head", cause: &ExcessError{Bound: BoundStray, Limit: maxStrayResponses}}
 }
 
+// checkProof returns an error if resp is a success without proof that its upstream ran the request.
+func (ps *Pools) checkProof(resp *http.Response) error {
+	if ps.proofHeader == "" || resp.StatusCode >= http.StatusMultipleChoices || resp.Header.Get(ps.proofHeader) != "" {
+		return nil
+	}
+	return &UnprovenError{Status: resp.StatusCode, Header: ps.proofHeader}
+}
+
 // discardStray reads the body of a stray response to its end. If it stopped earlier, the rest would
 // be taken for the header of the next response.
 func discardStray(body io.Reader) error {
--- a/pkg/forward/error.go
+++ b/pkg/forward/error.go
@@ -24,6 +24,29 @@
 	ErrNoEvent      = errors.ConstError("the stream's connection was closed before its first event")
 )
 
+// MisdirectedError is the cause of an Error if a response doesn't belong to the request.
+type MisdirectedError struct {
+	// RequestID is the ID that the response carries; empty for none.
+	RequestID string
+}
+
+// Error returns the ID that the response carries.
+func (e *MisdirectedError) Error() string {
+	return fmt.Sprintf("response has request ID %q", e.RequestID)
+}
+
+// UnprovenError is the cause of an Error if a successful response doesn't prove that its upstream ran the request.
+type UnprovenError struct {
+	Status int
+	// Header is the name of the header that is missing.
+	Header string
+}
+
+// Error returns the status and the missing header.
+func (e *UnprovenError) Error() string {
+	return fmt.Sprintf("response with status %d has no %s", e.Status, e.Header)
+}
+
 // Error is the error of a call without a usable response.
 type Error struct {
 	// Sent says whether any byte of the request may have reached the upstream. The request cannot
--- a/pkg/forward/lifecheck.go
+++ b/pkg/forward/lifecheck.go
@@ -29,6 +29,8 @@
 	URI string
 	// Header returns the headers of the request to an instance.
 	Header func(upstream.ID) http.Header
+	// IsReport reports whether a response may be one to the request: anything else proves nothing.
+	IsReport func(status int, body []byte) bool
 	// Denies reports whether a response comes from another life than that of in.
 	Denies func(in *upstream.Instance, status int, h http.Header, body []byte) bool
 }
@@ -114,6 +116,9 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
+	if !check.IsReport(resp.StatusCode, body) {
+		return 0, errors.Errorf("the response with status %d is no report", resp.StatusCode)
+	}
 	c.fresh = false
 	if check.Denies(in, resp.StatusCode, resp.Header, body) {
 		return 0, ErrOtherLife
--- a/pkg/forward/lifecheck_test.go
+++ b/pkg/forward/lifecheck_test.go
@@ -19,7 +19,8 @@
 func newAskingPools() *Pools {
 	ps := NewPools(idHeader)
 	ps.SetLifeCheck(LifeCheck{URI: "/life",
-		Header: func(upstream.ID) http.Header { return http.Header{} },
+		Header:   func(upstream.ID) http.Header { return http.Header{} },
+		IsReport: func(_ int, body []byte) bool { return string(body) != "garbage" },
 		Denies: func(in *upstream.Instance, _ int, _ http.Header, body []byte) bool {
 			return string(body) != string(in.ID)
 		},
@@ -65,7 +66,11 @@
 			readRequest(r)
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ni")
 		},
-		"stray answer":  func(c net.Conn, r *bufio.Reader) { readRequest(r); io.WriteString(c, responseText("two", "i")) },
+		"stray answer": func(c net.Conn, r *bufio.Reader) { readRequest(r); io.WriteString(c, responseText("two", "i")) },
+		"no report": func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ngarbage")
+		},
 		"no answer yet": func(_ net.Conn, r *bufio.Reader) { readRequest(r); readRequest(r) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/forward/pools.go
+++ b/pkg/forward/pools.go
@@ -34,6 +34,9 @@
 type Pools struct {
 	// idHeader is the header in which a response carries the ID of its request.
 	idHeader string
+	// proofHeader is the header by which a successful response proves that its upstream ran the request; empty
+	// for none.
+	proofHeader string
 	// meter counts the bytes on all connections.
 	meter traffic.Meter
 	// stats counts why connections were opened and closed.
@@ -66,6 +69,10 @@
 	return ps
 }
 
+// SetProofHeader sets the header by which a successful (2xx) response proves that its upstream ran the request.
+// Without the header, such a response counts as malformed. It must be called before the first call.
+func (ps *Pools) SetProofHeader(name string) { ps.proofHeader = name }
+
 // Buffers returns the budget of memory for responses, which callers of Do share.
 func (ps *Pools) Buffers() *buffers.Budget { return ps.buffers }
 
--- a/pkg/gateway/counted_test.go
+++ b/pkg/gateway/counted_test.go
@@ -24,7 +24,7 @@
 	for name, engine := range map[string]http.HandlerFunc{
 		"failure": respondStatus(500),
 		"refusal": func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("X-Not-Run", "1"); rw.WriteHeader(503) },
-		"broken":  respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+		"broken":  respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\n\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t)
--- a/pkg/gateway/crashending_test.go
+++ b/pkg/gateway/crashending_test.go
@@ -40,7 +40,7 @@
 
 // Guards against crashes that look like the end of an answer, which has neither a length nor chunks.
 func TestCrashesThatLookLikeEndsOfAnswersCount(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nConnection: close\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nConnection: close\r\n"
 	const streamHead = head + "Content-Type: text/event-stream\r\n\r\n"
 	for name, c := range map[string]struct{ path, text string }{
 		"call, nothing":       {"/once/x", head + "\r\n"},
--- a/pkg/gateway/cuthead_test.go
+++ b/pkg/gateway/cuthead_test.go
@@ -17,16 +17,16 @@
 
 // wholeAnswers are complete responses, in which BODY stands for the body's text, with its length or its chunk.
 var wholeAnswers = map[string]string{
-	"length":         "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: LENGTH\r\n\r\nBODY",
-	"length last":    "HTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\nX-Id: request-1\r\n\r\nBODY",
-	"bare line feed": "HTTP/1.1 200 OK\nX-Id: request-1\nContent-Length: LENGTH\n\nBODY",
-	"chunks":         "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\nCHUNK0\r\n\r\n",
-	"chunk trailers": "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTrailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\nCHUNK0;a=b\r\nX-T: 1\r\n\r\n",
-	"interim":        "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: LENGTH\r\n\r\nBODY",
-	"http/1.0":       "HTTP/1.0 200 OK\r\nX-Id: request-1\r\nConnection: keep-alive\r\nContent-Length: LENGTH\r\n\r\nBODY",
-	"other status":   "HTTP/1.1 203 Fine\r\nX-Id: request-1\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"length":         "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"length last":    "HTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\nX-Id: request-1\r\nX-Proof: ran\r\n\r\nBODY",
+	"bare line feed": "HTTP/1.1 200 OK\nX-Id: request-1\nX-Proof: ran\nContent-Length: LENGTH\n\nBODY",
+	"chunks":         "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\n\r\nCHUNK0\r\n\r\n",
+	"chunk trailers": "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTrailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\nCHUNK0;a=b\r\nX-T: 1\r\n\r\n",
+	"interim":        "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"http/1.0":       "HTTP/1.0 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nConnection: keep-alive\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	"other status":   "HTTP/1.1 203 Fine\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: LENGTH\r\n\r\nBODY",
 	// Only the head of an unframed answer can be told to be cut.
-	"close": "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\n",
+	"close": "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n\r\n",
 }
 
 func wholeAnswer(name, body string) string {
@@ -78,7 +78,7 @@
 			}
 			return
 		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
 
--- a/pkg/gateway/dialect.go
+++ b/pkg/gateway/dialect.go
@@ -56,4 +56,7 @@
 	LifeCheck() forward.LifeCheck
 	// IDHeader returns the name of the header in which callers send, and upstreams echo, a request's ID.
 	IDHeader() string
+	// ProofHeader returns the name of the header by which a successful (2xx) response proves that its upstream ran
+	// the request; empty for none.
+	ProofHeader() string
 }
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	endlessHead    = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n"
+	endlessHead    = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n"
 	endlessChunked = endlessHead + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
@@ -191,7 +191,7 @@
 
 // Guards against a body of a declined request that arrives slowly or without end, while the request waits.
 func TestDeclinedRequestsDontWaitForABodyWithoutEnd(t *testing.T) {
-	const declined = "HTTP/1.1 503 Unavailable\r\nX-Id: request-1\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const declined = "HTTP/1.1 503 Unavailable\r\nX-Id: request-1\r\nX-Proof: ran\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, decline := range map[string]http.HandlerFunc{
 		"endless": respondEndless(declined, chunk("x")),
 		"silent": func(rw http.ResponseWriter, r *http.Request) {
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -34,6 +34,8 @@
 
 func (testDialect) IDHeader() string { return "X-Id" }
 
+func (testDialect) ProofHeader() string { return "X-Proof" }
+
 func (testDialect) DecodeRequest(h http.Header) RequestMetadata {
 	a := RequestMetadata{RequestID: h.Get("X-Id"), APIKey: h.Get("X-Key")}
 	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
@@ -79,8 +81,9 @@
 		return forward.LifeCheck{}
 	}
 	return forward.LifeCheck{
-		URI:    lifePath,
-		Header: func(id upstream.ID) http.Header { return http.Header{"X-Instance": {string(id)}} },
+		URI:      lifePath,
+		Header:   func(id upstream.ID) http.Header { return http.Header{"X-Instance": {string(id)}} },
+		IsReport: func(int, []byte) bool { return true },
 		Denies: func(in *upstream.Instance, _ int, _ http.Header, body []byte) bool {
 			return string(body) != string(in.ID)
 		},
@@ -199,6 +202,7 @@
 			env.received = append(env.received, r.Clone(r.Context()))
 			env.mu.Unlock()
 			rw.Header().Set("X-Id", r.Header.Get("X-Id"))
+			rw.Header().Set("X-Proof", "ran")
 			h(rw, r)
 		}))
 		env.servers = append(env.servers, s)
--- a/pkg/gateway/framing_test.go
+++ b/pkg/gateway/framing_test.go
@@ -9,7 +9,7 @@
 )
 
 // closingResponseHead is the header of a response after which the connection closes, without framing.
-const closingResponseHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nConnection: close\r\n"
+const closingResponseHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nConnection: close\r\n"
 
 // Guards, for every kind of framing, against relaying a response that is truncated anywhere as
 // complete, and against rejecting a complete one.
@@ -67,7 +67,7 @@
 	for _, status := range []string{"204 No Content", "304 Not Modified"} {
 		t.Run(status, func(t *testing.T) {
 			env := newTestEnv(t)
-			env.startUpstreams(respondRaw("HTTP/1.1 " + status + "\r\nX-Id: request-1\r\nConnection: close\r\n\r\nhello"))
+			env.startUpstreams(respondRaw("HTTP/1.1 " + status + "\r\nX-Id: request-1\r\nX-Proof: ran\r\nConnection: close\r\n\r\nhello"))
 			_, body, _ := env.get("/once/")
 			require.Empty(t, body)
 		})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -125,6 +125,7 @@
 
 		disconnects: newDisconnectWatcher(d.Log),
 	}
+	g.pools.SetProofHeader(g.dialect.ProofHeader())
 	if check := g.dialect.LifeCheck(); check.URI != "" {
 		g.pools.SetLifeCheck(check)
 	}
--- a/pkg/gateway/handle_test.go
+++ b/pkg/gateway/handle_test.go
@@ -62,7 +62,7 @@
 	for name, broken := range map[string]http.HandlerFunc{
 		"failure":  respondStatus(500),
 		"no bytes": respondRaw(""),
-		"short":    respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 10\r\n\r\nshort"),
+		"short":    respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 10\r\n\r\nshort"),
 		"garbage":  respondRaw("garbage\r\n\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -80,7 +80,7 @@
 func TestAtMostOnceRequestsAreNotRetried(t *testing.T) {
 	for name, broken := range map[string]http.HandlerFunc{
 		"no bytes": respondRaw(""),
-		"short":    respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Length: 10\r\n\r\nshort"),
+		"short":    respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 10\r\n\r\nshort"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t)
--- a/pkg/gateway/http10_test.go
+++ b/pkg/gateway/http10_test.go
@@ -17,7 +17,7 @@
 	c, err := net.Dial("tcp", env.server.Listener.Addr().String())
 	require.NoError(env.t, err)
 	defer c.Close()
-	fmt.Fprintf(c, "GET %s HTTP/1.0\r\nHost: h\r\nX-Id: request-1\r\nX-Key: k\r\n\r\n", path)
+	fmt.Fprintf(c, "GET %s HTTP/1.0\r\nHost: h\r\nX-Id: request-1\r\nX-Proof: ran\r\nX-Key: k\r\n\r\n", path)
 	data, err := io.ReadAll(c)
 	return string(data), err
 }
--- a/pkg/gateway/large_test.go
+++ b/pkg/gateway/large_test.go
@@ -14,7 +14,7 @@
 // Guards against treating an upstream as healthy that breaks off large responses.
 func TestUpstreamsThatBreakLargeResponsesAreSuspended(t *testing.T) {
 	env := newTestEnv(t)
-	env.startUpstreams(respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\n" + fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBufferedResponse) + strings.Repeat("x", 2*maxBufferedResponse)))
+	env.startUpstreams(respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n" + fmt.Sprintf("Content-Length: %d\r\n\r\n", 4*maxBufferedResponse) + strings.Repeat("x", 2*maxBufferedResponse)))
 	resp, err := env.client.Do(env.newRequest("/once/"))
 	require.NoError(t, err)
 	defer resp.Body.Close()
--- a/pkg/gateway/malformedhead_test.go
+++ b/pkg/gateway/malformedhead_test.go
@@ -14,20 +14,20 @@
 	"github.com/flamingowind/flamingowind/pkg/upstream"
 )
 
-const okHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n"
+const okHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n"
 
 // malformedAnswers aren't responses of HTTP/1.
 var malformedAnswers = map[string]string{
-	"status 000":                        "HTTP/1.1 000 \r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
+	"status 000":                        "HTTP/1.1 000 \r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
 	"status 000 before a response":      "HTTP/1.1 000 \r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
 	"status 099 before a response":      "HTTP/1.1 099 x\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
 	"status +20 before a response":      "HTTP/1.1 +20 x\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
-	"status of two digits":              "HTTP/1.1 20 x\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
-	"status of four digits":             "HTTP/1.1 2000 x\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
-	"letter in the status":              "HTTP/1.1 2x0 x\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
+	"status of two digits":              "HTTP/1.1 20 x\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
+	"status of four digits":             "HTTP/1.1 2000 x\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
+	"letter in the status":              "HTTP/1.1 2x0 x\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
 	"switched protocols":                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
-	"another major version":             "HTTP/9.9 200 OK\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
-	"NUL in the reason":                 "HTTP/1.1 200 O\x00K\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nno",
+	"another major version":             "HTTP/9.9 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
+	"NUL in the reason":                 "HTTP/1.1 200 O\x00K\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nno",
 	"blank in a name":                   okHead + "X Y: 1\r\nContent-Length: 2\r\n\r\nno",
 	"blank after a name":                okHead + "X-Y : 1\r\nContent-Length: 2\r\n\r\nno",
 	"blank after the length's name":     okHead + "Content-Length : 9\r\n\r\nno",
@@ -35,8 +35,8 @@
 	"length, blank after encoding":      okHead + "Transfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 	"blank in an interim head's name":   "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
 	"another version of an interim one": "HTTP/9.9 103 Early Hints\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nno",
-	"chunks of HTTP/1.0":                "HTTP/1.0 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-	"chunks of HTTP/1.0 after interim":  "HTTP/1.1 103 x\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunks of HTTP/1.0":                "HTTP/1.0 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunks of HTTP/1.0 after interim":  "HTTP/1.1 103 x\r\n\r\nHTTP/1.0 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 	"control byte in a name":            okHead + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nno",
 	"tab in a name":                     okHead + "X\tY: 1\r\nContent-Length: 2\r\n\r\nno",
 	"NUL in a name":                     okHead + "X\x00: 1\r\nContent-Length: 2\r\n\r\nno",
@@ -47,10 +47,10 @@
 
 // legalAnswers are unusual, but responses of HTTP/1 with the body "ok".
 var legalAnswers = map[string]string{
-	"no reason":            "HTTP/1.1 200 \r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok",
-	"other reason":         "HTTP/1.1 200 Tr\xc3\xa8s\tbien\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok",
-	"later minor version":  "HTTP/1.2 200 OK\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok",
-	"HTTP/1.0":             "HTTP/1.0 200 OK\r\nX-Id: request-1\r\n\r\nok",
+	"no reason":            "HTTP/1.1 200 \r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok",
+	"other reason":         "HTTP/1.1 200 Tr\xc3\xa8s\tbien\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok",
+	"later minor version":  "HTTP/1.2 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.0":             "HTTP/1.0 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n\r\nok",
 	"interim responses":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok",
 	"unknown interim one":  "HTTP/1.1 199 x\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok",
 	"all signs of a token": okHead + "X!#$%&'*+-.^_`|~9: 1\r\nContent-Length: 2\r\n\r\nok",
@@ -143,12 +143,12 @@
 	for _, status := range []int{600, 999} {
 		env := newTestEnv(t)
 		env.startUpstreams(nil)
-		env.answerRaw("odd", fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok", status), false)
+		env.answerRaw("odd", fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok", status), false)
 		got, body, _ := env.get("/once/odd")
 		require.Equal(t, status, got)
 		require.Equal(t, "ok", body)
 		env.startUpstreams(nil, respondWith("served"))
-		env.answerRaw("odd", fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: request-1\r\nContent-Length: 2\r\n\r\nok", status), false)
+		env.answerRaw("odd", fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Length: 2\r\n\r\nok", status), false)
 		got, body, _ = env.get("/safe/odd")
 		require.Equal(t, http.StatusOK, got, "repeated at another upstream")
 		require.Equal(t, "served", body)
--- a/pkg/gateway/readendings_test.go
+++ b/pkg/gateway/readendings_test.go
@@ -32,7 +32,7 @@
 	}{
 		"answered":        {respondWith("hello"), "/safe/", "", nil, readAnswered, 0},
 		"caller leaves":   {streamUntilLeft, "/stream/", "", func(_ *testEnv, leave context.CancelFunc) { leave() }, readCallerLeft, 1},
-		"upstream breaks": {respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n"), "/stream/", "", nil, readUpstreamBroken, 1},
+		"upstream breaks": {respondRaw("HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n"), "/stream/", "", nil, readUpstreamBroken, 1},
 		"deadline":        {streamUntilLeft, "/stream/", "50", nil, readDeadline, 1},
 		"router stops": {streamUntilLeft, "/stream/", "", func(env *testEnv, _ context.CancelFunc) {
 			env.gateway.Stop()
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -18,7 +18,7 @@
 	return text
 }
 
-const chunkedStreamHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nTransfer-Encoding: chunked\r\nX-First: %s\r\n\r\n"
+const chunkedStreamHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nTransfer-Encoding: chunked\r\nX-First: %s\r\n\r\n"
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
--- a/pkg/gateway/truncated_test.go
+++ b/pkg/gateway/truncated_test.go
@@ -15,7 +15,7 @@
 )
 
 // responseHead is a response header without the fields that frame the body.
-const responseHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nContent-Type: text/event-stream\r\n"
+const responseHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\nContent-Type: text/event-stream\r\n"
 
 // framings build complete responses by the way they are framed.
 var framings = map[string]func(body string) string{
--- a/pkg/gateway/unframed_test.go
+++ b/pkg/gateway/unframed_test.go
@@ -78,7 +78,7 @@
 
 // Guards against relaying unframed responses as complete when their upstream crashed.
 func TestAnswersThatEndWithTheirUpstreamArentComplete(t *testing.T) {
-	const plainHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\n"
+	const plainHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n\r\n"
 	for name, c := range map[string]struct {
 		path, text, body string
 		status           int
@@ -152,7 +152,7 @@
 
 // Guards against relaying unframed responses as complete when the upstream that sent them was leaving and died.
 func TestUpstreamsThatLeaveAndDieEndNoAnswer(t *testing.T) {
-	const plainHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\n\r\n"
+	const plainHead = "HTTP/1.1 200 OK\r\nX-Id: request-1\r\nX-Proof: ran\r\n\r\n"
 	for path, c := range map[string]struct {
 		text, body string
 		status     int
@@ -244,7 +244,7 @@
 func TestRefusalsWithoutFramingAreNotConfirmed(t *testing.T) {
 	env := newTestEnv(t)
 	env.startUpstreams(nil, respondWith("hello"))
-	u := env.startRawUpstream("HTTP/1.1 503 Busy\r\nX-Id: request-1\r\nX-Not-Run: 1\r\n\r\nfull", false)
+	u := env.startRawUpstream("HTTP/1.1 503 Busy\r\nX-Id: request-1\r\nX-Proof: ran\r\nX-Not-Run: 1\r\n\r\nfull", false)
 	env.replaceFirst(u, upstream.Ready)
 	status, body, _ := env.get("/safe/")
 	require.Equal(t, http.StatusOK, status)
--- a/test/clients/brokenanswers_test.go
+++ b/test/clients/brokenanswers_test.go
@@ -62,6 +62,26 @@
 	g.requireCalm(t)
 }
 
+// An upstream sends a success that doesn't name the request, or doesn't prove that the upstream ran it.
+func TestUnprovenSuccessesReachNoCaller(t *testing.T) {
+	g := startGateway(t, usualHost.memoryMiB)
+	for name, head := range map[string]string{
+		"neither":       "HTTP/1.1 200 OK\r\n",
+		"no ID":         "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n",
+		"no stamp":      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n",
+		"after interim": "HTTP/1.1 103 Early Hints\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		for path, body := range map[string]string{
+			platformtest.PathOnce: "Content-Length: 2\r\n\r\nno", platformtest.PathCall: "Content-Length: 2\r\n\r\nno",
+			platformtest.PathStreamOnce: "Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 1\ndata: no\n\n",
+		} {
+			a := g.answerTo(t, func(c net.Conn, r *http.Request) { respond(c, r, head+body) }, path, 1)
+			require.Truef(t, a.Whole && (a.Status == http.StatusBadGateway || a.Refused), "%s at %s: %+v", name, path, a)
+		}
+	}
+	g.requireCalm(t)
+}
+
 // An upstream sends bytes that are no response of HTTP/1.
 func TestMalformedHeadsReachNoCaller(t *testing.T) {
 	g := startGateway(t, usualHost.memoryMiB)
