Streams of several software versions go on after all routers were killed

Cause: which version began a stream is kept in routers' memory alone; the register tells which versions served, which is enough for a sole one.

Change: while a service has several versions the first two routers write the records in batches, four times a second, to the store's table flamingowind-streams; each router reads it once at its start, before it is ready. Records are facts: copies, late and lost writes make them missing, not wrong; an attempt on record under two versions is unknown. Rows, backlog and calls are bounded (docs/design/stream-records.md).

--- a/cmd/flamingowind-gateway/run.go
+++ b/cmd/flamingowind-gateway/run.go
@@ -48,7 +48,7 @@
 	l := logger.WithField("router", s.Router.Name)
 	store := platform.NewStore(s.Store.Addr, l)
 	p, err := gatewayd.NewProcess(s, gatewayd.Deployment{
-		Store: store, Registry: store, Refusals: store, Versions: store, Dialect: platform.Dialect{},
+		Store: store, Registry: store, Refusals: store, Versions: store, Streams: store, Dialect: platform.Dialect{},
 		Faces:        gatewayd.Faces{Entries: platform.Entries, Readiness: platform.Readiness},
 		Readdress:    store.Readdress,
 		RowFaults:    store.RowFaults,
--- a/pkg/affinity/binding.go
+++ b/pkg/affinity/binding.go
@@ -13,9 +13,11 @@
 // Sources of a version.
 const (
 	// OwnRecord is the record of a stream that this router began, OthersRecord one that another router
-	// sent, AskedRecord one that another router had when it was asked.
+	// sent, StoredRecord one that was in the store when this router started, AskedRecord one that another router
+	// had when it was asked.
 	OwnRecord    Source = "own_record"
 	OthersRecord Source = "others_record"
+	StoredRecord Source = "stored_record"
 	AskedRecord  Source = "asked_record"
 	// SoleVersion is the only version of the service, AskedSole the same as another router knows it.
 	SoleVersion Source = "sole_version"
--- a/pkg/affinity/doc.go
+++ b/pkg/affinity/doc.go
@@ -6,7 +6,8 @@
 // goes by the first of these that holds:
 //
 //  1. A record. Each router keeps one for every stream that it began. While a service has had more
-//     than one version lately, records are sent to other routers with the reports of the fleet.
+//     than one version lately, records are sent to other routers with the reports of the fleet, and
+//     are written to the store, where a router reads them when it starts.
 //  2. The sole version. If a service had just one version for as long as a stream and its caller's
 //     tries last, the stream began there. No record is sent then.
 //  3. Another router, which is asked for its record, or whether it knows the sole version.
--- a/pkg/affinity/keeping.go
+++ b/pkg/affinity/keeping.go
@@ -73,8 +73,12 @@
 	t.history.register.tried = true
 }
 
-// Settled reports whether a router that has just started need not wait for the register any more.
+// Settled reports whether a router that has just started need not wait for the register and the records in the
+// store any more.
 func (t *Tracker) Settled() bool {
+	if !t.recordsTried() {
+		return false
+	}
 	if t.history.closed.Load() == 0 {
 		return true
 	}
--- a/pkg/affinity/ledger.go
+++ b/pkg/affinity/ledger.go
@@ -1,6 +1,7 @@
 package affinity
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,13 +55,13 @@
 	return unknownVersion, false
 }
 
-// all returns the records of a version.
+// all returns the records of a version, those that were added last at the end.
 func (l *ledger) all(s VersionID, now time.Time) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rotate(now)
 	var list []Record
-	for _, generation := range l.records {
+	for _, generation := range slices.Backward(l.records[:]) {
 		for k, software := range generation {
 			if software == s {
 				list = append(list, Record{Key: k, Version: software})
--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -25,6 +25,7 @@
 	stillUntil time.Time
 	// nextRegister is when it next looks after the register.
 	nextRegister time.Time
+	keeper       simKeeper
 }
 
 // heardReport is the newest report of another router, made at madeAt.
--- a/pkg/affinity/sim_store_test.go
+++ b/pkg/affinity/sim_store_test.go
@@ -19,13 +19,17 @@
 	due   time.Time
 }
 
-// simStore is the simulated store, as far as the register is concerned.
+// simStore is the simulated store, as far as the register and the records of streams are concerned.
 type simStore struct {
 	row  simRow
 	copy simRow
 	era  int64
 	ver  int64
 	late []simWrite
+	// batches are the rows of records, mostRows the largest number of them so far.
+	batches, copiedBatches map[string][]byte
+	lateBatches            []simBatch
+	mostRows               int
 	// refusing is until when the store refuses all writes, though it serves reads.
 	refusing time.Time
 }
@@ -38,10 +42,12 @@
 	}
 	if s.chance(0.2) {
 		st.copy = st.row
+		st.copyRecords()
 	}
 	if s.chance(0.03) {
 		st.era++
 		st.row, st.late = st.copy, nil
+		st.restoreRecords()
 	}
 	var left []simWrite
 	for _, w := range st.late {
@@ -52,6 +58,7 @@
 		}
 	}
 	st.late = left
+	st.disturbRecords(s.now)
 }
 
 func (s *sim) perform(w simWrite) bool {
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -63,7 +63,9 @@
 	// single days have one release at releaseAt, taken back at rollbackAt.
 	single bool
 	// silent days are those on which no records are sent, so that all depends on sole versions.
-	silent                bool
+	silent bool
+	// unkept days are those on which no records are kept in the store.
+	unkept                bool
 	releaseAt, rollbackAt time.Time
 }
 
@@ -75,7 +77,7 @@
 		s.routers = append(s.routers, &simRouter{sim: s, index: i})
 		s.start(s.routers[i])
 	}
-	s.store.era = 1
+	s.store.era, s.store.batches = 1, make(map[string][]byte)
 	s.routers[0].MarkFounded()
 	return s
 }
@@ -84,6 +86,8 @@
 	*r = simRouter{sim: s, index: r.index, started: s.now, up: true, heard: make([]heardReport, *simRouters)}
 	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
 	r.RequireRegister()
+	r.RequireRecords()
+	r.keeper = newSimKeeper(r.index, s.now)
 }
 
 // ask asks all other routers that can be reached.
@@ -121,6 +125,7 @@
 		if r.runs() {
 			s.readList(r)
 			s.register(r)
+			s.keepRecords(r)
 			s.report(r)
 		}
 	}
@@ -265,7 +270,9 @@
 }
 
 func (s *sim) goOn(r *simRouter, one simStream) bool {
-	b, ok := r.Find(context.Background(), Query{Organisation: "o", FirstAttempt: one.id, Services: []string{"s"}, Service: "s"}, s.now)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // simulated time doesn't pass while a lookup waits
+	b, ok := r.Find(ctx, Query{Organisation: "o", FirstAttempt: one.id, Services: []string{"s"}, Service: "s"}, s.now)
 	if r.listed(one.version) {
 		s.resumed++
 		if ok {
--- a/pkg/affinity/storedrow.go
+++ b/pkg/affinity/storedrow.go
@@ -16,3 +16,9 @@
 
 // ErrRowChanged says that the row has changed since it was read.
 const ErrRowChanged = errors.ConstError("the row has changed")
+
+// BatchRow is a row of records of streams.
+type BatchRow struct {
+	Key   string
+	Value []byte
+}
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -32,18 +32,22 @@
 	life    streamLife
 	// own holds the streams that this router began, others those that other routers sent.
 	own, others ledger
-	view        View
-	startedAt   time.Time
-	ask         Asker
-	questions   chan struct{}
-	wake        wakeDetector
-	departures  departures
+	// stored are the records that were in the store when this router started.
+	stored     storedRecords
+	view       View
+	startedAt  time.Time
+	ask        Asker
+	questions  chan struct{}
+	wake       wakeDetector
+	departures departures
 
 	mu sync.Mutex
 	// unsent are own records since the last call of TakeRecords.
 	unsent []unsentRecord
 	// sent holds the versions of services whose records are being sent to others.
 	sent map[VersionID]bool
+	// outbox holds the records for the store.
+	outbox outbox
 	// openedAt is when versions were last looked at for being opened.
 	openedAt time.Time
 }
@@ -57,7 +61,7 @@
 func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
 	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[VersionID]bool)}
 	t.history = newHistory(&t.life, l)
-	t.own.life, t.others.life = &t.life, &t.life
+	t.own.life, t.others.life, t.stored.ledger.life = &t.life, &t.life, &t.life
 	return t
 }
 
@@ -109,6 +113,7 @@
 	t.own.add(r, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.outbox.add(r)
 	if len(t.unsent) < maxUnsent {
 		t.unsent = append(t.unsent, unsentRecord{Record: r, service: in.Service})
 	}
@@ -164,6 +169,11 @@
 	for _, r := range list {
 		t.others.add(r, now)
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range list {
+		t.outbox.add(r)
+	}
 }
 
 // Statement returns what this router tells others of versions. It is worth telling at any time if
@@ -214,78 +224,7 @@
 	return peers.Current && now.Sub(peers.HeardAt) <= maxListAge && !peers.HeardAt.Before(awakeSince)
 }
 
-// Find returns the version at which a stream has to go on. Without one, the binding's source says
-// why.
-func (t *Tracker) Find(ctx context.Context, q Query, now time.Time) (Binding, bool) {
-	if q.FirstAttempt != "" {
-		k := KeyOf(q.Organisation, q.FirstAttempt)
-		if s, ok := t.own.lookup(k, now); ok {
-			return t.resolve(q, s, OwnRecord)
-		}
-		if s, ok := t.others.lookup(k, now); ok {
-			return t.resolve(q, s, OthersRecord)
-		}
-	}
-	name, sole := t.sole(q.Service, now)
-	if sole && (q.FirstAttempt == "" || len(q.Services) <= 1) {
-		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
-	}
-	reply := t.askOthers(ctx, q)
-	switch {
-	case reply.Recorded:
-		return t.resolve(q, reply.Version, AskedRecord)
-	case sole:
-		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
-	}
-	return t.resolve(q, reply.Version, AskedSole)
-}
-
-func (t *Tracker) askOthers(ctx context.Context, q Query) Reply {
-	question := Question{Service: q.Service}
-	if q.FirstAttempt != "" {
-		question.Key = KeyOf(q.Organisation, q.FirstAttempt)
-	}
-	select {
-	case t.questions <- struct{}{}:
-		defer func() { <-t.questions }()
-	default:
-		return Reply{}
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return t.ask(ctx, question)
-}
-
-// resolve returns the binding to a version of one of the route's services.
-func (t *Tracker) resolve(q Query, s VersionID, source Source) (Binding, bool) {
-	if s == unknownVersion {
-		return Binding{Service: q.Service, Source: Unknown}, false
-	}
-	for _, service := range q.Services {
-		for _, name := range t.history.names(service) {
-			if VersionIDOf(service, name) == s {
-				return Binding{Service: service, Version: name, Source: source}, true
-			}
-		}
-	}
-	return Binding{Service: q.Service, Source: Elsewhere}, false
-}
-
-// Reply answers another router's question.
-func (t *Tracker) Reply(q Question, now time.Time) Reply {
-	if q.Key != 0 {
-		if s, ok := t.own.lookup(q.Key, now); ok {
-			return Reply{Version: s, Recorded: true}
-		}
-		if s, ok := t.others.lookup(q.Key, now); ok {
-			return Reply{Version: s, Recorded: true}
-		}
-	}
-	if name, ok := t.sole(q.Service, now); ok {
-		return Reply{Version: VersionIDOf(q.Service, name)}
-	}
-	return Reply{}
-}
-
 // Records returns the number of streams on record.
-func (t *Tracker) Records() int { return t.own.size() + t.others.size() }
+func (t *Tracker) Records() int {
+	return t.own.size() + t.others.size() + t.stored.ledger.size()
+}
--- a/pkg/gateway/refusal.go
+++ b/pkg/gateway/refusal.go
@@ -99,6 +99,11 @@
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamUnknown, "the software version that began this stream is not known; request it from the beginning", 0)
 }
 
+// errStreamUnread tells the caller to come back: the records of streams in the store can't be read yet.
+func errStreamUnread() *verdict.Error {
+	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamUnknown, "the software version that began this stream is not known yet; the records of streams can't be read", transientRetryAfter)
+}
+
 func errStreamMoved() *verdict.Error {
 	return errNotRun(http.StatusServiceUnavailable, verdict.CodeStreamGone, "the route no longer leads to the service that began this stream; request it from the beginning", 0)
 }
--- a/pkg/gateway/resumed.go
+++ b/pkg/gateway/resumed.go
@@ -60,6 +60,9 @@
 	case b.Source == affinity.Elsewhere:
 		return "", errStreamMoved()
 	}
+	if r.meta.FirstAttempt != "" && g.streams.RecordsUnread() {
+		return "", errStreamUnread()
+	}
 	return "", errStreamUnknown()
 }
 
--- a/pkg/gatewayd/deployment.go
+++ b/pkg/gatewayd/deployment.go
@@ -27,6 +27,8 @@
 	Refusals RefusalStore
 	// Versions keeps the software versions that served over a restart of all routers; nil for none.
 	Versions VersionStore
+	// Streams keeps the software versions at which streams began over a restart of all routers; nil for none.
+	Streams StreamStore
 	// RowFaults returns how often rows of the store, other than the list of upstreams, became
 	// unusable; nil for none.
 	RowFaults func() int64
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -59,8 +59,10 @@
 	// refusals keeps refusals in the store; nil where that has no place for them.
 	refusals *refusalKeeper
 	// versions keeps the software versions that served in the store; nil where that has no place for them.
-	versions   *versionKeeper
-	storeCalls storeCalls
+	versions *versionKeeper
+	// streamKeeper keeps records of streams in the store; nil where that has no place for them.
+	streamKeeper *streamKeeper
+	storeCalls   storeCalls
 	// upstreamConns reports why connections to upstreams were opened and closed.
 	upstreamConns upstreamConns
 	linkUsage     linkUsage
@@ -139,6 +141,7 @@
 		p.versions = &versionKeeper{store: d.Versions, tracker: p.streams, ranking: p.fleet, log: l}
 	}
 	p.joiner = fleet.NewJoiner(p.exchange, d.Registry, s.Entries.Known, s.Router.FirstStart, l)
+	p.keepStreams(d.Streams, l)
 	p.watcher = catalog.NewWatcher(p.catalog, d.Store, storeDuties{ranking: p.fleet, joined: p.joiner.Settled}, l)
 	p.gateway = gateway.New(gatewaySettings(s), gateway.Dependencies{
 		Catalog: p.catalog, Dialect: d.Dialect, Pools: p.pools, Health: p.health,
@@ -260,6 +263,9 @@
 	if p.versions != nil {
 		p.goBackground(func() { p.versions.run(background) })
 	}
+	if p.streamKeeper != nil {
+		p.goBackground(func() { p.streamKeeper.run(background) })
+	}
 	p.goBackground(func() { p.cpu.run(background, p.log) })
 	p.goBackground(func() { p.joiner.Run(background) })
 	p.goBackground(func() { p.exchange.Run(background) })
--- /dev/null
+++ b/pkg/gatewayd/streamkeeper_test.go
@@ -0,0 +1,274 @@
+package gatewayd
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/flamingowind/flamingowind/pkg/affinity"
+	"github.com/flamingowind/flamingowind/pkg/upstream"
+)
+
+// streamTable is a store with the rows of records alone.
+type streamTable struct {
+	mu            sync.Mutex
+	rows          map[string][]byte
+	began         time.Time
+	era           int64
+	reads, writes int
+	// refuse is what all calls end with; nil for none.
+	refuse error
+}
+
+func newStreamTable() *streamTable {
+	return &streamTable{rows: make(map[string][]byte), began: time.Now(), era: 1}
+}
+
+func (s *streamTable) clock() time.Duration { return time.Hour + time.Since(s.began) }
+
+func (s *streamTable) ReadStreams(_ context.Context, visit func([]affinity.BatchRow, time.Duration)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.refuse != nil {
+		return s.refuse
+	}
+	var rows []affinity.BatchRow
+	for key, value := range s.rows {
+		rows = append(rows, affinity.BatchRow{Key: key, Value: value})
+	}
+	visit(rows, s.clock())
+	return nil
+}
+
+func (s *streamTable) WriteStreams(_ context.Context, add []affinity.BatchRow, remove []string) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.refuse != nil {
+		return 0, s.refuse
+	}
+	for _, row := range add {
+		s.rows[row.Key] = row.Value
+	}
+	for _, key := range remove {
+		delete(s.rows, key)
+	}
+	return s.clock(), nil
+}
+
+func (s *streamTable) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// set changes the table under its lock.
+func (s *streamTable) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// counts returns the calls so far, and the rows.
+func (s *streamTable) counts() (reads, writes, rows int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes, len(s.rows)
+}
+
+// aloneView is the view of a router that has no peers, with a list that is always current.
+type aloneView struct{}
+
+func (aloneView) ListRevision() int64             { return 1 }
+func (aloneView) ListAge(time.Time) time.Duration { return 0 }
+func (aloneView) LongestStream() time.Duration    { return 15 * time.Second }
+func (aloneView) Peers(now time.Time) affinity.PeerView {
+	return affinity.PeerView{Floor: math.MaxInt64, Complete: true, Current: true, Register: true, HeardAt: now}
+}
+
+// keepingRouter is a router that lists engines of some versions and keeps records of streams.
+type keepingRouter struct {
+	*affinity.Tracker
+	end     context.CancelFunc
+	running sync.WaitGroup
+}
+
+// firstOfMany is the ranking of the first router of a large fleet.
+type firstOfMany struct{}
+
+func (firstOfMany) Rank() int  { return 0 }
+func (firstOfMany) Count() int { return 200 }
+
+func (s *streamTable) router(versions ...string) *keepingRouter {
+	return s.routerOf(onlyRouter{}, versions...)
+}
+
+func (s *streamTable) routerOf(fleet ranking, versions ...string) *keepingRouter {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	r := &keepingRouter{Tracker: affinity.NewTracker(aloneView{}, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, time.Now(), quiet)}
+	r.RequireRecords()
+	var ctx context.Context
+	ctx, r.end = context.WithCancel(context.Background())
+	k := newStreamKeeper(s, r.Tracker, fleet, func() bool { return true }, quiet, tally.NoopScope)
+	r.running.Go(func() { k.run(ctx) })
+	r.list(versions...)
+	time.Sleep(time.Second)
+	return r
+}
+
+func (r *keepingRouter) list(versions ...string) {
+	var list []upstream.Instance
+	for _, v := range versions {
+		list = append(list, upstream.Instance{ID: upstream.ID(v), Service: "s", Software: v, State: upstream.Ready})
+	}
+	r.SetUpstreams(upstream.NewSet(list), time.Now(), time.Now())
+}
+
+func (r *keepingRouter) begin(id, version string) {
+	r.Begin("o", id, &upstream.Instance{Service: "s", Software: version}, time.Now())
+}
+
+func (r *keepingRouter) find(id string) (string, affinity.Source) {
+	b, _ := r.Find(context.Background(), affinity.Query{Organisation: "o", FirstAttempt: id, Services: []string{"s"}, Service: "s"}, time.Now())
+	return b.Version, b.Source
+}
+
+// kill ends the router.
+func (r *keepingRouter) kill() {
+	r.end()
+	r.running.Wait()
+}
+
+// Guards against streams of several versions that a fleet whose routers were all killed can't take up.
+func TestRecordsOfStreamsSurviveARestartOfAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		r := table.router("1")
+		r.begin("before", "1")
+		time.Sleep(time.Second)
+		_, writes, _ := table.counts()
+		require.Zero(t, writes, "one version")
+		r.list("1", "2")
+		r.begin("one", "1")
+		r.begin("two", "2")
+		time.Sleep(2 * streamsInterval)
+		r.kill()
+		again := table.router("1", "2")
+		defer again.kill()
+		for id, want := range map[string]string{"before": "1", "one": "1", "two": "2"} {
+			version, source := again.find(id)
+			require.Equal(t, want, version, id)
+			require.Equal(t, affinity.StoredRecord, source, id)
+		}
+	})
+}
+
+// Guards against records that a store which came back from a copy lacks.
+func TestRecordsAreWrittenAgainAfterACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		r := table.router("1", "2")
+		r.begin("one", "1")
+		time.Sleep(time.Second)
+		table.set(func() { table.rows, table.era = make(map[string][]byte), 2 })
+		time.Sleep(time.Second)
+		r.kill()
+		again := table.router("1", "2")
+		defer again.kill()
+		version, _ := again.find("one")
+		require.Equal(t, "1", version)
+	})
+}
+
+// Guards against more calls to a store that refuses them, records that are lost meanwhile, and lookups that wait for it.
+func TestAStoreThatRefusesRecordsIsCalledSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		r := table.routerOf(firstOfMany{}, "1", "2")
+		table.set(func() { table.refuse = errors.New("too many requests") })
+		_, before, _ := table.counts()
+		for n := range 40 {
+			r.begin(fmt.Sprint(n), "1")
+			time.Sleep(streamsInterval)
+		}
+		_, writes, _ := table.counts()
+		require.Less(t, writes-before, 10, "in 40 intervals with new records")
+
+		unread := table.router("1", "2")
+		require.True(t, unread.Settled(), "a router doesn't wait for the store for good")
+		require.True(t, unread.RecordsUnread())
+		unread.kill()
+		table.set(func() { table.refuse = nil })
+		time.Sleep(10 * time.Second)
+		r.kill()
+		again := table.router("1", "2")
+		defer again.kill()
+		for n := range 40 {
+			version, _ := again.find(fmt.Sprint(n))
+			require.Equal(t, "1", version, n)
+		}
+	})
+}
+
+// Guards against rows that stay, and calls that go on, after a release: those of the router, and those of one that was
+// killed.
+func TestNoRowsAndNoCallsAreLeftAfterARelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		killed := table.router("1", "2")
+		killed.begin("one", "1")
+		time.Sleep(time.Second)
+		killed.kill()
+		table.set(func() { table.rows["odd"] = []byte("what is this") })
+		r := table.router("1", "2")
+		defer r.kill()
+		for n := range 20 {
+			r.begin(fmt.Sprint(n), "2")
+			time.Sleep(time.Second)
+		}
+		_, _, rows := table.counts()
+		require.Greater(t, rows, 20)
+		r.list("2")
+		time.Sleep(3 * r.RowLife())
+		reads, writes, rows := table.counts()
+		require.Zero(t, rows)
+		time.Sleep(time.Hour)
+		readsLater, writesLater, _ := table.counts()
+		require.Equal(t, []int{reads, writes}, []int{readsLater, writesLater})
+	})
+}
+
+// Guards against two lives of a router that write over each other's rows.
+func TestRowsOfTwoLivesHaveDifferentKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		for n := range 2 {
+			r := table.router("1", "2")
+			r.begin(fmt.Sprint(n), "1")
+			time.Sleep(time.Second)
+			r.kill()
+		}
+		_, _, rows := table.counts()
+		require.Equal(t, 2, rows)
+		var writers []string
+		for key := range table.rows {
+			writer, _, _ := strings.Cut(key, "-")
+			writers = append(writers, writer)
+		}
+		slices.Sort(writers)
+		require.Len(t, slices.Compact(writers), 2)
+	})
+}
