Parts of prompts that crash upstreams are refused in any place

Cause: maxParts bounded the work for a prompt, and made parts behind the 32nd invisible.

Change: all shared parts are looked at. A prompt's parts are read under one lock and compared with the few that are refused; the lists of parts hold the largest head. Reports to peers are made from one overview, and send what has most crashes, then the deepest part, ahead.

--- a/pkg/gateway/logrecord.go
+++ b/pkg/gateway/logrecord.go
@@ -167,8 +167,8 @@
 	}
 	if r.namesContent() {
 		f["content"] = FormatSubject(r.contentHash)
-		if parts := r.partHashes(); len(parts) > 0 {
-			f["parts"] = formatSubjects(parts)
+		if parts := r.loggedParts(); len(parts) > 0 {
+			f["parts"] = parts
 		}
 	}
 	if len(r.logRecord.attempts) > 0 {
--- a/pkg/gateway/parts.go
+++ b/pkg/gateway/parts.go
@@ -2,8 +2,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// maxParts bounds the parts of one prompt that are looked at.
-const maxParts = 32
+// maxLoggedParts bounds the parts of one prompt that a line of the log names.
+const maxLoggedParts = 32
 
 // partHashes identifies the parts of the prompt that other requests may share, whatever comes before
 // them. The same part has different hashes at different services: callers choose the parts' IDs.
@@ -13,8 +13,9 @@
 	}
 	shared := r.meta.Prompt.SharedParts()
 	r.parts = make([]uint64, 0, len(shared))
-	for _, part := range shared[:min(len(shared), maxParts)] {
-		h := xxhash.New()
+	h := xxhash.New()
+	for _, part := range shared {
+		h.Reset()
 		_, _ = h.WriteString(r.service.Name) // never fails
 		_, _ = h.Write([]byte{0})
 		_, _ = h.WriteString(part.ID)
@@ -23,10 +24,13 @@
 	return r.parts
 }
 
-func formatSubjects(subjects []uint64) []string {
-	list := make([]string, 0, len(subjects))
-	for _, s := range subjects {
-		list = append(list, FormatSubject(s))
+// loggedParts returns the hashes of the first parts.
+func (r *request) loggedParts() []string {
+	parts := r.partHashes()
+	parts = parts[:min(len(parts), maxLoggedParts)]
+	list := make([]string, 0, len(parts))
+	for _, part := range parts {
+		list = append(list, FormatSubject(part))
 	}
 	return list
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -31,13 +31,19 @@
 	// partSettle is the time from the first crash in which a part isn't refused. When upstreams are lost
 	// together, a popular part was at all of them; within this time it shows elsewhere that it is sound.
 	partSettle = 300 * time.Millisecond
+	// maxPartSuspects, maxPartsRefused and maxPartHistory bound what is known of parts. The largest head that callers
+	// may send has some 16,000.
+	maxPartSuspects = 32768
+	maxPartsRefused = 32768
+	maxPartHistory  = 32768
 )
 
 // NewQuarantine returns an empty book with the limits by which gateways refuse requests.
 func NewQuarantine() *quarantine.Book {
 	return quarantine.NewBook(
 		quarantine.Config{CrashLimit: CrashLimit, Duration: quarantineDuration, MinSpan: minCrashSpan, Moment: crashMoment},
-		quarantine.Config{CrashLimit: PartCrashLimit, Duration: quarantineDuration, Settle: partSettle, Moment: crashMoment, ClearConfirmed: true, Parts: true})
+		quarantine.Config{CrashLimit: PartCrashLimit, Duration: quarantineDuration, Settle: partSettle, Moment: crashMoment, ClearConfirmed: true, Parts: true,
+			MaxSuspects: maxPartSuspects, MaxConfirmed: maxPartsRefused, MaxHistory: maxPartHistory})
 }
 
 // Steps of suspicions and what they concern, for metrics.
@@ -75,10 +81,8 @@
 	if g.quarantine.Parts.Empty() {
 		return 0, "", 0
 	}
-	for _, part := range r.partHashes() {
-		if remaining, refused := g.quarantine.Parts.Refused(part); refused {
-			return part, subjectPart, remaining
-		}
+	if part, remaining, refused := g.quarantine.Parts.RefusedPart(r.partHashes()); refused {
+		return part, subjectPart, remaining
 	}
 	return 0, "", 0
 }
@@ -111,10 +115,8 @@
 	if news, ok := g.quarantine.Contents.RecordCompletion(r.contentHash); ok {
 		g.logCleared(r, news)
 	}
-	for _, part := range r.partHashes() {
-		if news, ok := g.quarantine.Parts.RecordCompletion(part); ok {
-			g.logCleared(r, news)
-		}
+	for _, news := range g.quarantine.Parts.RecordPartCompletions(r.partHashes()) {
+		g.logCleared(r, news)
 	}
 }
 
--- a/pkg/quarantine/book.go
+++ b/pkg/quarantine/book.go
@@ -16,13 +16,16 @@
 	Contents, Parts *List
 	// changes is the number of the last change in either list.
 	changes atomic.Uint64
+	// mu is the lock of both lists.
+	mu sync.Mutex
+	// overview is that of the entries of both lists.
+	overview overview
 }
 
 // NewBook returns an empty Book.
 func NewBook(contents, parts Config) *Book {
 	b := new(Book)
-	mu := new(sync.Mutex)
-	b.Contents, b.Parts = newList(contents, mu, &b.changes), newList(parts, mu, &b.changes)
+	b.Contents, b.Parts = newList(contents, &b.mu, &b.changes), newList(parts, &b.mu, &b.changes)
 	b.Contents.tracker.parts, b.Parts.tracker.contents = b.Parts.tracker, b.Contents.tracker
 	return b
 }
@@ -37,42 +40,24 @@
 	return append(news, b.Parts.recordParts(run.Parts, upstream, run.At)...)
 }
 
-// maxAhead is the number of serious suspicions that are sent ahead of others which changed before them.
-const maxAhead = 64
-
 // News returns the suspicions that changed after a number, in the order of their changes, and the number
-// of the last one that is included. Where there are more than most, the newest of those with several
-// crashes follow ahead of their turn: a mass crash makes a suspect of everything that ran.
+// of the last one that is included. Where there are more than most, some of those with several crashes
+// follow ahead of their turn: a mass crash makes a suspect of everything that ran.
 func (b *Book) News(after uint64, most int) ([]wire.Suspicion, uint64) {
-	last := b.changes.Load()
-	if after >= last {
+	if after >= b.changes.Load() {
 		return nil, after
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := time.Now()
-	changed := append(b.Contents.changedAfter(after, now), b.Parts.changedAfter(after, now)...)
-	slices.SortFunc(changed, func(x, y change) int { return cmp.Compare(x.number, y.number) })
-	if len(changed) > most {
-		last = changed[most-1].number
-		changed = append(changed[:most:most], ahead(changed[most:])...)
-	}
+	changed, last := b.changedAfter(after, most, now)
 	list := make([]wire.Suspicion, 0, len(changed))
 	for _, c := range changed {
-		list = append(list, c.suspicion)
+		list = append(list, c.tracker.encode(now, c.entry, after))
 	}
 	return list, last
 }
 
-// ahead returns the newest changes with several crashes.
-func ahead(changed []change) []change {
-	var list []change
-	for _, c := range slices.Backward(changed) {
-		if c.crashes > 1 && len(list) < maxAhead {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
 // Merge merges suspicions of a peer and returns those that were new.
 func (b *Book) Merge(suspicions []wire.Suspicion) []wire.Suspicion {
 	isPart := func(s wire.Suspicion) bool { return s.Part }
@@ -85,14 +70,6 @@
 	return append(b.Contents.Merge(contents), news...)
 }
 
-// change is a suspicion with the number of its last change.
-type change struct {
-	number    uint64
-	suspicion wire.Suspicion
-	// crashes is the number of all crashes, also of those that the suspicion leaves out.
-	crashes int
-}
-
 const (
 	// maxSerious is the number of suspects that Serious returns beside what is refused.
 	maxSerious = 64
@@ -128,7 +105,7 @@
 	return refused, suspects[:min(len(suspects), maxSerious)]
 }
 
-// compareSuspicions orders suspicions by their number of crashes, the most first.
+// compareSuspicions orders suspicions by their number of crashes, the most first, and parts then by their depth.
 func compareSuspicions(a, b wire.Suspicion) int {
-	return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Content, b.Content))
+	return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(b.Depth, a.Depth), cmp.Compare(a.Content, b.Content))
 }
--- a/pkg/quarantine/config.go
+++ b/pkg/quarantine/config.go
@@ -21,9 +21,11 @@
 	ClearConfirmed bool
 	// Parts says that the list holds parts of prompts, not whole requests.
 	Parts bool
-	// MaxSuspects and MaxConfirmed are the maximum numbers of contents that are kept.
+	// MaxSuspects and MaxConfirmed are the maximum numbers of contents that are kept, MaxHistory that of contents
+	// of which it is known when they were sound.
 	MaxSuspects  int
 	MaxConfirmed int
+	MaxHistory   int
 }
 
 // Defaults of Config.
@@ -35,6 +37,7 @@
 	DefaultDuration     = 30 * time.Minute
 	DefaultMaxSuspects  = 4096
 	DefaultMaxConfirmed = 1024
+	DefaultMaxHistory   = 4096
 )
 
 func (c Config) withDefaults() Config {
@@ -50,5 +53,8 @@
 	if c.MaxConfirmed <= 0 {
 		c.MaxConfirmed = DefaultMaxConfirmed
 	}
+	if c.MaxHistory <= 0 {
+		c.MaxHistory = DefaultMaxHistory
+	}
 	return c
 }
--- a/pkg/quarantine/history.go
+++ b/pkg/quarantine/history.go
@@ -1,15 +1,13 @@
 package quarantine
 
 import (
+	"iter"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// maxHistory is the number of contents, and of parts, of which a history is kept: those that completed last.
-const maxHistory = 4096
-
 // history tells when contents were last known to be sound, also those that were never suspected. It is safe for
 // concurrent use.
 type history struct {
@@ -17,7 +15,8 @@
 	lru *simplelru.LRU[uint64, time.Time]
 }
 
-func newHistory() *history { return &history{lru: newLRU[time.Time](maxHistory)} }
+// newHistory returns the history of those contents, or parts, that completed last, up to a number.
+func newHistory(most int) *history { return &history{lru: newLRU[time.Time](most)} }
 
 func (h *history) add(content uint64, at time.Time) {
 	h.mu.Lock()
@@ -25,6 +24,15 @@
 	h.lru.Add(content, at)
 }
 
+// addAll adds all contents of a sequence.
+func (h *history) addAll(contents iter.Seq2[int, uint64], at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, content := range contents {
+		h.lru.Add(content, at)
+	}
+}
+
 // soundAt returns when a content was last known to be sound; zero if it isn't known.
 func (h *history) soundAt(content uint64) time.Time {
 	h.mu.Lock()
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -9,7 +9,6 @@
 package quarantine
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,37 +52,16 @@
 	return l.record(content, 0, upstream, alone, time.Now())
 }
 
-// RecordPartCrashes records that an upstream crashed while it ran a prompt with these shared parts, in their
-// order. If one of them is refused already, it explains the crash, which doesn't count against the others.
-// It returns the suspicions that changed.
-func (l *List) RecordPartCrashes(parts []uint64, upstream uint32) []wire.Suspicion {
-	return l.recordParts(parts, upstream, time.Now())
-}
-
-func (l *List) recordParts(parts []uint64, upstream uint32, at time.Time) []wire.Suspicion {
-	var news []wire.Suspicion
-	known := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool {
-		_, refused := l.Refused(part)
-		return !refused
-	})
-	for depth, part := range parts {
-		if len(known) > 0 && !slices.Contains(known, part) {
-			continue
-		}
-		if s, ok := l.record(part, depth, upstream, true, at); ok {
-			news = append(news, s)
-		}
-	}
-	return news
-}
-
 // record adds a crash that happened at a time before now.
 func (l *List) record(content uint64, depth int, upstream uint32, alone bool, at time.Time) (wire.Suspicion, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.add(time.Now(), content, depth, crash{upstream: upstream, at: at, alone: alone})
+}
+
+func (l *List) add(now time.Time, content uint64, depth int, c crash) (wire.Suspicion, bool) {
 	l.used.Store(true)
-	now := time.Now()
-	s, ok := l.tracker.recordCrash(now, content, depth, crash{upstream: upstream, at: at, alone: alone})
+	s, ok := l.tracker.recordCrash(now, content, depth, c)
 	if ok {
 		l.lastCrash.Store(int64(now.Sub(l.created)))
 	}
@@ -161,13 +139,6 @@
 	return l.tracker.snapshot(time.Now())
 }
 
-// changedAfter returns the suspicions that changed after a number, in no particular order.
-func (l *List) changedAfter(number uint64, now time.Time) []change {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.tracker.changedAfter(number, now)
-}
-
 // Count returns how many contents must run alone and how many are refused.
 func (l *List) Count() (suspected, confirmed int) {
 	l.mu.Lock()
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -38,7 +38,7 @@
 func newTracker(c Config, changes *atomic.Uint64) *tracker {
 	t := &tracker{config: c, changes: changes, lost: make(lostUpstreams), suspects: newLRU[*entry](c.MaxSuspects), confirmed: newLRU[*entry](c.MaxConfirmed)}
 	if c.Moment > 0 {
-		t.history = newHistory()
+		t.history = newHistory(c.MaxHistory)
 	}
 	return t
 }
@@ -70,15 +70,19 @@
 // unless Config says so: it no longer runs, so the completion is that of a run that began before the
 // last crash.
 func (t *tracker) recordCompletion(now time.Time, content uint64) (wire.Suspicion, bool) {
-	current := t.crashCount(now, content)
-	if current >= t.config.CrashLimit && !t.config.ClearConfirmed {
+	if !t.config.ClearConfirmed && t.crashCount(now, content) >= t.config.CrashLimit {
 		return wire.Suspicion{}, false
 	}
 	t.remember(now, content)
-	if current == 0 {
+	return t.clear(now, content)
+}
+
+// clear clears a suspect of the crashes that are known.
+func (t *tracker) clear(now time.Time, content uint64) (wire.Suspicion, bool) {
+	e, ok := t.lookup(now, content)
+	if !ok || e.crashCount(now, t.config) == 0 {
 		return wire.Suspicion{}, false
 	}
-	e, _ := t.lookup(now, content)
 	at := e.lastCrash().Add(sightingSpread) // other routers may have seen the same crash later
 	if at.After(now) {
 		at = now
@@ -124,7 +128,7 @@
 }
 
 // maxDepth bounds the depth of parts that peers report.
-const maxDepth = 1024
+const maxDepth = 1 << 16
 
 // ago returns the time that lies ms milliseconds before now.
 func ago(now time.Time, ms int64) time.Time {
@@ -233,17 +237,6 @@
 	return slices.DeleteFunc(append(t.confirmed.Values(), t.suspects.Values()...), func(e *entry) bool { return e.expired(now, t.config) })
 }
 
-// changedAfter returns the entries that changed after a number, in no particular order.
-func (t *tracker) changedAfter(number uint64, now time.Time) []change {
-	var list []change
-	for _, e := range t.entries(now) {
-		if e.changed > number {
-			list = append(list, change{number: e.changed, suspicion: t.encode(now, e, number), crashes: len(e.crashes)})
-		}
-	}
-	return list
-}
-
 // encode returns an entry for a peer that has the crashes up to a change.
 func (t *tracker) encode(now time.Time, e *entry, after uint64) wire.Suspicion {
 	s := e.encode(now, after, t.config.CrashLimit)
