Crashes of a part of prompts count over all services

Cause: the hash of a part held the service's name, so crashes counted for each service by itself.

Change: a part is kept in two scopes, by itself and with its service. A request is refused if either is; the one with the service is blamed where it explains the crashes. So a part that is sound at one service and crashes the upstreams of another is refused there alone.

--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -121,3 +121,63 @@
 		})
 	}
 }
+
+// Guards against a part that crashes the upstreams of several services, and is refused only once it has crashed as
+// many of each.
+func TestCrashesOfAPartCountOverAllServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPartsGateway()
+		for n := range PartCrashLimit {
+			require.True(t, g.crash([]string{"a", "b"}[n%2], "first", badPart))
+		}
+		for _, service := range []string{"a", "b", "c"} {
+			require.False(t, g.crash(service, "first", badPart))
+			require.True(t, g.complete(service, "first"))
+		}
+	})
+}
+
+// Guards against a part that is never refused where it crashes upstreams, as it runs soundly at another service, or is
+// refused there.
+func TestAPartThatIsSoundAtAnotherServiceIsRefusedWhereItCrashesUpstreams(t *testing.T) {
+	for name, often := range map[string]bool{"where it runs all the time": true, "where it runs seldom": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newPartsGateway()
+				require.True(t, g.complete("b", "first", badPart))
+				for range PartCrashLimit {
+					require.True(t, g.crash("a", "first", badPart))
+					if often {
+						require.True(t, g.complete("b", "first", badPart))
+					}
+				}
+				require.False(t, g.crash("a", "first", badPart))
+				for range 3 {
+					require.True(t, g.complete("b", "first", badPart))
+					require.False(t, g.crash("a", "first", badPart))
+				}
+				require.True(t, g.complete("a", "first"))
+			})
+		})
+	}
+}
+
+// Guards against a part that begins to crash the upstreams of another service once it is refused at the first.
+func TestAPartThatIsRefusedAtOneServiceIsRefusedSoonAtOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPartsGateway()
+		for range PartCrashLimit {
+			require.True(t, g.crash("a", "first", badPart))
+		}
+		crashes := 0
+		for range PartCrashLimit {
+			for _, service := range []string{"b", "c"} {
+				if g.crash(service, "first", badPart) {
+					crashes++
+				}
+			}
+		}
+		require.LessOrEqual(t, crashes, 3)
+		require.True(t, g.complete("b", "first"))
+	})
+}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -31,8 +31,8 @@
 	// partSettle is the time from the first crash in which a part isn't refused. When upstreams are lost
 	// together, a popular part was at all of them; within this time it shows elsewhere that it is sound.
 	partSettle = 300 * time.Millisecond
-	// maxPartSuspects, maxPartsRefused and maxPartHistory bound what is known of parts. The largest head that callers
-	// may send has some 16,000.
+	// maxPartSuspects, maxPartsRefused and maxPartHistory bound what is known of parts, at two entries for each. The
+	// largest head that callers may send has some 16,000 parts.
 	maxPartSuspects = 32768
 	maxPartsRefused = 32768
 	maxPartHistory  = 32768
@@ -42,7 +42,7 @@
 func NewQuarantine() *quarantine.Book {
 	return quarantine.NewBook(
 		quarantine.Config{CrashLimit: CrashLimit, Duration: quarantineDuration, MinSpan: minCrashSpan, Moment: crashMoment},
-		quarantine.Config{CrashLimit: PartCrashLimit, Duration: quarantineDuration, Settle: partSettle, Moment: crashMoment, ClearConfirmed: true, Parts: true,
+		quarantine.Config{CrashLimit: PartCrashLimit, Duration: quarantineDuration, Settle: partSettle, Moment: crashMoment, ClearConfirmed: true, Parts: true, Scopes: partScopes,
 			MaxSuspects: maxPartSuspects, MaxConfirmed: maxPartsRefused, MaxHistory: maxPartHistory})
 }
 
--- a/pkg/quarantine/config.go
+++ b/pkg/quarantine/config.go
@@ -21,6 +21,9 @@
 	ClearConfirmed bool
 	// Parts says that the list holds parts of prompts, not whole requests.
 	Parts bool
+	// Scopes is the number of entries for each part, from the widest scope to the narrowest; 0 stands for one. They
+	// follow each other in the parts of a prompt.
+	Scopes int
 	// MaxSuspects and MaxConfirmed are the maximum numbers of contents that are kept, MaxHistory that of contents
 	// of which it is known when they were sound.
 	MaxSuspects  int
@@ -53,6 +56,9 @@
 	if c.MaxConfirmed <= 0 {
 		c.MaxConfirmed = DefaultMaxConfirmed
 	}
+	if c.Scopes <= 0 {
+		c.Scopes = 1
+	}
 	if c.MaxHistory <= 0 {
 		c.MaxHistory = DefaultMaxHistory
 	}
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -70,12 +70,12 @@
 	maps.DeleteFunc(left, explained.has)
 }
 
-// hasDeeperSuspect reports whether one of all parts, deeper than depth, ran beside all but a few of the crashes that
+// hasDeeperSuspect reports whether an entry of one of all parts, deeper than that at depth, ran beside all but a few of the crashes that
 // are left, and lacks crashes itself. If it is the cause, one more crash shows that; refusing the other would
 // hide it for good, as no request with the deeper part would run any more.
 func (t *tracker) hasDeeperSuspect(now time.Time, all []*entry, depth int, left map[uint32]time.Time) bool {
 	return slices.ContainsFunc(all, func(s *entry) bool {
-		return s.depth > depth && len(left)-len(s.crashes) < minUnexplained && // few have so many
+		return s.depth/t.config.Scopes > depth/t.config.Scopes && len(left)-len(s.crashes) < minUnexplained && // few have so many
 			s.crashCount(now, t.config) > 0 && len(left)-s.crashesAmong(left) < minUnexplained
 	})
 }
