--- a/pkg/affinity/stored_test.go
+++ b/pkg/affinity/stored_test.go
@@ -64,6 +64,24 @@
 	require.False(t, again.RecordsUnread())
 }
 
+// Guards against streams of a third version, or of one that has left, which are mixed up or forgotten beside two others.
+func TestStreamsOfThreeVersionsAreKnownByTheStore(t *testing.T) {
+	f := newFixture()
+	var rows [][]byte
+	for _, versions := range [][]string{{"1"}, {"1", "2"}, {"2", "3"}, {"1", "2", "3"}} {
+		f.list(versions...)
+		last := versions[len(versions)-1]
+		f.Begin("o", "began at "+last, f.instance(last), f.now)
+		rows = append(rows, f.batches(t)...)
+		f.now = f.now.Add(time.Second)
+	}
+	again := f.startedWith(t, rows...)
+	again.list("1", "2", "3")
+	for _, version := range []string{"1", "2", "3"} {
+		require.Equal(t, bound(version, StoredRecord), again.find("began at "+version))
+	}
+}
+
 // Guards against records of one service that are written because another one has several versions.
 func TestOnlyServicesWithSeveralVersionsAreKept(t *testing.T) {
 	f := newFixture()
--- a/test/clients/brokenanswers_test.go
+++ b/test/clients/brokenanswers_test.go
@@ -67,9 +67,9 @@
 	g := startGateway(t, usualHost.memoryMiB)
 	for name, head := range map[string]string{
 		"neither":       "HTTP/1.1 200 OK\r\n",
-		"no ID":         "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n",
+		"no ID":         "HTTP/1.1 200 OK\r\n" + platformtest.RawStamp,
 		"no stamp":      "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n",
-		"after interim": "HTTP/1.1 103 Early Hints\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"after interim": "HTTP/1.1 103 Early Hints\r\nRequest-Id: ID\r\n" + platformtest.RawStamp + "\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		for path, body := range map[string]string{
 			platformtest.PathOnce: "Content-Length: 2\r\n\r\nno", platformtest.PathCall: "Content-Length: 2\r\n\r\nno",
