Lookups that began before the records of streams were read look again

A caller that takes up a stream in the moment in which a router has just read the store's records would be refused.

Cause: Find looked for the record, and asked whether the records had been read only after that. What was read in between was looked for by neither step.

Change: whether a first try has ended is taken before the first look; if not, the lookup waits for it and looks again.

--- a/pkg/affinity/find.go
+++ b/pkg/affinity/find.go
@@ -8,6 +8,7 @@
 // Find returns the version at which a stream has to go on. Without one, the binding's source says
 // why.
 func (t *Tracker) Find(ctx context.Context, q Query, now time.Time) (Binding, bool) {
+	tried := t.recordsTried() // before the first look, so that what is read meanwhile is looked for again
 	if q.FirstAttempt != "" {
 		if s, source, ok := t.recorded(KeyOf(q.Organisation, q.FirstAttempt), now); ok {
 			return t.resolve(q, s, source)
@@ -21,8 +22,10 @@
 	if reply.Recorded {
 		return t.resolve(q, reply.Version, AskedRecord)
 	}
-	if b, ok, found := t.findStored(ctx, q, now); found {
-		return b, ok
+	if !tried {
+		if b, ok, found := t.findStored(ctx, q, now); found {
+			return b, ok
+		}
 	}
 	if sole {
 		return Binding{Service: q.Service, Version: name, Source: SoleVersion}, true
@@ -30,9 +33,9 @@
 	return t.resolve(q, reply.Version, AskedSole)
 }
 
-// findStored waits for the records of the store, if they are being read for the first time, and looks again.
+// findStored waits for the first try to read the records of the store, and looks again.
 func (t *Tracker) findStored(ctx context.Context, q Query, now time.Time) (b Binding, ok, found bool) {
-	if q.FirstAttempt == "" || t.recordsTried() || !t.awaitRecords(ctx) {
+	if q.FirstAttempt == "" || !t.awaitRecords(ctx) {
 		return Binding{}, false, false
 	}
 	s, source, found := t.recorded(KeyOf(q.Organisation, q.FirstAttempt), now)
