Streams are judged too old only once there is a configuration

Cause: how long a stream may be resumed follows from the configuration. A router that starts reads the records of streams before it has one, took the least life (30 s) for it, and dropped rows older than 35 s. The same bound was applied before the configuration to versions in peers' statements and in the register (another version could be taken for the sole one), to ledgers, and to the removal of rows.

Change: streamLife knows whether there has been a configuration. Before it nothing is too old; records that were read are judged at the lookup, which comes after the configuration as it needs a route.

The test of the ledger alone sets a known life first; its checks are the same.

--- a/pkg/affinity/fixture_test.go
+++ b/pkg/affinity/fixture_test.go
@@ -18,6 +18,8 @@
 	peer PeerView
 	// longest is the longest timeout of streams.
 	longest time.Duration
+	// unconfigured says that there is no configuration yet.
+	unconfigured bool
 	// describing is called as the other routers are described, after the revision was read; nil for nothing.
 	describing func()
 }
@@ -26,7 +28,7 @@
 
 func (v *fakeView) ListAge(time.Time) time.Duration { return v.age }
 
-func (v *fakeView) LongestStream() time.Duration { return v.longest }
+func (v *fakeView) LongestStream() (time.Duration, bool) { return v.longest, !v.unconfigured }
 
 func (v *fakeView) Peers(time.Time) PeerView {
 	if v.describing != nil {
--- a/pkg/affinity/history.go
+++ b/pkg/affinity/history.go
@@ -238,7 +238,7 @@
 	defer h.mu.Unlock()
 	for _, seen := range s.Versions {
 		last := createdAt.Add(-time.Duration(seen.AgeMs) * time.Millisecond)
-		if !seen.valid() || now.Sub(last) >= h.life.window() {
+		if !seen.valid() || h.life.over(now.Sub(last)) {
 			continue
 		}
 		v := h.get(seen.Service, seen.Version, now)
@@ -265,7 +265,7 @@
 
 // servedLately reports whether streams that began at a version may still be resumed.
 func (h *history) servedLately(v *version, now time.Time) bool {
-	return v.listed || now.Sub(v.lastListed) < h.life.window()
+	return v.listed || !h.life.over(now.Sub(v.lastListed))
 }
 
 // recent returns the identities of recent versions, and for each whether its service has several.
--- a/pkg/affinity/keeping.go
+++ b/pkg/affinity/keeping.go
@@ -23,7 +23,7 @@
 
 // RegisterDuty returns what a router of this rank in the fleet has to do about the register.
 func (t *Tracker) RegisterDuty(rank int, now time.Time) RegisterDuty {
-	t.life.extend(t.view.LongestStream())
+	t.learnLife()
 	t.forgetAfterSuspension(now)
 	turn := min(time.Duration(rank)*registerTurn, maxRegisterTurn)
 	renewal := time.Duration(0)
--- a/pkg/affinity/ledger.go
+++ b/pkg/affinity/ledger.go
@@ -87,6 +87,10 @@
 	if l.records[0] == nil {
 		l.records[0], l.rotatedAt = make(map[Key]VersionID), now
 	}
+	if !l.life.known.Load() {
+		l.rotatedAt = now
+		return
+	}
 	generationAge := l.life.get() / (generations - 1)
 	for range generations {
 		if now.Sub(l.rotatedAt) < generationAge {
--- a/pkg/affinity/life.go
+++ b/pkg/affinity/life.go
@@ -14,8 +14,11 @@
 )
 
 // streamLife is how long after its first event a stream may still be resumed. It only grows, as streams
-// of an earlier configuration go on.
-type streamLife struct{ ns atomic.Int64 }
+// of an earlier configuration go on, and isn't known before the first configuration.
+type streamLife struct {
+	ns    atomic.Int64
+	known atomic.Bool
+}
 
 func (l *streamLife) get() time.Duration { return max(minStreamLife, time.Duration(l.ns.Load())) }
 
@@ -23,10 +26,18 @@
 // list may have begun some after it had left.
 func (l *streamLife) window() time.Duration { return l.get() + openAfter }
 
-// extend makes the life fit streams of routes with this timeout.
-func (l *streamLife) extend(timeout time.Duration) {
+// over reports whether no stream can be resumed any more that began at a version which was last listed this long
+// ago. While the life isn't known, one still can.
+func (l *streamLife) over(age time.Duration) bool { return l.known.Load() && age >= l.window() }
+
+// learn makes the life fit the streams of the configuration in force, as the view has them.
+func (l *streamLife) learn(timeout time.Duration, configured bool) {
+	if !configured {
+		return
+	}
 	life := int64(triesFactor * timeout)
-	for known := l.ns.Load(); known < life && !l.ns.CompareAndSwap(known, life); {
-		known = l.ns.Load()
+	for before := l.ns.Load(); before < life && !l.ns.CompareAndSwap(before, life); {
+		before = l.ns.Load()
 	}
+	l.known.Store(true)
 }
--- a/pkg/affinity/registering.go
+++ b/pkg/affinity/registering.go
@@ -106,7 +106,7 @@
 		return list
 	}
 	for _, v := range last.Versions {
-		if !certain || rd.Clock < time.Duration(v.LastMs)*time.Millisecond+h.life.window() {
+		if !certain || !h.life.over(rd.Clock-time.Duration(v.LastMs)*time.Millisecond) {
 			add(v.Service, v.Version, v.LastMs)
 		}
 	}
--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -26,6 +26,8 @@
 	// nextRegister is when it next looks after the register.
 	nextRegister time.Time
 	keeper       simKeeper
+	// configuredAt is when it gets its configuration.
+	configuredAt time.Time
 }
 
 // heardReport is the newest report of another router, made at madeAt.
@@ -37,7 +39,9 @@
 func (r *simRouter) ListRevision() int64                 { return r.rev }
 func (r *simRouter) ListAge(now time.Time) time.Duration { return now.Sub(r.listedAt) }
 
-func (r *simRouter) LongestStream() time.Duration { return simMaxResume }
+func (r *simRouter) LongestStream() (time.Duration, bool) { return r.sim.limit, r.configured() }
+
+func (r *simRouter) configured() bool { return !r.sim.now.Before(r.configuredAt) }
 
 func (r *simRouter) Peers(now time.Time) PeerView {
 	view := PeerView{Floor: math.MaxInt64, Complete: true, Current: true, Register: true, HeardAt: now}
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -31,6 +31,10 @@
 	// simDrain is how long engines that were replaced stay on the list and serve.
 	simDrain     = 2500 * time.Millisecond
 	simMaxResume = 12 * time.Second
+	// simRaised is the timeout of streams once it is raised, simConfig the longest time until a router that starts has its
+	// configuration.
+	simRaised = 40 * time.Second
+	simConfig = 3 * time.Second
 )
 
 // simStream is a stream that a caller has begun to receive.
@@ -62,6 +66,11 @@
 	mixed           []string
 	// single days have one release at releaseAt, taken back at rollbackAt.
 	single bool
+	// limit is the timeout of streams that begin, raisedAt when it is raised; zero for never.
+	limit    time.Duration
+	raisedAt time.Time
+	// configs draws when routers get their configuration.
+	configs *rand.Rand
 	// silent days are those on which no records are sent, so that all depends on sole versions.
 	silent bool
 	// unkept days are those on which no records are kept in the store.
@@ -70,9 +79,12 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), rev: 1, versions: []string{"v0", "v0", "v0", "v0"}}
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), rev: 1, versions: []string{"v0", "v0", "v0", "v0"}, limit: simMaxResume, configs: rand.New(rand.NewPCG(seed, 2))}
 	s.single, s.silent, s.releaseAt = seed%2 == 0, seed%4 == 0, s.upTo(simLength)
 	s.rollbackAt = s.releaseAt.Add(time.Duration(s.random.Int64N(int64(simRelease))))
+	if seed%3 == 0 {
+		s.raisedAt = s.now.Add(time.Duration(s.configs.Int64N(int64(simLength / 2))))
+	}
 	for i := range *simRouters {
 		s.routers = append(s.routers, &simRouter{sim: s, index: i})
 		s.start(s.routers[i])
@@ -84,6 +96,7 @@
 
 func (s *sim) start(r *simRouter) {
 	*r = simRouter{sim: s, index: r.index, started: s.now, up: true, heard: make([]heardReport, *simRouters)}
+	r.configuredAt = s.now.Add(time.Duration(s.configs.Int64N(int64(simConfig))))
 	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
 	r.RequireRegister()
 	r.RequireRecords()
@@ -119,6 +132,9 @@
 
 func (s *sim) step() {
 	s.now = s.now.Add(simStep)
+	if !s.raisedAt.IsZero() && s.now.After(s.raisedAt) {
+		s.limit = simRaised
+	}
 	s.disturb()
 	s.disturbStore()
 	for _, r := range s.routers {
@@ -238,7 +254,7 @@
 // begin lets callers begin streams at engines that their router lists and takes for open.
 func (s *sim) begin() {
 	for _, r := range s.routers {
-		if !r.runs() || len(r.set) == 0 {
+		if !r.runs() || len(r.set) == 0 || !r.configured() {
 			continue
 		}
 		in := &upstream.Instance{Service: "s", Software: r.set[s.random.IntN(len(r.set))]}
@@ -248,7 +264,7 @@
 		s.next++
 		id := fmt.Sprint(s.next)
 		r.Begin("o", id, in, s.now)
-		s.streams = append(s.streams, simStream{id: id, version: in.Software, due: s.upTo(simMaxResume / 2)})
+		s.streams = append(s.streams, simStream{id: id, version: in.Software, due: s.upTo(s.limit / 2)})
 	}
 }
 
@@ -258,11 +274,11 @@
 	for _, one := range s.streams {
 		r := s.routers[s.random.IntN(len(s.routers))]
 		switch {
-		case one.due.After(s.now), r.up && !r.runs():
+		case one.due.After(s.now), r.up && !r.runs(), r.up && !r.configured():
 			left = append(left, one)
 		case r.up && s.goOn(r, one) && one.tries < 2:
 			one.tries++
-			one.due = s.upTo(simMaxResume / 4)
+			one.due = s.upTo(s.limit / 4)
 			left = append(left, one)
 		}
 	}
--- a/pkg/affinity/stored.go
+++ b/pkg/affinity/stored.go
@@ -8,16 +8,65 @@
 
 // storedRecords is what is known of the records in the store.
 type storedRecords struct {
-	// ledger holds the records that were read.
-	ledger ledger
+	life *streamLife
 
 	mu sync.Mutex
+	// records are those that were read, the last of them at readAt.
+	records map[Key]storedRecord
+	readAt  time.Time
 	// tried is closed when the first try to read them has ended; nil where the store keeps none. read says that one
 	// has succeeded.
 	tried chan struct{}
 	read  bool
 }
 
+// storedRecord is a record that was this old when it was read.
+type storedRecord struct {
+	version VersionID
+	age     time.Duration
+}
+
+// add adds a record that was read at now. A key that is on record under two versions finds none.
+func (s *storedRecords) add(r Record, age time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.records == nil {
+		s.records = make(map[Key]storedRecord)
+	}
+	s.readAt = now
+	known, found := s.records[r.Key]
+	switch {
+	case found && known.version != r.Version:
+		s.records[r.Key] = storedRecord{version: unknownVersion, age: min(age, known.age)}
+	case found:
+		s.records[r.Key] = storedRecord{version: r.Version, age: min(age, known.age)}
+	case len(s.records) < maxRecords:
+		s.records[r.Key] = storedRecord{version: r.Version, age: age}
+	}
+}
+
+// lookup returns the version that is on record for a key. How old a record may be follows from the configuration,
+// which a router reads at the same time as the records.
+func (s *storedRecords) lookup(k Key, now time.Time) (VersionID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life.over(now.Sub(s.readAt)) {
+		s.records = nil // streams that went on since then are on record again
+	}
+	r, found := s.records[k]
+	if !found || s.life.over(r.age) {
+		return unknownVersion, false
+	}
+	return r.version, true
+}
+
+// size returns the number of records.
+func (s *storedRecords) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
 // RequireRecords makes lookups wait for the records in the store, which are to be read once.
 func (t *Tracker) RequireRecords() {
 	t.stored.mu.Lock()
@@ -73,29 +122,34 @@
 }
 
 // MergeBatch takes over a row of records that rd read, and returns their number. Those of streams that can't be
-// resumed any more are left out.
+// resumed any more are left out, once it is known which these are.
 func (t *Tracker) MergeBatch(value []byte, rd Reading, now time.Time) (int, error) {
 	b, err := decodeBatch(value, rd)
 	if err != nil {
 		return 0, err
 	}
-	if b.age(rd) >= t.life.window() {
+	t.learnLife()
+	age := b.age(rd)
+	if t.life.over(age) {
 		return 0, nil
 	}
 	list := b.records()
 	for _, r := range list {
-		t.stored.ledger.add(r, now)
+		t.stored.add(r, age, now)
 	}
 	return len(list), nil
 }
 
 // recorded returns the version that is on record for a key. A key that is on record under two versions has none.
 func (t *Tracker) recorded(k Key, now time.Time) (version VersionID, source Source, found bool) {
+	t.learnLife()
 	for _, one := range []struct {
-		ledger *ledger
+		records interface {
+			lookup(k Key, now time.Time) (VersionID, bool)
+		}
 		source Source
-	}{{&t.own, OwnRecord}, {&t.others, OthersRecord}, {&t.stored.ledger, StoredRecord}} {
-		v, ok := one.ledger.lookup(k, now)
+	}{{&t.own, OwnRecord}, {&t.others, OthersRecord}, {&t.stored, StoredRecord}} {
+		v, ok := one.records.lookup(k, now)
 		switch {
 		case !ok:
 		case !found:
@@ -173,5 +227,14 @@
 	return t.outbox.lost
 }
 
-// RowLife is how long a row of records is kept in the store.
-func (t *Tracker) RowLife() time.Duration { return t.life.window() }
+// RowLife is how long a row of records is kept in the store, as far as that is known.
+func (t *Tracker) RowLife() time.Duration {
+	t.learnLife()
+	return t.life.window()
+}
+
+// KnowsLife reports whether it is known how long streams may be resumed: there has been a configuration.
+func (t *Tracker) KnowsLife() bool {
+	t.learnLife()
+	return t.life.known.Load()
+}
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -61,7 +61,7 @@
 func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
 	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[VersionID]bool)}
 	t.history = newHistory(&t.life, l)
-	t.own.life, t.others.life, t.stored.ledger.life = &t.life, &t.life, &t.life
+	t.own.life, t.others.life, t.stored.life = &t.life, &t.life, &t.life
 	return t
 }
 
@@ -122,7 +122,7 @@
 // TakeRecords returns the records to send to the other routers since the last call: none of services
 // with a sole version. The streams that began before a service had several are sent once it has.
 func (t *Tracker) TakeRecords(now time.Time) []Record {
-	t.life.extend(t.view.LongestStream())
+	t.learnLife()
 	t.openKnown(now)
 	t.mu.Lock()
 	unsent := t.unsent
@@ -193,7 +193,7 @@
 
 // sole returns the sole version of a service if that is certain.
 func (t *Tracker) sole(service string, now time.Time) (string, bool) {
-	t.life.extend(t.view.LongestStream())
+	t.learnLife()
 	if !t.certain(now, t.wake.since(now)) {
 		return "", false
 	}
@@ -224,7 +224,10 @@
 	return peers.Current && now.Sub(peers.HeardAt) <= maxListAge && !peers.HeardAt.Before(awakeSince)
 }
 
+// learnLife takes over how long streams of the configuration in force may be resumed.
+func (t *Tracker) learnLife() { t.life.learn(t.view.LongestStream()) }
+
 // Records returns the number of streams on record.
 func (t *Tracker) Records() int {
-	return t.own.size() + t.others.size() + t.stored.ledger.size()
+	return t.own.size() + t.others.size() + t.stored.size()
 }
--- a/pkg/affinity/tracker_test.go
+++ b/pkg/affinity/tracker_test.go
@@ -214,6 +214,7 @@
 
 func TestRecordsEndWithTheirStreams(t *testing.T) {
 	l := ledger{life: new(streamLife)}
+	l.life.learn(0, true)
 	now := time.Unix(1000, 0)
 	l.add(Record{Key: 1, Version: 1}, now)
 	_, ok := l.lookup(1, now.Add(minStreamLife-time.Millisecond))
--- a/pkg/affinity/view.go
+++ b/pkg/affinity/view.go
@@ -9,8 +9,8 @@
 	// ListAge returns the time since the list was last known to be current.
 	ListAge(now time.Time) time.Duration
 	// LongestStream returns the longest timeout of routes that carry streams, in the configuration in
-	// force.
-	LongestStream() time.Duration
+	// force; configured is false before the first one.
+	LongestStream() (timeout time.Duration, configured bool)
 	// Peers describes the other routers.
 	Peers(now time.Time) PeerView
 }
--- a/pkg/affinity/watch.go
+++ b/pkg/affinity/watch.go
@@ -56,5 +56,5 @@
 
 // watchedLong reports whether all versions are known at which streams began that may still be resumed.
 func (h *history) watchedLong(now time.Time) bool {
-	return h.sinceFounding || !h.watchedSince.IsZero() && now.Sub(h.watchedSince) >= h.life.window()
+	return h.sinceFounding || !h.watchedSince.IsZero() && h.life.over(now.Sub(h.watchedSince))
 }
--- a/pkg/gateway/env_test.go
+++ b/pkg/gateway/env_test.go
@@ -163,9 +163,9 @@
 // aloneView is that of a router which is the only one and whose list is current.
 type aloneView struct{}
 
-func (aloneView) ListRevision() int64             { return 1 }
-func (aloneView) ListAge(time.Time) time.Duration { return 0 }
-func (aloneView) LongestStream() time.Duration    { return 0 }
+func (aloneView) ListRevision() int64                  { return 1 }
+func (aloneView) ListAge(time.Time) time.Duration      { return 0 }
+func (aloneView) LongestStream() (time.Duration, bool) { return 0, true }
 func (aloneView) Peers(now time.Time) affinity.PeerView {
 	return affinity.PeerView{Floor: 1, Newest: 1, Complete: true, HeardAt: now, Current: true}
 }
--- a/pkg/gatewayd/streamkeeper.go
+++ b/pkg/gatewayd/streamkeeper.go
@@ -133,6 +133,9 @@
 
 // round writes the records that aren't in the store yet, and removes rows that are too old.
 func (k *streamKeeper) round(ctx context.Context, now time.Time) error {
+	if !k.tracker.KnowsLife() {
+		return nil // rows that are needed would be removed
+	}
 	life := k.tracker.RowLife()
 	if era := k.store.Era(); era != k.era {
 		k.era = era
--- a/pkg/gatewayd/streamkeeper_test.go
+++ b/pkg/gatewayd/streamkeeper_test.go
@@ -92,9 +92,9 @@
 // aloneView is the view of a router that has no peers, with a list that is always current.
 type aloneView struct{}
 
-func (aloneView) ListRevision() int64             { return 1 }
-func (aloneView) ListAge(time.Time) time.Duration { return 0 }
-func (aloneView) LongestStream() time.Duration    { return 15 * time.Second }
+func (aloneView) ListRevision() int64                  { return 1 }
+func (aloneView) ListAge(time.Time) time.Duration      { return 0 }
+func (aloneView) LongestStream() (time.Duration, bool) { return 15 * time.Second, true }
 func (aloneView) Peers(now time.Time) affinity.PeerView {
 	return affinity.PeerView{Floor: math.MaxInt64, Complete: true, Current: true, Register: true, HeardAt: now}
 }
@@ -117,8 +117,23 @@
 }
 
 func (s *streamTable) routerOf(fleet ranking, versions ...string) *keepingRouter {
+	return s.routerWith(aloneView{}, fleet, versions...)
+}
+
+// lateView is the view of a router whose configuration comes at a time.
+type lateView struct {
+	aloneView
+	timeout    time.Duration
+	configured time.Time
+}
+
+func (v lateView) LongestStream() (time.Duration, bool) {
+	return v.timeout, !time.Now().Before(v.configured)
+}
+
+func (s *streamTable) routerWith(view affinity.View, fleet ranking, versions ...string) *keepingRouter {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	r := &keepingRouter{Tracker: affinity.NewTracker(aloneView{}, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, time.Now(), quiet)}
+	r := &keepingRouter{Tracker: affinity.NewTracker(view, func(context.Context, affinity.Question) affinity.Reply { return affinity.Reply{} }, time.Now(), quiet)}
 	r.RequireRecords()
 	var ctx context.Context
 	ctx, r.end = context.WithCancel(context.Background())
@@ -176,6 +191,39 @@
 	})
 }
 
+// Guards against streams of long ago that a fleet whose routers were all killed can't take up: it reads, and could remove,
+// their records before it has the configuration by which they still matter.
+func TestRecordsOfLongStreamsSurviveARestartOfAllRouters(t *testing.T) {
+	const timeout = 110 * time.Second
+	for _, age := range []time.Duration{5 * time.Second, 34 * time.Second, 36 * time.Second, time.Minute, 200 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			table := newStreamTable()
+			r := table.routerWith(lateView{timeout: timeout}, onlyRouter{}, "1", "2")
+			r.begin("one", "1")
+			time.Sleep(age)
+			r.kill()
+			again := table.routerWith(lateView{timeout: timeout, configured: time.Now().Add(3 * time.Second)}, onlyRouter{}, "1", "2")
+			time.Sleep(3 * time.Second)
+			version, source := again.find("one")
+			require.Equal(t, "1", version, "%v old", age)
+			require.Equal(t, affinity.StoredRecord, source)
+			again.kill()
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		r := table.routerWith(lateView{timeout: timeout}, onlyRouter{}, "1", "2")
+		r.begin("one", "1")
+		time.Sleep(time.Second)
+		r.kill()
+		again := table.routerWith(lateView{timeout: timeout, configured: time.Now().Add(time.Hour)}, onlyRouter{}, "1", "2")
+		time.Sleep(time.Minute)
+		again.kill()
+		_, _, rows := table.counts()
+		require.Equal(t, 1, rows, "nothing is removed before the configuration has come")
+	})
+}
+
 // Guards against records that a store which came back from a copy lacks.
 func TestRecordsAreWrittenAgainAfterACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gatewayd/streamview.go
+++ b/pkg/gatewayd/streamview.go
@@ -24,11 +24,11 @@
 // Peers describes the other routers.
 func (v streamView) Peers(now time.Time) affinity.PeerView { return v.fleet.PeerView(now) }
 
-// LongestStream returns the longest timeout of routes that carry streams; 0 without a configuration.
-func (v streamView) LongestStream() time.Duration {
+// LongestStream returns the longest timeout of routes that carry streams, once there is a configuration.
+func (v streamView) LongestStream() (timeout time.Duration, configured bool) {
 	table := v.catalog.Table()
 	if table == nil {
-		return 0
+		return 0, false
 	}
-	return table.LongestStream(gateway.DefaultTimeout)
+	return table.LongestStream(gateway.DefaultTimeout), true
 }
