Records of streams outlive a store's clock that is set

Cause: a row of records is dated by the store's clock as of the writer's last answer. If that clock is set before the row is read, the reader takes all rows for too old, or for odd ones.

Change: a writer whose next answer doesn't fit the last one writes all that it knows again; a reader that finds no row which fits the clock dates them by the newest. A date decides only what is no longer needed, so neither can make a record wrong.

The store's page promises a steady clock, the case's stand-in gives the time of day.

--- a/pkg/affinity/batch.go
+++ b/pkg/affinity/batch.go
@@ -60,20 +60,31 @@
 	if err := cbor.Unmarshal(value, b); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if b.AsOfMs < 0 || len(b.Groups) > maxBatchGroups || b.age(rd) < -maxBatchAhead {
+	if b.age(rd) < -maxBatchAhead {
 		return nil, errBatch
 	}
+	if err := b.check(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// check reports whether the batch is one that EncodeBatch returns, whatever the time.
+func (b *batch) check() error {
+	if b.AsOfMs < 0 || len(b.Groups) > maxBatchGroups {
+		return errBatch
+	}
 	records := 0
 	for _, g := range b.Groups {
 		if g.Version == unknownVersion || len(g.Keys)%keyBytes != 0 {
-			return nil, errBatch
+			return errBatch
 		}
 		records += len(g.Keys) / keyBytes
 	}
 	if records > MaxBatch {
-		return nil, errBatch
+		return errBatch
 	}
-	return b, nil
+	return nil
 }
 
 // age returns the age of the batch when it was read.
--- a/pkg/gatewayd/streamkeeper.go
+++ b/pkg/gatewayd/streamkeeper.go
@@ -93,14 +93,11 @@
 
 // load reads the records that the store has, and reports whether it could.
 func (k *streamKeeper) load(ctx context.Context) bool {
-	began, rows, records := time.Now(), 0, 0
-	err := k.read(ctx, func(row affinity.BatchRow, rd affinity.Reading) {
-		n, err := k.tracker.MergeBatch(row.Value, rd, time.Now())
-		k.noteUnreadable(row.Key, err)
-		rows, records = rows+1, records+n
-	})
+	began := time.Now()
+	var rows []affinity.BatchRow
+	err := k.read(ctx, func(row affinity.BatchRow, _ affinity.Reading) { rows = append(rows, row) })
+	line := k.log.WithFields(k.merge(rows)).WithFields(log.Fields{"event": "streams_read", "took_ms": time.Since(began).Milliseconds()})
 	k.tracker.RecordsTried(err == nil)
-	line := k.log.WithFields(log.Fields{"event": "streams_read", "rows": rows, "records": records, "took_ms": time.Since(began).Milliseconds()})
 	if err != nil {
 		line.WithError(err).Debug("the records of streams can't be read from the store")
 		return false
@@ -109,13 +106,30 @@
 	return true
 }
 
+// merge takes over rows, and returns what became of them.
+func (k *streamKeeper) merge(rows []affinity.BatchRow) log.Fields {
+	rd, redated := k.reading.Redated(rows)
+	if redated {
+		k.log.WithFields(log.Fields{"event": "streams_redated", "by_ms": (k.reading.Clock - rd.Clock).Milliseconds()}).Warn("the rows of records in the store don't fit its clock")
+	}
+	records, leftOut := 0, 0
+	for _, row := range rows {
+		n, err := k.tracker.MergeBatch(row.Value, rd, time.Now())
+		k.noteUnreadable(row.Key, err)
+		if records += n; n == 0 {
+			leftOut++
+		}
+	}
+	return log.Fields{"rows": len(rows), "rows_left_out": leftOut, "records": records}
+}
+
 // read visits all rows.
 func (k *streamKeeper) read(ctx context.Context, visit func(affinity.BatchRow, affinity.Reading)) error {
 	ctx, cancel := context.WithTimeout(ctx, streamsTimeout)
 	defer cancel()
 	sent := time.Now()
 	return k.store.ReadStreams(ctx, func(rows []affinity.BatchRow, clock time.Duration) {
-		k.reading = affinity.Reading{Sent: sent, Received: time.Now(), Clock: clock}
+		k.note(affinity.Reading{Sent: sent, Received: time.Now(), Clock: clock})
 		sent = time.Now()
 		for _, row := range rows {
 			visit(row, k.reading)
@@ -123,6 +137,19 @@
 	})
 }
 
+// note takes over a reading of the store's clock. If that was set, the rows that were written have the wrong dates, and
+// all that is known is written again.
+func (k *streamKeeper) note(rd affinity.Reading) {
+	by := rd.SetSince(k.reading)
+	k.reading = rd
+	if by == 0 {
+		return
+	}
+	k.log.WithFields(log.Fields{"event": "store_clock_set", "by_ms": by.Milliseconds()}).Warn("the store's clock was set")
+	k.tracker.KeepAgain()
+	k.rows.SweepAgain(rd.Received, k.tracker.RowLife())
+}
+
 func (k *streamKeeper) noteUnreadable(key string, err error) {
 	if err == nil || k.unreadable {
 		return
@@ -164,6 +191,7 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	clock, err := k.store.WriteStreams(ctx, rows, remove)
 	if err != nil {
 		k.tracker.ReturnUnkept(list)
@@ -171,7 +199,7 @@
 		return errors.Trace(err)
 	}
 	received := time.Now()
-	k.reading = affinity.Reading{Sent: now, Received: received, Clock: clock}
+	k.note(affinity.Reading{Sent: sent, Received: received, Clock: clock})
 	keys := make([]string, 0, len(rows))
 	for _, row := range rows {
 		keys = append(keys, row.Key)
--- a/pkg/gatewayd/streamkeeper_test.go
+++ b/pkg/gatewayd/streamkeeper_test.go
@@ -23,9 +23,11 @@
 
 // streamTable is a store with the rows of records alone.
 type streamTable struct {
-	mu            sync.Mutex
-	rows          map[string][]byte
-	began         time.Time
+	mu    sync.Mutex
+	rows  map[string][]byte
+	began time.Time
+	// clockSet is by how much the clock was set.
+	clockSet      time.Duration
 	era           int64
 	reads, writes int
 	// refuse is what all calls end with; nil for none.
@@ -36,7 +38,7 @@
 	return &streamTable{rows: make(map[string][]byte), began: time.Now(), era: 1}
 }
 
-func (s *streamTable) clock() time.Duration { return time.Hour + time.Since(s.began) }
+func (s *streamTable) clock() time.Duration { return 10*time.Hour + s.clockSet + time.Since(s.began) }
 
 func (s *streamTable) ReadStreams(_ context.Context, visit func([]affinity.BatchRow, time.Duration)) error {
 	s.mu.Lock()
@@ -224,6 +226,43 @@
 	})
 }
 
+// Guards against streams that a fleet whose routers were all killed can't take up, as the store's clock was set: before they began,
+// while they ran, or while all routers were away.
+func TestRecordsSurviveAClockThatIsSet(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, -70 * time.Second, 34 * time.Second, 70 * time.Second, time.Hour} {
+		for _, moment := range []string{"before", "while they run", "while all are away"} {
+			t.Run(fmt.Sprint(moment, ", by ", by), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					table := newStreamTable()
+					at := func(now string) {
+						if now == moment {
+							table.set(func() { table.clockSet += by })
+						}
+					}
+					r := table.router("1", "2")
+					time.Sleep(10 * time.Second)
+					at("before")
+					r.begin("one", "1")
+					time.Sleep(time.Second)
+					at("while they run")
+					r.begin("two", "2")
+					time.Sleep(time.Second)
+					r.kill()
+					at("while all are away")
+					time.Sleep(2 * time.Second)
+					again := table.router("1", "2")
+					defer again.kill()
+					for id, want := range map[string]string{"one": "1", "two": "2"} {
+						version, source := again.find(id)
+						require.Equal(t, want, version, id)
+						require.Equal(t, affinity.StoredRecord, source)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against records that a store which came back from a copy lacks.
 func TestRecordsAreWrittenAgainAfterACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
