The log tells what a start waited for, and who writes records

A router now logs when it is ready, with the time at which each part was there (rank, configuration, upstreams, records, register); while it isn't, a line each ten seconds names the missing parts; and a line says when it begins or ceases to write records of streams. No decision depends on it.

--- a/pkg/affinity/keeping.go
+++ b/pkg/affinity/keeping.go
@@ -76,13 +76,17 @@
 // Settled reports whether a router that has just started need not wait for the register and the records in the
 // store any more.
 func (t *Tracker) Settled() bool {
-	if !t.recordsTried() {
-		return false
-	}
+	records, register := t.Awaited()
+	return !records && !register
+}
+
+// Awaited reports what such a router still waits for.
+func (t *Tracker) Awaited() (records, register bool) {
+	records = !t.recordsTried()
 	if t.history.closed.Load() == 0 {
-		return true
+		return records, false
 	}
 	t.history.mu.Lock()
 	defer t.history.mu.Unlock()
-	return !t.history.register.required || t.history.register.tried
+	return records, t.history.register.required && !t.history.register.tried
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -272,6 +272,7 @@
 	p.goBackground(func() { p.joiner.Run(background) })
 	p.goBackground(func() { p.exchange.Run(background) })
 	p.goBackground(func() { p.local.catchUp(background, p.exchange) })
+	p.goBackground(func() { p.startup().run(background) })
 	for _, f := range p.endpoints {
 		p.goBackground(func() { p.serve(f) })
 	}
--- a/pkg/gatewayd/streamkeeper.go
+++ b/pkg/gatewayd/streamkeeper.go
@@ -49,6 +49,8 @@
 	// reading ties the store's clock to this router's, as of the newest answer.
 	reading affinity.Reading
 	era     int64
+	// writes says whether the router writes records.
+	writes bool
 	// unreadable says that a row that can't be read was logged.
 	unreadable bool
 	stats      streamStats
@@ -170,7 +172,8 @@
 		k.rows.SweepAgain(now, life)
 	}
 	rank, joined := k.ranking.Rank(), k.joined()
-	list := k.tracker.TakeUnkept(joined && rank < streamWriters, now)
+	k.setWriter(joined && rank < streamWriters, rank)
+	list := k.tracker.TakeUnkept(k.writes, now)
 	k.rows.SetSweeper(joined && rank == 0, now, life)
 	k.stats.note(k.log, len(list), k.tracker.LostRecords(), now)
 	remove := k.rows.Removable(now, len(list) > 0, life)
@@ -183,6 +186,15 @@
 	return nil
 }
 
+// setWriter logs when the router begins or ceases to write records.
+func (k *streamKeeper) setWriter(writes bool, rank int) {
+	if k.writes == writes {
+		return
+	}
+	k.writes = writes
+	k.log.WithFields(log.Fields{"event": "streams_writer", "writes": writes, "rank": rank}).Info("who writes the records of streams has changed")
+}
+
 // write writes records and removes rows with one call.
 func (k *streamKeeper) write(ctx context.Context, list []affinity.Record, remove []string, now time.Time) error {
 	rows, err := k.encode(list, now)
