The register of software versions is read beside the first list

Callers saw: after a kill of all routers these were back late where the store answers slowly.

Cause: a router that starts again read the list of upstreams, and only then the register, before it counted as ready.

Change: it begins to read the register at once. If its first list comes 2 s later or more, it reads again, as a version may have come and gone.

--- a/pkg/affinity/sim_router_test.go
+++ b/pkg/affinity/sim_router_test.go
@@ -26,6 +26,8 @@
 	// nextRegister is when it next looks after the register.
 	nextRegister time.Time
 	keeper       simKeeper
+	// early is the register as it was read at the start; nil once it was used.
+	early *simEarlyRead
 	// configuredAt is when it gets its configuration.
 	configuredAt time.Time
 }
--- a/pkg/affinity/sim_store_test.go
+++ b/pkg/affinity/sim_store_test.go
@@ -71,6 +71,19 @@
 	return true
 }
 
+// simEarly is how much older than a router's first list the register may be that it read at its start.
+const simEarly = 2 * time.Second
+
+// simEarlyRead is the register as a router read it at its start.
+type simEarlyRead struct {
+	rd  Reading
+	row simRow
+}
+
+func (s *sim) readRegister() (Reading, simRow) {
+	return Reading{Sent: s.now, Received: s.now, Clock: s.now.Sub(time.Unix(0, 0)), Era: s.store.era}, s.store.row
+}
+
 // register lets a router keep the register, as its process does.
 func (s *sim) register(r *simRouter) {
 	if s.now.Before(r.nextRegister) || !r.RegisterDuty(r.index, s.now).Due() {
@@ -80,8 +93,13 @@
 	if s.now.Before(r.cutUntil) || s.now.Before(r.blindUntil) || s.now.Before(s.storeDown) {
 		return
 	}
-	rd := Reading{Sent: s.now, Received: s.now, Clock: s.now.Sub(time.Unix(0, 0)), Era: s.store.era}
-	read := s.store.row
+	rd, read := s.readRegister()
+	if early := r.early; early != nil {
+		r.early = nil
+		if s.now.Sub(early.rd.Sent) < simEarly {
+			rd, read = early.rd, early.row
+		}
+	}
 	last, err := DecodeRegister(read.value, rd)
 	if err != nil {
 		panic(err)
--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -100,6 +100,10 @@
 	r.Tracker = NewTracker(r, func(_ context.Context, q Question) Reply { return s.ask(r, q) }, s.now, &log.Logger{Handler: discard.New()})
 	r.RequireRegister()
 	r.RequireRecords()
+	if !s.now.Before(s.storeDown) {
+		rd, row := s.readRegister()
+		r.early = &simEarlyRead{rd: rd, row: row}
+	}
 	r.keeper = newSimKeeper(r.index, s.now)
 }
 
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -263,7 +263,7 @@
 		p.goBackground(func() { p.refusals.run(background, p.settings.Load().Router.FirstStart) })
 	}
 	if p.versions != nil {
-		p.goBackground(func() { p.versions.run(background) })
+		p.goBackground(func() { p.versions.run(background, p.settings.Load().Router.FirstStart) })
 	}
 	if p.streamKeeper != nil {
 		p.goBackground(func() { p.streamKeeper.run(background) })
--- a/pkg/gatewayd/versions.go
+++ b/pkg/gatewayd/versions.go
@@ -30,6 +30,9 @@
 	versionsWaitInterval = 50 * time.Millisecond
 	// versionsTries is the number of times that a row is read again because another router changed it.
 	versionsTries = 3
+	// maxEarlyRead is the age up to which what was read beside the first list of upstreams counts as read with it. No
+	// upstream is listed for a shorter time.
+	maxEarlyRead = 2 * time.Second
 )
 
 // versionKeeper is the duty that keeps the register of software versions in the store.
@@ -42,6 +45,8 @@
 	unreadable int64
 	failures   backoff.Backoff
 	limit      *patience.Limit
+	// early brings what was read beside the first list of upstreams; nil once that was used.
+	early chan readVersions
 }
 
 // readVersions is the register as read.
@@ -51,8 +56,18 @@
 	err error
 }
 
-// run keeps the register until ctx ends.
-func (k *versionKeeper) run(ctx context.Context) {
+// readEarly begins to read the register, so that a router which starts again doesn't wait for one call after the other.
+func (k *versionKeeper) readEarly(ctx context.Context) {
+	early := make(chan readVersions, 1)
+	k.early = early
+	go func() { early <- k.call(ctx) }()
+}
+
+// run keeps the register until ctx ends. A fleet that starts for the first time has none yet.
+func (k *versionKeeper) run(ctx context.Context, firstStart bool) {
+	if !firstStart {
+		k.readEarly(ctx)
+	}
 	for k.wait(ctx) {
 		now := time.Now()
 		k.tracker.NoteEra(k.store.Era(), now)
@@ -142,7 +157,28 @@
 	return nil
 }
 
-func (k *versionKeeper) read(ctx context.Context) (read readVersions) {
+// read returns the register as it is now, or as it was beside the first list of upstreams if that came just now.
+func (k *versionKeeper) read(ctx context.Context) readVersions {
+	if k.early != nil {
+		early := k.awaitEarly(ctx)
+		k.early = nil
+		if early.err != nil || time.Since(early.rd.Sent) < maxEarlyRead {
+			return early
+		}
+	}
+	return k.call(ctx)
+}
+
+func (k *versionKeeper) awaitEarly(ctx context.Context) readVersions {
+	select {
+	case early := <-k.early:
+		return early
+	case <-ctx.Done():
+		return readVersions{err: ctx.Err()}
+	}
+}
+
+func (k *versionKeeper) call(ctx context.Context) (read readVersions) {
 	read.err = k.limit.Do(ctx, storeTimeout, func(ctx context.Context) (err error) {
 		sent := time.Now()
 		read.row, err = k.store.ReadVersions(ctx)
--- a/pkg/gatewayd/versions_test.go
+++ b/pkg/gatewayd/versions_test.go
@@ -63,7 +63,7 @@
 		tracker.MarkFounded()
 	}
 	k := &versionKeeper{store: s, tracker: tracker, ranking: onlyRouter{}, log: quiet, limit: patience.NewLimit(maxStoreTimeout)}
-	go k.run(t.Context())
+	go k.run(t.Context(), firstStart)
 	time.Sleep(listAfter)
 	var list []upstream.Instance
 	for _, v := range versions {
@@ -88,3 +88,37 @@
 		})
 	}
 }
+
+// Guards against routers that start again and wait for one answer of a slow store after the other: the register is read beside
+// the list of upstreams.
+func TestTheRegisterIsReadBesideTheFirstList(t *testing.T) {
+	for _, versions := range [][]string{{"1"}, {"1", "2"}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &versionTable{began: time.Now()}
+			first := table.start(t, true, 0, versions...)
+			time.Sleep(time.Second)
+			require.True(t, first.Open(&upstream.Instance{Service: "s", Software: "1"}, time.Now()))
+			table.slow = 300 * time.Millisecond
+			again := table.start(t, false, table.slow, versions...)
+			time.Sleep(versionsWaitInterval)
+			require.True(t, again.Settled())
+			for _, v := range versions {
+				require.True(t, again.Open(&upstream.Instance{Service: "s", Software: v}, time.Now()), v)
+			}
+		})
+	}
+}
+
+// Guards against a register of too long ago that a router takes for that of its first list: a version may have come and gone
+// between them.
+func TestTheRegisterIsReadAgainIfTheFirstListIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &versionTable{began: time.Now()}
+		table.start(t, true, 0, "1")
+		time.Sleep(time.Second)
+		reads := table.reads
+		table.start(t, false, maxEarlyRead, "1")
+		time.Sleep(versionsWaitInterval)
+		require.Equal(t, reads+2, table.reads)
+	})
+}
