--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -46,7 +46,7 @@
 	readTimeout = 1500 * time.Millisecond
 	listTimeout = time.Second
 	// maxFirstTimeout is what these grow to until a first call has succeeded, as the store may be slow.
-	maxFirstTimeout = 10 * time.Second
+	maxFirstTimeout = 5 * time.Second
 	// minOutage is how long the store must have been silent for entries to have expired: they live
 	// for three heartbeats, of a second or more each.
 	minOutage = 3 * time.Second
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -23,7 +23,7 @@
 	secretSize = 32
 	// registryTimeout bounds one call to the registry at first, maxRegistryTimeout one to a registry that is slow.
 	registryTimeout    = 1500 * time.Millisecond
-	maxRegistryTimeout = 10 * time.Second
+	maxRegistryTimeout = 5 * time.Second
 	// firstTimeout bounds the first call for the secret. A healthy store answers within
 	// milliseconds; after that peers are asked, and callers wait meanwhile.
 	firstTimeout = 300 * time.Millisecond
