--- a/pkg/gatewayd/versions.go
+++ b/pkg/gatewayd/versions.go
@@ -60,7 +60,7 @@
 func (k *versionKeeper) readEarly(ctx context.Context) {
 	early := make(chan readVersions, 1)
 	k.early = early
-	go func() { early <- k.call(ctx) }()
+	go func() { early <- k.readNow(ctx) }()
 }
 
 // run keeps the register until ctx ends. A fleet that starts for the first time has none yet.
@@ -166,7 +166,7 @@
 			return early
 		}
 	}
-	return k.call(ctx)
+	return k.readNow(ctx)
 }
 
 func (k *versionKeeper) awaitEarly(ctx context.Context) readVersions {
@@ -178,7 +178,8 @@
 	}
 }
 
-func (k *versionKeeper) call(ctx context.Context) (read readVersions) {
+// readNow makes a call for the register.
+func (k *versionKeeper) readNow(ctx context.Context) (read readVersions) {
 	read.err = k.limit.Do(ctx, storeTimeout, func(ctx context.Context) (err error) {
 		sent := time.Now()
 		read.row, err = k.store.ReadVersions(ctx)
