--- a/pkg/affinity/sim_test.go
+++ b/pkg/affinity/sim_test.go
@@ -69,7 +69,7 @@
 	// limit is the timeout of streams that begin, raisedAt when it is raised; zero for never.
 	limit    time.Duration
 	raisedAt time.Time
-	// configs draws when routers get their configuration.
+	// configs draws when routers get their configuration, and when the store's clock is set.
 	configs *rand.Rand
 	// silent days are those on which no records are sent, so that all depends on sole versions.
 	silent bool
