--- a/pkg/gatewayd/versions_test.go
+++ b/pkg/gatewayd/versions_test.go
@@ -24,14 +24,32 @@
 	version int64
 	began   time.Time
 	// slow is how long an answer takes.
-	slow          time.Duration
-	reads, writes int
+	slow  time.Duration
+	reads int
 }
 
 func (s *versionTable) Era() int64 { return 1 }
 
+func (s *versionTable) answerTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow
+}
+
+func (s *versionTable) setAnswerTime(slow time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = slow
+}
+
+func (s *versionTable) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *versionTable) ReadVersions(ctx context.Context) (affinity.StoredRow, error) {
-	if waiting.For(ctx, s.slow); ctx.Err() != nil {
+	if waiting.For(ctx, s.answerTime()); ctx.Err() != nil {
 		return affinity.StoredRow{}, ctx.Err()
 	}
 	s.mu.Lock()
@@ -41,7 +59,7 @@
 }
 
 func (s *versionTable) WriteVersions(ctx context.Context, value []byte, version int64) (int64, error) {
-	if waiting.For(ctx, s.slow); ctx.Err() != nil {
+	if waiting.For(ctx, s.answerTime()); ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
 	s.mu.Lock()
@@ -49,7 +67,6 @@
 	if version != s.version {
 		return 0, affinity.ErrRowChanged
 	}
-	s.writes++
 	s.value, s.version = value, version+1
 	return 1, nil
 }
@@ -98,8 +115,9 @@
 			first := table.start(t, true, 0, versions...)
 			time.Sleep(time.Second)
 			require.True(t, first.Open(&upstream.Instance{Service: "s", Software: "1"}, time.Now()))
-			table.slow = 300 * time.Millisecond
-			again := table.start(t, false, table.slow, versions...)
+			const slow = 300 * time.Millisecond
+			table.setAnswerTime(slow)
+			again := table.start(t, false, slow, versions...)
 			time.Sleep(versionsWaitInterval)
 			require.True(t, again.Settled())
 			for _, v := range versions {
@@ -116,9 +134,9 @@
 		table := &versionTable{began: time.Now()}
 		table.start(t, true, 0, "1")
 		time.Sleep(time.Second)
-		reads := table.reads
+		reads := table.readCount()
 		table.start(t, false, maxEarlyRead, "1")
 		time.Sleep(versionsWaitInterval)
-		require.Equal(t, reads+2, table.reads)
+		require.Equal(t, reads+2, table.readCount())
 	})
 }
