The first record of streams after a pause is written soon

Cause: records were written at fixed moments, 250 ms apart.

Change: the first record after a pause is written 50 ms later, with those beside it; two writes are still 250 ms apart, so a steady flow makes no more calls than before.

Evidence: TestRecordsOfABurstAreWrittenAtOnce, red before, green now; TestWritesOfRecordsKeepTheirDistance.

--- a/pkg/affinity/outbox.go
+++ b/pkg/affinity/outbox.go
@@ -14,12 +14,14 @@
 	lost    int64
 }
 
-// add adds a record if it is to be written.
-func (o *outbox) add(r Record) {
-	if o.keeping[r.Version] {
-		o.pending = append(o.pending, r)
-		o.trim(maxBacklog / 8)
+// add adds a record if it is to be written, and reports whether it is.
+func (o *outbox) add(r Record) bool {
+	if !o.keeping[r.Version] {
+		return false
 	}
+	o.pending = append(o.pending, r)
+	o.trim(maxBacklog / 8)
+	return true
 }
 
 // prepend puts records before those that wait.
--- a/pkg/affinity/stored.go
+++ b/pkg/affinity/stored.go
@@ -161,6 +161,20 @@
 	return version, source, found
 }
 
+// keep makes a record wait for being written. The tracker is locked.
+func (t *Tracker) keep(r Record) {
+	if !t.outbox.add(r) {
+		return
+	}
+	select {
+	case t.unkept <- struct{}{}:
+	default:
+	}
+}
+
+// Unkept is signalled when a record waits for being written that came since the last call of TakeUnkept.
+func (t *Tracker) Unkept() <-chan struct{} { return t.unkept }
+
 // TakeUnkept returns the records that are to be written to the store and aren't yet, the oldest first: those of
 // services that have had several versions lately. A router that isn't a writer has none. Once it becomes one,
 // or a service has several versions, all records that it knows follow.
--- a/pkg/affinity/tracker.go
+++ b/pkg/affinity/tracker.go
@@ -48,6 +48,8 @@
 	sent map[VersionID]bool
 	// outbox holds the records for the store.
 	outbox outbox
+	// unkept is signalled when a record waits in it.
+	unkept chan struct{}
 	// openedAt is when versions were last looked at for being opened.
 	openedAt time.Time
 }
@@ -59,7 +61,7 @@
 
 // NewTracker returns the tracker of a router that starts now and knows nothing yet.
 func NewTracker(v View, ask Asker, now time.Time, l log.Interface) *Tracker {
-	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[VersionID]bool)}
+	t := &Tracker{view: v, ask: ask, startedAt: now, questions: make(chan struct{}, maxQuestions), sent: make(map[VersionID]bool), unkept: make(chan struct{}, 1)}
 	t.history = newHistory(&t.life, l)
 	t.own.life, t.others.life, t.stored.life = &t.life, &t.life, &t.life
 	return t
@@ -113,7 +115,7 @@
 	t.own.add(r, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outbox.add(r)
+	t.keep(r)
 	if len(t.unsent) < maxUnsent {
 		t.unsent = append(t.unsent, unsentRecord{Record: r, service: in.Service})
 	}
@@ -172,7 +174,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range list {
-		t.outbox.add(r)
+		t.keep(r)
 	}
 }
 
--- a/pkg/gatewayd/streamkeeper.go
+++ b/pkg/gatewayd/streamkeeper.go
@@ -27,9 +27,11 @@
 }
 
 const (
-	// streamsInterval is the time between two writes of records; what began since the last one is lost if all
+	// streamsInterval is the least time between two writes of records; what began since the last one is lost if all
 	// routers are killed.
 	streamsInterval = 250 * time.Millisecond
+	// streamsDelay is how long the first record after a pause waits for others.
+	streamsDelay = 50 * time.Millisecond
 	// streamWriters is the number of routers that write the records of the whole fleet: one may be cut off from
 	// the store.
 	streamWriters = 2
@@ -49,6 +51,8 @@
 	// reading ties the store's clock to this router's, as of the newest answer.
 	reading affinity.Reading
 	era     int64
+	// wroteAt is when the newest write was made.
+	wroteAt time.Time
 	// writes says whether the router writes records.
 	writes bool
 	// unreadable says that a row that can't be read was logged.
@@ -80,7 +84,7 @@
 	}
 	k.failures.Succeeded()
 	k.era = k.store.Era()
-	for waiting.For(ctx, streamsInterval) {
+	for k.wait(ctx) {
 		err := k.round(ctx, time.Now())
 		if err == nil {
 			k.failures.Succeeded()
@@ -93,6 +97,20 @@
 	}
 }
 
+// wait waits for the next round, which is due soon after a record came; false when ctx has ended.
+func (k *streamKeeper) wait(ctx context.Context) bool {
+	timer := time.NewTimer(streamsInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-k.tracker.Unkept():
+		return waiting.For(ctx, max(streamsDelay, streamsInterval-time.Since(k.wroteAt)))
+	}
+}
+
 // load reads the records that the store has, and reports whether it could.
 func (k *streamKeeper) load(ctx context.Context) bool {
 	began := time.Now()
@@ -202,6 +220,7 @@
 		return err
 	}
 	sent, clock := time.Now(), time.Duration(0)
+	k.wroteAt = sent
 	err = k.limit.Do(ctx, storeTimeout, func(ctx context.Context) (err error) {
 		clock, err = k.store.WriteStreams(ctx, rows, remove)
 		return err
--- a/pkg/gatewayd/streamkeeper_test.go
+++ b/pkg/gatewayd/streamkeeper_test.go
@@ -273,6 +273,43 @@
 	}
 }
 
+// Guards against streams that a fleet whose routers were all killed can't take up, as they began together, just before that.
+func TestRecordsOfABurstAreWrittenAtOnce(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			table := newStreamTable()
+			r := table.router("1", "2")
+			time.Sleep(time.Duration(2*phase+1) * streamsInterval / 20)
+			for n := range 40 {
+				r.begin(fmt.Sprint(n), "1")
+			}
+			time.Sleep(2 * streamsDelay)
+			r.kill()
+			again := table.router("1", "2")
+			defer again.kill()
+			for n := range 40 {
+				version, _ := again.find(fmt.Sprint(n))
+				require.Equal(t, "1", version, "stream %d, phase %d", n, phase)
+			}
+		})
+	}
+}
+
+// Guards against more writes than one in each interval while streams begin all the time.
+func TestWritesOfRecordsKeepTheirDistance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newStreamTable()
+		r := table.router("1", "2")
+		defer r.kill()
+		for n := range 1000 {
+			r.begin(fmt.Sprint(n), "1")
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, writes, _ := table.counts()
+		require.LessOrEqual(t, writes, int(10*time.Second/streamsInterval)+1)
+	})
+}
+
 // Guards against records that a store which came back from a copy lacks.
 func TestRecordsAreWrittenAgainAfterACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
