--- a/pkg/gatewayd/streamkeeper.go
+++ b/pkg/gatewayd/streamkeeper.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/flamingowind/flamingowind/internal/patience"
 	"github.com/flamingowind/flamingowind/internal/waiting"
@@ -27,11 +28,13 @@
 }
 
 const (
-	// streamsInterval is the least time between two writes of records; what began since the last one is lost if all
-	// routers are killed.
+	// streamsInterval is the time between two writes of records while streams begin all the time; what began since the
+	// last one is lost if all routers are killed.
 	streamsInterval = 250 * time.Millisecond
-	// streamsDelay is how long the first record after a pause waits for others.
+	// streamsDelay is how long a record waits for others, streamsBurst the number of writes that may follow each other so
+	// soon after a pause.
 	streamsDelay = 50 * time.Millisecond
+	streamsBurst = 4
 	// streamWriters is the number of routers that write the records of the whole fleet: one may be cut off from
 	// the store.
 	streamWriters = 2
@@ -51,8 +54,8 @@
 	// reading ties the store's clock to this router's, as of the newest answer.
 	reading affinity.Reading
 	era     int64
-	// wroteAt is when the newest write was made.
-	wroteAt time.Time
+	// pace is that of writes.
+	pace *rate.Limiter
 	// writes says whether the router writes records.
 	writes bool
 	// unreadable says that a row that can't be read was logged.
@@ -63,7 +66,7 @@
 func newStreamKeeper(s StreamStore, t *affinity.Tracker, r ranking, joined func() bool, limit *patience.Limit, l log.Interface, scope tally.Scope) *streamKeeper {
 	// Two lives of a router must not write the same rows.
 	life := strconv.FormatUint(rand.Uint64(), 16)
-	return &streamKeeper{store: s, tracker: t, ranking: r, joined: joined, log: l, rows: affinity.NewRows(life), limit: limit, stats: newStreamStats(scope)}
+	return &streamKeeper{store: s, tracker: t, ranking: r, joined: joined, log: l, rows: affinity.NewRows(life), limit: limit, pace: rate.NewLimiter(rate.Every(streamsInterval), streamsBurst), stats: newStreamStats(scope)}
 }
 
 // keepStreams makes records of streams be kept in a store, if there is one.
@@ -107,7 +110,7 @@
 	case <-timer.C:
 		return true
 	case <-k.tracker.Unkept():
-		return waiting.For(ctx, max(streamsDelay, streamsInterval-time.Since(k.wroteAt)))
+		return waiting.For(ctx, streamsDelay) && k.pace.Wait(ctx) == nil
 	}
 }
 
@@ -220,7 +223,6 @@
 		return err
 	}
 	sent, clock := time.Now(), time.Duration(0)
-	k.wroteAt = sent
 	err = k.limit.Do(ctx, storeTimeout, func(ctx context.Context) (err error) {
 		clock, err = k.store.WriteStreams(ctx, rows, remove)
 		return err
