--- a/pkg/platform/httpplatform/client_test.go
+++ b/pkg/platform/httpplatform/client_test.go
@@ -156,7 +156,7 @@
 		<-r.Context().Done()
 	}))
 	defer server.Close()
-	c, err := httpplatform.New(server.URL, time.Millisecond)
+	c, err := httpplatform.New(server.URL, 200*time.Millisecond) // enough to connect on a busy host
 	require.NoError(t, err)
 	defer c.Close()
 	_, err = c.Table().Get(t.Context(), "k")
