--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -159,13 +159,6 @@
 	return p, nil
 }
 
-// addKnownPeers adds addresses where routers may run to the fleet's members.
-func (p *Process) addKnownPeers(addrs []string) {
-	for _, addr := range addrs {
-		p.fleet.AddMembers([]fleet.Member{{Peers: addr}})
-	}
-}
-
 func (p *Process) bind(f Faces) error {
 	s := p.settings.Load()
 	if err := p.bindCallers(s.Listen.Callers); err != nil {
@@ -244,11 +237,6 @@
 	return nil
 }
 
-func member(s Settings) fleet.Member {
-	return fleet.Member{Name: s.Router.Name, Peers: s.peers(), Callers: s.callers(),
-		Zone: s.Router.Zone, Started: time.Now().UnixNano(), Power: s.Limits.Cores, Handover: s.Listen.Handover}
-}
-
 // Run serves until ctx ends, then shuts down gracefully.
 func (p *Process) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
